--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,22 @@
+//! Clock, entity keys, verdicts and the small macros that every crate uses.
+//!
+//! Nothing here does I/O but [`Clock`], which reads the monotonic clock. The crates that decide
+//! (`quorum`, `state`, `fleet`, `admit`, `route`, `batch`) take the time as a [`Millis`] argument
+//! and never read a clock, so that a test replays them from a seed.
+
+mod arena;
+mod cases;
+mod millis;
+mod place;
+mod refusal;
+mod verdict;
+
+pub use arena::{EntityKey, PrimaryMap};
+pub use millis::{Clock, Millis};
+pub use place::{FailureDomain, InstanceName, Region, TargetName};
+pub use refusal::{Reason, Refusal};
+pub use verdict::Verdict;
+pub use yuccaseam_derive::{key, record, value};
+
+#[doc(hidden)]
+pub use serde;
--- /dev/null
+++ b/crates/base/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the base crate, one file a topic.
+
+mod millis;
+mod verdict;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' client.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon that every instance runs.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Instances, failure domains, links and targets as one daemon knows them.
--- /dev/null
+++ b/crates/journal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Append-only checksummed segments with group commit, snapshots and recovery.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated state machine: configuration, jobs, request keys, orders to targets.
--- /dev/null
+++ b/crates/wire/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the wire crate, one file a topic.
+
+mod generated;
