--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -82,6 +82,8 @@
     Cancelled = "cancelled",
     /// The caller closed its connection.
     CallerGone = "caller_gone",
+    /// The item's target died with it, alone, as often as the settings allow.
+    ItemAttemptsSpent = "item_attempts_spent",
     /// A limit of the configuration is reached, such as the number of jobs.
     LimitReached = "limit_reached",
     /// A fault of this program.
--- /dev/null
+++ b/crates/state/src/configuration/validate.rs
@@ -0,0 +1,191 @@
+//! Rules that a configuration must keep. All breaches are listed, not only the first.
+
+use std::{
+    collections::BTreeMap,
+    fmt, //
+};
+
+use yuccaseam_base::{
+    Millis,
+    record, //
+};
+
+use super::{
+    Configuration,
+    Exception,
+    Reach,
+    Scope,
+    Setting, //
+};
+
+const NAME_LIMIT: usize = 128;
+const REASON_LIMIT: usize = 1_000;
+const EXCEPTIONS_LIMIT: usize = 200;
+const REPLICAS_LIMIT: u32 = 100_000;
+const DEADLINE_LIMIT_MS: u64 = 30 * 24 * 3_600_000;
+const TIMEOUT_LIMIT_MS: u64 = 3_600_000;
+
+/// One breach of a rule.
+#[record]
+pub struct Problem {
+    /// The part of the configuration, such as `classes/online`.
+    pub path: String,
+    /// What is wrong, for a person.
+    pub detail: String,
+}
+
+impl Problem {
+    pub(super) fn new<D>(list: &str, name: &str, detail: D) -> Self
+    where
+        D: Into<String>,
+    {
+        Self {
+            path: format!("{list}/{name}"),
+            detail: detail.into(),
+        }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.detail)
+    }
+}
+
+impl Configuration {
+    /// Every breach of a rule, at a point in Unix time.
+    pub fn problems(&self, at: Millis) -> Vec<Problem> {
+        let mut problems = Vec::new();
+        self.check_defaults(&mut problems);
+        self.check_classes(&mut problems);
+        self.check_models_and_services(&mut problems);
+        self.check_teams(&mut problems);
+        self.check_exceptions(at, &mut problems);
+        problems
+    }
+
+    fn check_defaults(&self, problems: &mut Vec<Problem>) {
+        for &setting in Setting::ALL {
+            check_value(
+                "defaults",
+                setting.name(),
+                setting,
+                self.defaults.get(setting),
+                problems,
+            );
+        }
+    }
+
+    fn check_classes(&self, problems: &mut Vec<Problem>) {
+        for (name, class) in &self.classes {
+            check_name("classes", name, problems);
+            if !(1..=DEADLINE_LIMIT_MS).contains(&class.deadline_ms) {
+                let detail = format!("deadline_ms must be 1 to {DEADLINE_LIMIT_MS}");
+                problems.push(Problem::new("classes", name, detail));
+            }
+        }
+    }
+
+    fn check_models_and_services(&self, problems: &mut Vec<Problem>) {
+        for (name, model) in &self.models {
+            check_name("models", name, problems);
+            if model.replicas > REPLICAS_LIMIT {
+                let detail = format!("replicas must be at most {REPLICAS_LIMIT}");
+                problems.push(Problem::new("models", name, detail));
+            }
+        }
+        for (name, service) in &self.services {
+            check_name("services", name, problems);
+            if !(1..=TIMEOUT_LIMIT_MS).contains(&service.timeout_ms) {
+                let detail = format!("timeout_ms must be 1 to {TIMEOUT_LIMIT_MS}");
+                problems.push(Problem::new("services", name, detail));
+            }
+        }
+    }
+
+    fn check_teams(&self, problems: &mut Vec<Problem>) {
+        for (name, team) in &self.teams {
+            check_name("teams", name, problems);
+            check_value("teams", name, Setting::TeamWeight, team.weight, problems);
+        }
+    }
+
+    fn check_exceptions(&self, at: Millis, problems: &mut Vec<Problem>) {
+        if self.exceptions.len() > EXCEPTIONS_LIMIT {
+            let detail = format!("the list is short: at most {EXCEPTIONS_LIMIT}");
+            problems.push(Problem::new("exceptions", "*", detail));
+        }
+        let mut first = BTreeMap::new();
+        for (id, exception) in &self.exceptions {
+            self.check_exception(exception, problems);
+            if !exception.is_in_force(at) {
+                continue;
+            }
+            if let Some(other) = first.insert((exception.setting, &exception.scope), id) {
+                let detail = format!("the same setting and scope as exception `{other}`");
+                problems.push(Problem::new("exceptions", id, detail));
+            }
+        }
+    }
+
+    fn check_exception(&self, exception: &Exception, problems: &mut Vec<Problem>) {
+        let id = &exception.id;
+        let mut report = |detail: &str| problems.push(Problem::new("exceptions", id, detail));
+        if exception.reason.trim().is_empty() {
+            report("a written reason is required");
+        }
+        if exception.reason.len() > REASON_LIMIT {
+            report("the reason is too long");
+        }
+        if exception.setting.reach() == Reach::Fleet && exception.scope != Scope::Fleet {
+            report("this setting holds for the whole fleet only");
+        }
+        match &exception.scope {
+            Scope::Class(name) if !self.classes.contains_key(name) => report("no such class"),
+            Scope::Model(name) if !self.models.contains_key(name) => report("no such model"),
+            _ => (),
+        }
+        check_name("exceptions", id, problems);
+        if let Some(name) = exception.scope.name() {
+            check_name(&format!("exceptions/{id}/scope"), name, problems);
+        }
+        check_value(
+            "exceptions",
+            id,
+            exception.setting,
+            exception.value,
+            problems,
+        );
+    }
+}
+
+impl Scope {
+    /// The name of the place, team, model or class; none for the fleet.
+    pub fn name(&self) -> Option<&str> {
+        match self {
+            Self::Fleet => None,
+            Self::Region(name)
+            | Self::FailureDomain(name)
+            | Self::Instance(name)
+            | Self::Class(name)
+            | Self::Model(name)
+            | Self::Team(name) => Some(name),
+        }
+    }
+}
+
+fn check_name(list: &str, name: &str, problems: &mut Vec<Problem>) {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
+    if name.is_empty() || name.len() > NAME_LIMIT || !name.chars().all(allowed) {
+        let detail = format!("a name is 1 to {NAME_LIMIT} of letters, digits and -_.:/");
+        problems.push(Problem::new(list, name, detail));
+    }
+}
+
+fn check_value(list: &str, name: &str, setting: Setting, value: u64, problems: &mut Vec<Problem>) {
+    let (min, max) = (setting.min(), setting.max());
+    if !(min..=max).contains(&value) {
+        let detail = format!("{} must be {min} to {max}, not {value}", setting.name());
+        problems.push(Problem::new(list, name, detail));
+    }
+}
