--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -47,10 +47,15 @@
     ($($(#[$doc:meta])+ $name:ident[$len:literal];)+) => {
         $(
             $(#[$doc])+
-            #[key]
-            #[derive(Serialize, Deserialize)]
+            #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
             pub struct $name(pub [u8; $len]);
 
+            impl fmt::Debug for $name {
+                fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                    write!(f, "{}({self})", stringify!($name))
+                }
+            }
+
             impl fmt::Display for $name {
                 fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                     self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- /dev/null
+++ b/crates/state/tests/all/codec.rs
@@ -0,0 +1,111 @@
+//! Bytes that are not messages are errors, never panics.
+
+use assert_matches::assert_matches;
+use rand::{
+    Rng,
+    RngCore,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+use yuccaseam_base::Millis;
+use yuccaseam_state::{
+    Answer,
+    Command,
+    DecodeError,
+    ItemSet,
+    LogIndex,
+    Outcome,
+    Query,
+    State, //
+};
+
+use crate::common::{
+    Machine,
+    job,
+    owner,
+    set, //
+};
+
+/// Messages of every kind that has a rule of its own.
+fn samples() -> Vec<Vec<u8>> {
+    let mut machine = Machine::new();
+    let create = job("t", "k", &[3, 4096]);
+    machine.create(&create);
+    let leases = machine.lease(&owner("a", 1), 2);
+    vec![
+        Command::new(Millis(7), create).encode(),
+        Command::new(Millis(7), set("r", 0, Vec::new())).encode(),
+        Outcome::Leased(leases).encode(),
+        Query::Orders.encode(),
+        machine.state.answer(&Query::Configuration).encode(),
+        machine.state.snapshot(),
+    ]
+}
+
+/// Reads bytes as every kind of message. What is read must be usable.
+fn read_all(bytes: &[u8]) {
+    let _ = Outcome::decode(bytes);
+    let _ = Answer::decode(bytes);
+    let mut state = State::restore(bytes).unwrap_or_default();
+    if let Ok(query) = Query::decode(bytes) {
+        state.answer(&query);
+    }
+    if let Ok(command) = Command::decode(bytes) {
+        state.apply(LogIndex(u64::MAX), &command);
+    }
+}
+
+#[test]
+fn random_bytes_do_not_panic() {
+    let mut rng = ChaCha8Rng::seed_from_u64(31);
+    for _ in 0..20_000 {
+        let mut bytes = vec![0; rng.random_range(0..200)];
+        rng.fill_bytes(&mut bytes);
+        if let Some(version) = bytes.first_mut() {
+            *version = 1;
+        }
+        read_all(&bytes);
+    }
+}
+
+#[test]
+fn changed_and_cut_messages_do_not_panic() {
+    let mut rng = ChaCha8Rng::seed_from_u64(32);
+    for sample in samples() {
+        for _ in 0..5_000 {
+            let mut bytes = sample.clone();
+            for _ in 0..rng.random_range(1..4) {
+                let place = rng.random_range(1..bytes.len());
+                bytes[place] = rng.random();
+            }
+            bytes.truncate(rng.random_range(1..=bytes.len()));
+            read_all(&bytes);
+        }
+    }
+}
+
+#[test]
+fn each_rule_of_the_encoding_has_its_error() {
+    let bytes = Query::Orders.encode();
+    assert_eq!(Query::decode(&[]), Err(DecodeError::Empty));
+    assert_eq!(Query::decode(&[9, 0]), Err(DecodeError::Version(9)));
+    assert_eq!(Query::decode(&bytes[..1]), Err(DecodeError::Malformed));
+    let longer = [bytes.as_slice(), &[0]].concat();
+    assert_eq!(Query::decode(&longer), Err(DecodeError::Malformed));
+}
+
+#[test]
+fn a_set_of_items_above_the_limit_is_refused() {
+    let mut set = Outcome::Started(ItemSet::full(4096)).encode();
+    assert_matches!(Outcome::decode(&set), Ok(Outcome::Started(items)) if items.len() == 4096);
+    let length = set.len() - 512;
+    let count = postcard_length(513);
+    set.splice(length - 2..length, count);
+    set.push(1);
+    assert_matches!(Outcome::decode(&set), Err(DecodeError::Malformed));
+}
+
+/// A length of two bytes in the encoding.
+fn postcard_length(length: u16) -> [u8; 2] {
+    [length as u8 | 0x80, (length >> 7) as u8]
+}
--- /dev/null
+++ b/crates/state/tests/all/keys.rs
@@ -0,0 +1,202 @@
+//! Idempotency keys: at most one call within the retention.
+
+use assert_matches::assert_matches;
+use yuccaseam_base::{
+    Millis,
+    Reason,
+    cases, //
+};
+use yuccaseam_state::{
+    AnswerBody,
+    CallEnd,
+    ClaimKey,
+    Fingerprint,
+    FinishKey,
+    INLINE_LIMIT,
+    KeptAnswer,
+    KeyClaim,
+    KeyFinished,
+    KeyId,
+    LogIndex,
+    Outcome,
+    OwnerLost,
+    Setting, //
+};
+
+use crate::common::{
+    HOUR,
+    Machine,
+    owner,
+    refusal, //
+};
+
+fn key() -> KeyId {
+    KeyId::of("clerks", "order-desk", "order 7")
+}
+
+fn claim(instance: &str, incarnation: u64, request: u64) -> ClaimKey {
+    ClaimKey {
+        key: key(),
+        fingerprint: Fingerprint::of(b"two rolls"),
+        owner: owner(instance, incarnation),
+        request,
+    }
+}
+
+fn claimed(outcome: &Outcome) -> LogIndex {
+    match outcome {
+        Outcome::KeyClaim(KeyClaim::Claimed { claim }) => *claim,
+        other => panic!("not claimed: {other:?}"),
+    }
+}
+
+fn answer(body: &[u8]) -> KeptAnswer {
+    KeptAnswer {
+        status: 201,
+        content_type: "application/json".to_owned(),
+        body: AnswerBody::Inline(body.to_vec()),
+    }
+}
+
+fn finish(claim: LogIndex, end: CallEnd) -> FinishKey {
+    FinishKey {
+        key: key(),
+        claim,
+        end,
+    }
+}
+
+fn finished() -> CallEnd {
+    CallEnd::Answer(answer(b"ordered"))
+}
+
+#[test]
+fn a_resend_waits_and_then_reads_the_answer() {
+    let mut machine = Machine::new();
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    let waiting = KeyClaim::InProgress {
+        owner: owner("a", 1),
+    };
+    assert_eq!(machine.apply(claim("b", 1, 9)), Outcome::KeyClaim(waiting));
+    machine.apply(finish(first, finished()));
+    let outcome = machine.apply(claim("b", 1, 9));
+    assert_eq!(
+        outcome,
+        Outcome::KeyClaim(KeyClaim::Finished(answer(b"ordered")))
+    );
+}
+
+#[test]
+fn a_claim_proposed_twice_is_one_claim_and_another_request_is_not() {
+    let mut machine = Machine::new();
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    assert_eq!(claimed(&machine.apply(claim("a", 1, 1))), first);
+    let outcome = machine.apply(claim("a", 1, 2));
+    assert_matches!(outcome, Outcome::KeyClaim(KeyClaim::InProgress { .. }));
+}
+
+#[test]
+fn another_body_is_told_so_in_every_state() {
+    let mut machine = Machine::new();
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    let mut other = claim("b", 1, 1);
+    other.fingerprint = Fingerprint::of(b"three rolls");
+    assert_eq!(
+        machine.apply(other.clone()),
+        Outcome::KeyClaim(KeyClaim::OtherBody)
+    );
+    machine.apply(finish(first, finished()));
+    assert_eq!(machine.apply(other), Outcome::KeyClaim(KeyClaim::OtherBody));
+}
+
+#[test]
+fn a_call_that_did_not_run_frees_its_key() {
+    let mut machine = Machine::new();
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    machine.apply(finish(first, CallEnd::NotRun));
+    let second = claimed(&machine.apply(claim("b", 1, 1)));
+    assert!(second > first);
+    let late = machine.apply(finish(first, finished()));
+    assert_eq!(late, Outcome::KeyFinished(KeyFinished::UnknownClaim));
+}
+
+fn lost_owner(lose: fn(&mut Machine)) {
+    let mut machine = Machine::new();
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    lose(&mut machine);
+    let outcome = machine.apply(claim("b", 1, 1));
+    assert_eq!(outcome, Outcome::KeyClaim(KeyClaim::OutcomeUnknown));
+    let late = machine.apply(finish(first, finished()));
+    assert_eq!(late, Outcome::KeyFinished(KeyFinished::Recorded));
+    let outcome = machine.apply(claim("b", 1, 1));
+    assert_matches!(outcome, Outcome::KeyClaim(KeyClaim::Finished(_)));
+}
+
+fn declare_lost(machine: &mut Machine) {
+    machine.apply(OwnerLost {
+        owner: owner("a", 1),
+    });
+}
+
+fn restart(machine: &mut Machine) {
+    let mut other = claim("a", 2, 1);
+    other.key = KeyId::of("clerks", "order-desk", "order 8");
+    claimed(&machine.apply(other));
+}
+
+fn report_unknown(machine: &mut Machine) {
+    let claim = LogIndex(machine.index);
+    machine.apply(finish(claim, CallEnd::Unknown));
+}
+
+cases! { lost_owner:
+    an_owner_declared_lost_leaves_the_outcome_unknown(declare_lost);
+    a_restarted_owner_leaves_the_outcome_unknown(restart);
+    a_broken_connection_leaves_the_outcome_unknown(report_unknown);
+}
+
+fn first_end_stands(second: CallEnd) {
+    let mut machine = Machine::new();
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    machine.apply(finish(first, finished()));
+    let outcome = machine.apply(finish(first, second));
+    assert_eq!(outcome, Outcome::KeyFinished(KeyFinished::AlreadyEnded));
+    let outcome = machine.apply(claim("b", 1, 1));
+    assert_eq!(
+        outcome,
+        Outcome::KeyClaim(KeyClaim::Finished(answer(b"ordered")))
+    );
+}
+
+cases! { first_end_stands:
+    against_another_answer(CallEnd::Answer(answer(b"other")));
+    against_not_run(CallEnd::NotRun);
+    against_unknown(CallEnd::Unknown);
+}
+
+#[test]
+fn a_key_lasts_for_its_retention_after_the_end_and_as_long_as_it_is_claimed() {
+    let mut machine = Machine::new();
+    machine.set_default(Setting::KeyRetentionMs, HOUR.0);
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    machine.wait(HOUR * 3);
+    let outcome = machine.apply(claim("b", 1, 1));
+    assert_matches!(outcome, Outcome::KeyClaim(KeyClaim::InProgress { .. }));
+    machine.apply(finish(first, finished()));
+    machine.wait(HOUR - Millis(1));
+    let outcome = machine.apply(claim("b", 1, 1));
+    assert_matches!(outcome, Outcome::KeyClaim(KeyClaim::Finished(_)));
+    machine.wait(Millis(1));
+    claimed(&machine.apply(claim("b", 1, 1)));
+}
+
+#[test]
+fn a_large_answer_is_not_kept_inline() {
+    let mut machine = Machine::new();
+    let first = claimed(&machine.apply(claim("a", 1, 1)));
+    let large = CallEnd::Answer(answer(&vec![0; INLINE_LIMIT + 1]));
+    assert_eq!(
+        refusal(machine.apply(finish(first, large))),
+        Reason::BadRequest
+    );
+}
