--- a/crates/state/src/jobs/lease.rs
+++ b/crates/state/src/jobs/lease.rs
@@ -44,7 +44,7 @@
         let urgent = now + configuration.fleet_wide_millis(Setting::UrgentMs, now);
         let mut leases = Vec::new();
         for _ in 0..request.max.min(LEASE_LIMIT) {
-            let Some(id) = self.queues.next(&request.serves, &self.shares, urgent) else {
+            let Some(id) = self.queues.next(&request.serves, urgent) else {
                 break;
             };
             let Some(lease) = self.lease_one(id, &request.owner, index) else {
@@ -53,7 +53,7 @@
             let weight = configuration.team_weight(&lease.team, now);
             self.charge(&lease, weight);
             if let Some(job) = self.jobs.get(&id) {
-                self.queues.update(id, job);
+                self.queues.update(id, job, &self.shares);
             }
             leases.push(lease);
         }
@@ -180,7 +180,7 @@
             job.ended_at = Some(now);
             self.ended.insert((now, id));
         }
-        self.queues.update(id, job);
+        self.queues.update(id, job, &self.shares);
     }
 
     fn lease_one(&mut self, id: JobId, owner: &OwnerId, index: LogIndex) -> Option<Lease> {
@@ -199,14 +199,13 @@
     }
 
     fn charge(&mut self, lease: &Lease, weight: u64) {
-        let least = self.queues.least_time(&lease.work, &self.shares);
         let charge = Charge {
             work: &lease.work,
             team: &lease.team,
             items: lease.spec.items,
             weight,
         };
-        self.shares.charge(&charge, least.unwrap_or(0));
+        self.queues.charge(&mut self.shares, &charge);
     }
 }
 
--- a/crates/state/src/jobs/mod.rs
+++ b/crates/state/src/jobs/mod.rs
@@ -170,7 +170,7 @@
             return Err(Refusal::not_run(Reason::LimitReached, detail));
         }
         let job = Job::new(create, now);
-        self.queues.update(create.job, &job);
+        self.queues.update(create.job, &job, &self.shares);
         self.jobs.insert(create.job, job);
         Ok(JobCreated {
             job: create.job,
@@ -193,7 +193,7 @@
             job.ended_at = Some(now);
             self.ended.insert((now, id));
             self.cancelled.insert(index, id);
-            self.queues.update(id, job);
+            self.queues.update(id, job, &self.shares);
         }
         Ok(job.status(id))
     }
@@ -269,7 +269,7 @@
 
     /// Enters a job in every index but that of returned chunks, which is its own.
     fn index(&mut self, id: JobId, job: &Job) {
-        self.queues.update(id, job);
+        self.queues.update(id, job, &self.shares);
         if let Some(ended_at) = job.ended_at {
             self.ended.insert((ended_at, id));
         }
--- a/crates/state/src/jobs/queues.rs
+++ b/crates/state/src/jobs/queues.rs
@@ -12,6 +12,7 @@
 
 use yuccaseam_base::{
     Millis,
+    key,
     record,
     value, //
 };
@@ -25,83 +26,127 @@
 /// Virtual time of one item at weight 1.
 const ITEM_COST: u64 = 1 << 20;
 
-/// The jobs of one team for one kind of work, earliest deadline first.
+/// Jobs, earliest deadline first.
 type Due = BTreeSet<(Millis, JobId)>;
 
-/// Jobs that have chunks to lease.
+/// Jobs that have chunks to lease, by the kind of work.
 #[value]
 #[derive(Default)]
 pub(crate) struct Queues {
-    due: BTreeMap<Work, BTreeMap<String, Due>>,
+    works: BTreeMap<Work, WorkQueue>,
+}
+
+/// Jobs that have chunks to lease, of one kind of work.
+#[value]
+#[derive(Default)]
+struct WorkQueue {
+    due: Due,
+    teams: BTreeMap<String, TeamQueue>,
+    /// The waiting teams, the one that lags most first.
+    by_time: BTreeSet<(u64, String)>,
+}
+
+/// Jobs of one team.
+#[value]
+struct TeamQueue {
+    time: u64,
+    due: Due,
 }
 
 impl Queues {
     /// Puts a job in, or takes it out, as it has chunks to lease or not.
-    pub(crate) fn update(&mut self, id: JobId, job: &Job) {
+    pub(crate) fn update(&mut self, id: JobId, job: &Job, shares: &Shares) {
         if job.has_free_chunk() {
-            let teams = self.due.entry(job.work.clone()).or_default();
-            let due = teams.entry(job.team.clone()).or_default();
-            due.insert((job.deadline, id));
-        } else {
-            self.remove(id, job);
+            let time = shares.of(&job.work, &job.team);
+            let queue = self.works.entry(job.work.clone()).or_default();
+            queue.insert(id, job, time);
+        } else if let Some(queue) = self.works.get_mut(&job.work) {
+            queue.remove(id, job);
+            if queue.due.is_empty() {
+                self.works.remove(&job.work);
+            }
         }
     }
 
     /// The next job for an owner that serves some kinds of work.
-    pub(crate) fn next(&self, serves: &[Work], shares: &Shares, urgent: Millis) -> Option<JobId> {
-        let candidates = serves.iter().flat_map(|work| self.first_of_each_team(work));
-        let rank = |first: &First<'_>| {
-            let late = first.deadline > urgent;
-            (
-                late,
-                shares.of(first.work, first.team),
-                first.deadline,
-                first.job,
-            )
-        };
-        candidates.min_by_key(rank).map(|first| first.job)
+    pub(crate) fn next(&self, serves: &[Work], urgent: Millis) -> Option<JobId> {
+        let queues = serves.iter().filter_map(|work| self.works.get(work));
+        let first = queues.filter_map(|queue| queue.first(urgent));
+        first.min().map(|first| first.job)
     }
 
-    /// The least virtual time of the teams that wait for a kind of work.
-    pub(crate) fn least_time(&self, work: &Work, shares: &Shares) -> Option<u64> {
-        let teams = self.due.get(work)?.keys();
-        teams.map(|team| shares.of(work, team)).min()
+    /// Charges a team for leased items.
+    pub(crate) fn charge(&mut self, shares: &mut Shares, charge: &Charge<'_>) {
+        let queue = self.works.get_mut(charge.work);
+        let least = queue.as_ref().and_then(|queue| queue.by_time.first());
+        let time = shares.charge(charge, least.map_or(0, |(time, _)| *time));
+        if let Some(queue) = queue {
+            queue.set_time(charge.team, time);
+        }
     }
+}
 
-    fn first_of_each_team(&self, work: &Work) -> impl Iterator<Item = First<'_>> {
-        let entry = self.due.get_key_value(work).into_iter();
-        let teams = entry.flat_map(|(work, teams)| teams.iter().map(move |entry| (work, entry)));
-        teams.filter_map(|(work, (team, due))| {
-            let &(deadline, job) = due.first()?;
-            Some(First {
-                work,
-                team,
-                deadline,
-                job,
-            })
-        })
+impl WorkQueue {
+    /// Usually no job is urgent, and the first team is found without a look at the others.
+    fn first(&self, urgent: Millis) -> Option<First> {
+        let &(earliest, _) = self.due.first()?;
+        if earliest <= urgent {
+            let teams = self.teams.values().filter_map(|team| team.first(urgent));
+            return teams.min();
+        }
+        let (_, team) = self.by_time.first()?;
+        self.teams[team].first(urgent)
+    }
+
+    fn insert(&mut self, id: JobId, job: &Job, time: u64) {
+        self.due.insert((job.deadline, id));
+        if let Some(team) = self.teams.get_mut(&job.team) {
+            team.due.insert((job.deadline, id));
+            return;
+        }
+        self.by_time.insert((time, job.team.clone()));
+        let due = Due::from([(job.deadline, id)]);
+        self.teams.insert(job.team.clone(), TeamQueue { time, due });
     }
 
     fn remove(&mut self, id: JobId, job: &Job) {
-        let Some(teams) = self.due.get_mut(&job.work) else {
+        self.due.remove(&(job.deadline, id));
+        let Some(team) = self.teams.get_mut(&job.team) else {
             return;
         };
-        if let Some(due) = teams.get_mut(&job.team) {
-            due.remove(&(job.deadline, id));
-            if due.is_empty() {
-                teams.remove(&job.team);
-            }
+        team.due.remove(&(job.deadline, id));
+        if team.due.is_empty() {
+            self.by_time.remove(&(team.time, job.team.clone()));
+            self.teams.remove(&job.team);
         }
-        if teams.is_empty() {
-            self.due.remove(&job.work);
+    }
+
+    fn set_time(&mut self, name: &str, time: u64) {
+        if let Some(team) = self.teams.get_mut(name) {
+            self.by_time.remove(&(team.time, name.to_owned()));
+            self.by_time.insert((time, name.to_owned()));
+            team.time = time;
         }
     }
 }
 
-/// The job of a team that is due first.
-struct First<'a> {
-    work: &'a Work,
-    team: &'a str,
+impl TeamQueue {
+    fn first(&self, urgent: Millis) -> Option<First> {
+        let &(deadline, job) = self.due.first()?;
+        Some(First {
+            relaxed: deadline > urgent,
+            time: self.time,
+            deadline,
+            job,
+        })
+    }
+}
+
+/// The job of a team that is due first. The least one goes next.
+#[key]
+struct First {
+    relaxed: bool,
+    time: u64,
     deadline: Millis,
     job: JobId,
 }
@@ -119,7 +164,7 @@
 #[derive(Default)]
 struct WorkShares {
     /// The least virtual time of the teams that waited when a chunk was last leased: a team that
-    /// was idle resumes here, so that it cannot save up its share.
+    /// was idle resumes here, so that it cannot save up its share. No waiting team is below it.
     floor: u64,
     teams: BTreeMap<String, u64>,
 }
@@ -129,15 +174,6 @@
         self.works.get(work).map_or(0, |shares| shares.of(team))
     }
 
-    /// Charges a team for leased items. `least` is the least virtual time of the waiting teams.
-    pub(crate) fn charge(&mut self, charge: &Charge<'_>, least: u64) {
-        let shares = self.works.entry(charge.work.clone()).or_default();
-        shares.floor = shares.floor.max(least);
-        let cost = ITEM_COST * u64::from(charge.items) / charge.weight.max(1);
-        let time = shares.of(charge.team).saturating_add(cost);
-        shares.teams.insert(charge.team.to_owned(), time);
-    }
-
     /// Forgets teams that are not ahead of those that were idle.
     pub(crate) fn compact(&mut self) {
         for shares in self.works.values_mut() {
@@ -145,6 +181,16 @@
             shares.teams.retain(|_, time| *time > floor);
         }
     }
+
+    /// Moves a team's time forward and returns it. `least` is that of the waiting teams.
+    fn charge(&mut self, charge: &Charge<'_>, least: u64) -> u64 {
+        let shares = self.works.entry(charge.work.clone()).or_default();
+        shares.floor = shares.floor.max(least);
+        let cost = ITEM_COST * u64::from(charge.items) / charge.weight.max(1);
+        let time = shares.of(charge.team).saturating_add(cost);
+        shares.teams.insert(charge.team.to_owned(), time);
+        time
+    }
 }
 
 impl WorkShares {
