testing: fake engine, fake plain service and cutting relay

The thin daemon needs targets that announce themselves. The engine batches continuously in one step loop, admits as calls arrive, and answers with tokens that are a function of the prompt and the token's number, so that a resumed answer can be checked against a whole one. The plain service runs behind an in-process relay, because tiny_http gives no way to close a connection without an answer (its request answers 500 when dropped, and a dropped writer leaves the connection open).

A caller that closes its connection is seen at the second write after it, as tiny_http shows no sockets; a call without streaming ends by /cancel only.

--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,1 +1,21 @@
 //! Fake engine, fake plain service, cutting relay, load and experiment tool.
+//!
+//! Nothing here is published. The fakes are separate processes, started from the examples of this
+//! crate; each keeps a record of what it ran, against which tests check what callers were told.
+
+mod announce;
+mod engine;
+mod http;
+mod record;
+mod relay;
+mod service;
+mod text;
+mod wait;
+
+pub use announce::{Announcement, Announcer, Kind};
+pub use engine::{Engine, EngineConfig};
+pub use record::{Entry, Phase, Record};
+pub use relay::{Relay, Shape, Shapes};
+pub use service::{Service, ServiceConfig};
+pub use text::{answer, chat_prompt, prompt_tokens};
+pub use wait::wait_until;
