--- /dev/null
+++ b/crates/journal/src/folder.rs
@@ -0,0 +1,199 @@
+//! The data folder: its lock and the identity of its disk.
+
+use std::{
+    fmt,
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::Arc, //
+};
+
+use yuccaseam_base::key;
+
+use crate::{
+    error::JournalError,
+    storage::{
+        Disk,
+        Storage,
+        StorageLock, //
+    }, //
+};
+
+const LOCK: &str = "lock";
+const IDENTITY: &str = "identity";
+const IDENTITY_TEMPORARY: &str = "identity.tmp";
+
+/// Bytes of the identity file: the identity and its CRC-32.
+const IDENTITY_BYTES: usize = 20;
+
+/// A random number that a disk gets when its data folder is created. A member that returns with
+/// another one has lost its disk and may not vote as if it remembered.
+#[key]
+pub struct DiskIdentity(pub u128);
+
+impl fmt::Display for DiskIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// A locked data folder.
+#[derive(Debug)]
+pub struct DataFolder {
+    storage: Arc<dyn Storage>,
+    path: PathBuf,
+    identity: DiskIdentity,
+    created: bool,
+    _lock: Box<dyn StorageLock>,
+}
+
+impl DataFolder {
+    /// Opens or creates the data folder at a path of the file system.
+    ///
+    /// # Errors
+    ///
+    /// [`JournalError::Locked`] if another process holds it; [`JournalError::Corrupt`] if its
+    /// identity cannot be read, or is missing beside data.
+    pub fn open<P>(path: P) -> Result<Self, JournalError>
+    where
+        P: AsRef<Path>,
+    {
+        Self::open_in(Arc::new(Disk), path)
+    }
+
+    /// Opens or creates the data folder at a path of some storage.
+    ///
+    /// # Errors
+    ///
+    /// As [`DataFolder::open`].
+    pub fn open_in<P>(storage: Arc<dyn Storage>, path: P) -> Result<Self, JournalError>
+    where
+        P: AsRef<Path>,
+    {
+        let path = absolute(path.as_ref())?;
+        create_durably(&*storage, &path)?;
+        let lock_file = path.join(LOCK);
+        let lock = storage
+            .lock(&lock_file)
+            .map_err(|e| JournalError::io(&lock_file, e))?
+            .ok_or_else(|| JournalError::Locked {
+                folder: path.clone(),
+            })?;
+        let found = read_identity(&*storage, &path)?;
+        let created = found.is_none();
+        let identity = match found {
+            Some(identity) => identity,
+            None => create_identity(&*storage, &path)?,
+        };
+        Ok(Self {
+            storage,
+            path,
+            identity,
+            created,
+            _lock: lock,
+        })
+    }
+
+    /// The identity of the disk.
+    pub fn identity(&self) -> DiskIdentity {
+        self.identity
+    }
+
+    /// Whether this open created the folder's identity: the disk remembers nothing.
+    pub fn was_empty(&self) -> bool {
+        self.created
+    }
+
+    /// Where the folder is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    pub(crate) fn storage(&self) -> Arc<dyn Storage> {
+        Arc::clone(&self.storage)
+    }
+
+    /// Opens or creates a folder in this one.
+    pub(crate) fn subfolder(&self, name: &str) -> Result<PathBuf, JournalError> {
+        let path = self.path.join(name);
+        create_durably(&*self.storage, &path)?;
+        Ok(path)
+    }
+}
+
+fn absolute(path: &Path) -> Result<PathBuf, JournalError> {
+    std::path::absolute(path).map_err(|e| JournalError::io(path, e))
+}
+
+/// Creates a folder and syncs its name in the folder above.
+fn create_durably(storage: &dyn Storage, path: &Path) -> Result<(), JournalError> {
+    if path.is_dir() {
+        return Ok(());
+    }
+    let io = |e| JournalError::io(path, e);
+    if let Some(parent) = path.parent() {
+        create_durably(storage, parent)?;
+    }
+    storage.create_folder(path).map_err(io)?;
+    match path.parent() {
+        Some(parent) => storage.sync_folder(parent).map_err(io),
+        None => Ok(()),
+    }
+}
+
+fn read_identity(
+    storage: &dyn Storage,
+    folder: &Path,
+) -> Result<Option<DiskIdentity>, JournalError> {
+    let path = folder.join(IDENTITY);
+    let io = |e| JournalError::io(&path, e);
+    if !path.exists() {
+        return refuse_data_without_identity(folder);
+    }
+    let file = storage.open(&path).map_err(io)?;
+    let mut buf = [0; IDENTITY_BYTES];
+    if file.size().map_err(io)? != IDENTITY_BYTES as u64 {
+        return Err(JournalError::corrupt(&path, 0, "identity of wrong length"));
+    }
+    file.read_at(&mut buf, 0).map_err(io)?;
+    let (number, crc) = buf.split_at(16);
+    if crc32fast::hash(number).to_le_bytes() != crc {
+        return Err(JournalError::corrupt(&path, 0, "bad checksum of identity"));
+    }
+    let number = number.try_into().expect("the split is at 16 bytes");
+    Ok(Some(DiskIdentity(u128::from_le_bytes(number))))
+}
+
+/// The identity is durable before any store creates its folder, so a folder without one is new.
+fn refuse_data_without_identity(folder: &Path) -> Result<Option<DiskIdentity>, JournalError> {
+    let entries = fs::read_dir(folder).map_err(|e| JournalError::io(folder, e))?;
+    for entry in entries {
+        let entry = entry.map_err(|e| JournalError::io(folder, e))?;
+        if entry.path().is_dir() {
+            return Err(JournalError::corrupt(
+                &folder.join(IDENTITY),
+                0,
+                "identity is missing beside data",
+            ));
+        }
+    }
+    Ok(None)
+}
+
+fn create_identity(storage: &dyn Storage, folder: &Path) -> Result<DiskIdentity, JournalError> {
+    let temporary = folder.join(IDENTITY_TEMPORARY);
+    let path = folder.join(IDENTITY);
+    let io = |e| JournalError::io(&path, e);
+    let identity = DiskIdentity(rand::random());
+    let number = identity.0.to_le_bytes();
+    let mut buf = number.to_vec();
+    buf.extend(crc32fast::hash(&number).to_le_bytes());
+    let file = storage.create(&temporary).map_err(io)?;
+    file.write_at(&buf, 0).map_err(io)?;
+    file.sync().map_err(io)?;
+    storage.rename(&temporary, &path).map_err(io)?;
+    storage.sync_folder(folder).map_err(io)?;
+    Ok(identity)
+}
--- /dev/null
+++ b/crates/journal/src/log_replay.rs
@@ -0,0 +1,268 @@
+//! Reading a log's segments when it is opened.
+
+use std::{
+    collections::VecDeque,
+    path::Path, //
+};
+
+use yuccaseam_base::key;
+
+use crate::{
+    error::JournalError,
+    frame::HEADER_BYTES,
+    log::{
+        HardState,
+        Position, //
+    },
+    record::Record,
+    segment::{
+        self,
+        Found,
+        Segment, //
+    },
+    storage::Storage, //
+};
+
+/// Where an entry is stored.
+#[key]
+pub(crate) struct Slot {
+    /// The term of the entry.
+    pub(crate) term: u64,
+    /// The number of its segment.
+    pub(crate) segment: u64,
+    /// Where its frame starts.
+    pub(crate) offset: u32,
+    /// Length of its frame's body in bytes.
+    pub(crate) len: u32,
+}
+
+impl Slot {
+    /// The slot of a frame from `offset` to `end` in a segment.
+    pub(crate) fn new(
+        term: u64,
+        segment: u64,
+        offset: u64,
+        end: u64,
+    ) -> Result<Self, JournalError> {
+        let len = (end - offset) as usize - HEADER_BYTES;
+        let offset = u32::try_from(offset).map_err(|_| JournalError::TooLarge { len })?;
+        Ok(Self {
+            term,
+            segment,
+            offset,
+            len: u32::try_from(len).map_err(|_| JournalError::TooLarge { len })?,
+        })
+    }
+}
+
+/// What the log knows without reading its files.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Index {
+    /// The place before the first entry.
+    pub(crate) start: Position,
+    /// The index of the first slot.
+    first: u64,
+    /// Where the entries are.
+    pub(crate) slots: VecDeque<Slot>,
+    /// The hard state.
+    pub(crate) hard: HardState,
+}
+
+impl Index {
+    /// The index of a log that continues at `first`.
+    fn new(start: Position, first: u64, hard: HardState) -> Self {
+        Self {
+            start,
+            first,
+            slots: VecDeque::new(),
+            hard,
+        }
+    }
+
+    /// The place of the last entry, or the start.
+    pub(crate) fn last(&self) -> Position {
+        match self.slots.back() {
+            Some(slot) => Position {
+                index: self.first + self.slots.len() as u64 - 1,
+                term: slot.term,
+            },
+            None => self.start,
+        }
+    }
+
+    /// The term of an entry or of the start.
+    pub(crate) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.start.index {
+            return Some(self.start.term);
+        }
+        self.slot(index).map(|slot| slot.term)
+    }
+
+    /// Where an entry is stored.
+    pub(crate) fn slot(&self, index: u64) -> Option<Slot> {
+        let at = index.checked_sub(self.first)?;
+        self.slots.get(usize::try_from(at).ok()?).copied()
+    }
+
+    /// Removes all entries from an index on.
+    pub(crate) fn truncate(&mut self, from: u64) {
+        match from.checked_sub(self.first) {
+            Some(keep) => self.slots.truncate(keep as usize),
+            None => {
+                self.slots.clear();
+                self.first = from;
+            }
+        }
+    }
+
+    /// Removes the entries up to a place.
+    pub(crate) fn drop_prefix(&mut self, to: Position) {
+        while self.first <= to.index && self.slots.pop_front().is_some() {
+            self.first += 1;
+        }
+        if self.slots.is_empty() {
+            self.first = to.index + 1;
+        }
+        self.start = to;
+    }
+
+    /// Removes all entries and continues after a place.
+    pub(crate) fn reset(&mut self, to: Position) {
+        *self = Self::new(to, to.index + 1, self.hard);
+    }
+
+    /// The index that the next entry must have.
+    fn next(&self) -> u64 {
+        self.first + self.slots.len() as u64
+    }
+
+    /// Applies a stored record. Returns what is wrong with it, if anything.
+    fn apply(&mut self, record: &Record<'_>, slot: Slot) -> Result<(), &'static str> {
+        match *record {
+            Record::Prologue { next, .. } if next != self.next() => {
+                Err("segment does not continue the one before")
+            }
+            Record::Prologue { .. } => Ok(()),
+            Record::Entry { position, .. } if position.index != self.next() => {
+                Err("entry out of order")
+            }
+            Record::Entry { position, .. } => {
+                self.slots.push_back(Slot {
+                    term: position.term,
+                    ..slot
+                });
+                Ok(())
+            }
+            Record::Hard(hard) => {
+                self.hard = hard;
+                Ok(())
+            }
+            Record::Truncate { from } => {
+                self.truncate(from);
+                Ok(())
+            }
+            Record::Start(to) => {
+                self.drop_prefix(to);
+                Ok(())
+            }
+            Record::Reset(to) => {
+                self.reset(to);
+                Ok(())
+            }
+        }
+    }
+}
+
+/// A log that was read.
+#[derive(Debug)]
+pub(crate) struct Replayed {
+    /// Every segment, contiguous by number.
+    pub(crate) segments: VecDeque<Segment>,
+    /// What they say.
+    pub(crate) index: Index,
+}
+
+/// Reads all segments of a folder and cuts off a torn tail.
+pub(crate) fn replay(storage: &dyn Storage, folder: &Path) -> Result<Replayed, JournalError> {
+    let numbers = segment::list(storage, folder)?;
+    let mut replayed = Replayed {
+        segments: VecDeque::new(),
+        index: Index::new(Position::default(), 1, HardState::default()),
+    };
+    for (at, &number) in numbers.iter().enumerate() {
+        if number != numbers[0] + at as u64 {
+            let missing = segment::path(folder, numbers[0] + at as u64);
+            return Err(JournalError::corrupt(&missing, 0, "segment is missing"));
+        }
+        let newest = at + 1 == numbers.len();
+        replay_segment(storage, folder, number, newest, &mut replayed)?;
+    }
+    check_complete(folder, &replayed)?;
+    Ok(replayed)
+}
+
+fn replay_segment(
+    storage: &dyn Storage,
+    folder: &Path,
+    number: u64,
+    newest: bool,
+    replayed: &mut Replayed,
+) -> Result<(), JournalError> {
+    let Some(mut segment) = segment::open_durable(storage, folder, number, newest)? else {
+        return Ok(());
+    };
+    let first = replayed.segments.is_empty();
+    let bad = scan_into(&segment, first, &mut replayed.index)?;
+    if let Some(offset) = bad {
+        if !newest {
+            return Err(segment.corrupt(offset, "bad checksum of a synced record"));
+        }
+        segment.cut_torn_tail(offset)?;
+    }
+    if newest && segment.is_empty() {
+        return segment.remove_torn(storage, folder);
+    }
+    replayed.segments.push_back(segment);
+    Ok(())
+}
+
+/// Applies a segment's records. Returns the offset of the first bad one, if any.
+fn scan_into(
+    segment: &Segment,
+    oldest: bool,
+    index: &mut Index,
+) -> Result<Option<u64>, JournalError> {
+    let mut started = false;
+    segment.scan(|Found { offset, len, body }| {
+        let Some(record) = Record::decode(body) else {
+            return Err(segment.corrupt(offset, "unknown kind of record"));
+        };
+        if let Record::Prologue { start, next, hard } = record
+            && oldest
+            && !started
+        {
+            *index = Index::new(start, next, hard);
+        }
+        started |= matches!(record, Record::Prologue { .. });
+        if !started {
+            return Err(segment.corrupt(offset, "segment without a prologue"));
+        }
+        let end = offset + (HEADER_BYTES + len) as u64;
+        let slot = Slot::new(0, segment.number(), offset, end)?;
+        index
+            .apply(&record, slot)
+            .map_err(|what| segment.corrupt(offset, what))
+    })
+}
+
+/// Entries after the start must be there: else a segment that held them is missing.
+fn check_complete(folder: &Path, replayed: &Replayed) -> Result<(), JournalError> {
+    if replayed.index.first > replayed.index.start.index + 1 {
+        return Err(JournalError::corrupt(
+            folder,
+            0,
+            "oldest segment is missing",
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/journal/src/snapshot.rs
@@ -0,0 +1,449 @@
+//! Snapshots of a state machine.
+//!
+//! A snapshot is written to a temporary file, synced and renamed, so that a file under its final
+//! name is whole. It holds the data and then a trailer with the place, the length and the SHA-256
+//! of the data.
+
+use std::{
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    }, //
+};
+
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use yuccaseam_base::key;
+
+use crate::{
+    error::JournalError,
+    folder::DataFolder,
+    frame::{
+        u32_at,
+        u64_at, //
+    },
+    log::{
+        Log,
+        Position, //
+    },
+    snapshot_transfer::SnapshotReceiver,
+    storage::{
+        Storage,
+        StorageFile, //
+    }, //
+};
+
+const FOLDER: &str = "snapshots";
+const SUFFIX: &str = ".snap";
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+const MAGIC: [u8; 8] = *b"yseamsn1";
+
+/// Bytes of the trailer: magic, index, term, length, SHA-256 and the CRC-32 of all these.
+const TRAILER_BYTES: usize = 68;
+
+/// How much is read at once to verify a snapshot.
+const READ_BYTES: usize = 256 << 10;
+
+/// What identifies a snapshot: two with the same value have the same data.
+#[key]
+pub struct SnapshotMeta {
+    /// The last entry that the snapshot covers.
+    pub position: Position,
+    /// Length of the data in bytes.
+    pub len: u64,
+    /// SHA-256 of the data.
+    pub digest: [u8; 32],
+}
+
+/// The snapshots of a data folder.
+#[derive(Debug)]
+pub struct Snapshots {
+    storage: Arc<dyn Storage>,
+    folder: PathBuf,
+    latest: Option<SnapshotMeta>,
+    damaged: Vec<PathBuf>,
+    temporaries: AtomicU64,
+}
+
+impl Snapshots {
+    /// Finds the newest valid snapshot and removes half-written ones.
+    ///
+    /// # Errors
+    ///
+    /// [`JournalError::Corrupt`] if there are snapshots and none is valid.
+    pub fn open(folder: &DataFolder) -> Result<Self, JournalError> {
+        let storage = folder.storage();
+        let folder = folder.subfolder(FOLDER)?;
+        let mut snapshots = Self {
+            storage,
+            folder,
+            latest: None,
+            damaged: Vec::new(),
+            temporaries: AtomicU64::new(0),
+        };
+        snapshots.remove_temporaries()?;
+        snapshots.find_latest()?;
+        Ok(snapshots)
+    }
+
+    /// The newest snapshot.
+    pub fn latest(&self) -> Option<SnapshotMeta> {
+        self.latest
+    }
+
+    /// Snapshots that were found damaged when the folder was opened, while an older one was valid.
+    pub fn damaged(&self) -> &[PathBuf] {
+        &self.damaged
+    }
+
+    /// Checks that the newest snapshot covers all entries that the log has dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`JournalError::Corrupt`] if entries are missing between the snapshot and the log.
+    pub fn check_covers(&self, log: &Log) -> Result<(), JournalError> {
+        let covered = self.latest.map_or(0, |meta| meta.position.index);
+        if log.start().index > covered {
+            let what = "no valid snapshot reaches the start of the log";
+            return Err(JournalError::corrupt(&self.folder, 0, what));
+        }
+        Ok(())
+    }
+
+    /// Opens the newest snapshot for reading. The reader stays valid when a newer one replaces it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn reader(&self) -> Result<Option<SnapshotReader>, JournalError> {
+        let Some(meta) = self.latest else {
+            return Ok(None);
+        };
+        let path = self.path(meta.position);
+        let file = self
+            .storage
+            .open(&path)
+            .map_err(|e| JournalError::io(&path, e))?;
+        Ok(Some(SnapshotReader { meta, path, file }))
+    }
+
+    /// Starts a snapshot of the state machine at a place.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn writer(&self, position: Position) -> Result<SnapshotWriter, JournalError> {
+        let number = self.temporaries.fetch_add(1, Ordering::Relaxed);
+        let name = format!("{}-{number}{TEMPORARY_SUFFIX}", stem(position));
+        let path = self.folder.join(name);
+        let file = self
+            .storage
+            .create(&path)
+            .map_err(|e| JournalError::io(&path, e))?;
+        Ok(SnapshotWriter {
+            temporary: Temporary {
+                storage: Arc::clone(&self.storage),
+                path,
+                renamed: false,
+            },
+            file,
+            position,
+            len: 0,
+            hasher: Sha256::new(),
+        })
+    }
+
+    /// Starts to receive a snapshot from another replica.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn receiver(&self, meta: SnapshotMeta) -> Result<SnapshotReceiver, JournalError> {
+        let writer = self.writer(meta.position)?;
+        Ok(SnapshotReceiver::new(meta, writer))
+    }
+
+    /// Makes a sealed snapshot the newest one, durably, and removes older ones. One that is not
+    /// newer than the newest is discarded.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn install(&mut self, mut sealed: SealedSnapshot) -> Result<SnapshotMeta, JournalError> {
+        if let Some(latest) = self.latest
+            && latest.position.index >= sealed.meta.position.index
+        {
+            return Ok(latest);
+        }
+        let path = self.path(sealed.meta.position);
+        self.storage
+            .rename(&sealed.temporary.path, &path)
+            .map_err(|e| JournalError::io(&path, e))?;
+        sealed.temporary.renamed = true;
+        self.storage
+            .sync_folder(&self.folder)
+            .map_err(|e| JournalError::sync(&self.folder, e))?;
+        self.latest = Some(sealed.meta);
+        self.remove_older(sealed.meta.position)?;
+        Ok(sealed.meta)
+    }
+
+    fn path(&self, position: Position) -> PathBuf {
+        self.folder.join(format!("{}{SUFFIX}", stem(position)))
+    }
+
+    fn names(&self) -> Result<Vec<String>, JournalError> {
+        self.storage
+            .list(&self.folder)
+            .map_err(|e| JournalError::io(&self.folder, e))
+    }
+
+    fn remove(&self, name: &str) -> Result<(), JournalError> {
+        let path = self.folder.join(name);
+        self.storage
+            .remove(&path)
+            .map_err(|e| JournalError::io(&path, e))
+    }
+
+    fn remove_temporaries(&self) -> Result<(), JournalError> {
+        for name in self.names()? {
+            if name.ends_with(TEMPORARY_SUFFIX) {
+                self.remove(&name)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn remove_older(&self, than: Position) -> Result<(), JournalError> {
+        for name in self.names()? {
+            if position_of(&name).is_some_and(|position| position < than) {
+                self.remove(&name)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn find_latest(&mut self) -> Result<(), JournalError> {
+        let names = self.names()?;
+        let mut positions: Vec<_> = names.iter().filter_map(|name| position_of(name)).collect();
+        positions.sort_unstable();
+        for &position in positions.iter().rev() {
+            let path = self.path(position);
+            match verify(&*self.storage, &path, position)? {
+                Some(meta) => {
+                    self.latest = Some(meta);
+                    return Ok(());
+                }
+                None => self.damaged.push(path),
+            }
+        }
+        match self.damaged.first() {
+            Some(path) => Err(JournalError::corrupt(path, 0, "no snapshot is valid")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Reads a snapshot in chunks.
+#[derive(Debug)]
+pub struct SnapshotReader {
+    meta: SnapshotMeta,
+    path: PathBuf,
+    file: Arc<dyn StorageFile>,
+}
+
+impl SnapshotReader {
+    /// What identifies the snapshot.
+    pub fn meta(&self) -> SnapshotMeta {
+        self.meta
+    }
+
+    /// Reads up to `len` bytes of the data from an offset; fewer at the end, none after it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn read(&self, offset: u64, len: usize) -> Result<Vec<u8>, JournalError> {
+        let left = self.meta.len.saturating_sub(offset);
+        let mut buf = vec![0; left.min(len as u64) as usize];
+        self.file
+            .read_at(&mut buf, offset)
+            .map_err(|e| JournalError::io(&self.path, e))?;
+        Ok(buf)
+    }
+
+    /// Reads all of the data.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn read_all(&self) -> Result<Vec<u8>, JournalError> {
+        let len = usize::try_from(self.meta.len).map_err(|_| JournalError::WrongSnapshot)?;
+        self.read(0, len)
+    }
+}
+
+/// A snapshot that is being written.
+#[derive(Debug)]
+pub struct SnapshotWriter {
+    temporary: Temporary,
+    file: Arc<dyn StorageFile>,
+    position: Position,
+    len: u64,
+    hasher: Sha256,
+}
+
+impl SnapshotWriter {
+    /// Appends to the data.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn write(&mut self, buf: &[u8]) -> Result<(), JournalError> {
+        self.file
+            .write_at(buf, self.len)
+            .map_err(|e| JournalError::io(&self.temporary.path, e))?;
+        self.len += buf.len() as u64;
+        self.hasher.update(buf);
+        Ok(())
+    }
+
+    /// How many bytes were written.
+    pub(crate) fn len(&self) -> u64 {
+        self.len
+    }
+
+    /// Ends the data and syncs it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does.
+    pub fn seal(self) -> Result<SealedSnapshot, JournalError> {
+        let meta = SnapshotMeta {
+            position: self.position,
+            len: self.len,
+            digest: self.hasher.finalize().into(),
+        };
+        let path = &self.temporary.path;
+        self.file
+            .write_at(&encode_trailer(&meta), self.len)
+            .map_err(|e| JournalError::io(path, e))?;
+        self.file.sync().map_err(|e| JournalError::sync(path, e))?;
+        Ok(SealedSnapshot {
+            temporary: self.temporary,
+            meta,
+        })
+    }
+}
+
+/// A snapshot that is whole and synced, for [`Snapshots::install`].
+#[derive(Debug)]
+pub struct SealedSnapshot {
+    temporary: Temporary,
+    meta: SnapshotMeta,
+}
+
+impl SealedSnapshot {
+    /// What identifies the snapshot.
+    pub fn meta(&self) -> SnapshotMeta {
+        self.meta
+    }
+}
+
+/// A temporary file, which is removed when it is dropped unless it was renamed.
+#[derive(Debug)]
+struct Temporary {
+    storage: Arc<dyn Storage>,
+    path: PathBuf,
+    renamed: bool,
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        if !self.renamed {
+            // A file that stays is removed when the folder is opened again.
+            let _ = self.storage.remove(&self.path);
+        }
+    }
+}
+
+fn stem(position: Position) -> String {
+    format!("{:016x}-{:016x}", position.index, position.term)
+}
+
+fn position_of(name: &str) -> Option<Position> {
+    let (index, term) = name.strip_suffix(SUFFIX)?.split_once('-')?;
+    Some(Position {
+        index: u64::from_str_radix(index, 16).ok()?,
+        term: u64::from_str_radix(term, 16).ok()?,
+    })
+}
+
+fn encode_trailer(meta: &SnapshotMeta) -> [u8; TRAILER_BYTES] {
+    let mut trailer = [0; TRAILER_BYTES];
+    trailer[..8].copy_from_slice(&MAGIC);
+    trailer[8..16].copy_from_slice(&meta.position.index.to_le_bytes());
+    trailer[16..24].copy_from_slice(&meta.position.term.to_le_bytes());
+    trailer[24..32].copy_from_slice(&meta.len.to_le_bytes());
+    trailer[32..64].copy_from_slice(&meta.digest);
+    let crc = crc32fast::hash(&trailer[..64]);
+    trailer[64..].copy_from_slice(&crc.to_le_bytes());
+    trailer
+}
+
+fn decode_trailer(trailer: &[u8; TRAILER_BYTES]) -> Option<SnapshotMeta> {
+    let valid = trailer[..8] == MAGIC && u32_at(trailer, 64) == crc32fast::hash(&trailer[..64]);
+    valid.then(|| SnapshotMeta {
+        position: Position {
+            index: u64_at(trailer, 8),
+            term: u64_at(trailer, 16),
+        },
+        len: u64_at(trailer, 24),
+        digest: trailer[32..64].try_into().expect("32 bytes"),
+    })
+}
+
+/// Reads a whole snapshot, and returns what identifies it if it is valid.
+fn verify(
+    storage: &dyn Storage,
+    path: &Path,
+    position: Position,
+) -> Result<Option<SnapshotMeta>, JournalError> {
+    let io = |e| JournalError::io(path, e);
+    let file = storage.open(path).map_err(io)?;
+    let size = file.size().map_err(io)?;
+    let Some(len) = size.checked_sub(TRAILER_BYTES as u64) else {
+        return Ok(None);
+    };
+    let mut trailer = [0; TRAILER_BYTES];
+    file.read_at(&mut trailer, len).map_err(io)?;
+    let Some(meta) = decode_trailer(&trailer) else {
+        return Ok(None);
+    };
+    let digest = digest_of(&*file, len).map_err(io)?;
+    let valid = meta.position == position && meta.len == len && meta.digest == digest;
+    Ok(valid.then_some(meta))
+}
+
+fn digest_of(file: &dyn StorageFile, len: u64) -> std::io::Result<[u8; 32]> {
+    let mut hasher = Sha256::new();
+    let mut buf = vec![0; READ_BYTES];
+    let mut offset = 0;
+    while offset < len {
+        let step = (len - offset).min(READ_BYTES as u64) as usize;
+        file.read_at(&mut buf[..step], offset)?;
+        hasher.update(&buf[..step]);
+        offset += step as u64;
+    }
+    Ok(hasher.finalize().into())
+}
