quorum: replication core with events in and actions out

The control log needs a replica that can be explored by seeded schedules, so the core does no I/O and reads no clock. A replica is identified by its disk and not by its instance's name: votes, acknowledgements and lease support of an empty disk under an old name then count for nothing without a further rule.

Ruled out: sending votes and acknowledgements from the I/O layer (the order between a write and its message would be spread over two crates), and a replacement of a voter as one change (majorities of two groups that differ by two voters need not meet; the core takes two steps in its place).

Compiles and lints; behaviour is not tested yet.

--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -1,1 +1,32 @@
 //! Replication of one log: election, lease, membership change, snapshot transfer, without I/O.
+//!
+//! The protocol is Raft with pre-vote, a leader lease that rests on a quorum's answers, reads that
+//! a quorum confirms, and one change of the group at a time. [`Core::step`] takes an [`Event`] and
+//! the time, and returns [`Action`]s. Whoever drives it owns the disk, the network and the clock.
+
+mod change;
+mod core;
+mod election;
+mod entry;
+mod event;
+mod follower;
+mod id;
+mod leader;
+mod log;
+mod membership;
+mod message;
+mod progress;
+mod reads;
+mod role;
+mod timing;
+mod transfer;
+mod writer;
+
+pub use crate::core::{Config, Core};
+pub use entry::{Entry, HardState, Incoming, Payload, Persist, Restored, Snapshot, SnapshotId};
+pub use event::{Action, Change, ChangeError, Committed, Event, Proposal};
+pub use id::{DiskId, Index, Round, SyncSeq, Term, Token};
+pub use membership::{Member, Membership, Standing};
+pub use message::{Append, AppendResult, Body, Chunk, Echo, Envelope, LastEntry};
+pub use timing::Timing;
+pub use transfer::CHUNK_BYTES;
--- /dev/null
+++ b/crates/quorum/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the replication core.
