--- /dev/null
+++ b/crates/admit/src/pace.rs
@@ -0,0 +1,133 @@
+//! How many requests a target runs together before tokens come too slowly.
+//!
+//! The time of an engine's step grows with its batch. The gate fits a line to the times that
+//! streams show, and keeps the distribution of how many online requests run, so that batch can be
+//! held to what online streams meet anyway.
+
+use yuccaseam_base::Millis;
+
+use crate::settings::Balance;
+
+/// What an old sample's weight is multiplied by at each new one.
+const FORGET: f64 = 0.998;
+
+/// The variance of the number of requests below which the slope is not known.
+const LEAST_VARIANCE: f64 = 0.5;
+
+/// What is added to a fitted number before its fraction is cut off, so that the fit's own rounding
+/// costs no slot.
+const ROUNDING: f64 = 0.01;
+
+/// The time constant of the distribution of online requests, in milliseconds.
+const MEMORY_MS: f64 = 60_000.0;
+
+/// The share of online tokens that come at or below the online peak.
+const PEAK_QUANTILE: f64 = 0.95;
+
+/// Sums of an exponentially weighted linear regression of the step time on the requests that run.
+#[derive(Clone, Copy, Debug, Default)]
+struct StepFit {
+    weight: f64,
+    n: f64,
+    nn: f64,
+    step: f64,
+    n_step: f64,
+}
+
+impl StepFit {
+    fn add(&mut self, n: f64, step: f64) {
+        let sums = [
+            &mut self.weight,
+            &mut self.n,
+            &mut self.nn,
+            &mut self.step,
+            &mut self.n_step,
+        ];
+        for (sum, value) in sums.into_iter().zip([1.0, n, n * n, step, n * step]) {
+            *sum = *sum * FORGET + value;
+        }
+    }
+
+    /// The requests at which a step takes `bound`, if any sample tells.
+    fn requests_within(&self, bound: f64) -> Option<f64> {
+        if self.weight < 1.0 {
+            return None;
+        }
+        let n = self.n / self.weight;
+        let step = self.step / self.weight;
+        let variance = self.nn / self.weight - n * n;
+        if variance < LEAST_VARIANCE {
+            return (step > bound).then_some(n * bound / step);
+        }
+        let slope = (self.n_step / self.weight - n * step) / variance;
+        if slope <= 0.0 {
+            return None;
+        }
+        Some(n + (bound - step) / slope)
+    }
+}
+
+/// The observed pace of a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Pace {
+    fit: StepFit,
+    /// The time that each number of online requests ran, decayed.
+    online_time: Vec<f64>,
+    online: u32,
+    updated_at: Millis,
+}
+
+impl Pace {
+    pub(crate) fn new(slots: u32) -> Self {
+        Self {
+            fit: StepFit::default(),
+            online_time: vec![0.0; slots as usize + 1],
+            online: 0,
+            updated_at: Millis::ZERO,
+        }
+    }
+
+    /// A stream had this time between tokens while so many requests ran.
+    pub(crate) fn observe_step(&mut self, running: u32, step_micros: u32) {
+        self.fit.add(f64::from(running), f64::from(step_micros));
+    }
+
+    /// Records how many online requests run from now on.
+    pub(crate) fn observe_online(&mut self, online: u32, now: Millis) {
+        let elapsed = (now - self.updated_at).0 as f64;
+        if elapsed > 0.0 {
+            let decay = (-elapsed / MEMORY_MS).exp();
+            self.online_time.iter_mut().for_each(|time| *time *= decay);
+            let last = self.online_time.len() - 1;
+            self.online_time[(self.online as usize).min(last)] += elapsed;
+            self.updated_at = now;
+        }
+        self.online = online;
+    }
+
+    /// The most requests that may run together.
+    pub(crate) fn cap(&self, balance: Balance, bound_micros: u32) -> u32 {
+        let slots = (self.online_time.len() - 1) as f64;
+        let bound = self.fit.requests_within(f64::from(bound_micros));
+        let most = (bound.unwrap_or(slots) + ROUNDING).clamp(1.0, slots);
+        if self.online == 0 {
+            return most as u32;
+        }
+        let peak = f64::from(self.online_peak()).min(most);
+        balance.between(peak, most) as u32
+    }
+
+    /// The number of online requests beside which most online tokens come.
+    fn online_peak(&self) -> u32 {
+        let tokens = |(n, time): (usize, &f64)| n as f64 * time;
+        let total: f64 = self.online_time.iter().enumerate().map(tokens).sum();
+        let mut below = 0.0;
+        for (n, time) in self.online_time.iter().enumerate() {
+            below += tokens((n, time));
+            if below >= total * PEAK_QUANTILE {
+                return n as u32;
+            }
+        }
+        self.online
+    }
+}
