A thin whole path as separate processes

Callers reach models and plain services through any daemon over HTTP; streams are passed on event by event and resumed at another target when one breaks. A job, a claim of an idempotency key and a configuration are acknowledged once the log of the only voter is synced; daemons without a disk reach it over tonic. Targets announce themselves to any daemon, which tells the others.

Tried by hand as two daemons, one engine and one service: a streamed and a whole answer, an order sent twice under one key and run once, a key reused with another body refused, a job and the key still there after a restart of the voter.

Admission is round-robin and the voter stands alone until the crates for them are wired.

--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,78 @@
+//! The commands.
+
+mod configuration;
+mod jobs;
+mod members;
+mod show;
+
+use serde_json::Value;
+
+use crate::{
+    client::Client,
+    exit::Failure,
+    flags::YuccaseamCmd, //
+};
+
+/// Runs one command.
+///
+/// # Errors
+///
+/// Fails as the instance's answer says.
+pub(crate) fn run(client: &Client, command: YuccaseamCmd, json: bool) -> Result<(), Failure> {
+    let out = Output { json };
+    match command {
+        YuccaseamCmd::Status(_) => show::status(client, out),
+        YuccaseamCmd::Targets(_) => show::targets(client, out),
+        YuccaseamCmd::Models(_) => show::models(client, out),
+        YuccaseamCmd::Export(_) => show::export(client),
+        YuccaseamCmd::Exceptions(_) => configuration::exceptions(client, out),
+        YuccaseamCmd::Configuration(flags) => configuration::run(client, flags.subcommand, out),
+        YuccaseamCmd::Jobs(_) => jobs::list(client, out),
+        YuccaseamCmd::Job(flags) => jobs::run(client, flags.subcommand, out),
+        YuccaseamCmd::Members(_) => members::list(client, out),
+        YuccaseamCmd::Member(flags) => members::run(client, flags.subcommand, out),
+    }
+}
+
+/// How a command prints.
+#[derive(Clone, Copy)]
+pub(crate) struct Output {
+    json: bool,
+}
+
+impl Output {
+    /// Prints an answer: as JSON if that was asked for, else as `text` makes it.
+    pub(crate) fn print<F>(self, value: &Value, text: F)
+    where
+        F: FnOnce(&Value) -> String,
+    {
+        if self.json {
+            println!("{value}");
+        } else {
+            print!("{}", text(value));
+        }
+    }
+}
+
+/// A field of an answer as text for a table.
+pub(crate) fn cell(value: &Value, field: &str) -> String {
+    match &value[field] {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// A heading as a row of a table.
+pub(crate) fn heading(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+/// The rows of a table: a heading and one row for each entry of a list, with these fields.
+pub(crate) fn rows(names: &[&str], list: &Value, fields: &[&str]) -> Vec<Vec<String>> {
+    let mut rows = vec![heading(names)];
+    for entry in list.as_array().into_iter().flatten() {
+        rows.push(fields.iter().map(|field| cell(entry, field)).collect());
+    }
+    rows
+}
--- /dev/null
+++ b/crates/daemon/src/admin/status.rs
@@ -0,0 +1,33 @@
+//! The state of this instance at a glance.
+
+use serde_json::json;
+
+use crate::{
+    context::Context,
+    http::Responder,
+    measures, //
+};
+
+/// Answers with the state of this instance.
+pub(crate) fn show(cx: &Context, out: Responder) {
+    let settings = &cx.settings;
+    out.json(
+        200,
+        &json!({
+            "instance": settings.instance,
+            "region": settings.region,
+            "failure_domain": settings.failure_domain,
+            "ready": cx.health.unready().is_none(),
+            "unready_because": cx.health.unready(),
+            "confirmation_age_ms": cx.health.confirmation_age(),
+            "running_requests": measures::running(),
+            "targets": cx.targets.all(cx.clock.now()).len(),
+        }),
+    );
+}
+
+/// Answers with every target that this instance knows.
+pub(crate) fn list_targets(cx: &Context, out: Responder) {
+    let targets = cx.targets.all(cx.clock.now());
+    out.json(200, &json!({ "targets": targets }));
+}
--- /dev/null
+++ b/crates/daemon/src/entry/events.rs
@@ -0,0 +1,76 @@
+//! Server-sent events of a model engine.
+
+use std::io::{
+    self,
+    BufRead,
+    BufReader,
+    Read, //
+};
+
+/// The end mark of a stream.
+const DONE: &[u8] = b"[DONE]";
+/// The largest event, in bytes. A target that sends more is faulty.
+const MAX_EVENT: u64 = 1024 * 1024;
+
+/// One event of a stream.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A piece of the answer: the whole event with its empty line.
+    Piece(Vec<u8>),
+    /// The end mark: the answer is whole.
+    Done(Vec<u8>),
+}
+
+/// Reads the events of one answer.
+pub(crate) struct Events<R> {
+    reader: BufReader<R>,
+}
+
+impl<R> Events<R>
+where
+    R: Read,
+{
+    pub(crate) fn new(body: R) -> Self {
+        Self {
+            reader: BufReader::new(body),
+        }
+    }
+
+    /// Reads the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream ends before its end mark.
+    pub(crate) fn next(&mut self) -> io::Result<Event> {
+        let mut event = Vec::new();
+        loop {
+            let start = event.len();
+            let mut limited = (&mut self.reader).take(MAX_EVENT);
+            let read = limited.read_until(b'\n', &mut event)?;
+            if read == 0 || !event.ends_with(b"\n") || event.len() as u64 > MAX_EVENT {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let line = event[start..].trim_ascii();
+            if !line.is_empty() {
+                continue;
+            }
+            if event.trim_ascii().is_empty() {
+                event.clear();
+                continue;
+            }
+            return Ok(classify(event));
+        }
+    }
+}
+
+fn classify(event: Vec<u8>) -> Event {
+    let data = event
+        .strip_prefix(b"data:")
+        .unwrap_or_default()
+        .trim_ascii();
+    if data == DONE {
+        Event::Done(event)
+    } else {
+        Event::Piece(event)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,13 @@
+//! What callers ask for.
+
+mod announce;
+mod claim;
+mod events;
+mod generate;
+mod models;
+mod services;
+
+pub(crate) use announce::announce;
+pub(crate) use generate::generate;
+pub(crate) use models::list_models;
+pub(crate) use services::call_service;
--- /dev/null
+++ b/crates/daemon/src/entry/models.rs
@@ -0,0 +1,24 @@
+//! The list of models.
+
+use std::collections::BTreeSet;
+
+use serde_json::json;
+
+use crate::{
+    context::Context,
+    http::Responder, //
+};
+
+/// Answers with the models that some target serves.
+pub(crate) fn list_models(cx: &Context, out: Responder) {
+    let targets = cx.targets.all(cx.clock.now());
+    let models: BTreeSet<_> = targets
+        .into_iter()
+        .filter_map(|target| target.model)
+        .collect();
+    let data: Vec<_> = models
+        .into_iter()
+        .map(|id| json!({ "id": id, "object": "model", "owned_by": "yuccaseam" }))
+        .collect();
+    out.json(200, &json!({ "object": "list", "data": data }));
+}
--- /dev/null
+++ b/crates/daemon/src/entry/services.rs
@@ -0,0 +1,146 @@
+//! Calls to plain services.
+//!
+//! A call that is not idempotent runs at most once. With an `Idempotency-Key` its key is claimed in
+//! the replicated state before the first byte is sent, so that a resend through any instance finds
+//! the claim and gets the first answer. Without a key the call is sent to one target only.
+
+use tiny_http::Method;
+use yuccaseam_base::{
+    Reason,
+    Refusal, //
+};
+
+use crate::{
+    admission::{
+        Ask,
+        Needs, //
+    },
+    context::Context,
+    entry::claim,
+    http::{
+        Call,
+        Responder, //
+    },
+    measures,
+    upstream::Outgoing,
+};
+
+/// How many targets a call is tried at.
+const ATTEMPTS: u32 = 3;
+/// The request class of calls to plain services.
+const CLASS: &str = "online";
+/// The header of the idempotency key.
+const KEY: &str = "idempotency-key";
+/// The longest idempotency key, in bytes.
+const KEY_LIMIT: usize = 255;
+
+/// The answer of a plain service.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceAnswer {
+    pub(crate) status: u16,
+    pub(crate) content_type: String,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Passes a call to a copy of the plain service `name`.
+pub(crate) fn call_service(cx: &Context, call: &Call, name: &str, out: Responder) {
+    let result = match call.header(KEY) {
+        Some(key) if !is_idempotent(cx, call, name) => check_key(key)
+            .and_then(|()| claim::run_once(cx, call, name, key, || run(cx, call, name))),
+        _ => run(cx, call, name),
+    };
+    match result {
+        Ok(answer) => {
+            measures::count_answer("service");
+            out.bytes(answer.status, &answer.content_type, answer.body);
+        }
+        Err(refusal) => out.refuse(&refusal),
+    }
+}
+
+/// Sends the call to one target after another, as far as the verdicts allow.
+fn run(cx: &Context, call: &Call, name: &str) -> Result<ServiceAnswer, Refusal> {
+    let idempotent = is_idempotent(cx, call, name);
+    let mut ask = Ask {
+        needs: Needs::Service(name.to_owned()),
+        team: call.team().to_owned(),
+        class: CLASS.to_owned(),
+        prompt_tokens: 0,
+        answer_tokens: 0,
+        avoid: Vec::new(),
+    };
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let permit = cx.admission.acquire(cx, &ask)?;
+        let refusal = match send(cx, call, name, permit.target.address) {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        if attempts == ATTEMPTS || !refusal.verdict.allows_retry(idempotent) {
+            return Err(refusal);
+        }
+        measures::count_retry(refusal.reason);
+        ask.avoid.push(permit.target.name.clone());
+    }
+}
+
+fn send(
+    cx: &Context,
+    call: &Call,
+    name: &str,
+    address: std::net::SocketAddr,
+) -> Result<ServiceAnswer, Refusal> {
+    let prefix = format!("/services/{name}");
+    let mut path = call
+        .path
+        .strip_prefix(&prefix)
+        .unwrap_or_default()
+        .to_owned();
+    if path.is_empty() {
+        path.push('/');
+    }
+    if !call.query.is_empty() {
+        path.push('?');
+        path.push_str(&call.query);
+    }
+    let mut headers = vec![("x-request-id", call.id.as_str())];
+    for name in ["content-type", "accept", "traceparent", KEY] {
+        if let Some(value) = call.header(name) {
+            headers.push((name, value));
+        }
+    }
+    let answer = cx.upstream.send(&Outgoing {
+        address,
+        method: call.method.as_str(),
+        path: &path,
+        headers,
+        body: &call.body,
+    })?;
+    Ok(ServiceAnswer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: answer.read_whole()?,
+    })
+}
+
+/// Whether running the call twice has the effect of running it once. A service that is not
+/// configured counts as not idempotent.
+fn is_idempotent(cx: &Context, call: &Call, name: &str) -> bool {
+    let configuration = cx.store.configuration();
+    let by_method = matches!(call.method, Method::Get | Method::Head);
+    by_method
+        || configuration
+            .services
+            .get(name)
+            .is_some_and(|service| service.idempotent)
+}
+
+fn check_key(key: &str) -> Result<(), Refusal> {
+    let printable = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if printable && (1..=KEY_LIMIT).contains(&key.len()) {
+        return Ok(());
+    }
+    let detail = format!("an idempotency key has 1 to {KEY_LIMIT} printable characters");
+    Err(Refusal::not_run(Reason::BadKey, detail))
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/show.rs
@@ -0,0 +1,93 @@
+//! The state of jobs.
+
+use serde_json::{
+    Value,
+    json, //
+};
+use yuccaseam_base::Refusal;
+use yuccaseam_state::{
+    Answer,
+    CancelJob,
+    JobId,
+    JobStatus,
+    Outcome,
+    Query,
+    Work, //
+};
+
+use crate::{
+    admin,
+    context::Context,
+    http::Call, //
+};
+
+/// The most jobs that one answer lists.
+const PAGE: u32 = 1_000;
+
+/// The state of one job.
+///
+/// # Errors
+///
+/// Refuses an unknown job.
+pub(crate) fn show(cx: &Context, job: JobId) -> Result<Value, Refusal> {
+    match cx.store.query(cx, &Query::Job(job))? {
+        Answer::Job(status) => Ok(describe(&status)),
+        other => Err(admin::unexpected(&other)),
+    }
+}
+
+/// A page of jobs: of the parameter `team`, after the one in the parameter `after`.
+///
+/// # Errors
+///
+/// Fails if no quorum answers.
+pub(crate) fn list(cx: &Context, call: &Call) -> Result<Value, Refusal> {
+    let query = Query::Jobs {
+        team: call.param("team").map(str::to_owned),
+        after: call.param("after").and_then(|job| job.parse().ok()),
+        limit: PAGE,
+    };
+    match cx.store.query(cx, &query)? {
+        Answer::Jobs(jobs) => {
+            let data: Vec<_> = jobs.iter().map(describe).collect();
+            Ok(json!({ "object": "list", "data": data }))
+        }
+        other => Err(admin::unexpected(&other)),
+    }
+}
+
+/// Stops a job. Repeating it changes nothing.
+///
+/// # Errors
+///
+/// Refuses an unknown job.
+pub(crate) fn cancel(cx: &Context, job: JobId) -> Result<Value, Refusal> {
+    match cx.store.propose(cx, CancelJob { job })? {
+        Outcome::JobCancelled(status) => Ok(describe(&status)),
+        other => Err(admin::unexpected(&other)),
+    }
+}
+
+fn describe(status: &JobStatus) -> Value {
+    let (kind, target) = match &status.work {
+        Work::Model(name) => ("model", name),
+        Work::Service(name) => ("service", name),
+    };
+    json!({
+        "id": status.job.to_string(),
+        "object": "batch",
+        "status": status.state,
+        "team": status.team,
+        "class": status.class,
+        "kind": kind,
+        "target": target,
+        "total": status.items,
+        "completed": status.done,
+        "failed": status.failed,
+        "chunks": status.chunks,
+        "leased_chunks": status.leased_chunks,
+        "created_at": status.created_at,
+        "deadline": status.deadline,
+        "ended_at": status.ended_at,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,35 @@
+//! The daemon that every instance runs.
+//!
+//! One process answers callers and operators over HTTP, calls targets over HTTP, and speaks to
+//! the other daemons over `tonic`. The crates that decide do no I/O: this crate gives them events
+//! and the time, and carries out their actions.
+//!
+//! # Threads
+//!
+//! - one thread accepts HTTP connections, and one thread serves each request;
+//! - the `tokio` runtime carries the calls between daemons and nothing else;
+//! - background threads keep the configuration and the view of targets current.
+//!
+//! # Invariants
+//!
+//! - A request is refused as "not run" only if no byte of it reached a target connection.
+//! - A job, a claim or a configuration is acknowledged only once a majority has synced it.
+//! - The revision of the configuration that an instance runs never goes down.
+
+mod admin;
+mod admission;
+mod context;
+mod entry;
+mod health;
+mod http;
+mod jobs;
+mod logging;
+mod measures;
+mod peers;
+mod run;
+mod settings;
+mod store;
+mod targets;
+mod upstream;
+
+pub use run::run;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
-//! The daemon that every instance runs.
+//! The program `yuccaseamd`: the daemon that every instance runs.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    yuccaseam_daemon::run()
+}
--- /dev/null
+++ b/crates/daemon/src/peers/links.rs
@@ -0,0 +1,107 @@
+//! Channels to the other daemons.
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    sync::RwLock, //
+};
+
+use tokio::{
+    runtime::Handle,
+    task::JoinHandle, //
+};
+use tonic::transport::{
+    Channel,
+    Endpoint, //
+};
+use yuccaseam_base::{
+    InstanceName,
+    Millis, //
+};
+
+/// How long a connection to a daemon may take to open.
+const CONNECT: Millis = Millis(500);
+/// How often an open connection is probed. A silent cut shows as missing answers.
+const KEEPALIVE: Millis = Millis(2_000);
+/// How long a probe waits for its answer.
+const KEEPALIVE_ANSWER: Millis = Millis(1_500);
+
+/// One channel a daemon. A channel connects when it is first used and again after each failure.
+pub(crate) struct Links {
+    runtime: Handle,
+    channels: RwLock<BTreeMap<InstanceName, Channel>>,
+}
+
+impl Links {
+    pub(crate) fn new(runtime: Handle, peers: &BTreeMap<InstanceName, SocketAddr>) -> Self {
+        let links = Self {
+            runtime,
+            channels: RwLock::default(),
+        };
+        for (name, address) in peers {
+            links.add(name.clone(), *address);
+        }
+        links
+    }
+
+    /// Adds a daemon, or replaces its address.
+    pub(crate) fn add(&self, name: InstanceName, address: SocketAddr) {
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .expect("a socket address makes a valid URI")
+            .connect_timeout(CONNECT.duration())
+            .http2_keep_alive_interval(KEEPALIVE.duration())
+            .keep_alive_timeout(KEEPALIVE_ANSWER.duration())
+            .tcp_nodelay(true);
+        let channel = {
+            let _inside = self.runtime.enter();
+            endpoint.connect_lazy()
+        };
+        self.channels
+            .write()
+            .expect("no thread panics with the lock")
+            .insert(name, channel);
+    }
+
+    /// The channel to a daemon.
+    pub(crate) fn channel(&self, name: &InstanceName) -> Option<Channel> {
+        let channels = self
+            .channels
+            .read()
+            .expect("no thread panics with the lock");
+        channels.get(name).cloned()
+    }
+
+    /// The names of all other daemons.
+    pub(crate) fn names(&self) -> Vec<InstanceName> {
+        let channels = self
+            .channels
+            .read()
+            .expect("no thread panics with the lock");
+        channels.keys().cloned().collect()
+    }
+
+    /// Waits for a call to another daemon on a thread outside the runtime.
+    pub(crate) fn wait<F>(&self, call: F) -> F::Output
+    where
+        F: Future,
+    {
+        self.runtime.block_on(call)
+    }
+
+    /// Starts a call to another daemon, to wait for its result later.
+    pub(crate) fn start<F>(&self, call: F) -> JoinHandle<F::Output>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        self.runtime.spawn(call)
+    }
+
+    /// Starts a call to another daemon whose result nobody waits for.
+    pub(crate) fn spawn<F>(&self, call: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.runtime.spawn(call);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,12 @@
+//! The other daemons: channels to them, and the services that they call here.
+
+mod links;
+mod server;
+mod spread;
+
+pub(crate) use links::Links;
+pub(crate) use server::{
+    MAX_MESSAGE,
+    serve, //
+};
+pub(crate) use spread::spread;
--- /dev/null
+++ b/crates/daemon/src/peers/server.rs
@@ -0,0 +1,79 @@
+//! The services that other daemons call here.
+
+use std::sync::Arc;
+
+use anyhow::Context as _;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{
+    Request,
+    Response,
+    Status,
+    transport::Server, //
+};
+use yuccaseam_wire::{
+    fleet::{
+        Packet,
+        fleet_server::{
+            Fleet,
+            FleetServer, //
+        },
+    },
+    store::store_server::StoreServer,
+};
+
+use crate::{
+    context::Context,
+    store::StoreService,
+    targets::Announcement, //
+};
+
+/// Starts to listen for other daemons.
+///
+/// # Errors
+///
+/// Returns the error of the address.
+pub(crate) fn serve(cx: &Arc<Context>) -> anyhow::Result<()> {
+    let address = cx.settings.peer;
+    let listener = cx
+        .links
+        .wait(TcpListener::bind(address))
+        .with_context(|| format!("cannot listen for daemons on {address}"))?;
+    let fleet = FleetServer::new(FleetService { cx: Arc::clone(cx) });
+    let store = StoreServer::new(StoreService::new(Arc::clone(cx)))
+        .max_decoding_message_size(MAX_MESSAGE)
+        .max_encoding_message_size(MAX_MESSAGE);
+    let serving = Server::builder()
+        .add_service(fleet)
+        .add_service(store)
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    cx.links.spawn(async {
+        if let Err(error) = serving.await {
+            log::error!("the service for daemons ended: {error}");
+            std::process::exit(1);
+        }
+    });
+    log::info!("serving daemons on {address}");
+    Ok(())
+}
+
+/// The largest message between daemons, in bytes.
+pub(crate) const MAX_MESSAGE: usize = 64 * 1024 * 1024;
+
+struct FleetService {
+    cx: Arc<Context>,
+}
+
+#[tonic::async_trait]
+impl Fleet for FleetService {
+    async fn exchange(&self, req: Request<Packet>) -> Result<Response<Packet>, Status> {
+        let announcement: Announcement = serde_json::from_slice(&req.get_ref().message)
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        self.cx.targets.announce(announcement, self.cx.clock.now());
+        let reply = Packet {
+            from: self.cx.settings.instance.to_string(),
+            message: Vec::new(),
+        };
+        Ok(Response::new(reply))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,168 @@
+//! The life of the process: start, serve, planned stop.
+
+use std::{
+    process::ExitCode,
+    sync::Arc,
+    thread,
+    time::Duration, //
+};
+
+use anyhow::Context as _;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use signal_hook::{
+    consts::{
+        SIGINT,
+        SIGTERM, //
+    },
+    iterator::Signals,
+};
+use yuccaseam_base::{
+    Clock,
+    Millis, //
+};
+
+use crate::{
+    admission::Admission,
+    context::Context,
+    health::{
+        Health,
+        Phase, //
+    },
+    http::Server,
+    logging, measures,
+    peers::{
+        self,
+        Links, //
+    },
+    settings::{
+        Command,
+        Settings, //
+    },
+    store::Store,
+    targets::Targets,
+    upstream::Upstream,
+};
+
+/// Exit code of a command line or settings that are wrong.
+const USAGE: u8 = 2;
+/// Exit code of a stop that cut off requests.
+const CUT: u8 = 3;
+/// How often a planned stop looks for running requests.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Runs the daemon with the settings of this process.
+pub fn run() -> ExitCode {
+    let settings = match Command::from_process() {
+        Ok(Command::Run(settings)) => settings,
+        Ok(Command::Check(settings)) => {
+            println!("{settings:#?}\nthe settings are valid");
+            return ExitCode::SUCCESS;
+        }
+        Ok(Command::Print(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    logging::start(&settings);
+    log::info!("effective settings: {settings:?}");
+    match serve(settings) {
+        Ok(code) => code,
+        Err(error) => {
+            log::error!("cannot go on: {error:#}");
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(settings: Settings) -> anyhow::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    let clock = Clock::start();
+    let links = Links::new(runtime.handle().clone(), &settings.peers);
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .context("cannot install the metrics recorder")?;
+    let store = Store::open(&settings, clock)?;
+    let cx = Arc::new(Context {
+        health: Health::new(clock),
+        links,
+        store,
+        targets: Targets::default(),
+        upstream: Upstream::new(),
+        admission: Admission::default(),
+        metrics,
+        clock,
+        settings,
+    });
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("cannot catch signals")?;
+    peers::serve(&cx)?;
+    let server = Server::bind(cx.settings.http)?;
+    start_background(&cx)?;
+    log::info!("serving HTTP on {}", cx.settings.http);
+
+    let front = Arc::clone(&cx);
+    thread::Builder::new()
+        .name("http-accept".to_owned())
+        .spawn(move || server.serve(&front))
+        .context("cannot start the HTTP thread")?;
+
+    signals.forever().next();
+    Ok(drain(&cx, &mut signals))
+}
+
+fn start_background(cx: &Arc<Context>) -> anyhow::Result<()> {
+    let watcher = Arc::clone(cx);
+    thread::Builder::new()
+        .name("configuration".to_owned())
+        .spawn(move || watcher.store.watch_configuration(&watcher))
+        .context("cannot start the configuration thread")?;
+    Ok(())
+}
+
+/// Carries out a planned stop: readiness off, the balancer's delay, new calls refused, running
+/// calls end. A second signal or the bound ends it early and says what was cut.
+fn drain(cx: &Context, signals: &mut Signals) -> ExitCode {
+    log::info!("stopping: readiness is off");
+    cx.health.enter(Phase::Draining);
+    let refuse_at = cx.clock.now() + cx.settings.drain_delay;
+    let stop_at = refuse_at + cx.settings.drain_bound;
+    loop {
+        let now = cx.clock.now();
+        if now >= refuse_at && cx.health.phase() == Phase::Draining {
+            log::info!("stopping: new calls are refused");
+            cx.health.enter(Phase::Refusing);
+        }
+        let running = measures::running();
+        if cx.health.phase() == Phase::Refusing && running == 0 {
+            log::info!("stopped: every request has ended");
+            return ExitCode::SUCCESS;
+        }
+        let hurried = signals.pending().next().is_some();
+        if hurried || now >= stop_at {
+            return cut_off(running, hurried, now - refuse_at);
+        }
+        thread::sleep(POLL);
+    }
+}
+
+fn cut_off(running: usize, hurried: bool, waited: Millis) -> ExitCode {
+    let why = if hurried {
+        "a second signal"
+    } else {
+        "the bound of the stop"
+    };
+    log::error!("stopped by {why} after {waited}: {running} requests were cut off");
+    if running == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(CUT)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/store/service.rs
@@ -0,0 +1,183 @@
+//! What other daemons ask of the replica of this instance.
+
+use std::sync::Arc;
+
+use tonic::{
+    Request,
+    Response,
+    Status, //
+};
+use yuccaseam_base::{
+    Reason,
+    Refusal, //
+};
+use yuccaseam_state::{
+    Answer,
+    BlobId,
+    Command,
+    Query, //
+};
+use yuccaseam_wire::store::{
+    self as wire,
+    propose_reply,
+    query_reply,
+    store_server, //
+};
+
+use crate::{
+    context::Context,
+    store::{
+        remote::Replied,
+        replica::Replica, //
+    },
+};
+
+/// Serves the replica of this instance to other daemons.
+pub(crate) struct StoreService {
+    cx: Arc<Context>,
+}
+
+impl StoreService {
+    pub(crate) fn new(cx: Arc<Context>) -> Self {
+        Self { cx }
+    }
+
+    /// Runs a call of the replica on a thread that may block.
+    async fn on_replica<T, F>(&self, call: F) -> Result<Response<T>, Status>
+    where
+        T: Send + 'static,
+        F: FnOnce(&Replica) -> Result<T, Status> + Send + 'static,
+    {
+        let cx = Arc::clone(&self.cx);
+        let run = move || match &cx.store.replica {
+            Some(replica) => call(replica),
+            None => Err(Status::failed_precondition(
+                "no replica is on this instance",
+            )),
+        };
+        let reply = tokio::task::spawn_blocking(run)
+            .await
+            .map_err(|error| Status::internal(error.to_string()))??;
+        Ok(Response::new(reply))
+    }
+}
+
+#[tonic::async_trait]
+impl store_server::Store for StoreService {
+    async fn propose(
+        &self,
+        req: Request<wire::ProposeRequest>,
+    ) -> Result<Response<wire::ProposeReply>, Status> {
+        let command = Command::decode(&req.get_ref().command).map_err(malformed)?;
+        self.on_replica(move |replica| {
+            let result = match replica.propose(&command) {
+                Replied::Answer(outcome) => propose_reply::Result::Outcome(outcome.encode()),
+                Replied::NotLeader(hint) => propose_reply::Result::LeaderHint(hint_text(hint)),
+                Replied::Refused(refusal) => propose_reply::Result::Refused(refused(refusal)),
+                Replied::NotSent(why) | Replied::Lost(why) => propose_reply::Result::Unknown(why),
+            };
+            Ok(wire::ProposeReply {
+                result: Some(result),
+            })
+        })
+        .await
+    }
+
+    async fn query(
+        &self,
+        req: Request<wire::QueryRequest>,
+    ) -> Result<Response<wire::QueryReply>, Status> {
+        let query = Query::decode(&req.get_ref().query).map_err(malformed)?;
+        self.on_replica(move |replica| {
+            let result = match replica.query(&query) {
+                Replied::Answer(answer) => query_reply::Result::Answer(answer.encode()),
+                Replied::NotLeader(hint) => query_reply::Result::LeaderHint(hint_text(hint)),
+                Replied::Refused(refusal) => query_reply::Result::Refused(refused(refusal)),
+                Replied::NotSent(why) | Replied::Lost(why) => {
+                    let refusal = Refusal::not_run(Reason::NoQuorum, why);
+                    query_reply::Result::Refused(refused(refusal))
+                }
+            };
+            Ok(wire::QueryReply {
+                result: Some(result),
+            })
+        })
+        .await
+    }
+
+    async fn put_blobs(
+        &self,
+        req: Request<wire::PutBlobsRequest>,
+    ) -> Result<Response<wire::PutBlobsReply>, Status> {
+        let blobs: Vec<_> = req.into_inner().blobs;
+        if blobs
+            .iter()
+            .any(|blob| BlobId::of(&blob.data).0.as_slice() != blob.id.as_slice())
+        {
+            return Err(Status::data_loss("a blob does not match its identifier"));
+        }
+        let blobs: Vec<_> = blobs.into_iter().map(|blob| blob.data).collect();
+        self.on_replica(move |replica| {
+            replica.put_blobs(&blobs).map_err(unavailable)?;
+            Ok(wire::PutBlobsReply {})
+        })
+        .await
+    }
+
+    async fn get_blob(
+        &self,
+        req: Request<wire::GetBlobRequest>,
+    ) -> Result<Response<wire::GetBlobReply>, Status> {
+        let id = req.into_inner().id;
+        let id = <[u8; 32]>::try_from(id.as_slice())
+            .map_err(|_| Status::invalid_argument("a blob identifier has 32 bytes"))?;
+        self.on_replica(move |replica| {
+            let data = replica.get_blob(&BlobId(id)).map_err(unavailable)?;
+            Ok(wire::GetBlobReply { data })
+        })
+        .await
+    }
+
+    async fn sync(
+        &self,
+        req: Request<wire::SyncRequest>,
+    ) -> Result<Response<wire::SyncReply>, Status> {
+        let known = req.get_ref().revision;
+        self.on_replica(move |replica| {
+            let Replied::Answer(answer) = replica.query(&Query::Configuration) else {
+                return Err(Status::unavailable("the configuration cannot be confirmed"));
+            };
+            let Answer::Configuration(configuration) = &answer else {
+                return Err(Status::internal("another answer than was asked for"));
+            };
+            let revision = configuration.revision;
+            Ok(wire::SyncReply {
+                revision,
+                configuration: (revision != known).then(|| answer.encode()),
+            })
+        })
+        .await
+    }
+}
+
+fn hint_text(hint: Option<yuccaseam_base::InstanceName>) -> String {
+    hint.map(|name| name.to_string()).unwrap_or_default()
+}
+
+fn refused(refusal: Refusal) -> wire::Refused {
+    wire::Refused {
+        reason: refusal.reason.code().to_owned(),
+        detail: refusal.detail,
+    }
+}
+
+fn malformed<E>(error: E) -> Status
+where
+    E: std::fmt::Display,
+{
+    Status::invalid_argument(error.to_string())
+}
+
+fn unavailable(refusal: Refusal) -> Status {
+    Status::unavailable(refusal.to_string())
+}
--- /dev/null
+++ b/crates/daemon/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the daemon as a process, one file a topic.
+
+mod settings;
