Read jobs and results as streams, cut answers so that no library takes them for whole

A job of 660,000 items does not fit the memory of an entry: its payloads go to the voters in batches of 8 MiB while the body is read, and results are sent chunk by chunk.

A cut answer left the connection open, because tiny_http offers no way to close it: the caller would have waited for ever. A malformed chunk now makes the caller's library fail at once.

--- a/crates/daemon/src/entry/events.rs
+++ b/crates/daemon/src/entry/events.rs
@@ -7,6 +7,8 @@
     Read, //
 };
 
+use serde_json::Value;
+
 /// The end mark of a stream.
 const DONE: &[u8] = b"[DONE]";
 /// The largest event, in bytes. A target that sends more is faulty.
@@ -16,7 +18,11 @@
 #[derive(Debug)]
 pub(crate) enum Event {
     /// A piece of the answer: the whole event with its empty line.
-    Piece(Vec<u8>),
+    Piece {
+        bytes: Vec<u8>,
+        /// Whether it carries text, and not only a mark or counts.
+        has_text: bool,
+    },
     /// The end mark: the answer is whole.
     Done(Vec<u8>),
 }
@@ -71,6 +77,23 @@
     if data == DONE {
         Event::Done(event)
     } else {
-        Event::Piece(event)
+        let has_text = has_text(data);
+        Event::Piece {
+            bytes: event,
+            has_text,
+        }
     }
 }
+
+/// Whether an event of the chat or the completions shape carries text. An engine sends one token
+/// in each such event.
+fn has_text(data: &[u8]) -> bool {
+    let Ok(value) = serde_json::from_slice::<Value>(data) else {
+        return false;
+    };
+    let choice = &value["choices"][0];
+    let text = choice["text"]
+        .as_str()
+        .or_else(|| choice["delta"]["content"].as_str());
+    text.is_some_and(|text| !text.is_empty())
+}
--- a/crates/daemon/src/entry/generate.rs
+++ b/crates/daemon/src/entry/generate.rs
@@ -25,7 +25,7 @@
     },
     http::{
         Call,
-        EventWriter,
+        ChunkWriter,
         Responder, //
     },
     measures,
@@ -43,6 +43,8 @@
 const DEFAULT_ANSWER_TOKENS: u32 = 256;
 /// Bytes of text that make about one token.
 const BYTES_PER_TOKEN: usize = 4;
+/// The content type of a stream.
+const EVENTS: &str = "text/event-stream";
 /// The class of a call that names none.
 const DEFAULT_CLASS: &str = "online";
 
@@ -182,13 +184,16 @@
             let event = events.next().map_err(|error| upstream::cut(&error))?;
             if stream.is_none() {
                 let out = out.take().expect("the responder is there until the stream");
-                let writer = out.stream().map_err(|_| caller_gone())?;
+                let writer = out.chunks(EVENTS).map_err(|_| caller_gone())?;
                 *stream = Some(Stream::new(writer, self.cx.clock.now()));
             }
             let current = stream.as_mut().expect("set above");
             match event {
-                Event::Piece(bytes) => {
-                    current.send(&bytes, self.cx, self.call)?;
+                Event::Piece { bytes, has_text } => {
+                    current.send(&bytes)?;
+                    if has_text {
+                        current.count_token(self.cx, self.call);
+                    }
                 }
                 Event::Done(bytes) => {
                     current.writer.send(&bytes).map_err(|_| caller_gone())?;
@@ -236,14 +241,14 @@
 
 /// A stream to the caller that has begun.
 struct Stream {
-    writer: EventWriter,
+    writer: ChunkWriter,
     /// Tokens that the caller has got.
     tokens: u64,
     last_at: Millis,
 }
 
 impl Stream {
-    fn new(writer: EventWriter, now: Millis) -> Self {
+    fn new(writer: ChunkWriter, now: Millis) -> Self {
         Self {
             writer,
             tokens: 0,
@@ -251,8 +256,11 @@
         }
     }
 
-    fn send(&mut self, event: &[u8], cx: &Context, call: &Call) -> Result<(), Refusal> {
-        self.writer.send(event).map_err(|_| caller_gone())?;
+    fn send(&mut self, event: &[u8]) -> Result<(), Refusal> {
+        self.writer.send(event).map_err(|_| caller_gone())
+    }
+
+    fn count_token(&mut self, cx: &Context, call: &Call) {
         let now = cx.clock.now();
         if self.tokens == 0 {
             measures::record_first_token(now - call.arrived_at);
@@ -261,7 +269,6 @@
         }
         self.tokens += 1;
         self.last_at = now;
-        Ok(())
     }
 }
 
--- a/crates/daemon/src/http/call.rs
+++ b/crates/daemon/src/http/call.rs
@@ -1,7 +1,5 @@
 //! One request as the handlers see it.
 
-use std::io::Read;
-
 use serde::de::DeserializeOwned;
 use tiny_http::{
     Method,
@@ -20,7 +18,7 @@
 /// The team of a caller that names none.
 const DEFAULT_TEAM: &str = "default";
 
-/// One request: its method, path, headers and whole body.
+/// One request: its method, path, headers and body.
 #[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) method: Method,
@@ -30,6 +28,7 @@
     pub(crate) query: String,
     /// Header names are in lower case.
     headers: Vec<(String, String)>,
+    /// Empty for a handler that reads the body as it comes.
     pub(crate) body: Vec<u8>,
     pub(crate) arrived_at: Millis,
     /// Identifies the request in logs and answers.
@@ -37,12 +36,8 @@
 }
 
 impl Call {
-    /// Reads a request with its body.
-    ///
-    /// # Errors
-    ///
-    /// Refuses a body that is larger than `limit` bytes or that ends early.
-    pub(crate) fn read(req: &mut Request, limit: usize, now: Millis) -> Result<Self, Refusal> {
+    /// Reads what comes before the body.
+    pub(crate) fn of(req: &Request, now: Millis) -> Self {
         let headers: Vec<_> = req
             .headers()
             .iter()
@@ -55,13 +50,12 @@
             Some((path, query)) => (path.to_owned(), query.to_owned()),
             None => (req.url().to_owned(), String::new()),
         };
-        let body = read_body(req, limit)?;
         let mut call = Self {
             method: req.method().clone(),
             path,
             query,
             headers,
-            body,
+            body: Vec::new(),
             arrived_at: now,
             id: String::new(),
         };
@@ -69,7 +63,7 @@
             Some(id) => id.to_owned(),
             None => format!("{:016x}", rand::random::<u64>()),
         };
-        Ok(call)
+        call
     }
 
     /// The value of a header, whose name is given in lower case.
@@ -116,30 +110,3 @@
         })
     }
 }
-
-fn read_body(req: &mut Request, limit: usize) -> Result<Vec<u8>, Refusal> {
-    let too_large = || {
-        let detail = format!("the body is larger than {limit} bytes");
-        Refusal::not_run(Reason::BodyTooLarge, detail)
-    };
-    let expected = req.body_length();
-    if expected.is_some_and(|length| length > limit) {
-        return Err(too_large());
-    }
-    let mut body = Vec::with_capacity(expected.unwrap_or(0));
-    let mut reader = req.as_reader().take(limit as u64 + 1);
-    reader.read_to_end(&mut body).map_err(|error| {
-        let detail = format!("the body ended early: {error}");
-        Refusal::not_run(Reason::BadRequest, detail)
-    })?;
-    if body.len() > limit {
-        return Err(too_large());
-    }
-    if expected.is_some_and(|length| length != body.len()) {
-        return Err(Refusal::not_run(
-            Reason::BadRequest,
-            "the body is shorter than its Content-Length",
-        ));
-    }
-    Ok(body)
-}
--- a/crates/daemon/src/http/responder.rs
+++ b/crates/daemon/src/http/responder.rs
@@ -16,7 +16,10 @@
     Refusal, //
 };
 
-use crate::measures;
+use crate::{
+    http::Body,
+    measures, //
+};
 
 /// Answers one request, once.
 pub(crate) struct Responder {
@@ -29,6 +32,15 @@
         Self { req, id }
     }
 
+    /// The body of the request, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that says that it is larger.
+    pub(crate) fn body(&mut self, limit: usize) -> Result<Body<'_>, Refusal> {
+        Body::of(&mut self.req, limit)
+    }
+
     /// Answers with JSON.
     pub(crate) fn json(self, status: u16, value: &serde_json::Value) {
         let mut body = value.to_string();
@@ -67,21 +79,25 @@
         self.respond(response);
     }
 
-    /// Starts a stream of server-sent events.
+    /// Starts an answer of this type that is made while it is sent.
     ///
     /// # Errors
     ///
     /// Returns the error of the caller's connection.
-    pub(crate) fn stream(self) -> io::Result<EventWriter> {
+    pub(crate) fn chunks(self, content_type: &str) -> io::Result<ChunkWriter> {
         let mut out = self.req.into_writer();
         write!(
             out,
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\
+            "HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nCache-Control: no-store\r\n\
              Transfer-Encoding: chunked\r\nConnection: close\r\nX-Request-Id: {}\r\n\r\n",
             self.id
         )?;
         out.flush()?;
-        Ok(EventWriter { out, id: self.id })
+        Ok(ChunkWriter {
+            out,
+            id: self.id,
+            is_finished: false,
+        })
     }
 
     fn respond<R>(self, response: Response<R>)
@@ -94,53 +110,70 @@
     }
 }
 
-/// Writes server-sent events, each flushed at once.
+/// Writes an answer chunk by chunk, each flushed at once.
 ///
-/// Dropping the writer without [`EventWriter::finish`] leaves out the last chunk, so that the
-/// caller's HTTP library reports the stream as cut.
-pub(crate) struct EventWriter {
+/// Dropping the writer without [`ChunkWriter::finish`] cuts the answer in a way that no HTTP
+/// library takes for its end: `tiny_http` offers no way to close the connection from here, so a
+/// malformed chunk makes the caller's library fail at once.
+pub(crate) struct ChunkWriter {
     out: Box<dyn Write + Send + 'static>,
     id: String,
+    is_finished: bool,
 }
 
-impl EventWriter {
-    /// Sends one event, which ends with an empty line.
+impl ChunkWriter {
+    /// Sends one chunk, such as a server-sent event with its empty line.
     ///
     /// # Errors
     ///
     /// Returns the error of the caller's connection.
-    pub(crate) fn send(&mut self, event: &[u8]) -> io::Result<()> {
-        write!(self.out, "{:x}\r\n", event.len())?;
-        self.out.write_all(event)?;
+    pub(crate) fn send(&mut self, chunk: &[u8]) -> io::Result<()> {
+        write!(self.out, "{:x}\r\n", chunk.len())?;
+        self.out.write_all(chunk)?;
         self.out.write_all(b"\r\n")?;
         self.out.flush()
     }
 
-    /// Tells the caller that the stream is cut. The end mark is not sent.
+    /// Tells the caller in an event that the stream is cut. The end mark is not sent.
     pub(crate) fn cut(mut self, refusal: &Refusal) {
+        self.note_cut(refusal);
+        let event = format!("data: {}\n\n", error_body(refusal, &self.id));
+        // The answer is cut after this event whether or not the caller still reads.
+        drop(self.send(event.as_bytes()));
+    }
+
+    /// Counts and logs that the answer is cut.
+    pub(crate) fn note_cut(&self, refusal: &Refusal) {
         measures::count_refusal(refusal.reason, refusal.verdict);
         log::warn!(
             request = self.id.as_str(),
             reason = refusal.reason.code(),
             verdict = refusal.verdict.code();
-            "stream cut: {}", refusal.detail
+            "answer cut: {}", refusal.detail
         );
-        let event = format!("data: {}\n\n", error_body(refusal, &self.id));
-        // The connection is closed after this event whether or not the caller still reads.
-        drop(self.send(event.as_bytes()));
     }
 
-    /// Ends the stream after its end mark.
+    /// Ends the answer.
     ///
     /// # Errors
     ///
     /// Returns the error of the caller's connection.
     pub(crate) fn finish(mut self) -> io::Result<()> {
+        self.is_finished = true;
         self.out.write_all(b"0\r\n\r\n")?;
         self.out.flush()
     }
 }
 
+impl Drop for ChunkWriter {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            drop(self.out.write_all(b"cut\r\n"));
+            drop(self.out.flush());
+        }
+    }
+}
+
 fn error_body(refusal: &Refusal, id: &str) -> serde_json::Value {
     json!({
         "error": {
--- a/crates/daemon/src/http/routes.rs
+++ b/crates/daemon/src/http/routes.rs
@@ -42,6 +42,11 @@
     }
 }
 
+/// Whether the handler of a request reads the body as it comes, because it may be large.
+pub(crate) fn reads_its_body(call: &Call) -> bool {
+    call.method == Method::Post && call.path == "/v1/batches"
+}
+
 fn ready(cx: &Context, out: Responder) {
     match cx.health.unready() {
         None => out.json(200, &json!({ "ready": true })),
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -12,6 +12,7 @@
 use crate::{
     context::Context,
     http::{
+        Body,
         Call,
         Responder,
         routes, //
@@ -70,12 +71,14 @@
 fn serve_one(cx: &Context, mut req: Request) {
     // Counted before the body is read, so that a planned stop waits for it.
     let _running = Running::start();
-    let call = Call::read(&mut req, cx.settings.body_limit, cx.clock.now());
-    match call {
-        Ok(call) => {
-            let out = Responder::new(req, call.id.clone());
-            routes::dispatch(cx, &call, out);
+    let mut call = Call::of(&req, cx.clock.now());
+    if !routes::reads_its_body(&call) {
+        let body = Body::of(&mut req, cx.settings.body_limit).and_then(Body::read_whole);
+        match body {
+            Ok(body) => call.body = body,
+            Err(refusal) => return Responder::new(req, call.id).refuse(&refusal),
         }
-        Err(refusal) => Responder::new(req, "unread".to_owned()).refuse(&refusal),
     }
+    let out = Responder::new(req, call.id.clone());
+    routes::dispatch(cx, &call, out);
 }
--- a/crates/daemon/src/jobs/create.rs
+++ b/crates/daemon/src/jobs/create.rs
@@ -1,6 +1,10 @@
 //! Accepting a job.
 
 use serde_json::Value;
+use sha2::{
+    Digest,
+    Sha256, //
+};
 use yuccaseam_base::{
     Millis,
     Reason,
@@ -19,13 +23,17 @@
 use crate::{
     admin,
     context::Context,
-    http::Call,
+    http::{
+        Body,
+        Call,
+        Responder, //
+    },
     jobs::{
         items::{
-            self,
-            ChunkLines, //
+            ChunkLines,
+            Chunks, //
         },
-        show, //
+        show,
     },
 };
 
@@ -41,14 +49,9 @@
 /// # Errors
 ///
 /// Refuses a malformed job, and one whose key was used with another content.
-pub(crate) fn create(cx: &Context, call: &Call) -> Result<Value, Refusal> {
+pub(crate) fn create(cx: &Context, call: &Call, out: &mut Responder) -> Result<Value, Refusal> {
     let work = work_of(cx, call)?;
     let configuration = cx.store.configuration();
-    let limit = configuration.defaults.chunk_items;
-    let limit = u16::try_from(limit)
-        .unwrap_or(MAX_CHUNK_ITEMS)
-        .min(MAX_CHUNK_ITEMS);
-    let chunks = items::split(&call.body, limit)?;
     let class = call.class().unwrap_or(DEFAULT_CLASS);
     let span = configuration
         .classes
@@ -65,15 +68,16 @@
         Some(key) => JobId::of_key(call.team(), key),
         None => JobId(rand::random()),
     };
+    let stored = store(cx, call, out.body(cx.settings.job_limit)?)?;
     let create = CreateJob {
         job,
-        fingerprint: fingerprint(call),
+        fingerprint: stored.fingerprint,
         team: call.team().to_owned(),
         class: class.to_owned(),
         work,
         idempotent,
         deadline: Millis::unix_now() + span,
-        chunks: store(cx, chunks)?,
+        chunks: stored.chunks,
     };
     match cx.store.propose(cx, create)? {
         Outcome::JobCreated(created) => show::show(cx, created.job),
@@ -81,24 +85,65 @@
     }
 }
 
-/// Stores the payloads on a majority of voters.
-fn store(cx: &Context, chunks: Vec<ChunkLines>) -> Result<Vec<ChunkSpec>, Refusal> {
-    let mut specs = Vec::with_capacity(chunks.len());
-    let mut chunks = chunks.into_iter().peekable();
-    while chunks.peek().is_some() {
-        let mut bytes = 0;
-        let mut counts = Vec::new();
-        let mut blobs = Vec::new();
-        while let Some(chunk) = chunks.next_if(|_| bytes < BATCH_BYTES) {
-            bytes += chunk.bytes.len();
-            counts.push(chunk.items);
-            blobs.push(chunk.bytes);
+/// Payloads that are on a majority of voters.
+struct Stored {
+    chunks: Vec<ChunkSpec>,
+    /// The fingerprint of everything that makes the job.
+    fingerprint: Fingerprint,
+}
+
+/// Stores the payloads on a majority of voters as they come.
+fn store(cx: &Context, call: &Call, body: Body<'_>) -> Result<Stored, Refusal> {
+    let limit = cx.store.configuration().defaults.chunk_items;
+    let limit = u16::try_from(limit)
+        .unwrap_or(MAX_CHUNK_ITEMS)
+        .min(MAX_CHUNK_ITEMS);
+    let mut chunks = Chunks::new(body, limit, cx.settings.body_limit as u64);
+    let mut hasher = Sha256::new();
+    hasher.update(&call.query);
+    hasher.update(b"\n");
+    hasher.update(call.class().unwrap_or(DEFAULT_CLASS));
+    let mut specs = Vec::new();
+    let mut waiting = Vec::new();
+    let mut bytes = 0;
+    while let Some(chunk) = chunks.next()? {
+        hasher.update(&chunk.bytes);
+        bytes += chunk.bytes.len();
+        waiting.push(chunk);
+        if bytes >= BATCH_BYTES {
+            put(cx, &mut waiting, &mut specs)?;
+            bytes = 0;
         }
-        let ids = cx.store.put_blobs(cx, blobs)?;
-        let new = ids.into_iter().zip(counts);
-        specs.extend(new.map(|(payload, items)| ChunkSpec { payload, items }));
     }
-    Ok(specs)
+    put(cx, &mut waiting, &mut specs)?;
+    if specs.is_empty() {
+        let detail = "a job needs at least one item: one JSON object a line";
+        return Err(Refusal::not_run(Reason::BadRequest, detail));
+    }
+    let digest: [u8; 32] = hasher.finalize().into();
+    let mut fingerprint = Fingerprint([0; 16]);
+    fingerprint.0.copy_from_slice(&digest[..16]);
+    Ok(Stored {
+        chunks: specs,
+        fingerprint,
+    })
+}
+
+/// Stores the waiting chunks and adds them to `specs`.
+fn put(
+    cx: &Context,
+    waiting: &mut Vec<ChunkLines>,
+    specs: &mut Vec<ChunkSpec>,
+) -> Result<(), Refusal> {
+    if waiting.is_empty() {
+        return Ok(());
+    }
+    let counts: Vec<_> = waiting.iter().map(|chunk| chunk.items).collect();
+    let blobs = waiting.drain(..).map(|chunk| chunk.bytes).collect();
+    let ids = cx.store.put_blobs(cx, blobs)?;
+    let new = ids.into_iter().zip(counts);
+    specs.extend(new.map(|(payload, items)| ChunkSpec { payload, items }));
+    Ok(())
 }
 
 /// What runs the items: the parameter `model` or `service`.
@@ -118,11 +163,3 @@
     }
     Ok(Work::Model(name.to_owned()))
 }
-
-/// The fingerprint of everything that makes the job.
-fn fingerprint(call: &Call) -> Fingerprint {
-    let class = call.class().unwrap_or(DEFAULT_CLASS);
-    let mut content = format!("{}\n{class}\n", call.query).into_bytes();
-    content.extend_from_slice(&call.body);
-    Fingerprint::of(&content)
-}
--- a/crates/daemon/src/jobs/items.rs
+++ b/crates/daemon/src/jobs/items.rs
@@ -1,70 +1,93 @@
 //! The items of a job on the wire: JSON Lines.
 
+use std::io::{
+    BufRead,
+    BufReader,
+    Read, //
+};
+
 use serde_json::Value;
 use yuccaseam_base::{
     Reason,
     Refusal, //
 };
 
+use crate::http;
+
 /// The items of one chunk, as the lines that the caller sent.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct ChunkLines {
     /// The lines, each with its line end.
     pub(crate) bytes: Vec<u8>,
     pub(crate) items: u16,
 }
 
-/// Splits a body into chunks of at most `limit` items and checks each line. Empty lines are
-/// passed over.
-///
-/// # Errors
-///
-/// Refuses a body without items or with a line that is not a JSON object.
-pub(crate) fn split(body: &[u8], limit: u16) -> Result<Vec<ChunkLines>, Refusal> {
-    let mut chunks: Vec<ChunkLines> = Vec::new();
-    for (number, line) in body.split(|byte| *byte == b'\n').enumerate() {
-        let line = line.trim_ascii();
-        if line.is_empty() {
-            continue;
-        }
-        check(number + 1, line)?;
-        match chunks.last_mut() {
-            Some(chunk) if chunk.items < limit => chunk.push(line),
-            _ => {
-                let mut chunk = ChunkLines {
-                    bytes: Vec::new(),
-                    items: 0,
-                };
-                chunk.push(line);
-                chunks.push(chunk);
-            }
+/// Reads a body chunk by chunk, so that a large job is never held in memory.
+pub(crate) struct Chunks<R> {
+    lines: BufReader<R>,
+    /// The most items in a chunk.
+    items: u16,
+    /// The longest line, in bytes.
+    line_bytes: u64,
+    /// The number of the last line, for error messages.
+    number: u64,
+}
+
+impl<R> Chunks<R>
+where
+    R: Read,
+{
+    pub(crate) fn new(body: R, items: u16, line_bytes: u64) -> Self {
+        Self {
+            lines: BufReader::new(body),
+            items,
+            line_bytes,
+            number: 0,
         }
     }
-    if chunks.is_empty() {
-        let detail = "a job needs at least one item: one JSON object a line";
-        return Err(Refusal::not_run(Reason::BadRequest, detail));
-    }
-    Ok(chunks)
-}
 
-impl ChunkLines {
-    fn push(&mut self, line: &[u8]) {
-        self.bytes.extend_from_slice(line);
-        self.bytes.push(b'\n');
-        self.items += 1;
+    /// Reads the next chunk and checks each line. Empty lines are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a line that is too long or not a JSON object, and a body that ends early.
+    pub(crate) fn next(&mut self) -> Result<Option<ChunkLines>, Refusal> {
+        let mut chunk = ChunkLines::default();
+        while chunk.items < self.items {
+            let start = chunk.bytes.len();
+            let read = (&mut self.lines)
+                .take(self.line_bytes)
+                .read_until(b'\n', &mut chunk.bytes)
+                .map_err(|error| http::refusal_of(&error))?;
+            if read == 0 {
+                break;
+            }
+            self.number += 1;
+            let line = chunk.bytes[start..].trim_ascii();
+            if line.is_empty() {
+                chunk.bytes.truncate(start);
+                continue;
+            }
+            if read as u64 == self.line_bytes && !chunk.bytes.ends_with(b"\n") {
+                let detail = format!("line {}: longer than {read} bytes", self.number);
+                return Err(Refusal::not_run(Reason::BodyTooLarge, detail));
+            }
+            check(self.number, line)?;
+            if !chunk.bytes.ends_with(b"\n") {
+                chunk.bytes.push(b'\n');
+            }
+            chunk.items += 1;
+        }
+        Ok((chunk.items > 0).then_some(chunk))
     }
 }
 
-fn check(number: usize, line: &[u8]) -> Result<(), Refusal> {
-    let bad = |why: String| {
-        Err(Refusal::not_run(
-            Reason::BadRequest,
-            format!("line {number}: {why}"),
-        ))
+fn check(number: u64, line: &[u8]) -> Result<(), Refusal> {
+    let why = match serde_json::from_slice::<Value>(line) {
+        Ok(Value::Object(_)) => return Ok(()),
+        Ok(_) => "an item is a JSON object".to_owned(),
+        Err(error) => error.to_string(),
     };
-    match serde_json::from_slice::<Value>(line) {
-        Ok(Value::Object(_)) => Ok(()),
-        Ok(_) => bad("an item is a JSON object".to_owned()),
-        Err(error) => bad(error.to_string()),
-    }
+    let detail = format!("line {number}: {why}");
+    Err(Refusal::not_run(Reason::BadRequest, detail))
 }
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -21,35 +21,27 @@
 };
 
 /// Gives a request on jobs to its handler. `path` is what follows `/v1/batches`.
-pub(crate) fn dispatch(cx: &Context, call: &Call, path: &[&str], out: Responder) {
+pub(crate) fn dispatch(cx: &Context, call: &Call, path: &[&str], mut out: Responder) {
     let result = match (&call.method, path) {
-        (Method::Post, []) => create::create(cx, call).map(Body::Json),
-        (Method::Get, []) => show::list(cx, call).map(Body::Json),
-        (Method::Get, [job]) => parse(job).and_then(|job| show::show(cx, job).map(Body::Json)),
-        (Method::Post, [job, "cancel"]) => {
-            parse(job).and_then(|job| show::cancel(cx, job).map(Body::Json))
-        }
-        (Method::Get, [job, "results"]) => {
-            parse(job).and_then(|job| results::read(cx, job).map(Body::Lines))
-        }
+        (Method::Post, []) => create::create(cx, call, &mut out),
+        (Method::Get, []) => show::list(cx, call),
+        (Method::Get, [job]) => parse(job).and_then(|job| show::show(cx, job)),
+        (Method::Post, [job, "cancel"]) => parse(job).and_then(|job| show::cancel(cx, job)),
+        (Method::Get, [job, "results"]) => match parse(job) {
+            Ok(job) => return results::send(cx, job, out),
+            Err(refusal) => Err(refusal),
+        },
         _ => Err(Refusal::not_run(
             Reason::MethodNotAllowed,
             format!("{} is not served at {}", call.method, call.path),
         )),
     };
     match result {
-        Ok(Body::Json(value)) => out.json(200, &value),
-        Ok(Body::Lines(lines)) => out.bytes(200, "application/jsonl", lines),
+        Ok(value) => out.json(200, &value),
         Err(refusal) => out.refuse(&refusal),
     }
 }
 
-/// The body of an answer.
-enum Body {
-    Json(serde_json::Value),
-    Lines(Vec<u8>),
-}
-
 fn parse(job: &str) -> Result<JobId, Refusal> {
     job.parse().map_err(|_| {
         Refusal::not_run(
--- a/crates/daemon/src/jobs/results.rs
+++ b/crates/daemon/src/jobs/results.rs
@@ -21,37 +21,64 @@
 
 use crate::{
     admin,
-    context::Context, //
+    context::Context,
+    http::{
+        ChunkWriter,
+        Responder, //
+    },
 };
 
 /// How many chunks are asked for at a time.
 const PAGE: u32 = 256;
 
-/// The results so far, one JSON line an item in the order of the items.
-///
-/// # Errors
-///
-/// Refuses an unknown job; fails if a result cannot be read.
-pub(crate) fn read(cx: &Context, job: JobId) -> Result<Vec<u8>, Refusal> {
-    let mut out = Vec::new();
-    let mut from = 0;
-    loop {
-        let query = Query::JobResults {
-            job,
-            from,
-            limit: PAGE,
-        };
-        let chunks = match cx.store.query(cx, &query)? {
-            Answer::JobResults(chunks) => chunks,
-            other => return Err(admin::unexpected(&other)),
-        };
-        for chunk in &chunks {
-            write_chunk(cx, chunk, &mut out)?;
-        }
-        match chunks.last() {
-            Some(last) => from = last.chunk + 1,
-            None => return Ok(out),
+/// Sends the results so far: one JSON line an item, in the order of the items, chunk by chunk.
+pub(crate) fn send(cx: &Context, job: JobId, out: Responder) {
+    let first = match ask(cx, job, 0) {
+        Ok(first) => first,
+        Err(refusal) => return out.refuse(&refusal),
+    };
+    let Ok(mut writer) = out.chunks("application/jsonl") else {
+        return;
+    };
+    match send_all(cx, job, first, &mut writer) {
+        // A caller that is gone needs no end.
+        Ok(()) => drop(writer.finish()),
+        Err(refusal) => writer.note_cut(&refusal),
+    }
+}
+
+fn send_all(
+    cx: &Context,
+    job: JobId,
+    mut page: Vec<ChunkResults>,
+    writer: &mut ChunkWriter,
+) -> Result<(), Refusal> {
+    while let Some(last) = page.last() {
+        let next = last.chunk + 1;
+        for chunk in &page {
+            let mut lines = Vec::new();
+            write_chunk(cx, chunk, &mut lines)?;
+            if !lines.is_empty() {
+                writer.send(&lines).map_err(|error| {
+                    Refusal::may_have_run(Reason::CallerGone, error.to_string())
+                })?;
+            }
         }
+        page = ask(cx, job, next)?;
+    }
+    Ok(())
+}
+
+/// Where the results of the next chunks are.
+fn ask(cx: &Context, job: JobId, from: u32) -> Result<Vec<ChunkResults>, Refusal> {
+    let query = Query::JobResults {
+        job,
+        from,
+        limit: PAGE,
+    };
+    match cx.store.query(cx, &query)? {
+        Answer::JobResults(chunks) => Ok(chunks),
+        other => Err(admin::unexpected(&other)),
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -43,6 +43,8 @@
             optional --log-level level: String
             /// Largest request body in bytes. Default: 33554432.
             optional --body-limit bytes: String
+            /// Largest body of a new job in bytes. Default: 2147483648.
+            optional --job-limit bytes: String
             /// How long readiness is off before a planned stop refuses new calls, in ms. Default: 3000.
             optional --drain-delay ms: String
             /// How long a planned stop waits for running requests, in ms. Default: 120000.
@@ -84,6 +86,8 @@
     pub(crate) log_level: log::LevelFilter,
     /// The largest request body, in bytes.
     pub(crate) body_limit: usize,
+    /// The largest body of a new job, in bytes.
+    pub(crate) job_limit: usize,
     pub(crate) drain_delay: Millis,
     pub(crate) drain_bound: Millis,
 }
@@ -170,6 +174,7 @@
         let log_format = reader.log_format(flags.log_format);
         let log_level = reader.parsed("log-level", flags.log_level, "info");
         let body_limit = reader.parsed("body-limit", flags.body_limit, "33554432");
+        let job_limit = reader.parsed("job-limit", flags.job_limit, "2147483648");
         let drain_delay = reader.parsed("drain-delay", flags.drain_delay, "3000");
         let drain_bound = reader.parsed("drain-bound", flags.drain_bound, "120000");
 
@@ -180,6 +185,7 @@
             Some(peer),
             Some(log_level),
             Some(body_limit),
+            Some(job_limit),
             Some(drain_delay),
             Some(drain_bound),
         ) = (
@@ -188,6 +194,7 @@
             peer,
             log_level,
             body_limit,
+            job_limit,
             drain_delay,
             drain_bound,
         ) {
@@ -203,6 +210,7 @@
                 log_format,
                 log_level,
                 body_limit,
+                job_limit,
                 drain_delay: Millis(drain_delay),
                 drain_bound: Millis(drain_bound),
             });
