--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -20,13 +20,66 @@
 mod role;
 mod timing;
 mod transfer;
+mod wire;
 mod writer;
 
-pub use crate::core::{Config, Core};
-pub use entry::{Entry, HardState, Incoming, Payload, Persist, Restored, Snapshot, SnapshotId};
-pub use event::{Action, Change, ChangeError, Committed, Event, Proposal};
-pub use id::{DiskId, Index, Round, SyncSeq, Term, Token};
-pub use membership::{Member, Membership, Standing};
-pub use message::{Append, AppendResult, Body, Chunk, Echo, Envelope, LastEntry};
+pub use crate::core::{
+    Config,
+    Core, //
+};
+pub use entry::{
+    Entry,
+    HardState,
+    Incoming,
+    Payload,
+    Persist,
+    Restored,
+    Snapshot,
+    SnapshotId, //
+};
+pub use event::{
+    Action,
+    Change,
+    ChangeError,
+    Committed,
+    Event,
+    Proposal, //
+};
+pub use id::{
+    DiskId,
+    Index,
+    Round,
+    SyncSeq,
+    Term,
+    Token, //
+};
+pub use membership::{
+    Member,
+    Membership,
+    Standing, //
+};
+pub use message::{
+    Append,
+    AppendResult,
+    Body,
+    Chunk,
+    Echo,
+    Envelope,
+    LastEntry, //
+};
 pub use timing::Timing;
 pub use transfer::CHUNK_BYTES;
+pub use wire::{
+    WireAppend,
+    WireBody,
+    WireBytes,
+    WireEcho,
+    WireEntry,
+    WireEnvelope,
+    WireError,
+    WireHardState,
+    WireMember,
+    WirePayload,
+    WireSnapshot,
+    WireSnapshotId, //
+};
--- a/crates/quorum/tests/all/main.rs
+++ b/crates/quorum/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod members;
 mod schedules;
 mod snapshots;
+mod wire;
 mod writes;
