testing: cluster of child processes, caller, and open-loop load tool

Cluster starts daemons, engines and services on loopback ports below the range of outgoing connections, so that a daemon that restarts finds its port free. Ports are chosen from an offset of the process, since tests run at once.

The load tool sends Poisson arrivals from a seed whether or not earlier ones were answered, and checks each answer against the text that the prompt determines. Steady is the baseline: batch callers straight at the targets, where nothing yields.

--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -4,8 +4,11 @@
 //! crate; each keeps a record of what it ran, against which tests check what callers were told.
 
 mod announce;
+mod caller;
+mod cluster;
 mod engine;
 mod http;
+mod load;
 mod record;
 mod relay;
 mod service;
@@ -13,7 +16,11 @@
 mod wait;
 
 pub use announce::{Announcement, Announcer, Kind};
+pub use caller::{Answer, Broken, Caller, Streamed};
+pub use cluster::{Cluster, Daemon, Place, Process, Signal, Target};
 pub use engine::{Engine, EngineConfig};
+pub use load::{Arrival, Figures, LoadPhase, Percentiles, Report, Schedule, Steady, SteadyReport};
+pub use load::{run_online, team_prompt};
 pub use record::{Entry, Phase, Record};
 pub use relay::{Relay, Shape, Shapes};
 pub use service::{Service, ServiceConfig};
--- a/crates/testing/tests/all/engine.rs
+++ b/crates/testing/tests/all/engine.rs
@@ -24,7 +24,7 @@
     wait_until, //
 };
 
-fn engine(check_orders: bool) -> Engine {
+pub(crate) fn engine(check_orders: bool) -> Engine {
     let cfg = EngineConfig {
         name: "w1".to_owned(),
         listen: "127.0.0.1:0".to_owned(),
