--- a/crates/testing/src/load/steady.rs
+++ b/crates/testing/src/load/steady.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Stops the callers after the items that they run.
+    /// Stops the callers after the items that they run, which count no more.
     ///
     /// # Panics
     ///
@@ -90,12 +90,13 @@
     pub fn stop(self) -> SteadyReport {
         let elapsed = self.start.elapsed();
         let tokens = self.counts.tokens.load(Ordering::Relaxed);
+        let whole = self.counts.whole.load(Ordering::Relaxed);
         self.counts.stop.store(true, Ordering::Relaxed);
         for thread in self.threads {
             thread.join().expect("callers don't panic");
         }
         SteadyReport {
-            whole: self.counts.whole.load(Ordering::Relaxed),
+            whole,
             failed: self.counts.failed.load(Ordering::Relaxed),
             tokens,
             tokens_per_second: tokens as f64 / elapsed.as_secs_f64(),
