admit: balance 0 holds batch to the median of online streams

Cause: at balance 0 the p99 harm was 1.34 (first token) and 1.15 (between tokens), because batch filled up to the 95th percentile of what online streams meet, bursts included.

--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -22,7 +22,7 @@
 const MEMORY_MS: f64 = 60_000.0;
 
 /// The share of online tokens that come at or below the online peak.
-const PEAK_QUANTILE: f64 = 0.95;
+const PEAK_QUANTILE: f64 = 0.5;
 
 /// Sums of an exponentially weighted linear regression of the step time on the requests that run.
 #[derive(Clone, Copy, Debug, Default)]
