--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -42,6 +42,10 @@
 /// How long batch stays paused before more of it starts, at a balance of 0.
 const SETTLE: Millis = Millis(250);
 
+/// Runs that may go on above the limit, so that an online request that comes soon after another
+/// one has ended pauses nothing. Free slots stay a limit without slack.
+const SLACK: u32 = 2;
+
 /// Batch runs that may wait for their first token together, at a balance of 0 and of 100.
 const PREFILLS: [f64; 2] = [1.0, 4.0];
 
@@ -297,7 +301,8 @@
 
     fn pause(&mut self, now: Millis) {
         let limit = self.batch_limit(now);
-        while self.batch.active() > limit {
+        let most = if limit == 0 { 0 } else { limit + SLACK };
+        while self.batch.active() > most.min(self.free()) {
             self.pause_one(now);
         }
         if self.kv_permille >= KV_FULL_PERMILLE {
