admit: the bound between tokens holds for 95 steps in 100

Cause: the cap came from the mean step time, so that at balance 100 the 95th percentile between tokens was 43.3 ms, and the slack let two more runs on above the cap.

Weighed: 1.65 standard deviations above the line (p95 41.2 ms, prefill makes the times two-humped) and a tracked 95th percentile of the rest (39.7 ms with the slack above the cap, 38.4 ms with the slack below it).

The idle capacity is now taken from engines full of batch whatever the time between tokens, so that the bound cannot shrink its own yardstick.

--- a/crates/admit/examples/admission_experiment/main.rs
+++ b/crates/admit/examples/admission_experiment/main.rs
@@ -10,7 +10,10 @@
 
 use std::env;
 
-use yuccaseam_admit::Balance;
+use yuccaseam_admit::{
+    Balance,
+    Settings, //
+};
 
 use crate::{
     engine::Micros,
@@ -22,7 +25,8 @@
     report::Full,
     world::{
         Mode,
-        run, //
+        run,
+        settings, //
     },
 };
 
@@ -48,8 +52,13 @@
     balance_curve(&arrivals, length, &full);
 }
 
+/// What the engines give when batch alone fills every slot, whatever the time between tokens.
 fn batch_only(length: Micros) -> Full {
-    let figures = run(Mode::Permits, Some(Balance::THROUGHPUT), &[], length);
+    let unbounded = Settings {
+        step_bound_micros: u32::MAX,
+        ..settings(Balance::THROUGHPUT)
+    };
+    let figures = run(Mode::Permits, Some(unbounded), &[], length);
     Full {
         batch_tokens: figures.batch_tokens as f64,
         engine_micros: (length * TARGETS as u64) as f64,
@@ -66,7 +75,7 @@
     ] {
         let off = run(mode, None, arrivals, length);
         off.print(&format!("{mode:?} batch off"), &baseline, full);
-        let on = run(mode, Some(Balance::percent(50)), arrivals, length);
+        let on = run(mode, Some(settings(Balance::percent(50))), arrivals, length);
         on.print(&format!("{mode:?} batch on"), &off, full);
     }
 }
@@ -76,7 +85,7 @@
     for percent in BALANCES {
         let on = run(
             Mode::Permits,
-            Some(Balance::percent(percent)),
+            Some(settings(Balance::percent(percent))),
             arrivals,
             length,
         );
--- a/crates/admit/examples/admission_experiment/world.rs
+++ b/crates/admit/examples/admission_experiment/world.rs
@@ -145,15 +145,24 @@
     pub(crate) figures: Figures,
 }
 
-/// Runs one world to its end.
+/// The settings of every gate at this balance.
+pub(crate) fn settings(balance: Balance) -> Settings {
+    Settings {
+        balance,
+        permit_ttl: Millis::MAX,
+        ..Settings::for_slots(SLOTS)
+    }
+}
+
+/// Runs one world to its end; without batch if there are no settings.
 pub(crate) fn run(
     mode: Mode,
-    batch: Option<Balance>,
+    batch: Option<Settings>,
     arrivals: &[Arrival],
     end: Micros,
 ) -> Figures {
-    let balance = batch.unwrap_or(Balance::LATENCY);
-    let mut world = World::new(mode, batch.is_some(), balance, arrivals);
+    let cfg = batch.unwrap_or(settings(Balance::LATENCY));
+    let mut world = World::new(mode, batch.is_some(), cfg, arrivals);
     world.start();
     while let Some(Reverse((at, _, happening))) = world.queue.pop() {
         if at > end {
@@ -170,12 +179,7 @@
 }
 
 impl World {
-    fn new(mode: Mode, batch: bool, balance: Balance, arrivals: &[Arrival]) -> Self {
-        let cfg = Settings {
-            balance,
-            permit_ttl: Millis::MAX,
-            ..Settings::for_slots(SLOTS)
-        };
+    fn new(mode: Mode, batch: bool, cfg: Settings, arrivals: &[Arrival]) -> Self {
         let site = |_| Site {
             engine: Engine::default(),
             gate: Gate::new(cfg),
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -42,8 +42,8 @@
 /// How long batch stays paused before more of it starts, at a balance of 0.
 const SETTLE: Millis = Millis(250);
 
-/// Runs that may go on above the limit, so that an online request that comes soon after another
-/// one has ended pauses nothing. Free slots stay a limit without slack.
+/// How far below the pace's cap batch stops to start, so that an online request that comes soon
+/// after another one has ended pauses nothing.
 const SLACK: u32 = 2;
 
 /// Batch runs that may wait for their first token together, at a balance of 0 and of 100.
@@ -52,6 +52,15 @@
 /// The retry hint for a target that takes no requests any more: another one may serve at once.
 const ELSEWHERE: Millis = Millis(100);
 
+/// Limits on the batch runs at the target.
+#[derive(Clone, Copy, Debug)]
+struct BatchLimits {
+    /// Above this, runs are paused.
+    pause: u32,
+    /// Below this, runs start.
+    start: u32,
+}
+
 /// Decides what starts, waits, pauses or is refused at one target.
 #[derive(Debug)]
 pub struct Gate {
@@ -287,26 +296,33 @@
         }
     }
 
-    /// The most batch runs that may go on now.
-    fn batch_limit(&mut self, now: Millis) -> u32 {
+    /// How many batch runs may go on, and up to how many may start.
+    fn batch_limits(&mut self, now: Millis) -> BatchLimits {
         if self.state == TargetState::Leaving {
-            return 0;
+            return BatchLimits { pause: 0, start: 0 };
         }
         let balance = self.cfg.balance;
         let headroom = self.arrivals.headroom(balance, now);
-        let paced = self.pace.cap(balance, self.cfg.step_bound_micros);
-        let by_slots = self.free().saturating_sub(headroom);
-        by_slots.min(paced.saturating_sub(self.online()))
+        let online = self.online();
+        let cap = self.pace.cap(balance, self.cfg.step_bound_micros);
+        let paced = cap.saturating_sub(online);
+        let slack = if online > 0 { SLACK } else { 0 };
+        BatchLimits {
+            pause: paced.min(self.free()),
+            start: paced
+                .saturating_sub(slack)
+                .min(self.free().saturating_sub(headroom)),
+        }
     }
 
     fn pause(&mut self, now: Millis) {
-        let limit = self.batch_limit(now);
-        let most = if limit == 0 { 0 } else { limit + SLACK };
-        while self.batch.active() > most.min(self.free()) {
+        let limits = self.batch_limits(now);
+        while self.batch.active() > limits.pause {
             self.pause_one(now);
         }
         if self.kv_permille >= KV_FULL_PERMILLE {
             self.pause_one(now);
+            // One pause for each report: the next report shows what it gave back.
             self.kv_permille = KV_HIGH_PERMILLE;
         }
     }
@@ -326,9 +342,9 @@
         {
             return;
         }
-        let limit = self.batch_limit(now);
+        let limits = self.batch_limits(now);
         let prefills = self.cfg.balance.between(PREFILLS[0], PREFILLS[1]) as u32;
-        while self.batch.holding() < limit
+        while self.batch.holding() < limits.start
             && self.batch.prefilling() < prefills
             && self.batch.ready() > 0
         {
--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -14,9 +14,15 @@
 /// The variance of the number of requests below which the slope is not known.
 const LEAST_VARIANCE: f64 = 0.5;
 
+/// The share of steps that keep the bound.
+const QUANTILE: f64 = 0.95;
+
+/// How far one sample moves the quantile at most, in microseconds.
+const QUANTILE_STEP: f64 = 100.0;
+
 /// What is added to a fitted number before its fraction is cut off, so that the fit's own rounding
 /// costs no slot.
-const ROUNDING: f64 = 0.01;
+const ROUNDING: f64 = 0.1;
 
 /// The time constant of the distribution of online requests, in milliseconds.
 const MEMORY_MS: f64 = 60_000.0;
@@ -32,10 +38,20 @@
     nn: f64,
     step: f64,
     n_step: f64,
+    /// What 95 in 100 steps take at most above the line.
+    above: f64,
 }
 
 impl StepFit {
     fn add(&mut self, n: f64, step: f64) {
+        if let Some(expected) = self.expected(n) {
+            let share = if step - expected > self.above {
+                QUANTILE
+            } else {
+                QUANTILE - 1.0
+            };
+            self.above = (self.above + QUANTILE_STEP * share).max(0.0);
+        }
         let sums = [
             &mut self.weight,
             &mut self.n,
@@ -43,27 +59,39 @@
             &mut self.step,
             &mut self.n_step,
         ];
-        for (sum, value) in sums.into_iter().zip([1.0, n, n * n, step, n * step]) {
+        let values = [1.0, n, n * n, step, n * step];
+        for (sum, value) in sums.into_iter().zip(values) {
             *sum = *sum * FORGET + value;
         }
     }
 
-    /// The requests at which a step takes `bound`, if any sample tells.
+    /// The step time at this many requests, if any sample tells.
+    fn expected(&self, n: f64) -> Option<f64> {
+        let (mean_n, mean_step) = self.means()?;
+        let slope = self.slope(mean_n, mean_step).unwrap_or(0.0);
+        Some(mean_step + slope * (n - mean_n))
+    }
+
+    /// The requests at which 95 steps in 100 take at most `bound`, if any sample tells.
     fn requests_within(&self, bound: f64) -> Option<f64> {
-        if self.weight < 1.0 {
-            return None;
-        }
-        let n = self.n / self.weight;
-        let step = self.step / self.weight;
-        let variance = self.nn / self.weight - n * n;
-        if variance < LEAST_VARIANCE {
+        let (n, step) = self.means()?;
+        let bound = bound - self.above;
+        let Some(slope) = self.slope(n, step) else {
             return (step > bound).then_some(n * bound / step);
-        }
-        let slope = (self.n_step / self.weight - n * step) / variance;
-        if slope <= 0.0 {
-            return None;
-        }
-        Some(n + (bound - step) / slope)
+        };
+        (slope > 0.0).then(|| n + (bound - step) / slope)
+    }
+
+    fn means(&self) -> Option<(f64, f64)> {
+        let known = self.weight >= 1.0;
+        known.then(|| (self.n / self.weight, self.step / self.weight))
+    }
+
+    /// The time that one more request adds to a step, if the samples differ enough to tell.
+    fn slope(&self, n: f64, step: f64) -> Option<f64> {
+        let variance = self.nn / self.weight - n * n;
+        let covariance = self.n_step / self.weight - n * step;
+        (variance >= LEAST_VARIANCE).then(|| covariance / variance)
     }
 }
 
