--- a/crates/journal/src/blob.rs
+++ b/crates/journal/src/blob.rs
@@ -300,23 +300,19 @@
     }
 
     fn start_segment(&mut self, number: u32) -> Result<(), JournalError> {
-        let created =
-            segment::create_durably(&*self.storage, &self.folder, number.into(), |_| Ok(()));
+        let created = Segment::create(&*self.storage, &self.folder, number.into(), |_| Ok(()));
         let segment = self.note(created)?;
         self.segments.insert(number, segment);
         Ok(())
     }
 
     fn replay(&mut self) -> Result<(), JournalError> {
+        segment::settle_folder(&*self.storage, &self.folder)?;
         let numbers = segment::list(&*self.storage, &self.folder)?;
         let newest = numbers.last().copied();
         for number in numbers {
-            let storage = Arc::clone(&self.storage);
-            let opened =
-                segment::open_durable(&*storage, &self.folder, number, Some(number) == newest)?;
-            if let Some(segment) = opened {
-                self.replay_segment(segment, Some(number) == newest)?;
-            }
+            let segment = Segment::open(&*self.storage, &self.folder, number)?;
+            self.replay_segment(segment, Some(number) == newest)?;
         }
         Ok(())
     }
@@ -332,7 +328,7 @@
         };
         let bad = Self::scan(&segment, newest, visit)?;
         match bad {
-            Some(offset) if newest => segment.cut_torn_tail(offset)?,
+            _ if newest => segment.settle(bad)?,
             Some(offset) => return Err(segment.corrupt(offset, "bad header of a synced record")),
             None => {}
         }
--- a/crates/journal/src/folder.rs
+++ b/crates/journal/src/folder.rs
@@ -85,8 +85,12 @@
         let created = found.is_none();
         let identity = match found {
             Some(identity) => identity,
-            None => create_identity(&*storage, &path)?,
+            None => write_identity(&*storage, &path)?,
         };
+        // The identity may come from a process that died before this sync.
+        storage
+            .sync_folder(&path)
+            .map_err(|e| JournalError::sync(&path, e))?;
         Ok(Self {
             storage,
             path,
@@ -182,7 +186,7 @@
     Ok(None)
 }
 
-fn create_identity(storage: &dyn Storage, folder: &Path) -> Result<DiskIdentity, JournalError> {
+fn write_identity(storage: &dyn Storage, folder: &Path) -> Result<DiskIdentity, JournalError> {
     let temporary = folder.join(IDENTITY_TEMPORARY);
     let path = folder.join(IDENTITY);
     let io = |e| JournalError::io(&path, e);
@@ -194,6 +198,5 @@
     file.write_at(&buf, 0).map_err(io)?;
     file.sync().map_err(io)?;
     storage.rename(&temporary, &path).map_err(io)?;
-    storage.sync_folder(folder).map_err(io)?;
     Ok(identity)
 }
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -21,10 +21,7 @@
         Slot, //
     },
     record::Record,
-    segment::{
-        self,
-        Segment, //
-    },
+    segment::Segment,
     storage::Storage, //
 };
 
@@ -341,7 +338,7 @@
             next: self.last().index + 1,
             hard: self.index.hard,
         };
-        let result = segment::create_durably(&*self.storage, &self.folder, number, |segment| {
+        let result = Segment::create(&*self.storage, &self.folder, number, |segment| {
             let mut buf = Vec::new();
             segment.encode(&mut buf, |buf| prologue.encode(buf))?;
             segment.write(&buf)
--- a/crates/journal/src/log_replay.rs
+++ b/crates/journal/src/log_replay.rs
@@ -121,7 +121,8 @@
             self.first += 1;
         }
         if self.slots.is_empty() {
-            self.first = to.index + 1;
+            // A replay may begin after the place, because older segments are gone.
+            self.first = self.first.max(to.index + 1);
         }
         self.start = to;
     }
@@ -184,6 +185,7 @@
 
 /// Reads all segments of a folder and cuts off a torn tail.
 pub(crate) fn replay(storage: &dyn Storage, folder: &Path) -> Result<Replayed, JournalError> {
+    segment::settle_folder(storage, folder)?;
     let numbers = segment::list(storage, folder)?;
     let mut replayed = Replayed {
         segments: VecDeque::new(),
@@ -208,19 +210,17 @@
     newest: bool,
     replayed: &mut Replayed,
 ) -> Result<(), JournalError> {
-    let Some(mut segment) = segment::open_durable(storage, folder, number, newest)? else {
-        return Ok(());
-    };
+    let mut segment = Segment::open(storage, folder, number)?;
     let first = replayed.segments.is_empty();
     let bad = scan_into(&segment, first, &mut replayed.index)?;
     if let Some(offset) = bad {
-        if !newest {
+        // The prologue was synced before the segment got its name.
+        if !newest || segment.starts_at(offset) {
             return Err(segment.corrupt(offset, "bad checksum of a synced record"));
         }
-        segment.cut_torn_tail(offset)?;
     }
-    if newest && segment.is_empty() {
-        return segment.remove_torn(storage, folder);
+    if newest {
+        segment.settle(bad)?;
     }
     replayed.segments.push_back(segment);
     Ok(())
--- a/crates/journal/src/segment.rs
+++ b/crates/journal/src/segment.rs
@@ -26,12 +26,9 @@
 /// Bytes of a segment's header: magic, number, salt and their CRC-32.
 const SEGMENT_HEADER_BYTES: usize = 28;
 
-/// A segment whose creation a crash interrupted is not longer than this: its header and what the
-/// store puts first are synced before anything else is written to it.
-const MAX_TORN_CREATION_BYTES: u64 = 256;
-
 const MAGIC: [u8; 8] = *b"yseamsg1";
 const SUFFIX: &str = ".seg";
+const UNFINISHED_SUFFIX: &str = ".new";
 
 /// How much is read at once where all bytes are needed.
 const READ_BYTES: usize = 256 << 10;
@@ -61,21 +58,52 @@
 }
 
 impl Segment {
-    /// Creates an empty segment. It is durable once [`Segment::sync`] and a sync of the folder
-    /// have followed.
-    pub(crate) fn create(
+    /// Creates a segment that starts with what `fill` writes, durably, or leaves none. It gets its
+    /// name once its content is synced, so that a segment under its name is never half created.
+    pub(crate) fn create<F>(
         storage: &dyn Storage,
         folder: &Path,
         number: u64,
+        fill: F,
+    ) -> Result<Self, JournalError>
+    where
+        F: FnOnce(&mut Self) -> Result<(), JournalError>,
+    {
+        let path = path(folder, number);
+        let unfinished = path.with_extension(&UNFINISHED_SUFFIX[1..]);
+        let create = || {
+            let mut segment = Self::create_unfinished(storage, &unfinished, number)?;
+            fill(&mut segment)?;
+            segment.sync()?;
+            storage
+                .rename(&unfinished, &path)
+                .map_err(|e| JournalError::io(&path, e))?;
+            storage
+                .sync_folder(folder)
+                .map_err(|e| JournalError::sync(folder, e))?;
+            segment.path = path;
+            Ok(segment)
+        };
+        let created = create();
+        if created.is_err() {
+            // The file may not exist. If it stays, the next open removes it.
+            let _ = storage.remove(&unfinished);
+        }
+        created
+    }
+
+    fn create_unfinished(
+        storage: &dyn Storage,
+        path: &Path,
+        number: u64,
     ) -> Result<Self, JournalError> {
-        let path = folder.join(file_name(number));
-        let io = |e| JournalError::io(&path, e);
+        let io = |e| JournalError::io(path, e);
         let salt = rand::random();
-        let file = storage.create(&path).map_err(io)?;
+        let file = storage.create(path).map_err(io)?;
         file.write_at(&encode_header(number, salt), 0).map_err(io)?;
         Ok(Self {
             number,
-            path,
+            path: path.to_owned(),
             file,
             salt,
             end: SEGMENT_HEADER_BYTES as u64,
@@ -83,32 +111,35 @@
         })
     }
 
-    /// Opens an existing segment; `None` if its header is not whole.
+    /// Opens an existing segment.
+    ///
+    /// # Errors
+    ///
+    /// [`JournalError::Corrupt`] if its header is bad.
     pub(crate) fn open(
         storage: &dyn Storage,
         folder: &Path,
         number: u64,
-    ) -> Result<Option<Self>, JournalError> {
-        let path = folder.join(file_name(number));
+    ) -> Result<Self, JournalError> {
+        let path = path(folder, number);
         let io = |e| JournalError::io(&path, e);
+        let bad = || JournalError::corrupt(&path, 0, "bad segment header");
         let file = storage.open(&path).map_err(io)?;
         let end = file.size().map_err(io)?;
         let mut header = [0; SEGMENT_HEADER_BYTES];
         if end < header.len() as u64 {
-            return Ok(None);
+            return Err(bad());
         }
         file.read_at(&mut header, 0).map_err(io)?;
-        let Some(salt) = decode_header(&header, number) else {
-            return Ok(None);
-        };
-        Ok(Some(Self {
+        let salt = decode_header(&header, number).ok_or_else(bad)?;
+        Ok(Self {
             number,
             path,
             file,
             salt,
             end,
             synced: end,
-        }))
+        })
     }
 
     pub(crate) fn number(&self) -> u64 {
@@ -119,8 +150,9 @@
         self.end
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.end <= SEGMENT_HEADER_BYTES as u64
+    /// Whether the first frame is at this offset.
+    pub(crate) fn starts_at(&self, offset: u64) -> bool {
+        offset == SEGMENT_HEADER_BYTES as u64
     }
 
     pub(crate) fn is_synced(&self) -> bool {
@@ -270,22 +302,29 @@
         Ok(bytes.and_then(|bytes| Header::decode(bytes, self.salt, offset)))
     }
 
-    /// Cuts off a tail that no sync covered.
+    /// Cuts off a tail that no sync covered, from the first bad frame on, and syncs the rest: it
+    /// may come from a process that died before its sync.
     ///
     /// # Errors
     ///
-    /// [`JournalError::Corrupt`] if a frame after `offset` shows that a sync did cover it.
-    pub(crate) fn cut_torn_tail(&mut self, offset: u64) -> Result<(), JournalError> {
-        let mut rest = vec![0; (self.end - offset) as usize];
-        self.read(&mut rest, offset)?;
-        if frame::proves_synced(&rest, self.salt, offset, offset) {
-            return Err(self.corrupt(offset, "bad checksum of a synced record"));
+    /// [`JournalError::Corrupt`] if a frame after the bad one shows that a sync did cover it.
+    pub(crate) fn settle(&mut self, bad: Option<u64>) -> Result<(), JournalError> {
+        if let Some(offset) = bad {
+            self.check_unsynced(offset)?;
+            self.file
+                .truncate(offset)
+                .map_err(|e| JournalError::io(&self.path, e))?;
+            self.end = offset;
+        }
+        self.sync()
+    }
+
+    fn check_unsynced(&self, bad: u64) -> Result<(), JournalError> {
+        let mut rest = vec![0; (self.end - bad) as usize];
+        self.read(&mut rest, bad)?;
+        if frame::proves_synced(&rest, self.salt, bad, bad) {
+            return Err(self.corrupt(bad, "bad checksum of a synced record"));
         }
-        let io = |e| JournalError::io(&self.path, e);
-        self.file.truncate(offset).map_err(io)?;
-        self.file.sync().map_err(io)?;
-        self.end = offset;
-        self.synced = offset;
         Ok(())
     }
 
@@ -293,15 +332,6 @@
         JournalError::corrupt(&self.path, offset, what)
     }
 
-    /// Removes a segment whose creation a crash interrupted.
-    pub(crate) fn remove_torn(
-        self,
-        storage: &dyn Storage,
-        folder: &Path,
-    ) -> Result<(), JournalError> {
-        remove_torn(storage, folder, &self.path)
-    }
-
     /// Removes the file. The folder is left to be synced.
     pub(crate) fn remove(self, storage: &dyn Storage) -> Result<(), JournalError> {
         storage
@@ -310,65 +340,15 @@
     }
 }
 
-/// Creates a segment that starts with what `fill` writes, durably, or leaves none.
-pub(crate) fn create_durably<F>(
-    storage: &dyn Storage,
-    folder: &Path,
-    number: u64,
-    fill: F,
-) -> Result<Segment, JournalError>
-where
-    F: FnOnce(&mut Segment) -> Result<(), JournalError>,
-{
-    let create = || {
-        let mut segment = Segment::create(storage, folder, number)?;
-        fill(&mut segment)?;
-        segment.sync()?;
-        storage
-            .sync_folder(folder)
-            .map_err(|e| JournalError::sync(folder, e))?;
-        Ok(segment)
-    };
-    let created = create();
-    if created.is_err() {
-        // The file may not exist. If it stays, the next open finds it torn and removes it.
-        let _ = storage.remove(&path(folder, number));
-    }
-    created
-}
-
-/// Opens a segment. One whose creation a crash interrupted is removed if it is the newest one:
-/// the result is then `None`.
-///
-/// # Errors
-///
-/// [`JournalError::Corrupt`] if the header is bad for any other reason.
-pub(crate) fn open_durable(
-    storage: &dyn Storage,
-    folder: &Path,
-    number: u64,
-    newest: bool,
-) -> Result<Option<Segment>, JournalError> {
-    if let Some(segment) = Segment::open(storage, folder, number)? {
-        return Ok(Some(segment));
-    }
-    let path = path(folder, number);
-    let io = |e| JournalError::io(&path, e);
-    let size = storage.open(&path).map_err(io)?.size().map_err(io)?;
-    if !newest || size > MAX_TORN_CREATION_BYTES {
-        return Err(JournalError::corrupt(&path, 0, "bad segment header"));
+/// Removes segments whose creation a crash interrupted, and makes the names of others durable.
+pub(crate) fn settle_folder(storage: &dyn Storage, folder: &Path) -> Result<(), JournalError> {
+    let io = |e| JournalError::io(folder, e);
+    for name in storage.list(folder).map_err(io)? {
+        if name.ends_with(UNFINISHED_SUFFIX) {
+            storage.remove(&folder.join(name)).map_err(io)?;
+        }
     }
-    remove_torn(storage, folder, &path)?;
-    Ok(None)
-}
-
-fn remove_torn(storage: &dyn Storage, folder: &Path, path: &Path) -> Result<(), JournalError> {
-    storage
-        .remove(path)
-        .map_err(|e| JournalError::io(path, e))?;
-    storage
-        .sync_folder(folder)
-        .map_err(|e| JournalError::io(folder, e))
+    storage.sync_folder(folder).map_err(io)
 }
 
 /// The numbers of a folder's segments in ascending order.
--- a/crates/journal/src/snapshot.rs
+++ b/crates/journal/src/snapshot.rs
@@ -190,9 +190,7 @@
             .rename(&sealed.temporary.path, &path)
             .map_err(|e| JournalError::io(&path, e))?;
         sealed.temporary.renamed = true;
-        self.storage
-            .sync_folder(&self.folder)
-            .map_err(|e| JournalError::sync(&self.folder, e))?;
+        self.sync_folder()?;
         self.latest = Some(sealed.meta);
         self.remove_older(sealed.meta.position)?;
         Ok(sealed.meta)
@@ -221,7 +219,14 @@
                 self.remove(&name)?;
             }
         }
-        Ok(())
+        // A process may have died between a rename and its sync.
+        self.sync_folder()
+    }
+
+    fn sync_folder(&self) -> Result<(), JournalError> {
+        self.storage
+            .sync_folder(&self.folder)
+            .map_err(|e| JournalError::sync(&self.folder, e))
     }
 
     fn remove_older(&self, than: Position) -> Result<(), JournalError> {
--- /dev/null
+++ b/crates/journal/tests/all/folder.rs
@@ -0,0 +1,73 @@
+//! The lock and the identity of the data folder.
+
+use std::fs;
+
+use assert_matches::assert_matches;
+use tempfile::tempdir;
+use yuccaseam_journal::{
+    DataFolder,
+    JournalError,
+    Log,
+    LogOptions, //
+};
+
+#[test]
+fn a_second_open_finds_it_locked() {
+    let dir = tempdir().unwrap();
+    let _held = DataFolder::open(dir.path()).unwrap();
+    assert_matches!(
+        DataFolder::open(dir.path()),
+        Err(JournalError::Locked { .. })
+    );
+}
+
+#[test]
+fn a_reopened_folder_keeps_its_identity() {
+    let dir = tempdir().unwrap();
+    let folder = dir.path().join("a/b");
+    let first = DataFolder::open(&folder).unwrap();
+    assert!(first.was_empty());
+    let identity = first.identity();
+    drop(first);
+    let second = DataFolder::open(&folder).unwrap();
+    assert!(!second.was_empty());
+    assert_eq!(second.identity(), identity);
+}
+
+#[test]
+fn an_emptied_folder_gets_another_identity() {
+    let dir = tempdir().unwrap();
+    let folder = dir.path().join("data");
+    let lost = DataFolder::open(&folder).unwrap().identity();
+    fs::remove_dir_all(&folder).unwrap();
+    let empty = DataFolder::open(&folder).unwrap();
+    assert!(empty.was_empty());
+    assert_ne!(empty.identity(), lost);
+}
+
+#[test]
+fn data_without_its_identity_is_refused() {
+    let dir = tempdir().unwrap();
+    let folder = DataFolder::open(dir.path()).unwrap();
+    Log::open(&folder, LogOptions::default()).unwrap();
+    drop(folder);
+    fs::remove_file(dir.path().join("identity")).unwrap();
+    assert_matches!(
+        DataFolder::open(dir.path()),
+        Err(JournalError::Corrupt { .. })
+    );
+}
+
+#[test]
+fn a_damaged_identity_is_refused() {
+    let dir = tempdir().unwrap();
+    drop(DataFolder::open(dir.path()).unwrap());
+    let file = dir.path().join("identity");
+    let mut content = fs::read(&file).unwrap();
+    content[3] ^= 1;
+    fs::write(&file, content).unwrap();
+    assert_matches!(
+        DataFolder::open(dir.path()),
+        Err(JournalError::Corrupt { .. })
+    );
+}
--- /dev/null
+++ b/crates/journal/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the journal crate, one file a topic.
+
+mod blobs;
+mod decoder;
+mod faulty;
+mod folder;
+mod full_disk;
+mod log;
+mod model;
+mod snapshots;
