--- a/crates/cli/src/commands/configuration.rs
+++ b/crates/cli/src/commands/configuration.rs
@@ -17,6 +17,8 @@
     client::Client,
     commands::{
         Output,
+        cell,
+        heading,
         rows, //
     },
     exit::Failure,
@@ -111,15 +113,43 @@
     if list.as_array().is_none_or(Vec::is_empty) {
         return "No exceptions: the defaults hold for the whole fleet.\n".to_owned();
     }
-    table::format(&rows(
-        &[
-            "ID", "SCOPE", "VALUE", "REASON", "AUTHOR", "REVISION", "ENDS",
-        ],
-        list,
-        &[
-            "id", "scope", "value", "reason", "author", "revision", "end",
-        ],
-    ))
+    let names = [
+        "EXCEPTION",
+        "WHERE",
+        "SETTING",
+        "REASON",
+        "AUTHOR",
+        "REVISION",
+        "ENDS",
+    ];
+    let mut table = vec![heading(&names)];
+    for exception in list.as_array().into_iter().flatten() {
+        table.push(vec![
+            cell(exception, "id"),
+            scope_text(&exception["scope"]),
+            format!(
+                "{} = {}",
+                cell(exception, "setting"),
+                cell(exception, "value")
+            ),
+            cell(exception, "reason"),
+            cell(exception, "author"),
+            cell(exception, "revision"),
+            cell(exception, "end"),
+        ]);
+    }
+    table::format(&table)
+}
+
+/// Where an exception holds, such as `region morava`.
+fn scope_text(scope: &Value) -> String {
+    match scope.as_object().and_then(|fields| fields.iter().next()) {
+        Some((kind, name)) => {
+            let kind = kind.replace('_', " ");
+            format!("{kind} {}", name.as_str().unwrap_or_default())
+        }
+        None => "the whole fleet".to_owned(),
+    }
 }
 
 /// Reads a file, or standard input for `-`.
--- /dev/null
+++ b/crates/cli/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the operators' client as a process, one file a topic.
+
+mod session;
--- a/crates/daemon/src/admin/configuration.rs
+++ b/crates/daemon/src/admin/configuration.rs
@@ -92,15 +92,19 @@
         changes: body.changes,
     };
     match cx.store.propose(cx, set) {
-        Ok(Outcome::Configuration(outcome)) => answer_change(outcome, out),
+        Ok(Outcome::Configuration(outcome)) => answer_change(cx, outcome, out),
         Ok(other) => out.refuse(&unexpected(&other)),
         Err(refusal) => out.refuse(&refusal),
     }
 }
 
-fn answer_change(outcome: ConfigurationOutcome, out: Responder) {
+fn answer_change(cx: &Context, outcome: ConfigurationOutcome, out: Responder) {
     match outcome {
         ConfigurationOutcome::Accepted { revision } => {
+            // The operator's next request to this instance meets the new configuration.
+            if let Err(error) = cx.store.refresh_configuration(cx) {
+                log::warn!("revision {revision} is accepted and not yet in force here: {error:#}");
+            }
             out.json(200, &json!({ "revision": revision }));
         }
         ConfigurationOutcome::Conflict {
--- a/crates/daemon/src/store/configuration.rs
+++ b/crates/daemon/src/store/configuration.rs
@@ -46,6 +46,24 @@
         }
     }
 
+    /// Brings this instance to the configuration that a quorum confirms, at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no voter confirms it; the watch goes on trying.
+    pub(crate) fn refresh_configuration(&self, cx: &Context) -> anyhow::Result<()> {
+        let asked_at = self.clock.now();
+        let mut result = Ok(());
+        for voter in 0..self.voters.len() {
+            result = self.confirm_configuration(cx, voter);
+            if result.is_ok() {
+                cx.health.confirm(asked_at);
+                break;
+            }
+        }
+        result
+    }
+
     fn confirm_configuration(&self, cx: &Context, voter: usize) -> anyhow::Result<()> {
         if let Some(replica) = &self.replica
             && let Replied::Answer(Answer::Configuration(new)) =
