batch: the runner at a target's owner

Cause: leases, results, retries, pauses and items that kill their target have to be decided in one place, next to the gate that gives the slots. Ruled out: letting the lease itself guard against double results; the first completion wins in the state machine, so a lost lease only costs work.

--- /dev/null
+++ b/crates/batch/tests/all/common.rs
@@ -0,0 +1,132 @@
+//! A runner with its time, and short ways to make events.
+
+use yuccaseam_admit::RunId;
+use yuccaseam_base::{
+    Millis,
+    Reason,
+    Verdict, //
+};
+use yuccaseam_batch::{
+    Action,
+    Event,
+    Failure,
+    ItemRef,
+    Runner,
+    Settings, //
+};
+use yuccaseam_state::{
+    BlobId,
+    ChunkSpec,
+    ItemSet,
+    JobId,
+    Lease,
+    LeaseRef,
+    LogIndex,
+    Work, //
+};
+
+pub(crate) struct Bench {
+    pub(crate) runner: Runner,
+    pub(crate) now: Millis,
+}
+
+impl Bench {
+    /// A runner whose first request for leases is answered with these.
+    pub(crate) fn new(leases: Vec<Lease>) -> Self {
+        let mut bench = Self {
+            runner: Runner::new(settings(), 5),
+            now: Millis(1_000),
+        };
+        let first = bench.on(Event::Tick);
+        assert_eq!(first, [Action::LeaseMore { max: 2 }]);
+        bench.on(Event::Leased(leases));
+        bench
+    }
+
+    pub(crate) fn on(&mut self, event: Event) -> Vec<Action> {
+        self.runner.handle(event, self.now)
+    }
+
+    pub(crate) fn wait(&mut self, time: Millis) -> Vec<Action> {
+        self.now += time;
+        self.on(Event::Tick)
+    }
+
+    /// Gives a slot; the item that starts there.
+    pub(crate) fn start(&mut self, run: u64) -> Option<ItemRef> {
+        self.on(Event::Slot(RunId(run)))
+            .into_iter()
+            .find_map(|action| match action {
+                Action::Start { item, .. } => Some(item),
+                _ => None,
+            })
+    }
+
+    pub(crate) fn finish(&mut self, run: u64) -> Vec<Action> {
+        self.on(Event::Finished {
+            run: RunId(run),
+            line: b"result\n".to_vec(),
+        })
+    }
+
+    pub(crate) fn fail(&mut self, run: u64, verdict: Verdict, transient: bool) -> Vec<Action> {
+        let failure = Failure {
+            verdict,
+            reason: Reason::TargetFailed,
+            transient,
+        };
+        self.on(Event::Failed {
+            run: RunId(run),
+            failure,
+            line: b"error\n".to_vec(),
+        })
+    }
+}
+
+pub(crate) fn settings() -> Settings {
+    Settings {
+        at_hand: 4,
+        flush_items: 3,
+        ..Settings::default()
+    }
+}
+
+pub(crate) fn lease(chunk: u32, items: u16) -> Lease {
+    let spec = ChunkSpec {
+        payload: BlobId([0; 32]),
+        items,
+    };
+    Lease {
+        job: JobId([1; 16]),
+        chunk,
+        epoch: LogIndex(7),
+        spec,
+        ended: ItemSet::new(),
+        suspects: Vec::new(),
+        team: "t".to_owned(),
+        class: "batch".to_owned(),
+        work: Work::Model("m".to_owned()),
+        idempotent: true,
+        deadline: Millis::MAX,
+    }
+}
+
+/// A lease of a job whose items may not be repeated.
+pub(crate) fn once(chunk: u32, items: u16) -> Lease {
+    Lease {
+        idempotent: false,
+        ..lease(chunk, items)
+    }
+}
+
+pub(crate) fn at(chunk: u32) -> LeaseRef {
+    LeaseRef {
+        job: JobId([1; 16]),
+        chunk,
+        epoch: LogIndex(7),
+    }
+}
+
+pub(crate) fn items(items: &[u16]) -> ItemSet {
+    items.iter().copied().collect()
+}
--- /dev/null
+++ b/crates/batch/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the batch runner.
+
+mod common;
+mod fleet;
+mod isolate;
+mod leases;
+mod runs;
