state, batch: operations of owners may be proposed twice

Cause: an owner that loses the answer of a proposal proposes again. A repeated LeaseChunks left leases that nobody ran and that renewal kept alive; a repeated StartItems granted nothing, so its items failed unrun; a repeated MarkSuspects charged one death twice. Changed: Query::Leases shows an owner all it has; StartItems grants again under the same lease; deaths carry a number. Also: a run that did not reach its target is no attempt of the item.

--- a/crates/batch/src/event.rs
+++ b/crates/batch/src/event.rs
@@ -139,6 +139,8 @@
         items: ItemSet,
         /// Whether no other batch item was in flight.
         alone: bool,
+        /// The number of the death at this runner.
+        death: u64,
     },
     /// Store results as a blob, then report them.
     Flush {
--- a/crates/batch/src/held.rs
+++ b/crates/batch/src/held.rs
@@ -229,8 +229,16 @@
         self.attempts.remove(&item);
     }
 
-    /// Notes a failed run; tells whether the item is sent again after a while.
-    pub(crate) fn retry<R>(&mut self, item: u16, cfg: &Settings, now: Millis, rng: &mut R) -> bool
+    /// Notes a failed run; tells whether the item is sent again after a while. A run that did not
+    /// reach the target is not charged.
+    pub(crate) fn retry<R>(
+        &mut self,
+        item: u16,
+        charged: bool,
+        cfg: &Settings,
+        now: Millis,
+        rng: &mut R,
+    ) -> bool
     where
         R: rand::Rng,
     {
@@ -238,7 +246,7 @@
             count: 0,
             backoff: Backoff::new(cfg.backoff),
         });
-        attempts.count += 1;
+        attempts.count += u32::from(charged);
         if attempts.count >= cfg.attempts {
             return false;
         }
--- a/crates/batch/src/runner/runs.rs
+++ b/crates/batch/src/runner/runs.rs
@@ -119,7 +119,8 @@
             return;
         }
         let allowed = failure.transient && failure.verdict.allows_retry(held.lease.idempotent);
-        if allowed && held.retry(number, &self.cfg, now, &mut self.rng) {
+        let charged = failure.verdict != Verdict::NotRun;
+        if allowed && held.retry(number, charged, &self.cfg, now, &mut self.rng) {
             self.counts.retried += 1;
             return;
         }
@@ -159,6 +160,7 @@
     /// Every item that was in flight is charged or suspected. Their leases wait for the answer.
     pub(super) fn target_died(&mut self) {
         let alone = self.runs.len() + self.cut.len() == 1;
+        self.deaths += 1;
         self.runs.clear();
         self.cut.clear();
         for held in &mut self.leases {
@@ -172,6 +174,7 @@
                     lease: held.id(),
                     items,
                     alone,
+                    death: self.deaths,
                 });
             }
         }
--- a/crates/batch/tests/all/fleet.rs
+++ b/crates/batch/tests/all/fleet.rs
@@ -146,10 +146,12 @@
                 lease,
                 items,
                 alone,
+                death,
             } => match self.apply(MarkSuspects {
                 lease,
                 items,
                 alone,
+                death,
             }) {
                 Outcome::Marked(marked) => Event::Marked {
                     lease,
--- a/crates/batch/tests/all/isolate.rs
+++ b/crates/batch/tests/all/isolate.rs
@@ -38,6 +38,7 @@
         lease: at(0),
         items: items(&[0, 1]),
         alone: false,
+        death: 1,
     };
     assert!(actions.contains(&mark), "{actions:?}");
     bench.on(Event::Marked {
@@ -74,6 +75,7 @@
         lease: at(0),
         items: items(&[0]),
         alone: true,
+        death: 2,
     };
     assert!(actions.contains(&mark), "{actions:?}");
     bench.on(Event::Marked {
--- a/crates/batch/tests/all/runs.rs
+++ b/crates/batch/tests/all/runs.rs
@@ -66,6 +66,17 @@
     assert_eq!(bench.runner.counts().failed, 1);
 }
 
+#[test]
+fn an_item_that_never_reached_its_target_is_not_charged() {
+    let mut bench = Bench::new(vec![lease(0, 1)]);
+    for run in 0..10 {
+        assert!(bench.start(run).is_some(), "attempt {run}");
+        bench.fail(run, Verdict::NotRun, true);
+        bench.wait(settings().backoff.most);
+    }
+    assert_eq!(bench.runner.counts().failed, 0);
+}
+
 #[test]
 fn a_lasting_failure_is_not_sent_again() {
     let mut bench = Bench::new(vec![lease(0, 2)]);
--- a/crates/state/src/jobs/chunk.rs
+++ b/crates/state/src/jobs/chunk.rs
@@ -14,6 +14,7 @@
     FailedItem,
     ItemSet,
     LogIndex,
+    Marked,
     OwnerId,
     ResultPart,
     Suspect, //
@@ -50,6 +51,8 @@
     pub(crate) suspects: BTreeMap<u16, u8>,
     /// Items of a non-idempotent job that may have run.
     pub(crate) started: ItemSet,
+    /// The last death that was reported under the present lease.
+    pub(crate) last_death: Option<u64>,
 }
 
 /// A chunk without open items, whose results are not in one blob, or some of whose items failed.
@@ -239,6 +242,7 @@
             progress: Progress::default(),
             suspects: BTreeMap::new(),
             started: ItemSet::new(),
+            last_death: None,
         }
     }
 
@@ -251,6 +255,24 @@
         self.suspects.iter().filter_map(open).collect()
     }
 
+    /// What is known of items that were reported before.
+    pub(crate) fn marked(&self, items: &ItemSet) -> Marked {
+        let among = |item: u16| items.contains(item);
+        let suspects = self.open_suspects().into_iter();
+        let failed = self.progress.failed.iter().copied();
+        Marked {
+            suspects: suspects.filter(|suspect| among(suspect.item)).collect(),
+            failed: failed.filter(|failed| among(failed.item)).collect(),
+            chunk_ended: false,
+        }
+    }
+
+    /// Takes the lease off.
+    pub(crate) fn end_lease(&mut self) {
+        self.lease = None;
+        self.last_death = None;
+    }
+
     /// Fails the items that were started and whose outcome nobody will report.
     pub(crate) fn give_up_started(&mut self) -> Recorded {
         let mut in_doubt = std::mem::take(&mut self.started);
--- a/crates/state/src/jobs/complete.rs
+++ b/crates/state/src/jobs/complete.rs
@@ -127,6 +127,10 @@
         let Some(open) = self.current(&at) else {
             return Err(Refusal::not_run(Reason::NotFound, "the lease has ended"));
         };
+        if open.last_death >= Some(mark.death) {
+            return Ok(open.marked(&mark.items));
+        }
+        open.last_death = Some(mark.death);
         let mut items: ItemSet = mark.items.iter().filter(|&i| i < open.spec.items).collect();
         items.remove_from(&open.progress.ended());
         let mut marked = Marked {
--- a/crates/state/src/jobs/lease.rs
+++ b/crates/state/src/jobs/lease.rs
@@ -115,6 +115,10 @@
 
     /// Marks items of a non-idempotent job as started; returns those that may run.
     ///
+    /// Items that this lease marked before are granted again: the owner asks twice only if it did
+    /// not hear the first answer, and so has not sent them. Those that another lease marked have
+    /// ended with it.
+    ///
     /// # Errors
     ///
     /// If the lease does not stand any more, or the job is cancelled.
@@ -129,15 +133,14 @@
         let Some(open) = self.current(&start.lease) else {
             return Err(Refusal::not_run(Reason::NotFound, "the lease has ended"));
         };
-        let mut fresh: ItemSet = start
+        let mut items: ItemSet = start
             .items
             .iter()
             .filter(|&i| i < open.spec.items)
             .collect();
-        fresh.remove_from(&open.started);
-        fresh.remove_from(&open.progress.ended());
-        open.started.extend_from(&fresh);
-        Ok(fresh)
+        items.remove_from(&open.progress.ended());
+        open.started.extend_from(&items);
+        Ok(items)
     }
 
     /// The chunk of a lease that still stands.
@@ -162,7 +165,7 @@
         let Some(open) = chunk.open() else {
             return;
         };
-        open.lease = None;
+        open.end_lease();
         let recorded = open.give_up_started();
         job.leased -= 1;
         job.count(&recorded);
--- a/crates/state/src/jobs/messages.rs
+++ b/crates/state/src/jobs/messages.rs
@@ -230,6 +230,9 @@
     pub items: ItemSet,
     /// Whether nothing else was in flight at the target, of any chunk.
     pub alone: bool,
+    /// The owner's number of this death, so that a report proposed twice is one report. Numbers
+    /// of one lease grow.
+    pub death: u64,
 }
 
 /// What became of a [`MarkSuspects`].
--- a/crates/state/src/jobs/mod.rs
+++ b/crates/state/src/jobs/mod.rs
@@ -254,6 +254,24 @@
         Ok(job.results(from, limit))
     }
 
+    /// The chunk leases of an owner.
+    pub(crate) fn leases_of(&self, owner: &OwnerId) -> Vec<LeaseRef> {
+        let chunks = self
+            .owners
+            .get(owner)
+            .into_iter()
+            .flat_map(|owner| &owner.chunks);
+        let lease = |at: &ChunkRef| {
+            let chunk = self.jobs.get(&at.job)?.chunks.get(at.chunk as usize)?;
+            Some(LeaseRef {
+                job: at.job,
+                chunk: at.chunk,
+                epoch: chunk.lease()?.epoch,
+            })
+        };
+        chunks.filter_map(lease).collect()
+    }
+
     /// Jobs cancelled after a position in the log.
     pub(crate) fn cancelled_after(&self, index: LogIndex) -> Vec<JobId> {
         let start = LogIndex(index.0.saturating_add(1));
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -158,6 +158,7 @@
                 jobs: self.jobs.cancelled_after(*after),
                 upto: self.applied,
             },
+            Query::Leases(owner) => Answer::Leases(self.jobs.leases_of(owner)),
             Query::Key(key) => Answer::Key(self.keys.status(*key)),
             Query::Orders => Answer::Orders(self.orders.list()),
             Query::Summary => Answer::Summary(self.summary()),
--- a/crates/state/src/query.rs
+++ b/crates/state/src/query.rs
@@ -15,8 +15,10 @@
     JobStatus,
     KeyClaim,
     KeyId,
+    LeaseRef,
     LogIndex,
     Order,
+    OwnerId,
     codec, //
 };
 
@@ -58,6 +60,9 @@
         /// The position.
         after: LogIndex,
     },
+    /// The chunk leases that an owner has. It compares them with what it knows: a lease whose
+    /// answer was lost is renewed with the others and would never end.
+    Leases(OwnerId),
     /// What a claim of an idempotency key would find.
     Key(KeyId),
     /// Every order to a target.
@@ -101,6 +106,8 @@
         /// The position up to which these are all.
         upto: LogIndex,
     },
+    /// Leases of an owner.
+    Leases(Vec<LeaseRef>),
     /// A key's state; none if it is free.
     Key(Option<KeyClaim>),
     /// Orders.
