--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -17,6 +17,7 @@
             "instance": settings.instance,
             "region": settings.region,
             "failure_domain": settings.failure_domain,
+            "revision": cx.store.configuration().revision,
             "ready": cx.health.unready().is_none(),
             "unready_because": cx.health.unready(),
             "confirmation_age_ms": cx.health.confirmation_age(),
--- a/crates/testing/src/cluster/process.rs
+++ b/crates/testing/src/cluster/process.rs
@@ -74,6 +74,11 @@
         address.expect("waited for")
     }
 
+    /// The process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
