--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -89,8 +89,8 @@
     pub term: Term,
     /// The length in bytes.
     pub size: u64,
-    /// A hash of the bytes.
-    pub digest: u64,
+    /// The SHA-256 of the bytes.
+    pub digest: [u8; 32],
 }
 
 /// A snapshot of the state machine: all that is known of it but its bytes.
@@ -110,7 +110,7 @@
                 index: Index::ZERO,
                 term: Term(0),
                 size: 0,
-                digest: 0,
+                digest: [0; 32],
             },
             membership,
         }
--- a/crates/quorum/src/id.rs
+++ b/crates/quorum/src/id.rs
@@ -9,11 +9,11 @@
 /// A replica *is* its disk: votes, acknowledgements and leases count under this identity and never
 /// under the instance's name, so that an empty disk under an old name counts for nothing.
 #[key]
-pub struct DiskId(pub u128);
+pub struct DiskId(pub u64);
 
 impl fmt::Display for DiskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
+        write!(f, "{:016x}", self.0)
     }
 }
 
--- a/crates/quorum/src/wire/entry.rs
+++ b/crates/quorum/src/wire/entry.rs
@@ -33,7 +33,7 @@
 #[record]
 pub struct WireMember {
     /// The disk.
-    pub id: u128,
+    pub id: u64,
     /// The instance.
     pub name: InstanceName,
     /// Whether it votes.
@@ -69,7 +69,7 @@
     /// The term.
     pub term: u64,
     /// The vote in that term.
-    pub vote: Option<u128>,
+    pub vote: Option<u64>,
 }
 
 /// Identifies one snapshot.
@@ -82,8 +82,8 @@
     pub term: u64,
     /// The length in bytes.
     pub size: u64,
-    /// A hash of the bytes.
-    pub digest: u64,
+    /// The SHA-256 of the bytes.
+    pub digest: [u8; 32],
 }
 
 /// All that is known of a snapshot but its bytes.
@@ -105,7 +105,7 @@
 }
 
 fn membership(members: Vec<WireMember>) -> Result<Membership, WireError> {
-    let ids: BTreeSet<u128> = members.iter().map(|member| member.id).collect();
+    let ids: BTreeSet<u64> = members.iter().map(|member| member.id).collect();
     if ids.len() < members.len() {
         return Err(WireError::DoubleMember);
     }
--- a/crates/quorum/src/wire/message.rs
+++ b/crates/quorum/src/wire/message.rs
@@ -132,9 +132,9 @@
 #[record]
 pub struct WireEnvelope {
     /// The sender's disk.
-    pub from: u128,
+    pub from: u64,
     /// The receiver's disk.
-    pub to: u128,
+    pub to: u64,
     /// The sender's term.
     pub term: u64,
     /// The message.
--- a/crates/quorum/tests/all/disk.rs
+++ b/crates/quorum/tests/all/disk.rs
@@ -75,14 +75,12 @@
             .iter()
             .flat_map(|value| value.to_le_bytes())
             .collect();
-        let mut hasher = DefaultHasher::new();
-        hasher.write(&bytes);
         let snapshot = Snapshot {
             id: SnapshotId {
                 index,
                 term,
                 size: bytes.len() as u64,
-                digest: hasher.finish(),
+                digest: digest(&bytes),
             },
             membership: membership.clone(),
         };
@@ -128,6 +126,15 @@
     }
 }
 
+/// Stands for a hash of the bytes.
+fn digest(bytes: &[u8]) -> [u8; 32] {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(bytes);
+    let mut digest = [0; 32];
+    digest[..8].copy_from_slice(&hasher.finish().to_le_bytes());
+    digest
+}
+
 fn store(synced: &mut Restored, persist: Persist) {
     if let Some(hard) = persist.hard {
         synced.hard = hard;
--- a/crates/quorum/tests/all/group.rs
+++ b/crates/quorum/tests/all/group.rs
@@ -75,6 +75,8 @@
     pub(crate) cuts: BTreeSet<(usize, usize)>,
     /// How often a replica makes a snapshot, in applied entries.
     pub(crate) snapshot_every: u64,
+    /// The chance that a disk syncs within 10 ms.
+    pub(crate) sync_chance: f64,
     wire: Vec<(Millis, Envelope)>,
     proposed: BTreeMap<Token, u64>,
     reads: BTreeMap<Token, Index>,
@@ -83,12 +85,12 @@
     pub(crate) rejected: BTreeMap<Token, Verdict>,
     pub(crate) refused: BTreeMap<Token, ChangeError>,
     tokens: u64,
-    disks: u128,
+    disks: u64,
 }
 
 impl Group {
-    pub(crate) fn new(size: u128, seed: u64) -> Self {
-        let name = |n: u128| InstanceName(format!("instance-{n}"));
+    pub(crate) fn new(size: u64, seed: u64) -> Self {
+        let name = |n: u64| InstanceName(format!("instance-{n}"));
         let membership = Membership::of_voters((1..=size).map(|n| (DiskId(n), name(n))));
         let mut group = Self {
             now: Millis::ZERO,
@@ -98,6 +100,7 @@
             checks: Checks::default(),
             cuts: BTreeSet::new(),
             snapshot_every: u64::MAX,
+            sync_chance: 0.9,
             wire: Vec::new(),
             proposed: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -371,7 +374,8 @@
             if self.replicas[at].frozen {
                 continue;
             }
-            let count = self.rng.random_range(0..4);
+            let syncs = self.rng.random_bool(self.sync_chance);
+            let count = usize::from(syncs) * self.rng.random_range(1..4);
             let replica = &mut self.replicas[at];
             if replica.core.is_some()
                 && !replica.holds_sync
@@ -433,8 +437,9 @@
         token
     }
 
-    /// Makes a change and waits for it.
+    /// Makes a change and waits for it. A leader makes none before it committed an entry.
     pub(crate) fn change_and_wait(&mut self, change: Change) {
+        self.write();
         let at = self.settle();
         let token = self.change(at, change);
         self.until("the change is committed", |group| {
--- a/crates/quorum/tests/all/schedules.rs
+++ b/crates/quorum/tests/all/schedules.rs
@@ -23,9 +23,10 @@
 /// The simulated time of one schedule before everything is mended.
 const TROUBLE: Millis = Millis::from_secs(60);
 
-fn schedule(size: u128, seed: u64) {
+fn schedule(size: u64, seed: u64) {
     let mut group = Group::new(size, seed);
     group.snapshot_every = 40;
+    group.sync_chance = group.rng.random_range(0.05..1.0);
     group.net = Net {
         loss: group.rng.random_range(0.0..0.15),
         doubled: 0.05,
@@ -163,7 +164,7 @@
         .is_some_and(|membership| ids.iter().all(|&id| membership.is_voter(id)))
 }
 
-fn schedules(size: u128, first: u64, last: u64) {
+fn schedules(size: u64, first: u64, last: u64) {
     for seed in first..=last {
         println!("size {size}, seed {seed}");
         schedule(size, seed);
--- a/crates/quorum/tests/all/wire.rs
+++ b/crates/quorum/tests/all/wire.rs
@@ -29,10 +29,10 @@
     index: 9,
     term: 2,
     size: 100,
-    digest: 77,
+    digest: [77; 32],
 };
 
-fn member(id: u128) -> WireMember {
+fn member(id: u64) -> WireMember {
     WireMember {
         id,
         name: "instance-1".into(),
@@ -58,7 +58,7 @@
 fn envelope(term: u64, body: WireBody) -> WireEnvelope {
     WireEnvelope {
         from: 1,
-        to: u128::MAX,
+        to: u64::MAX,
         term,
         body,
     }
