--- a/crates/quorum/tests/all/group.rs
+++ b/crates/quorum/tests/all/group.rs
@@ -49,7 +49,9 @@
 pub(crate) struct Net {
     pub(crate) loss: f64,
     pub(crate) doubled: f64,
-    /// The share of messages that take up to a second.
+    /// The shortest time that a message takes, in ms.
+    pub(crate) least: u64,
+    /// The share of messages that take up to a second longer.
     pub(crate) slow: f64,
 }
 
@@ -333,7 +335,7 @@
             } else {
                 20
             };
-            let delay = Millis(self.rng.random_range(1..=slowest));
+            let delay = Millis(self.net.least + self.rng.random_range(1..=slowest));
             self.wire.push((self.now + delay, envelope.clone()));
         }
     }
@@ -431,18 +433,28 @@
     pub(crate) fn write(&mut self) -> Token {
         let at = self.settle();
         let token = self.propose(at, 1)[0];
-        self.until("the write is acknowledged", |group| {
-            group.committed_tokens.contains(&token)
-        });
+        self.until_committed(token);
         token
     }
 
-    /// Makes a change and waits for it. A leader makes none before it committed an entry.
+    /// Asks for a change until the leader takes it, and waits for it. A leader takes none before
+    /// it committed an entry, and no promotion before it knows that the learner has synced.
     pub(crate) fn change_and_wait(&mut self, change: Change) {
-        self.write();
-        let at = self.settle();
-        let token = self.change(at, change);
-        self.until("the change is committed", |group| {
+        let end = self.now + Millis::from_secs(60);
+        loop {
+            let at = self.settle();
+            let token = self.change(at, change.clone());
+            match self.refused.get(&token) {
+                None => return self.until_committed(token),
+                Some(ChangeError::NotSynced { .. } | ChangeError::TermNotCommitted) => self.pass(),
+                Some(error) => panic!("refused: {error}"),
+            }
+            assert!(self.now < end, "never taken: {change:?}");
+        }
+    }
+
+    fn until_committed(&mut self, token: Token) {
+        self.until("it is committed", |group| {
             assert_eq!(group.refused.get(&token), None);
             group.committed_tokens.contains(&token)
         });
--- a/crates/quorum/tests/all/leases.rs
+++ b/crates/quorum/tests/all/leases.rs
@@ -84,3 +84,18 @@
     });
     assert_eq!(group.rejected.get(&token), Some(&Verdict::MayHaveRun));
 }
+
+#[test]
+fn a_lease_counts_from_the_sending_of_what_was_answered() {
+    const ONE_WAY: Millis = Millis(200);
+    let mut group = Group::new(3, 15);
+    group.net.least = ONE_WAY.0;
+    let leader = group.settle();
+    let longest = Timing::default().lease - ONE_WAY * 2;
+    for _ in 0..500 {
+        group.pass();
+        let until = group.core(leader).and_then(Core::lease_until);
+        assert!(until.is_none_or(|until| until <= group.now + longest));
+    }
+    assert!(holds_lease(&group, leader));
+}
--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -31,24 +31,6 @@
     group.refused[&token].clone()
 }
 
-/// Replaces the lost disk as soon as the leader knows that the learner has synced everything.
-fn replace(group: &mut Group, old: DiskId, new: DiskId) {
-    let mut token = None;
-    while token.is_none() {
-        group.pass();
-        let leader = group.settle();
-        let asked = group.change(leader, Change::Replace { old, new });
-        match group.refused.get(&asked) {
-            None => token = Some(asked),
-            Some(ChangeError::NotSynced { .. }) => {}
-            Some(error) => panic!("refused: {error}"),
-        }
-    }
-    group.until("the replacement is committed", |group| {
-        token.is_some_and(|token| group.committed_tokens.contains(&token))
-    });
-}
-
 /// After a disk was replaced, another replica is lost for good; the rest has everything.
 fn second_failure(pick: fn(usize) -> usize) {
     let mut group = Group::new(3, 21);
@@ -60,7 +42,7 @@
     let old = group.replicas[lost].id;
     group.lose_disk(lost);
     let new = add_learner(&mut group, lost);
-    replace(&mut group, old, new);
+    group.change_and_wait(Change::Replace { old, new });
     group.crash(pick(leader));
     group.write();
     group.check_states();
--- a/crates/quorum/tests/all/schedules.rs
+++ b/crates/quorum/tests/all/schedules.rs
@@ -31,6 +31,7 @@
         loss: group.rng.random_range(0.0..0.15),
         doubled: 0.05,
         slow: group.rng.random_range(0.0..0.05),
+        ..Net::default()
     };
     while group.now < TROUBLE {
         load(&mut group);
@@ -85,6 +86,7 @@
             group.cuts.insert((at, other));
         }
         5 => group.isolate(at),
+        9 if at != other => group.cut_both(at, other),
         6 => group.cuts.clear(),
         7 | 8 => lose_disk(group, at),
         _ => {
