--- a/crates/quorum/tests/all/elections.rs
+++ b/crates/quorum/tests/all/elections.rs
@@ -5,46 +5,28 @@
 use yuccaseam_quorum::{
     Action,
     Body,
-    Config,
     Core,
     DiskId,
     Envelope,
     Event,
     Index,
     LastEntry,
-    Membership,
     Restored,
-    Snapshot,
     SyncSeq,
     Term,
     Timing, //
 };
 
-use crate::group::Group;
+use crate::{
+    group::Group,
+    single::{
+        group_of_three,
+        voter, //
+    }, //
+};
 
 const FAR_LATER: Millis = Millis::from_secs(60);
 
-fn voter(id: DiskId, restored: Restored) -> Core {
-    let timing = Timing::default();
-    Core::new(
-        Config {
-            id,
-            timing,
-            seed: 7,
-        },
-        restored,
-        Millis::ZERO,
-    )
-}
-
-fn group_of_three() -> Restored {
-    let voters = (1..=3).map(|n| (DiskId(n), format!("instance-{n}").as_str().into()));
-    Restored {
-        snapshot: Snapshot::initial(Membership::of_voters(voters)),
-        ..Restored::default()
-    }
-}
-
 /// A candidate's request with an endless log, so that only the rules on identity and time refuse.
 fn request(to: DiskId, body: fn(LastEntry) -> Body) -> Event {
     let last = LastEntry {
--- a/crates/quorum/tests/all/leases.rs
+++ b/crates/quorum/tests/all/leases.rs
@@ -7,6 +7,7 @@
 };
 use yuccaseam_quorum::{
     Core,
+    Event,
     Timing, //
 };
 
@@ -99,3 +100,19 @@
     }
     assert!(holds_lease(&group, leader));
 }
+
+#[test]
+fn a_leader_that_handed_over_has_no_lease_even_if_it_hears_nothing() {
+    let mut group = Group::new(3, 16);
+    group.write();
+    let old = group.settle();
+    group.run(Millis(500));
+    group.step(old, Event::HandOver);
+    for other in (0..3).filter(|&other| other != old) {
+        group.cuts.insert((other, old));
+    }
+    group.until("another leader has a lease", |group| {
+        (0..3).any(|at| at != old && holds_lease(group, at))
+    });
+    group.run(Millis::from_secs(2));
+}
--- /dev/null
+++ b/crates/quorum/tests/all/single.rs
@@ -0,0 +1,30 @@
+//! One replica that a test feeds by hand.
+
+use yuccaseam_base::Millis;
+use yuccaseam_quorum::{
+    Config,
+    Core,
+    DiskId,
+    Membership,
+    Restored,
+    Snapshot,
+    Timing, //
+};
+
+pub(crate) fn voter(id: DiskId, restored: Restored) -> Core {
+    let cfg = Config {
+        id,
+        timing: Timing::default(),
+        seed: 7,
+    };
+    Core::new(cfg, restored, Millis::ZERO)
+}
+
+/// The disk of a voter of three that has written nothing yet.
+pub(crate) fn group_of_three() -> Restored {
+    let voters = (1..=3).map(|n| (DiskId(n), format!("instance-{n}").as_str().into()));
+    Restored {
+        snapshot: Snapshot::initial(Membership::of_voters(voters)),
+        ..Restored::default()
+    }
+}
