--- a/crates/quorum/tests/all/group.rs
+++ b/crates/quorum/tests/all/group.rs
@@ -49,7 +49,9 @@
 pub(crate) struct Net {
     pub(crate) loss: f64,
     pub(crate) doubled: f64,
-    /// The share of messages that take up to a second.
+    /// The shortest time that a message takes, in ms.
+    pub(crate) least: u64,
+    /// The share of messages that take up to a second longer.
     pub(crate) slow: f64,
 }
 
@@ -75,6 +77,8 @@
     pub(crate) cuts: BTreeSet<(usize, usize)>,
     /// How often a replica makes a snapshot, in applied entries.
     pub(crate) snapshot_every: u64,
+    /// The chance that a disk syncs within 10 ms.
+    pub(crate) sync_chance: f64,
     wire: Vec<(Millis, Envelope)>,
     proposed: BTreeMap<Token, u64>,
     reads: BTreeMap<Token, Index>,
@@ -83,12 +87,12 @@
     pub(crate) rejected: BTreeMap<Token, Verdict>,
     pub(crate) refused: BTreeMap<Token, ChangeError>,
     tokens: u64,
-    disks: u128,
+    disks: u64,
 }
 
 impl Group {
-    pub(crate) fn new(size: u128, seed: u64) -> Self {
-        let name = |n: u128| InstanceName(format!("instance-{n}"));
+    pub(crate) fn new(size: u64, seed: u64) -> Self {
+        let name = |n: u64| InstanceName(format!("instance-{n}"));
         let membership = Membership::of_voters((1..=size).map(|n| (DiskId(n), name(n))));
         let mut group = Self {
             now: Millis::ZERO,
@@ -98,6 +102,7 @@
             checks: Checks::default(),
             cuts: BTreeSet::new(),
             snapshot_every: u64::MAX,
+            sync_chance: 0.9,
             wire: Vec::new(),
             proposed: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -330,7 +335,7 @@
             } else {
                 20
             };
-            let delay = Millis(self.rng.random_range(1..=slowest));
+            let delay = Millis(self.net.least + self.rng.random_range(1..=slowest));
             self.wire.push((self.now + delay, envelope.clone()));
         }
     }
@@ -371,7 +376,8 @@
             if self.replicas[at].frozen {
                 continue;
             }
-            let count = self.rng.random_range(0..4);
+            let syncs = self.rng.random_bool(self.sync_chance);
+            let count = usize::from(syncs) * self.rng.random_range(1..4);
             let replica = &mut self.replicas[at];
             if replica.core.is_some()
                 && !replica.holds_sync
@@ -427,17 +433,28 @@
     pub(crate) fn write(&mut self) -> Token {
         let at = self.settle();
         let token = self.propose(at, 1)[0];
-        self.until("the write is acknowledged", |group| {
-            group.committed_tokens.contains(&token)
-        });
+        self.until_committed(token);
         token
     }
 
-    /// Makes a change and waits for it.
+    /// Asks for a change until the leader takes it, and waits for it. A leader takes none before
+    /// it committed an entry, and no promotion before it knows that the learner has synced.
     pub(crate) fn change_and_wait(&mut self, change: Change) {
-        let at = self.settle();
-        let token = self.change(at, change);
-        self.until("the change is committed", |group| {
+        let end = self.now + Millis::from_secs(60);
+        loop {
+            let at = self.settle();
+            let token = self.change(at, change.clone());
+            match self.refused.get(&token) {
+                None => return self.until_committed(token),
+                Some(ChangeError::NotSynced { .. } | ChangeError::TermNotCommitted) => self.pass(),
+                Some(error) => panic!("refused: {error}"),
+            }
+            assert!(self.now < end, "never taken: {change:?}");
+        }
+    }
+
+    fn until_committed(&mut self, token: Token) {
+        self.until("it is committed", |group| {
             assert_eq!(group.refused.get(&token), None);
             group.committed_tokens.contains(&token)
         });
