daemon: failure tests with separate processes for streams, orders and stops

Histories come from the fakes' own records, and are compared with what callers were told.

`Generation::run_whole` and `run_stream` answer with the refusal of the last attempt: when the first attempt ran and broke, and the next found the connection refused, the caller is told "not_run", although tokens had come or the worker's record shows that the call started. `services::run` has the same loop for idempotent services.

The tests that pass were not yet each shown to fail on a planted fault.

--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,3 +1,7 @@
 //! Tests of the daemon as a process, one file a topic.
 
+mod leaving;
+mod orders;
 mod settings;
+mod streams;
+mod support;
