--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -46,12 +46,6 @@
 /// after another one has ended pauses nothing.
 const SLACK: u32 = 2;
 
-/// The prompt tokens that an engine reads in one step, as the usual engines do.
-const PREFILL_CHUNK: u32 = 512;
-
-/// How long batch does not start for each chunk of an online prompt, at a balance of 0.
-const PREFILL_STEP: Millis = Millis(40);
-
 /// Batch runs that may wait for their first token together, at a balance of 0 and of 100.
 const PREFILLS: [f64; 2] = [1.0, 4.0];
 
@@ -79,8 +73,6 @@
     arrivals: Arrivals,
     pace: Pace,
     kv_permille: u32,
-    /// Until when an online prompt is expected to be read.
-    prefill_until: Millis,
     actions: Vec<Action>,
 }
 
@@ -113,7 +105,6 @@
             arrivals: Arrivals::default(),
             pace: Pace::new(cfg.slots),
             kv_permille: 0,
-            prefill_until: Millis::ZERO,
             actions: Vec::new(),
         }
     }
@@ -300,20 +291,11 @@
                 continue;
             };
             self.permits.start(request, now);
-            self.expect_prefill(&request, now);
             let entry = request.entry;
             self.actions.push(Action::Grant { entry, permit });
         }
     }
 
-    /// Batch prompts that start now would be read beside this one.
-    fn expect_prefill(&mut self, request: &Request, now: Millis) {
-        let chunks = u64::from(request.prompt_tokens / PREFILL_CHUNK + 1);
-        let hold = PREFILL_STEP.0;
-        let start = self.prefill_until.max(now);
-        self.prefill_until = start + Millis(hold) * chunks;
-    }
-
     /// How many batch runs may go on, and up to how many may start.
     fn batch_limits(&mut self, now: Millis) -> BatchLimits {
         if self.state == TargetState::Leaving {
@@ -356,7 +338,6 @@
         let settled = |paused: Millis| paused + Millis(settle) <= now;
         if self.state != TargetState::Live
             || self.kv_permille >= KV_HIGH_PERMILLE
-            || now < self.prefill_until
             || !self.batch.paused_at().is_none_or(settled)
         {
             return;
