admit: three engines in the experiment

One model of an engine decided too much: with a step that grows steeply batch must cost time between tokens, with a flat one it hardly does, and an engine that passes 39 ms with every prompt cannot keep the bound when it is full.

--- a/crates/admit/examples/admission_experiment/engine.rs
+++ b/crates/admit/examples/admission_experiment/engine.rs
@@ -12,17 +12,24 @@
 /// The slots of an engine.
 pub(crate) const SLOTS: u32 = 32;
 
-const STEP_BASE: Micros = 12_000;
-const STEP_PER_STREAM: Micros = 700;
-const STEP_PER_PROMPT_TOKEN: Micros = 20;
 const CHUNK_TOKENS: u32 = 512;
 const CANCEL_STEPS: u32 = 2;
 
-/// The time that one token takes of an engine whose slots are full.
-pub(crate) const MICROS_PER_TOKEN: f64 = STEP_PER_STREAM as f64 + STEP_BASE as f64 / SLOTS as f64;
+/// What a step of an engine costs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Cost {
+    pub(crate) name: &'static str,
+    pub(crate) base: Micros,
+    pub(crate) per_stream: Micros,
+    pub(crate) per_prompt_token: Micros,
+}
 
-/// The time that one prompt token takes of an engine.
-pub(crate) const MICROS_PER_PROMPT_TOKEN: f64 = STEP_PER_PROMPT_TOKEN as f64;
+impl Cost {
+    /// The time that one token takes of an engine whose slots are full.
+    pub(crate) fn per_token(&self) -> f64 {
+        self.per_stream as f64 + self.base as f64 / f64::from(SLOTS)
+    }
+}
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stream {
@@ -50,8 +57,9 @@
     Left { id: u64 },
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Engine {
+    cost: Cost,
     waiting: VecDeque<Stream>,
     running: Vec<Stream>,
     /// The prompt tokens that the step in progress takes, by index of the running stream.
@@ -60,6 +68,16 @@
 }
 
 impl Engine {
+    pub(crate) fn new(cost: Cost) -> Self {
+        Self {
+            cost,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            prefill: Vec::new(),
+            stepping: false,
+        }
+    }
+
     pub(crate) fn submit(&mut self, stream: Stream) {
         self.waiting.push_back(stream);
     }
@@ -101,7 +119,8 @@
             self.prefill.push(tokens);
         }
         let prompt_tokens = u64::from(CHUNK_TOKENS - left);
-        Some(STEP_BASE + STEP_PER_STREAM * decoding + STEP_PER_PROMPT_TOKEN * prompt_tokens)
+        let prefill = self.cost.per_prompt_token * prompt_tokens;
+        Some(self.cost.base + self.cost.per_stream * decoding + prefill)
     }
 
     /// Ends the step in progress.
--- a/crates/admit/examples/admission_experiment/report.rs
+++ b/crates/admit/examples/admission_experiment/report.rs
@@ -7,8 +7,9 @@
 };
 
 use crate::engine::{
-    self,
-    Micros, //
+    Cost,
+    Micros,
+    SLOTS, //
 };
 
 const QUANTILES: [(&str, f64); 3] = [("p50", 0.50), ("p95", 0.95), ("p99", 0.99)];
@@ -46,6 +47,7 @@
 
 /// What engines that run batch alone give.
 pub(crate) struct Full {
+    pub(crate) cost: Cost,
     pub(crate) batch_tokens: f64,
     /// The time of all engines together.
     pub(crate) engine_micros: f64,
@@ -105,13 +107,14 @@
     /// that runs batch alone; no policy reaches them all, because online streams hold their slots
     /// longer once the others are filled.
     pub(crate) fn print(&self, name: &str, off: &Self, full: &Full) {
-        let online_micros = off.online_tokens as f64 * engine::MICROS_PER_TOKEN
-            + off.online_prompt_tokens as f64 * engine::MICROS_PER_PROMPT_TOKEN;
+        let online_micros = off.online_tokens as f64 * full.cost.per_token()
+            + off.online_prompt_tokens as f64 * full.cost.per_prompt_token as f64;
         let idle_micros = full.engine_micros - online_micros;
         let idle_capacity = full.batch_tokens * idle_micros / full.engine_micros;
-        let slot_rate = full.batch_tokens / full.engine_micros / f64::from(engine::SLOTS);
+        let slot_rate = full.batch_tokens / full.engine_micros / f64::from(SLOTS);
         let idle_slots = off.idle_slot_micros as f64 * slot_rate;
         let line = json!({
+            "engine": full.cost.name,
             "name": name,
             "all": self.all.json(),
             "quiet": self.quiet.json(),
--- a/crates/admit/examples/admission_experiment/world.rs
+++ b/crates/admit/examples/admission_experiment/world.rs
@@ -1,5 +1,7 @@
 //! Entries, owners and engines on one clock.
 
+mod items;
+
 use std::{
     cmp::Reverse,
     collections::{
@@ -34,6 +36,7 @@
 
 use crate::{
     engine::{
+        Cost,
         Engine,
         Micros,
         Output,
@@ -154,24 +157,26 @@
     }
 }
 
+/// Engines and their load.
+pub(crate) struct Scene {
+    pub(crate) cost: Cost,
+    pub(crate) arrivals: Vec<Arrival>,
+    pub(crate) length: Micros,
+}
+
 /// Runs one world to its end; without batch if there are no settings.
-pub(crate) fn run(
-    mode: Mode,
-    batch: Option<Settings>,
-    arrivals: &[Arrival],
-    end: Micros,
-) -> Figures {
+pub(crate) fn run(mode: Mode, batch: Option<Settings>, scene: &Scene) -> Figures {
     let cfg = batch.unwrap_or(settings(Balance::LATENCY));
-    let mut world = World::new(mode, batch.is_some(), cfg, arrivals);
+    let mut world = World::new(mode, batch.is_some(), cfg, scene);
     world.start();
     while let Some(Reverse((at, _, happening))) = world.queue.pop() {
-        if at > end {
+        if at > scene.length {
             break;
         }
         world.now = at;
         world.happen(happening);
     }
-    world.now = end;
+    world.now = scene.length;
     for target in 0..TARGETS {
         world.count_online(target, 0);
     }
@@ -179,9 +184,9 @@
 }
 
 impl World {
-    fn new(mode: Mode, batch: bool, cfg: Settings, arrivals: &[Arrival]) -> Self {
+    fn new(mode: Mode, batch: bool, cfg: Settings, scene: &Scene) -> Self {
         let site = |_| Site {
-            engine: Engine::default(),
+            engine: Engine::new(scene.cost),
             gate: Gate::new(cfg),
             items: HashMap::new(),
             paused: Vec::new(),
@@ -195,7 +200,7 @@
             now: 0,
             order: 0,
             queue: BinaryHeap::new(),
-            arrivals: arrivals.to_vec(),
+            arrivals: scene.arrivals.clone(),
             online: HashMap::new(),
             sites: (0..TARGETS).map(site).collect(),
             rng: ChaCha8Rng::seed_from_u64(1),
@@ -381,28 +386,6 @@
         site.online = site.online.saturating_add_signed(change);
     }
 
-    fn start_item(&mut self, target: usize, run: RunId) {
-        self.next_batch += 1;
-        let id = (self.next_batch << 1) | BATCH_BIT;
-        let new = Item {
-            prompt: BATCH_PROMPT,
-            done: 0,
-            first_token: false,
-            run,
-        };
-        let mut item = self.sites[target].paused.pop().unwrap_or(new);
-        item.run = run;
-        item.first_token = false;
-        self.figures.recomputed_tokens += u64::from(item.done);
-        self.sites[target].items.insert(id, item);
-        self.after(HOP, Happening::Submit(target, id));
-    }
-
-    fn pause_item(&mut self, target: usize, id: u64) {
-        self.figures.pauses += 1;
-        self.after(HOP, Happening::Cancel(target, id));
-    }
-
     fn step(&mut self, target: usize) {
         let engine = &mut self.sites[target].engine;
         if engine.stepping {
@@ -459,45 +442,6 @@
         }
     }
 
-    fn batch_token(&mut self, target: usize, id: u64, last: bool) {
-        self.figures.batch_tokens += 1;
-        let item = self.sites[target]
-            .items
-            .get_mut(&id)
-            .expect("a run has its item");
-        item.done += 1;
-        let first = !item.first_token;
-        item.first_token = true;
-        let run = item.run;
-        if first && self.mode.owned() {
-            self.gate(target, Event::BatchFirstToken(run));
-        }
-        if last {
-            self.sites[target].items.remove(&id);
-            self.refill(target, Event::BatchFinished(run));
-        }
-    }
-
-    fn batch_left(&mut self, target: usize, id: u64) {
-        let item = self.sites[target]
-            .items
-            .remove(&id)
-            .expect("a run has its item");
-        self.sites[target].paused.push(item);
-        self.refill(target, Event::BatchPaused(item.run));
-    }
-
-    fn refill(&mut self, target: usize, event: Event) {
-        match self.mode {
-            Mode::RoundRobin => self.start_item(target, RunId(0)),
-            Mode::Alone => {}
-            Mode::OwnerPath | Mode::Permits => {
-                self.gate(target, event);
-                self.gate(target, Event::BatchReady(BATCH_READY));
-            }
-        }
-    }
-
     fn sample(&mut self) {
         for target in 0..TARGETS {
             let engine = &self.sites[target].engine;
@@ -527,17 +471,4 @@
             self.balance_alone(target, running, waiting);
         }
     }
-
-    /// Entries that dispatch batch by reports alone: they fill what looks free and cancel what
-    /// looks to be in the way.
-    fn balance_alone(&mut self, target: usize, running: u32, waiting: u32) {
-        for _ in running..SLOTS {
-            self.start_item(target, RunId(0));
-        }
-        let mut ids: Vec<_> = self.sites[target].items.keys().copied().collect();
-        ids.sort_unstable_by(|a, b| b.cmp(a));
-        for id in ids.into_iter().take(waiting as usize) {
-            self.pause_item(target, id);
-        }
-    }
 }
--- /dev/null
+++ b/crates/admit/examples/admission_experiment/world/items.rs
@@ -0,0 +1,94 @@
+//! Batch items at the targets of a world.
+
+use yuccaseam_admit::{
+    Event,
+    RunId, //
+};
+
+use super::{
+    BATCH_BIT,
+    BATCH_PROMPT,
+    BATCH_READY,
+    HOP,
+    Happening,
+    Item,
+    Mode,
+    World, //
+};
+use crate::engine::SLOTS;
+
+impl World {
+    pub(super) fn start_item(&mut self, target: usize, run: RunId) {
+        self.next_batch += 1;
+        let id = (self.next_batch << 1) | BATCH_BIT;
+        let new = Item {
+            prompt: BATCH_PROMPT,
+            done: 0,
+            first_token: false,
+            run,
+        };
+        let mut item = self.sites[target].paused.pop().unwrap_or(new);
+        item.run = run;
+        item.first_token = false;
+        self.figures.recomputed_tokens += u64::from(item.done);
+        self.sites[target].items.insert(id, item);
+        self.after(HOP, Happening::Submit(target, id));
+    }
+
+    pub(super) fn pause_item(&mut self, target: usize, id: u64) {
+        self.figures.pauses += 1;
+        self.after(HOP, Happening::Cancel(target, id));
+    }
+
+    pub(super) fn batch_token(&mut self, target: usize, id: u64, last: bool) {
+        self.figures.batch_tokens += 1;
+        let item = self.sites[target]
+            .items
+            .get_mut(&id)
+            .expect("a run has its item");
+        item.done += 1;
+        let first = !item.first_token;
+        item.first_token = true;
+        let run = item.run;
+        if first && self.mode.owned() {
+            self.gate(target, Event::BatchFirstToken(run));
+        }
+        if last {
+            self.sites[target].items.remove(&id);
+            self.refill(target, Event::BatchFinished(run));
+        }
+    }
+
+    pub(super) fn batch_left(&mut self, target: usize, id: u64) {
+        let item = self.sites[target]
+            .items
+            .remove(&id)
+            .expect("a run has its item");
+        self.sites[target].paused.push(item);
+        self.refill(target, Event::BatchPaused(item.run));
+    }
+
+    pub(super) fn refill(&mut self, target: usize, event: Event) {
+        match self.mode {
+            Mode::RoundRobin => self.start_item(target, RunId(0)),
+            Mode::Alone => {}
+            Mode::OwnerPath | Mode::Permits => {
+                self.gate(target, event);
+                self.gate(target, Event::BatchReady(BATCH_READY));
+            }
+        }
+    }
+
+    /// Entries that dispatch batch by reports alone: they fill what looks free and cancel what
+    /// looks to be in the way.
+    pub(super) fn balance_alone(&mut self, target: usize, running: u32, waiting: u32) {
+        for _ in running..SLOTS {
+            self.start_item(target, RunId(0));
+        }
+        let mut ids: Vec<_> = self.sites[target].items.keys().copied().collect();
+        ids.sort_unstable_by(|a, b| b.cmp(a));
+        for id in ids.into_iter().take(waiting as usize) {
+            self.pause_item(target, id);
+        }
+    }
+}
