--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -27,8 +27,11 @@
 /// The time constant of the distribution of online requests, in milliseconds.
 const MEMORY_MS: f64 = 60_000.0;
 
-/// The share of online tokens that come at or below the online peak.
-const PEAK_QUANTILE: f64 = 0.5;
+/// By what a step may grow at a balance of 0, over the step at the median of online requests.
+const HARMLESS: f64 = 1.03;
+
+/// The share of online tokens that come at or below the median.
+const HALF: f64 = 0.5;
 
 /// Sums of an exponentially weighted linear regression of the step time on the requests that run.
 #[derive(Clone, Copy, Debug, Default)]
@@ -74,8 +77,12 @@
 
     /// The requests at which 95 steps in 100 take at most `bound`, if any sample tells.
     fn requests_within(&self, bound: f64) -> Option<f64> {
+        self.requests_at(bound - self.above)
+    }
+
+    /// The requests at which a step takes `bound` on the line, if any sample tells.
+    fn requests_at(&self, bound: f64) -> Option<f64> {
         let (n, step) = self.means()?;
-        let bound = bound - self.above;
         let Some(slope) = self.slope(n, step) else {
             return (step > bound).then_some(n * bound / step);
         };
@@ -141,18 +148,21 @@
         if self.online == 0 {
             return most as u32;
         }
-        let peak = f64::from(self.online_peak()).min(most);
-        balance.between(peak, most) as u32
+        let median = f64::from(self.online_median());
+        let step = self.fit.expected(median).unwrap_or(f64::MAX);
+        let harmless = self.fit.requests_at(step * HARMLESS).unwrap_or(median);
+        let least = (harmless.max(median) + ROUNDING).min(most);
+        balance.between(least, most) as u32
     }
 
-    /// The number of online requests beside which most online tokens come.
-    fn online_peak(&self) -> u32 {
+    /// The number of online requests beside which half of the online tokens come or more.
+    fn online_median(&self) -> u32 {
         let tokens = |(n, time): (usize, &f64)| n as f64 * time;
         let total: f64 = self.online_time.iter().enumerate().map(tokens).sum();
         let mut below = 0.0;
         for (n, time) in self.online_time.iter().enumerate() {
             below += tokens((n, time));
-            if below >= total * PEAK_QUANTILE {
+            if below >= total * HALF {
                 return n as u32;
             }
         }
