route: choice of target by locality, prefix, load and link budget

A router at each entry takes late news of targets and names an ordered list of targets to ask: those that may hold the prompt's prefix and some at random, by load in parts of their slots less what the cached part is worth. Another region is named first only when this one has no room, it has, and the link's token bucket allows; batch leaves only where its job says so, from the bucket's upper half.

Nothing is measured yet.

--- /dev/null
+++ b/crates/route/tests/all/link.rs
@@ -0,0 +1,94 @@
+//! Other regions serve only when this one is full, and within the link's budget.
+
+use yuccaseam_base::Millis;
+use yuccaseam_route::{
+    LinkSettings,
+    Router,
+    Traffic,
+    Why, //
+};
+
+use crate::support::{
+    HERE,
+    NOW,
+    THERE,
+    batch,
+    candidate,
+    online,
+    place,
+    region,
+    router,
+    target, //
+};
+
+const REMOTE: usize = 9;
+
+/// One target here under this load, an idle one in the other region.
+fn two_regions(busy_here: u32, link: Option<LinkSettings>) -> Router {
+    let mut router = router(1);
+    router.update(candidate(0, place(HERE, 0), busy_here), NOW);
+    router.update(candidate(REMOTE, place(THERE, 5), 0), NOW);
+    if let Some(link) = link {
+        router.set_link(region(THERE), link, NOW);
+    }
+    router
+}
+
+const LINK: LinkSettings = LinkSettings {
+    bytes_per_sec: 1_000,
+    burst: 4_000,
+};
+
+#[test]
+fn a_request_stays_in_its_region_while_there_is_room() {
+    let mut router = two_regions(9, Some(LINK));
+    assert_eq!(router.choose(&online(&[]), NOW)[0].target, target(0));
+}
+
+#[test]
+fn a_full_region_spills() {
+    let mut router = two_regions(12, Some(LINK));
+    let choices = router.choose(&online(&[]), NOW);
+    assert_eq!(
+        (choices[0].target, choices[0].why),
+        (target(REMOTE), Why::Spill)
+    );
+    assert_eq!(choices[1].target, target(0));
+}
+
+#[test]
+fn nothing_crosses_a_link_without_a_budget() {
+    let mut router = two_regions(12, None);
+    assert_eq!(router.choose(&online(&[]), NOW)[0].target, target(0));
+}
+
+#[test]
+fn a_spent_budget_keeps_requests_here_until_it_fills() {
+    let mut router = two_regions(12, Some(LINK));
+    for _ in 0..4 {
+        router.sent(target(REMOTE), &online(&[]), NOW);
+    }
+    assert_eq!(router.choose(&online(&[]), NOW)[0].target, target(0));
+    let later = NOW + Millis(1_000);
+    assert_eq!(router.choose(&online(&[]), later)[0].target, target(REMOTE));
+}
+
+#[test]
+fn batch_leaves_only_where_its_job_allows_and_online_comes_first() {
+    let mut router = two_regions(12, Some(LINK));
+    assert_eq!(router.choose(&batch(false), NOW)[0].target, target(0));
+    assert_eq!(router.choose(&batch(true), NOW)[0].target, target(REMOTE));
+    for _ in 0..2 {
+        router.sent(target(REMOTE), &batch(true), NOW);
+    }
+    assert_eq!(router.choose(&batch(true), NOW)[0].target, target(0));
+    assert_eq!(online(&[]).traffic, Traffic::Online);
+    assert_eq!(router.choose(&online(&[]), NOW)[0].target, target(REMOTE));
+}
+
+#[test]
+fn a_region_without_a_live_target_spills() {
+    let mut router = two_regions(0, Some(LINK));
+    router.remove(target(0));
+    assert_eq!(router.choose(&online(&[]), NOW)[0].target, target(REMOTE));
+}
--- /dev/null
+++ b/crates/route/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of routing, one file a topic.
+
+mod affinity;
+mod herding;
+mod link;
+mod liveness;
+mod support;
