--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -25,6 +25,7 @@
 mod record;
 mod segment;
 mod snapshot;
+mod snapshot_file;
 mod snapshot_transfer;
 mod storage;
 
