--- a/crates/quorum/tests/all/leases.rs
+++ b/crates/quorum/tests/all/leases.rs
@@ -7,6 +7,7 @@
 };
 use yuccaseam_quorum::{
     Core,
+    Event,
     Timing, //
 };
 
@@ -84,3 +85,34 @@
     });
     assert_eq!(group.rejected.get(&token), Some(&Verdict::MayHaveRun));
 }
+
+#[test]
+fn a_lease_counts_from_the_sending_of_what_was_answered() {
+    const ONE_WAY: Millis = Millis(200);
+    let mut group = Group::new(3, 15);
+    group.net.least = ONE_WAY.0;
+    let leader = group.settle();
+    let longest = Timing::default().lease - ONE_WAY * 2;
+    for _ in 0..500 {
+        group.pass();
+        let until = group.core(leader).and_then(Core::lease_until);
+        assert!(until.is_none_or(|until| until <= group.now + longest));
+    }
+    assert!(holds_lease(&group, leader));
+}
+
+#[test]
+fn a_leader_that_handed_over_has_no_lease_even_if_it_hears_nothing() {
+    let mut group = Group::new(3, 16);
+    group.write();
+    let old = group.settle();
+    group.run(Millis(500));
+    group.step(old, Event::HandOver);
+    for other in (0..3).filter(|&other| other != old) {
+        group.cuts.insert((other, old));
+    }
+    group.until("another leader has a lease", |group| {
+        (0..3).any(|at| at != old && holds_lease(group, at))
+    });
+    group.run(Millis::from_secs(2));
+}
