--- a/crates/batch/src/held.rs
+++ b/crates/batch/src/held.rs
@@ -163,8 +163,9 @@
         Some(item)
     }
 
-    pub(crate) fn resume_from(&self, item: u16) -> u32 {
-        self.resume.get(&item).copied().unwrap_or(0)
+    /// Takes the number of tokens that earlier runs of an item received.
+    pub(crate) fn take_tokens(&mut self, item: u16) -> u32 {
+        self.resume.remove(&item).unwrap_or(0)
     }
 
     /// Takes items to be marked as started.
--- a/crates/batch/src/runner/runs.rs
+++ b/crates/batch/src/runner/runs.rs
@@ -27,9 +27,8 @@
             self.actions.push(Action::Unused(run));
             return;
         };
-        let resume_from = self
-            .find(item.lease)
-            .map_or(0, |held| held.resume_from(item.item));
+        let held = Self::find_mut(&mut self.leases, item.lease);
+        let resume_from = held.map_or(0, |held| held.take_tokens(item.item));
         self.runs.insert(run, Run { item, alone });
         self.actions.push(Action::Start {
             run,
@@ -162,7 +161,9 @@
         let alone = self.runs.len() + self.cut.len() == 1;
         self.deaths += 1;
         self.runs.clear();
-        self.cut.clear();
+        for CutRun { item, tokens, .. } in std::mem::take(&mut self.cut) {
+            self.with(item.lease, |held| held.keep_tokens(item.item, tokens));
+        }
         for held in &mut self.leases {
             if held.drops_results() {
                 held.running = ItemSet::new();
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -2,7 +2,7 @@
 
 mod announce;
 mod claim;
-mod events;
+pub(crate) mod events;
 mod generate;
 mod models;
 mod services;
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -1,8 +1,9 @@
-//! Batch jobs: what callers ask for.
+//! Batch jobs: what callers ask for, and running the items.
 
 mod create;
 mod items;
 mod results;
+mod runner;
 mod show;
 
 use tiny_http::Method;
@@ -20,6 +21,8 @@
     },
 };
 
+pub(crate) use runner::start;
+
 /// Gives a request on jobs to its handler. `path` is what follows `/v1/batches`.
 pub(crate) fn dispatch(cx: &Context, call: &Call, path: &[&str], mut out: Responder) {
     let result = match (&call.method, path) {
--- a/crates/daemon/src/measures.rs
+++ b/crates/daemon/src/measures.rs
@@ -18,6 +18,7 @@
     Reason,
     Verdict, //
 };
+use yuccaseam_batch::Counts;
 
 /// Requests that were refused or failed, by reason and verdict.
 const REFUSALS: &str = "yuccaseam_refusals_total";
@@ -36,6 +37,9 @@
 /// Requests of callers that are running here.
 const RUNNING: &str = "yuccaseam_running_requests";
 
+/// Batch items by what became of a run, at the targets that this instance owns.
+const BATCH_ITEMS: &str = "yuccaseam_batch_items_total";
+
 fn seconds(span: Millis) -> f64 {
     span.duration().as_secs_f64()
 }
@@ -75,6 +79,18 @@
     gauge!(REVISION).set(revision as f64);
 }
 
+/// Counts what became of batch items since the last time.
+pub(crate) fn count_batch(before: &Counts, now: &Counts) {
+    let count = |outcome: &'static str, before: u64, now: u64| {
+        counter!(BATCH_ITEMS, "outcome" => outcome).increment(now - before);
+    };
+    count("done", before.done, now.done);
+    count("failed", before.failed, now.failed);
+    count("retried", before.retried, now.retried);
+    count("paused", before.paused, now.paused);
+    count("dropped", before.dropped, now.dropped);
+}
+
 /// The number of running requests, which a planned stop waits for.
 static RUNNING_NOW: AtomicUsize = AtomicUsize::new(0);
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -29,7 +29,7 @@
         Phase, //
     },
     http::Server,
-    logging, measures,
+    jobs, logging, measures,
     peers::{
         self,
         Links, //
@@ -124,7 +124,7 @@
         .name("configuration".to_owned())
         .spawn(move || watcher.store.watch_configuration(&watcher))
         .context("cannot start the configuration thread")?;
-    Ok(())
+    jobs::start(cx)
 }
 
 /// Carries out a planned stop: readiness off, the balancer's delay, new calls refused, running
