--- /dev/null
+++ b/crates/daemon/tests/all/jobs.rs
@@ -0,0 +1,290 @@
+//! Jobs end once and whole, whatever dies meanwhile.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+use yuccaseam_base::Millis;
+use yuccaseam_testing::{
+    Caller,
+    Cluster,
+    Item,
+    Phase,
+    Place,
+    wait_until, //
+};
+
+use crate::support::runs;
+
+/// Within this time a cancel stops running streams, by the users' promise.
+const CANCEL_BOUND: Millis = Millis(2_000);
+/// How long owners keep leases in these tests, in milliseconds.
+const LEASE_MS: u64 = 2_000;
+
+/// One voter and two daemons without a disk, of which any may own a target.
+fn start(engines: usize) -> Cluster {
+    let places = [
+        Place::new("morava", "brno-a").with_disk(),
+        Place::new("morava", "jihlava-b"),
+        Place::new("morava", "brno-a"),
+    ];
+    let mut cluster = Cluster::start(&places, &[]);
+    for index in 0..engines {
+        cluster.start_engine(&format!("w{index}"), &places[index % places.len()], &[]);
+    }
+    cluster.wait_until_ready();
+    set_default(&cluster.caller(0), "lease_ms", LEASE_MS);
+    set_default(&cluster.caller(0), "chunk_items", 20);
+    cluster
+}
+
+fn set_default(caller: &Caller, setting: &str, value: u64) {
+    let current = caller
+        .get("/admin/v1/configuration")
+        .expect("the daemon answers");
+    let body = json!({
+        "request": format!("{setting} {value}"),
+        "expected": current["revision"],
+        "author": "test",
+        "changes": [{ "set_default": { "setting": setting, "value": value } }],
+    });
+    let answer = caller.call("POST", "/admin/v1/configuration", &body.to_string());
+    let answer = answer.expect("the daemon answers");
+    assert_eq!(answer.status, 200, "{}", answer.text);
+}
+
+fn items(count: u32, tokens: u32) -> Vec<Item> {
+    let item = |number| Item {
+        id: format!("item-{number}"),
+        prompt: format!("tender {number}"),
+        tokens,
+    };
+    (0..count).map(item).collect()
+}
+
+fn create(cluster: &Cluster, items: &[Item]) -> String {
+    let answer = cluster.caller(0).create_job("lagging-llm", "job", items);
+    let answer = answer.expect("the daemon answers");
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    id_of(&answer.json())
+}
+
+fn id_of(job: &Value) -> String {
+    job["id"]
+        .as_str()
+        .expect("a job has an identifier")
+        .to_owned()
+}
+
+fn wait_for_done(caller: &Caller, job: &str, at_least: u64) {
+    wait_until(&format!("{at_least} items are done"), || {
+        let status = caller.job(job).unwrap_or_default();
+        status["completed"].as_u64() >= Some(at_least)
+    });
+}
+
+fn wait_for_end(caller: &Caller, job: &str) -> Value {
+    wait_until("the job ends", || {
+        let status = caller.job(job).unwrap_or_default();
+        status["status"] == "completed"
+    });
+    caller.job(job).expect("the daemon answers")
+}
+
+/// Checks that every item has just one result, its own and whole.
+fn assert_results(caller: &Caller, job: &str, items: &[Item], failed: &BTreeSet<String>) {
+    let results = caller.results(job).expect("results are readable");
+    assert_eq!(results.len(), items.len());
+    let mut texts = BTreeMap::new();
+    for line in &results {
+        let id = line["custom_id"].as_str().unwrap_or_default().to_owned();
+        let text = line["response"]["body"]["choices"][0]["text"].as_str();
+        assert_eq!(texts.insert(id, text), None, "two results of one item");
+    }
+    for item in items.iter().filter(|item| !failed.contains(&item.id)) {
+        assert_eq!(
+            texts[&item.id],
+            Some(item.expected().as_str()),
+            "{}",
+            item.id
+        );
+    }
+}
+
+#[test]
+fn a_job_ends_with_every_result_in_order() {
+    let cluster = start(2);
+    let items = items(100, 10);
+    let job = create(&cluster, &items);
+    let caller = cluster.caller(1);
+    let status = wait_for_end(&caller, &job);
+    assert_eq!(
+        (&status["completed"], &status["failed"]),
+        (&json!(100), &json!(0))
+    );
+    assert_results(&caller, &job, &items, &BTreeSet::new());
+    let again = create(&cluster, &items);
+    assert_eq!(again, job, "a resend is the same job");
+    let results = caller.results(&job).expect("results are readable");
+    let numbers: Vec<_> = results
+        .iter()
+        .filter_map(|line| line["item"].as_u64())
+        .collect();
+    assert!(numbers.is_sorted(), "{numbers:?}");
+}
+
+#[test]
+fn a_killed_worker_costs_no_item() {
+    let mut cluster = start(2);
+    let items = items(200, 20);
+    let job = create(&cluster, &items);
+    let caller = cluster.caller(0);
+    wait_for_done(&caller, &job, 20);
+    cluster
+        .targets
+        .get_mut("w0")
+        .expect("it was started")
+        .process
+        .kill();
+    let status = wait_for_end(&caller, &job);
+    assert_eq!(
+        (&status["completed"], &status["failed"]),
+        (&json!(200), &json!(0))
+    );
+    assert_results(&caller, &job, &items, &BTreeSet::new());
+}
+
+#[test]
+fn killed_owners_cost_no_item() {
+    let mut cluster = start(3);
+    let items = items(300, 20);
+    let job = create(&cluster, &items);
+    let caller = cluster.caller(0);
+    wait_for_done(&caller, &job, 20);
+    cluster.daemons[1].kill();
+    cluster.daemons[2].kill();
+    let status = wait_for_end(&caller, &job);
+    assert_eq!(
+        (&status["completed"], &status["failed"]),
+        (&json!(300), &json!(0))
+    );
+    assert_results(&caller, &job, &items, &BTreeSet::new());
+}
+
+#[test]
+fn a_poison_item_fails_alone() {
+    let mut cluster = start(1);
+    let mut items = items(40, 10);
+    items[7].prompt = "POISON-KILL".to_owned();
+    let job = create(&cluster, &items);
+    let caller = cluster.caller(0);
+    let place = Place::new("morava", "brno-a");
+    wait_until("the job ends", || {
+        let target = cluster.targets.get_mut("w0").expect("it was started");
+        if !target.process.is_running() {
+            cluster.start_engine("w0", &place, &[]);
+        }
+        caller.job(&job).unwrap_or_default()["status"] == "completed"
+    });
+    let status = caller.job(&job).expect("the daemon answers");
+    assert_eq!(
+        (&status["completed"], &status["failed"]),
+        (&json!(39), &json!(1))
+    );
+    let failed = BTreeSet::from([items[7].id.clone()]);
+    assert_results(&caller, &job, &items, &failed);
+    let results = caller.results(&job).expect("results are readable");
+    assert_eq!(results[7]["error"]["code"], "item_attempts_spent");
+}
+
+#[test]
+fn a_cancel_stops_running_streams_and_survives_a_crash() {
+    let mut cluster = start(2);
+    let items = items(100, 2_000);
+    let job = create(&cluster, &items);
+    let caller = cluster.caller(0);
+    wait_until("streams run", || {
+        let records = cluster.records();
+        records
+            .iter()
+            .filter(|entry| entry.phase == Phase::Start)
+            .count()
+            > 8
+    });
+    let answer = caller.call("POST", &format!("/v1/batches/{job}/cancel"), "");
+    assert_eq!(answer.expect("the daemon answers").status, 200);
+    let cancelled_at = Millis::unix_now();
+    wait_until("the job is cancelled", || {
+        caller.job(&job).unwrap_or_default()["status"] == "cancelled"
+    });
+    let records = cluster.records();
+    let started = records.iter().filter(|entry| entry.phase == Phase::Start);
+    let ended = |entry: &&yuccaseam_testing::Entry| {
+        matches!(entry.phase, Phase::Finish | Phase::Cancel)
+            && entry.at <= cancelled_at + CANCEL_BOUND
+    };
+    assert_eq!(
+        started.count(),
+        records.iter().filter(ended).count(),
+        "streams ran on"
+    );
+    cluster.daemons[0].kill();
+    cluster.start_daemon(0);
+    cluster.wait_until_ready();
+    let status = caller.job(&job).expect("the daemon answers");
+    assert_eq!(status["status"], "cancelled");
+}
+
+#[test]
+fn calls_that_may_not_be_repeated_run_once() {
+    let mut cluster = start(0);
+    let place = Place::new("morava", "brno-a");
+    for name in ["desk0", "desk1"] {
+        cluster.start_service(name, &place, &[]);
+    }
+    cluster.wait_until_ready();
+    let fault = |number| match number {
+        13 => "lost",
+        30 => "crash",
+        _ => "none",
+    };
+    let line = |number| {
+        let body = json!({ "order": format!("order-{number}"), "fault": fault(number) });
+        json!({ "custom_id": format!("{number}"), "url": "/orders", "body": body }).to_string()
+    };
+    let lines: Vec<String> = (0..60).map(line).collect();
+    let caller = cluster.caller(1);
+    let answer = caller.call("POST", "/v1/batches?service=order-desk", &lines.join("\n"));
+    let job = id_of(&answer.expect("the daemon answers").json());
+    let status = wait_for_end(&caller, &job);
+    let records = cluster.records();
+    for number in 0..60 {
+        let order = format!("order-{number}");
+        assert!(runs(&records, &order) <= 1, "{order} ran twice");
+    }
+    let results = caller.results(&job).expect("results are readable");
+    let failed: Vec<_> = results
+        .iter()
+        .filter(|line| !line["error"].is_null())
+        .collect();
+    assert!(
+        failed
+            .iter()
+            .all(|line| line["error"]["code"] == "outcome_unknown"),
+        "{failed:?}"
+    );
+    assert_eq!(status["failed"], json!(failed.len()));
+    for line in results.iter().filter(|line| line["error"].is_null()) {
+        let order = format!("order-{}", line["custom_id"].as_str().unwrap_or_default());
+        assert_eq!(
+            runs(&records, &order),
+            1,
+            "{order} has a result and did not run"
+        );
+    }
+}
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon as a process, one file a topic.
 
+mod jobs;
 mod leaving;
 mod orders;
 mod settings;
