The verdict of a request is the strongest of its attempts

Cause: the refusal after a retry came from the last attempt alone, such as 'no target' with 'not run', although an earlier attempt had sent the call.

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -133,6 +133,14 @@
         self
     }
 
+    /// The same refusal with this verdict if it is the stronger one: a request that was tried
+    /// several times may have run if any of its attempts may have.
+    #[must_use]
+    pub fn at_least(mut self, verdict: Verdict) -> Self {
+        self.verdict = self.verdict.max(verdict);
+        self
+    }
+
     fn new<T>(verdict: Verdict, reason: Reason, detail: T) -> Self
     where
         T: Into<String>,
--- a/crates/daemon/src/entry/generate.rs
+++ b/crates/daemon/src/entry/generate.rs
@@ -10,7 +10,8 @@
     Millis,
     Reason,
     Refusal,
-    TargetName, //
+    TargetName,
+    Verdict, //
 };
 
 use crate::{
@@ -63,6 +64,7 @@
         call,
         ask,
         body,
+        verdict: Verdict::NotRun,
     };
     if generation.body["stream"] == json!(true) {
         generation.run_stream(out);
@@ -77,6 +79,8 @@
     call: &'a Call,
     ask: Ask,
     body: Value,
+    /// The strongest verdict of the attempts so far.
+    verdict: Verdict,
 }
 
 impl Generation<'_> {
@@ -95,7 +99,7 @@
                 Err(refusal) => measures::count_retry(refusal.reason),
             }
         };
-        out.refuse(&refusal);
+        out.refuse(&refusal.at_least(self.verdict));
     }
 
     fn try_whole(&mut self) -> Result<(AnswerHead, Vec<u8>), Refusal> {
@@ -131,6 +135,7 @@
                 Err(refusal) => measures::count_retry(refusal.reason),
             }
         };
+        let refusal = refusal.at_least(self.verdict);
         match (stream, out) {
             (Some(stream), _) => stream.writer.cut(&refusal),
             (None, Some(out)) => out.refuse(&refusal),
@@ -225,10 +230,12 @@
         })
     }
 
-    /// Remembers a target that failed, so that the next attempt goes elsewhere.
+    /// Remembers a target that failed, so that the next attempt goes elsewhere, and whether it may
+    /// have run the call.
     fn note<T>(&mut self, target: &TargetName, result: &Result<T, Refusal>) {
-        if result.is_err() {
+        if let Err(refusal) = result {
             self.ask.avoid.push(target.clone());
+            self.verdict = self.verdict.max(refusal.verdict);
         }
     }
 }
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -7,7 +7,8 @@
 use tiny_http::Method;
 use yuccaseam_base::{
     Reason,
-    Refusal, //
+    Refusal,
+    Verdict, //
 };
 
 use crate::{
@@ -70,13 +71,18 @@
         avoid: Vec::new(),
     };
     let mut attempts = 0;
+    let mut verdict = Verdict::NotRun;
     loop {
         attempts += 1;
-        let permit = cx.admission.acquire(cx, &ask)?;
+        let permit = match cx.admission.acquire(cx, &ask) {
+            Ok(permit) => permit,
+            Err(refusal) => return Err(refusal.at_least(verdict)),
+        };
         let refusal = match send(cx, call, name, permit.target.address) {
             Ok(answer) => return Ok(answer),
-            Err(refusal) => refusal,
+            Err(refusal) => refusal.at_least(verdict),
         };
+        verdict = refusal.verdict;
         if attempts == ATTEMPTS || !refusal.verdict.allows_retry(idempotent) {
             return Err(refusal);
         }
--- a/crates/daemon/src/http/responder.rs
+++ b/crates/daemon/src/http/responder.rs
@@ -134,12 +134,15 @@
         self.out.flush()
     }
 
-    /// Tells the caller in an event that the stream is cut. The end mark is not sent.
+    /// Tells the caller in an event that the stream is cut, and ends the answer without the end
+    /// mark of a whole stream. A malformed chunk would make some libraries drop the event.
     pub(crate) fn cut(mut self, refusal: &Refusal) {
         self.note_cut(refusal);
         let event = format!("data: {}\n\n", error_body(refusal, &self.id));
-        // The answer is cut after this event whether or not the caller still reads.
-        drop(self.send(event.as_bytes()));
+        // A caller that is gone needs neither the event nor the end.
+        if self.send(event.as_bytes()).is_ok() {
+            drop(self.finish());
+        }
     }
 
     /// Counts and logs that the answer is cut.
