daemon: replica runtime around the replication core

The thin store with one voter is replaced by the replicated log: a driver thread owns core and state machine, a disk thread writes and syncs (all that waits shares a sync), a blob thread fetches what this replica lacks, and one stream a peer carries messages. Empty disks of configured voters begin a group only if all of them say that they belong to none; otherwise they follow the log as learners and take the lost disk's place once they hold every entry and blob. Members are listed and changed through the leader.

Ruled out: the sync on the driver's thread (a slow sync would delay heartbeats past the lease); a replacement only by an operator's command (a second failure before the command would find one copy); promotion by the log alone (a blob of a lost disk may have its only other copy on the next disk to fail).

Compiles and lints; not yet run as processes.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! What operators ask for.
 
 mod configuration;
+mod members;
 mod status;
 
 pub(crate) use configuration::unexpected;
@@ -17,6 +18,7 @@
         Call,
         Responder, //
     },
+    replica::MemberRequest, //
 };
 
 /// Gives an operator's request to its handler. `path` is what follows `/admin/v1/`.
@@ -28,6 +30,14 @@
         (Method::Post, ["configuration"]) => configuration::change(cx, call, out),
         (Method::Get, ["configuration", "history"]) => configuration::history(cx, call, out),
         (Method::Get, ["exceptions"]) => configuration::exceptions(cx, out),
+        (Method::Get, ["members"]) => members::list(cx, out),
+        (Method::Post, ["members", "add"]) => members::change(cx, call, MemberRequest::Add, out),
+        (Method::Post, ["members", "promote"]) => {
+            members::change(cx, call, MemberRequest::Promote, out);
+        }
+        (Method::Post, ["members", "remove"]) => {
+            members::change(cx, call, MemberRequest::Remove, out);
+        }
         _ => {
             let detail = format!("nothing is served at {} {}", call.method, call.path);
             out.refuse(&Refusal::not_run(Reason::NotFound, detail));
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -20,6 +20,13 @@
             "ready": cx.health.unready().is_none(),
             "unready_because": cx.health.unready(),
             "confirmation_age_ms": cx.health.confirmation_age(),
+            "replica": cx.store.replica_status().map(|replica| json!({
+                "leader": replica.leader,
+                "leads": replica.holds_lease(cx.clock.now()),
+                "term": replica.term,
+                "applied": replica.applied,
+                "voters": replica.voters,
+            })),
             "running_requests": measures::running(),
             "targets": cx.targets.all(cx.clock.now()).len(),
         }),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod logging;
 mod measures;
 mod peers;
+mod replica;
 mod run;
 mod settings;
 mod store;
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -12,6 +12,7 @@
     transport::Server, //
 };
 use yuccaseam_wire::{
+    consensus::consensus_server::ConsensusServer,
     fleet::{
         Packet,
         fleet_server::{
@@ -24,6 +25,7 @@
 
 use crate::{
     context::Context,
+    replica::ConsensusService,
     store::StoreService,
     targets::Announcement, //
 };
@@ -43,8 +45,11 @@
     let store = StoreServer::new(StoreService::new(Arc::clone(cx)))
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
+    let consensus = ConsensusServer::new(ConsensusService::new(Arc::clone(cx)))
+        .max_decoding_message_size(MAX_MESSAGE);
     let serving = Server::builder()
         .add_service(fleet)
+        .add_service(consensus)
         .add_service(store)
         .serve_with_incoming(TcpListenerStream::new(listener));
     cx.links.spawn(async {
--- /dev/null
+++ b/crates/daemon/src/replica/members.rs
@@ -0,0 +1,184 @@
+//! The replicas as an operator sees them, and what an operator asks of the group.
+
+use std::collections::BTreeMap;
+
+use yuccaseam_base::{
+    InstanceName,
+    Millis,
+    record, //
+};
+use yuccaseam_quorum::{
+    Change,
+    Core,
+    DiskId,
+    Index,
+    Membership,
+    Standing, //
+};
+
+use super::frame::Hello;
+
+/// How long a replica counts as present after its last sign of life.
+const PRESENT: Millis = Millis::from_secs(5);
+
+/// One replica as an operator sees it.
+#[record]
+pub(crate) struct MemberStatus {
+    pub(crate) instance: InstanceName,
+    /// The identity of its disk.
+    pub(crate) disk: String,
+    /// `voter`, `learner`, or `candidate` for a disk that is no member.
+    pub(crate) role: String,
+    pub(crate) leads: bool,
+    /// The last entry that is synced there, if the leader answers.
+    pub(crate) synced: Option<u64>,
+}
+
+/// What an operator asks of the group.
+#[record]
+pub(crate) enum MemberRequest {
+    /// Let the disk of an instance follow the log.
+    Add(InstanceName),
+    /// Let it vote, in place of a lost disk of the same instance if there is one.
+    Promote(InstanceName),
+    /// Remove the instance from the group.
+    Remove(InstanceName),
+}
+
+/// A replica that was heard.
+#[derive(Debug)]
+struct Seen {
+    name: InstanceName,
+    hello: Hello,
+    at: Millis,
+}
+
+/// The replicas that were heard, members or not.
+#[derive(Debug, Default)]
+pub(crate) struct Presence {
+    seen: BTreeMap<DiskId, Seen>,
+}
+
+impl Presence {
+    pub(crate) fn on_hello(&mut self, name: InstanceName, hello: Hello, now: Millis) {
+        let seen = Seen {
+            name,
+            hello,
+            at: now,
+        };
+        self.seen.insert(DiskId(hello.disk), seen);
+    }
+
+    /// The instance that holds a disk.
+    pub(crate) fn name(&self, id: DiskId) -> Option<&InstanceName> {
+        self.seen.get(&id).map(|seen| &seen.name)
+    }
+
+    fn present(&self, now: Millis) -> impl Iterator<Item = (DiskId, &Seen)> {
+        self.seen
+            .iter()
+            .filter(move |(_, seen)| now < seen.at + PRESENT)
+            .map(|(&id, seen)| (id, seen))
+    }
+
+    /// The disk that an instance has now.
+    fn disk_of(&self, name: &InstanceName, now: Millis) -> Option<DiskId> {
+        self.present(now)
+            .find(|(_, seen)| seen.name == *name)
+            .map(|(id, _)| id)
+    }
+
+    /// The change that an operator's request comes to, or why there is none.
+    pub(crate) fn change(
+        &self,
+        request: &MemberRequest,
+        group: &Membership,
+        now: Millis,
+    ) -> Result<Change, String> {
+        match request {
+            MemberRequest::Add(name) => {
+                let id = self.disk_of(name, now).ok_or_else(|| absent(name))?;
+                let name = name.clone();
+                Ok(Change::AddLearner { id, name })
+            }
+            MemberRequest::Promote(name) => {
+                let id = self.disk_of(name, now).ok_or_else(|| absent(name))?;
+                Ok(promotion(id, name, group))
+            }
+            MemberRequest::Remove(name) => {
+                let mut members = group.iter();
+                let member = members.find(|(_, member)| member.name == *name);
+                match member {
+                    Some((id, _)) => Ok(Change::Remove(id)),
+                    None => Err(format!("{name} is no member")),
+                }
+            }
+        }
+    }
+
+    /// What the leader does about the configured voters without being asked: an empty disk of
+    /// one follows the log, and once it holds every entry and blob it votes.
+    pub(crate) fn upkeep(
+        &self,
+        configured: &[InstanceName],
+        group: &Membership,
+        blobs_needed: Index,
+        now: Millis,
+    ) -> Option<Change> {
+        let mut expected = self
+            .present(now)
+            .filter(|(_, seen)| configured.contains(&seen.name));
+        expected.find_map(|(id, seen)| match group.get(id) {
+            None => Some(Change::AddLearner {
+                id,
+                name: seen.name.clone(),
+            }),
+            Some(member) if member.standing == Standing::Learner => {
+                let whole = seen.hello.blobs_upto >= blobs_needed.0;
+                whole.then(|| promotion(id, &seen.name, group))
+            }
+            Some(_) => None,
+        })
+    }
+
+    /// Every member, and every other replica that is present.
+    pub(crate) fn list(&self, core: &Core, now: Millis) -> Vec<MemberStatus> {
+        let group = core.membership();
+        let members = group.iter().map(|(id, member)| MemberStatus {
+            instance: member.name.clone(),
+            disk: id.to_string(),
+            role: role(member.standing).to_owned(),
+            leads: core.leader() == Some(id),
+            synced: core.synced_index_of(id).map(|index| index.0),
+        });
+        let others = self
+            .present(now)
+            .filter(|(id, _)| !group.contains(*id))
+            .map(|(id, seen)| MemberStatus {
+                instance: seen.name.clone(),
+                disk: id.to_string(),
+                role: "candidate".to_owned(),
+                leads: false,
+                synced: None,
+            });
+        members.chain(others).collect()
+    }
+}
+
+fn promotion(id: DiskId, name: &InstanceName, group: &Membership) -> Change {
+    match group.voter_named(name) {
+        Some(old) => Change::Replace { old, new: id },
+        None => Change::Promote(id),
+    }
+}
+
+fn role(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Voter => "voter",
+        Standing::Learner => "learner",
+    }
+}
+
+fn absent(name: &InstanceName) -> String {
+    format!("no replica on {name} has been heard of late")
+}
--- /dev/null
+++ b/crates/daemon/src/replica/mod.rs
@@ -0,0 +1,213 @@
+//! The replica of an instance with a data folder.
+//!
+//! One thread, the driver, owns the replication core and the state machine. A second one owns log
+//! and snapshots and syncs them, a third fetches blobs that this replica lacks. Messages of other
+//! replicas, requests of this daemon and answers of the disk reach the driver through one queue;
+//! proposals that wait there together make one write and one message a follower.
+//!
+//! # Invariants
+//!
+//! - The core learns of a write only after its sync.
+//! - A replica is known by its disk. An empty disk under an old name follows the log until the
+//!   leader has seen it sync every entry and blob, and only then takes the place of the lost one.
+//! - A query is answered from state that a quorum confirmed after the query arrived.
+
+mod blobs;
+mod disk;
+mod disk_thread;
+mod driver;
+mod formation;
+mod frame;
+mod members;
+mod status;
+mod transport;
+
+use std::{
+    path::Path,
+    sync::{
+        Arc,
+        mpsc::{
+            self,
+            Receiver,
+            Sender, //
+        },
+    },
+};
+
+use anyhow::Context as _;
+use yuccaseam_base::{
+    Clock,
+    InstanceName,
+    Millis,
+    Refusal, //
+};
+use yuccaseam_journal::{
+    BlobStore,
+    DataFolder, //
+};
+use yuccaseam_quorum::DiskId;
+use yuccaseam_state::{
+    Answer,
+    BlobId,
+    Command,
+    Outcome,
+    Query, //
+};
+
+use crate::{
+    peers::Links,
+    settings::Settings,
+    store::Replied, //
+};
+
+use blobs::Blobs;
+use disk::Disk;
+use disk_thread::DiskReply;
+use driver::Driver;
+use frame::Frame;
+use status::SharedStatus;
+use transport::Transport;
+
+pub(crate) use members::{
+    MemberRequest,
+    MemberStatus, //
+};
+pub(crate) use status::Status;
+pub(crate) use transport::ConsensusService;
+
+/// How long this replica may take to answer.
+const ANSWER: Millis = Millis(2_500);
+
+/// What reaches the driver.
+pub(crate) enum Input {
+    /// A command is to be replicated.
+    Propose {
+        command: Vec<u8>,
+        reply: Sender<Replied<Outcome>>,
+    },
+    /// A query is to be answered from confirmed state.
+    Query {
+        query: Query,
+        reply: Sender<Replied<Answer>>,
+    },
+    /// An operator changes the group.
+    Change {
+        request: MemberRequest,
+        reply: Sender<Replied<()>>,
+    },
+    /// A message of another replica.
+    Received { from: InstanceName, frame: Frame },
+    /// The disk did something.
+    Disk(DiskReply),
+    /// Which blobs does the state refer to?
+    LiveBlobs(Sender<LiveBlobs>),
+    /// This replica holds every blob that the state refers to as of an entry.
+    BlobsWhole { upto: u64 },
+    /// The process is about to stop.
+    HandOver,
+}
+
+/// The blobs that the state refers to as of an entry.
+pub(crate) struct LiveBlobs {
+    pub(crate) upto: u64,
+    pub(crate) blobs: Vec<BlobId>,
+}
+
+/// The replica of this instance.
+pub(crate) struct Replica {
+    tx: Sender<Input>,
+    blobs: Arc<Blobs>,
+    status: SharedStatus,
+}
+
+impl Replica {
+    /// Opens a data folder and starts the threads of its replica.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder is locked, damaged or not accessible.
+    pub(crate) fn open(
+        path: &Path,
+        settings: &Settings,
+        links: &Links,
+        clock: Clock,
+    ) -> anyhow::Result<Self> {
+        let folder = DataFolder::open(path)
+            .with_context(|| format!("cannot open the data folder {}", path.display()))?;
+        // The identity is random, so that any 64 bits of it are.
+        let id = DiskId(folder.identity().0 as u64);
+        let disk = Disk::open(&folder)?;
+        let restored = disk.restore()?;
+        let store = BlobStore::open(&folder).context("cannot open the blobs")?;
+        let blobs = Arc::new(Blobs::new(store, folder));
+
+        let (tx, rx) = mpsc::channel();
+        let status = SharedStatus::default();
+        let requests = disk_thread::start(disk, tx.clone())?;
+        let transport = Transport::new(settings.instance.clone(), links.clone());
+        let driver = Driver::new(id, settings, clock, transport, requests, status.clone());
+        driver::start(driver, restored, rx)?;
+        blobs::start_repair(&blobs, settings, links, tx.clone())?;
+        log::info!("the replica on disk {id} has started");
+        Ok(Self { tx, blobs, status })
+    }
+
+    /// Where other replicas' messages go.
+    pub(crate) fn inputs(&self) -> Sender<Input> {
+        self.tx.clone()
+    }
+
+    /// What this replica knew when it last did something.
+    pub(crate) fn status(&self) -> Status {
+        self.status.get()
+    }
+
+    pub(crate) fn propose(&self, command: &Command) -> Replied<Outcome> {
+        let command = command.encode();
+        self.ask(|reply| Input::Propose { command, reply })
+            .unwrap_or_else(|| Replied::Lost("the replica has not answered in time".to_owned()))
+    }
+
+    pub(crate) fn query(&self, query: &Query) -> Replied<Answer> {
+        let query = query.clone();
+        self.ask(|reply| Input::Query { query, reply })
+            .unwrap_or_else(|| Replied::NotSent("no quorum has confirmed in time".to_owned()))
+    }
+
+    pub(crate) fn change(&self, request: MemberRequest) -> Replied<()> {
+        self.ask(|reply| Input::Change { request, reply })
+            .unwrap_or_else(|| Replied::Lost("the change is not committed yet".to_owned()))
+    }
+
+    /// Every replica, if this one leads.
+    pub(crate) fn members(&self) -> Replied<Vec<MemberStatus>> {
+        let status = self.status();
+        match status.lease_until {
+            Some(_) => Replied::Answer(status.members),
+            None => Replied::NotLeader(status.leader),
+        }
+    }
+
+    /// Gives leadership to another voter, if this replica leads.
+    pub(crate) fn hand_over(&self) {
+        // A driver that has ended leads nothing.
+        let _ = self.tx.send(Input::HandOver);
+    }
+
+    pub(crate) fn put_blobs(&self, blobs: &[Vec<u8>]) -> Result<(), Refusal> {
+        self.blobs.put(blobs)
+    }
+
+    pub(crate) fn get_blob(&self, id: &BlobId) -> Result<Option<Vec<u8>>, Refusal> {
+        self.blobs.get(id)
+    }
+
+    fn ask<T, F>(&self, input: F) -> Option<T>
+    where
+        F: FnOnce(Sender<T>) -> Input,
+    {
+        let (reply, rx): (Sender<T>, Receiver<T>) = mpsc::channel();
+        self.tx.send(input(reply)).ok()?;
+        rx.recv_timeout(ANSWER.duration()).ok()
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -90,7 +90,7 @@
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .context("cannot install the metrics recorder")?;
-    let store = Store::open(&settings, clock)?;
+    let store = Store::open(&settings, &links, clock)?;
     let cx = Arc::new(Context {
         health: Health::new(clock),
         links,
@@ -139,6 +139,7 @@
         if now >= refuse_at && cx.health.phase() == Phase::Draining {
             log::info!("stopping: new calls are refused");
             cx.health.enter(Phase::Refusing);
+            cx.store.hand_over();
         }
         let running = measures::running();
         if cx.health.phase() == Phase::Refusing && running == 0 {
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -11,14 +11,15 @@
 //!   that proposing it again is safe.
 
 mod configuration;
+mod members;
 mod remote;
-mod replica;
 mod service;
 
 use std::sync::{
     Arc,
     Mutex,
-    RwLock, //
+    RwLock,
+    mpsc::Sender, //
 };
 
 use yuccaseam_base::{
@@ -41,12 +42,19 @@
 
 use crate::{
     context::Context,
+    peers::Links,
+    replica::{
+        Input,
+        Replica,
+        Status, //
+    },
     settings::Settings, //
 };
 
-use remote::Replied;
-use replica::Replica;
-
+pub(crate) use remote::{
+    Replied,
+    fetch_blob, //
+};
 pub(crate) use service::StoreService;
 
 /// How long a call to the store may take in all.
@@ -72,12 +80,10 @@
     /// # Errors
     ///
     /// Returns the error of the data folder.
-    pub(crate) fn open(settings: &Settings, clock: Clock) -> anyhow::Result<Self> {
+    pub(crate) fn open(settings: &Settings, links: &Links, clock: Clock) -> anyhow::Result<Self> {
         let replica = match &settings.data {
-            Some(path) if settings.voters.contains(&settings.instance) => {
-                Some(Replica::open(path)?)
-            }
-            _ => None,
+            Some(path) => Some(Replica::open(path, settings, links, clock)?),
+            None => None,
         };
         Ok(Self {
             replica,
@@ -92,6 +98,23 @@
         })
     }
 
+    /// Where messages of other replicas go, if there is a replica here.
+    pub(crate) fn replica_inputs(&self) -> Option<Sender<Input>> {
+        self.replica.as_ref().map(Replica::inputs)
+    }
+
+    /// What the replica of this instance last knew, if there is one.
+    pub(crate) fn replica_status(&self) -> Option<Status> {
+        self.replica.as_ref().map(Replica::status)
+    }
+
+    /// Gives leadership to another voter before a planned stop.
+    pub(crate) fn hand_over(&self) {
+        if let Some(replica) = &self.replica {
+            replica.hand_over();
+        }
+    }
+
     /// This run of this daemon.
     pub(crate) fn owner(&self) -> &OwnerId {
         &self.owner
@@ -160,16 +183,17 @@
         let mut failure = None;
         if let Some(replica) = &self.replica {
             replica.put_blobs(&blobs)?;
-            stored += 1;
+            stored += usize::from(self.voters().contains(&self.owner.instance));
         }
-        let others = self.voters.iter().filter(|name| !self.is_here(name));
+        let voters = self.voters();
+        let others = voters.iter().filter(|name| !self.is_here(name));
         for result in remote::put_blobs(cx, others, &blobs) {
             match result {
                 Ok(()) => stored += 1,
                 Err(refusal) => failure = Some(refusal),
             }
         }
-        if stored > self.voters.len() / 2 {
+        if stored > voters.len() / 2 {
             return Ok(ids);
         }
         Err(failure.unwrap_or_else(no_quorum))
@@ -186,7 +210,7 @@
         {
             return Ok(data);
         }
-        for name in self.voters.iter().filter(|name| !self.is_here(name)) {
+        for name in self.voters().iter().filter(|name| !self.is_here(name)) {
             match remote::get_blob(cx, name, id) {
                 Ok(Some(data)) => return Ok(data),
                 Ok(None) => {}
@@ -236,10 +260,19 @@
         Err(refusal)
     }
 
+    /// The instances that vote: those of the replica here, once it knows a whole group, or else
+    /// the configured ones.
+    fn voters(&self) -> Vec<InstanceName> {
+        match self.replica_status() {
+            Some(status) if status.voters.len() > 1 => status.voters,
+            _ => self.voters.clone(),
+        }
+    }
+
     /// The voters, the last known leader first.
     fn in_order(&self) -> Vec<InstanceName> {
         let leader = self.leader.lock().expect("no thread panics with the lock");
-        let mut names = self.voters.clone();
+        let mut names = self.voters();
         names.sort_by_key(|name| leader.as_ref() != Some(name));
         names
     }
--- a/crates/daemon/src/store/remote.rs
+++ b/crates/daemon/src/store/remote.rs
@@ -25,7 +25,10 @@
 
 use crate::{
     context::Context,
-    peers::MAX_MESSAGE, //
+    peers::{
+        Links,
+        MAX_MESSAGE, //
+    }, //
 };
 
 /// How long one replica may take to answer.
@@ -53,7 +56,7 @@
         }
     }
 
-    fn hint(name: String) -> Self {
+    pub(super) fn hint(name: String) -> Self {
         Self::NotLeader((!name.is_empty()).then_some(InstanceName(name)))
     }
 }
@@ -182,15 +185,32 @@
     }
 }
 
-fn client(cx: &Context, name: &InstanceName) -> Option<StoreClient<Channel>> {
-    let channel = cx.links.channel(name)?;
+/// Reads a blob from one replica, if it answers and holds it.
+pub(crate) fn fetch_blob(links: &Links, name: &InstanceName, id: &BlobId) -> Option<Vec<u8>> {
+    let mut client = client_of(links, name)?;
+    let req = timed(wire::GetBlobRequest { id: id.0.to_vec() });
+    match links.wait(client.get_blob(req)) {
+        Ok(reply) => reply.into_inner().data,
+        Err(status) => {
+            log::debug!("no blob from {name}: {}", status.message());
+            None
+        }
+    }
+}
+
+pub(super) fn client(cx: &Context, name: &InstanceName) -> Option<StoreClient<Channel>> {
+    client_of(&cx.links, name)
+}
+
+fn client_of(links: &Links, name: &InstanceName) -> Option<StoreClient<Channel>> {
+    let channel = links.channel(name)?;
     let client = StoreClient::new(channel)
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
     Some(client)
 }
 
-fn timed<T>(message: T) -> tonic::Request<T> {
+pub(super) fn timed<T>(message: T) -> tonic::Request<T> {
     let mut req = tonic::Request::new(message);
     req.set_timeout(TIMEOUT.duration());
     req
@@ -204,7 +224,7 @@
 }
 
 /// A replica's refusal, which it gives before it appends anything.
-fn refusal_of(refused: wire::Refused) -> Refusal {
+pub(super) fn refusal_of(refused: wire::Refused) -> Refusal {
     let reason = Reason::ALL
         .iter()
         .find(|reason| reason.code() == refused.reason);
--- a/crates/daemon/src/store/service.rs
+++ b/crates/daemon/src/store/service.rs
@@ -19,6 +19,8 @@
 };
 use yuccaseam_wire::store::{
     self as wire,
+    change_members_reply,
+    members_reply,
     propose_reply,
     query_reply,
     store_server, //
@@ -26,10 +28,11 @@
 
 use crate::{
     context::Context,
-    store::{
-        remote::Replied,
-        replica::Replica, //
+    replica::{
+        MemberRequest,
+        Replica, //
     },
+    store::remote::Replied, //
 };
 
 /// Serves the replica of this instance to other daemons.
@@ -158,6 +161,52 @@
         })
         .await
     }
+
+    async fn members(
+        &self,
+        _req: Request<wire::MembersRequest>,
+    ) -> Result<Response<wire::MembersReply>, Status> {
+        self.on_replica(|replica| {
+            let result = match replica.members() {
+                Replied::Answer(members) => {
+                    let members = members.into_iter().map(wire::Member::from).collect();
+                    members_reply::Result::Members(wire::MemberList { members })
+                }
+                Replied::NotLeader(hint) => members_reply::Result::LeaderHint(hint_text(hint)),
+                Replied::Refused(refusal) => return Err(unavailable(refusal)),
+                Replied::NotSent(why) | Replied::Lost(why) => return Err(Status::unavailable(why)),
+            };
+            Ok(wire::MembersReply {
+                result: Some(result),
+            })
+        })
+        .await
+    }
+
+    async fn change_members(
+        &self,
+        req: Request<wire::ChangeMembersRequest>,
+    ) -> Result<Response<wire::ChangeMembersReply>, Status> {
+        let request = MemberRequest::try_from(req.into_inner()).map_err(malformed)?;
+        self.on_replica(move |replica| {
+            let result = match replica.change(request) {
+                Replied::Answer(()) => change_members_reply::Result::Committed(wire::Committed {}),
+                Replied::NotLeader(hint) => {
+                    change_members_reply::Result::LeaderHint(hint_text(hint))
+                }
+                Replied::Refused(refusal) => {
+                    change_members_reply::Result::Refused(refused(refusal))
+                }
+                Replied::NotSent(why) | Replied::Lost(why) => {
+                    change_members_reply::Result::Unknown(why)
+                }
+            };
+            Ok(wire::ChangeMembersReply {
+                result: Some(result),
+            })
+        })
+        .await
+    }
 }
 
 fn hint_text(hint: Option<yuccaseam_base::InstanceName>) -> String {
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -280,6 +280,18 @@
         id == self.id || contact.is_some_and(|contact| self.now < contact + self.timing.election)
     }
 
+    /// The last entry that is synced at a member, as far as this leader knows; `None` if this
+    /// replica does not lead.
+    pub fn synced_index_of(&self, id: DiskId) -> Option<Index> {
+        let Role::Leader(leading) = &self.role else {
+            return None;
+        };
+        if id == self.id {
+            return Some(self.log.synced());
+        }
+        leading.progress.get(&id).map(|progress| progress.matched)
+    }
+
     /// Picks the voter with the longest log to lead next. Proposals are refused from here on.
     pub(crate) fn on_hand_over(&mut self) {
         let voters = self.other_voters();
