--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -27,10 +27,7 @@
     occupancy::Occupancy,
     pace::Pace,
     permits::Permits,
-    settings::{
-        Balance,
-        Settings, //
-    },
+    settings::Settings,
 };
 
 /// The share of KV cache memory above which no batch run starts, from 0 to 1,000.
@@ -120,9 +117,12 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Changes the balance; the next event acts on it.
-    pub fn set_balance(&mut self, balance: Balance) {
-        self.cfg.balance = balance;
+    /// Changes the settings; the next event acts on them.
+    pub fn configure(&mut self, cfg: Settings) {
+        if cfg.slots != self.cfg.slots {
+            self.pace.resize(cfg.slots);
+        }
+        self.cfg = cfg;
     }
 
     /// When to send the next [`Event::Tick`] at the latest, if a request waits.
@@ -302,7 +302,8 @@
             return BatchLimits { pause: 0, start: 0 };
         }
         let balance = self.cfg.balance;
-        let headroom = self.arrivals.headroom(balance, now);
+        let expected = self.arrivals.headroom(balance, now);
+        let headroom = expected.max(self.cfg.headroom);
         let online = self.online();
         let cap = self.pace.cap(balance, self.cfg.step_bound_micros);
         let paced = cap.saturating_sub(online);
--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// The target has another number of slots now.
+    pub(crate) fn resize(&mut self, slots: u32) {
+        self.online_time.resize(slots as usize + 1, 0.0);
+    }
+
     /// A stream had this time between tokens while so many requests ran.
     pub(crate) fn observe_step(&mut self, running: u32, step_micros: u32) {
         self.fit.add(f64::from(running), f64::from(step_micros));
--- a/crates/admit/src/retry.rs
+++ b/crates/admit/src/retry.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Changes the share of retries; what is saved up stays.
+    pub const fn set_percent(&mut self, percent: u32) {
+        self.cfg.percent = percent;
+    }
+
     /// A request was sent for the first time.
     pub fn request(&mut self) {
         let most = u64::from(self.cfg.burst) * REQUEST;
--- a/crates/admit/src/settings.rs
+++ b/crates/admit/src/settings.rs
@@ -44,6 +44,8 @@
     pub slots: u32,
     /// How many online requests may wait.
     pub queue_limit: u32,
+    /// Slots that batch always leaves free, besides those that recent arrivals ask for.
+    pub headroom: u32,
     /// The trade between online latency and batch throughput.
     pub balance: Balance,
     /// The time between tokens that online streams are promised, in microseconds.
@@ -60,6 +62,7 @@
         Self {
             slots,
             queue_limit: slots * 8,
+            headroom: 0,
             balance: Balance::percent(50),
             step_bound_micros: 39_000,
             permit_ttl: Millis(3_000),
--- a/crates/route/examples/routing_experiment/policy.rs
+++ b/crates/route/examples/routing_experiment/policy.rs
@@ -109,7 +109,7 @@
             liveness: Liveness::Live,
             circuit: Circuit::Closed,
             slots: SLOTS,
-            load: ReportedLoad { busy, age },
+            load: Some(ReportedLoad { busy, age }),
         };
         self.router.update(candidate, now);
     }
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -84,6 +84,6 @@
     pub circuit: Circuit,
     /// Its slots.
     pub slots: u32,
-    /// Its last reported load.
-    pub load: ReportedLoad,
+    /// Its load, if there is a newer report of it.
+    pub load: Option<ReportedLoad>,
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -21,6 +21,7 @@
         Liveness,
         Model,
         Place,
+        ReportedLoad,
         Target,
         Zone, //
     },
@@ -174,7 +175,16 @@
             }
         });
         known.candidate = candidate;
-        known.load.report(candidate.load, now);
+        if let Some(load) = candidate.load {
+            known.load.report(load, now);
+        }
+    }
+
+    /// Takes news of a target's load alone.
+    pub fn report(&mut self, target: Target, load: ReportedLoad, now: Millis) {
+        if let Some(known) = self.known.get_mut(&target) {
+            known.load.report(load, now);
+        }
     }
 
     /// A target is gone for good.
--- a/crates/route/tests/all/herding.rs
+++ b/crates/route/tests/all/herding.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use yuccaseam_base::Millis;
+use yuccaseam_route::ReportedLoad;
 
 use crate::support::{
     NOW,
@@ -54,9 +55,11 @@
 #[test]
 fn a_late_report_does_not_undo_a_newer_one() {
     let mut router = with_loads(1, &[9, 5]);
-    let mut late = candidate(0, place(0, 0), 0);
-    late.load.age = Millis(500);
-    router.update(late, NOW);
+    let late = ReportedLoad {
+        busy: 0,
+        age: Millis(500),
+    };
+    router.report(target(0), late, NOW);
     assert_eq!(router.choose(&online(&[]), NOW)[0].target, target(1));
 }
 
--- a/crates/route/tests/all/support.rs
+++ b/crates/route/tests/all/support.rs
@@ -48,10 +48,10 @@
         liveness: Liveness::Live,
         circuit: Circuit::Closed,
         slots: 10,
-        load: ReportedLoad {
+        load: Some(ReportedLoad {
             busy,
             age: Millis::ZERO,
-        },
+        }),
     }
 }
 
