daemon: permits from the owners of targets

An entry chooses targets by the router and asks their owners for a permit, best first; owners run the gates. Compiles and lints; not run yet.

--- a/crates/daemon/src/entry/generate.rs
+++ b/crates/daemon/src/entry/generate.rs
@@ -16,7 +16,8 @@
 use crate::{
     admission::{
         Ask,
-        Needs, //
+        Needs,
+        prefix_of, //
     },
     context::Context,
     entry::events::{
@@ -292,6 +293,7 @@
         class: call.class().unwrap_or(DEFAULT_CLASS).to_owned(),
         prompt_tokens,
         answer_tokens,
+        prefix: prefix_of(body),
         avoid: Vec::new(),
     })
 }
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -67,6 +67,7 @@
         class: CLASS.to_owned(),
         prompt_tokens: 0,
         answer_tokens: 0,
+        prefix: Vec::new(),
         avoid: Vec::new(),
     };
     let mut attempts = 0;
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -12,6 +12,7 @@
     transport::Server, //
 };
 use yuccaseam_wire::{
+    admission::admission_server::AdmissionServer,
     fleet::{
         Packet,
         fleet_server::{
@@ -23,6 +24,7 @@
 };
 
 use crate::{
+    admission::AdmissionService,
     context::Context,
     store::StoreService,
     targets::Announcement, //
@@ -40,11 +42,13 @@
         .wait(TcpListener::bind(address))
         .with_context(|| format!("cannot listen for daemons on {address}"))?;
     let fleet = FleetServer::new(FleetService { cx: Arc::clone(cx) });
+    let admission = AdmissionServer::new(AdmissionService::new(Arc::clone(cx)));
     let store = StoreServer::new(StoreService::new(Arc::clone(cx)))
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
     let serving = Server::builder()
         .add_service(fleet)
+        .add_service(admission)
         .add_service(store)
         .serve_with_incoming(TcpListenerStream::new(listener));
     cx.links.spawn(async {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -97,7 +97,7 @@
         store,
         targets: Targets::default(),
         upstream: Upstream::new(),
-        admission: Admission::default(),
+        admission: Admission::new(settings.instance.clone(), clock),
         metrics,
         clock,
         settings,
@@ -124,6 +124,7 @@
         .name("configuration".to_owned())
         .spawn(move || watcher.store.watch_configuration(&watcher))
         .context("cannot start the configuration thread")?;
+    Admission::start(cx).context("cannot start the threads of admission")?;
     Ok(())
 }
 
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -105,6 +105,13 @@
             .collect()
     }
 
+    /// A target by its name, if its announcement is not too old.
+    pub(crate) fn get(&self, name: &TargetName, now: Millis) -> Option<Announcement> {
+        let known = self.known.lock().expect("no thread panics with the lock");
+        let known = known.get(name)?;
+        (now - known.renewed_at < EXPIRY).then(|| known.announcement.clone())
+    }
+
     /// The targets that take new work for this model.
     pub(crate) fn of_model(&self, model: &str, now: Millis) -> Vec<Announcement> {
         self.live(now, |target| target.model.as_deref() == Some(model))
