Give up the claims of an owner that is gone; upkeep by the leader; instances at a glance

Cause of the red test an_entry_that_dies_with_a_call_leaves_it_run_once: with replication wired the order ran once, but a resend waited for ever, because nothing gave the dead entry's claim up. A resend that waits now asks the owner who it is: another run, or five seconds of silence, ends the claim as 'outcome unknown'. An owner that is only slow still records its answer.

--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -17,7 +17,8 @@
 };
 
 pub(crate) fn status(client: &Client, out: Output) -> Result<(), Failure> {
-    let value = client.get("/admin/v1/status")?;
+    let mut value = client.get("/admin/v1/status")?;
+    value["instances"] = client.get("/admin/v1/instances")?["instances"].take();
     out.print(&value, status_text);
     Ok(())
 }
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! What operators ask for.
 
 mod configuration;
+mod instances;
 mod members;
 mod status;
 
@@ -24,6 +25,7 @@
 /// Gives an operator's request to its handler. `path` is what follows `/admin/v1/`.
 pub(crate) fn dispatch(cx: &Context, call: &Call, path: &[&str], out: Responder) {
     match (&call.method, path) {
+        (Method::Get, ["instances"]) => instances::list(cx, out),
         (Method::Get, ["status"]) => status::show(cx, out),
         (Method::Get, ["targets"]) => status::list_targets(cx, out),
         (Method::Get, ["configuration"]) => configuration::show(cx, out),
--- a/crates/daemon/src/entry/claim.rs
+++ b/crates/daemon/src/entry/claim.rs
@@ -21,6 +21,8 @@
     KeyId,
     LogIndex,
     Outcome,
+    OwnerId,
+    OwnerLost,
     Query, //
 };
 
@@ -28,11 +30,14 @@
     admin,
     context::Context,
     entry::services::ServiceAnswer,
-    http::Call, //
+    http::Call,
+    instances, //
 };
 
 /// How long a resend waits for the first call's answer.
 const WAIT: Millis = Millis::from_secs(30);
+/// How long the owner of a claim may be silent before its claims are given up.
+const SILENCE: Millis = Millis::from_secs(5);
 /// How often a resend looks for the first call's answer.
 const POLL: Millis = Millis(100);
 
@@ -62,8 +67,8 @@
     loop {
         match propose_claim(cx, &claim)? {
             KeyClaim::Claimed { claim } => return run_claimed(cx, key, claim, &run),
-            KeyClaim::InProgress { .. } if cx.clock.now() < deadline => {
-                wait_for_end(cx, key, deadline)?;
+            KeyClaim::InProgress { owner } if cx.clock.now() < deadline => {
+                wait_for_end(cx, key, &owner, deadline)?;
             }
             found => return replay(cx, found),
         }
@@ -125,18 +130,49 @@
     })
 }
 
-/// Waits until the call that holds the key has ended.
-fn wait_for_end(cx: &Context, key: KeyId, deadline: Millis) -> Result<(), Refusal> {
+/// Waits until the call that holds the key has ended, or gives it up if its owner is gone.
+fn wait_for_end(
+    cx: &Context,
+    key: KeyId,
+    owner: &OwnerId,
+    deadline: Millis,
+) -> Result<(), Refusal> {
+    let mut silent_since = None;
     while cx.clock.now() < deadline {
         let found = cx.store.query(cx, &Query::Key(key));
         match found.map_err(may_have_run)? {
-            Answer::Key(Some(KeyClaim::InProgress { .. })) => thread::sleep(POLL.duration()),
+            Answer::Key(Some(KeyClaim::InProgress { .. })) => {}
             _ => return Ok(()),
         }
+        if is_gone(cx, owner, &mut silent_since) {
+            let lost = OwnerLost {
+                owner: owner.clone(),
+            };
+            return cx.store.propose(cx, lost).map(drop).map_err(may_have_run);
+        }
+        thread::sleep(POLL.duration());
     }
     Ok(())
 }
 
+/// Whether the run of the daemon that made a claim is over, or was silent for so long that its
+/// claims are given up. An owner that is only slow still records its answer later.
+fn is_gone(cx: &Context, owner: &OwnerId, silent_since: &mut Option<Millis>) -> bool {
+    if owner == cx.store.owner() {
+        return false;
+    }
+    match instances::ask(cx, &owner.instance) {
+        Some(reply) => {
+            *silent_since = None;
+            reply.incarnation != owner.incarnation
+        }
+        None => {
+            let now = cx.clock.now();
+            now - *silent_since.get_or_insert(now) >= SILENCE
+        }
+    }
+}
+
 fn replay(cx: &Context, found: KeyClaim) -> Result<ServiceAnswer, Refusal> {
     match found {
         KeyClaim::Finished(kept) => Ok(ServiceAnswer {
--- /dev/null
+++ b/crates/daemon/src/instances.rs
@@ -0,0 +1,59 @@
+//! What this instance tells of itself, and asking others for the same.
+
+use yuccaseam_base::{
+    InstanceName,
+    Millis, //
+};
+use yuccaseam_wire::store::{
+    IdentifyReply,
+    IdentifyRequest,
+    store_client::StoreClient, //
+};
+
+use crate::{
+    context::Context,
+    measures, //
+};
+
+/// How long an instance may take to answer.
+const TIMEOUT: Millis = Millis(1_000);
+
+/// What this instance is and what it runs.
+pub(crate) fn identify(cx: &Context) -> IdentifyReply {
+    IdentifyReply {
+        instance: cx.settings.instance.to_string(),
+        incarnation: cx.store.owner().incarnation,
+        revision: cx.store.configuration().revision,
+        confirmation_age_ms: cx.health.confirmation_age().map(|age| age.0),
+        unready: cx.health.unready().map(str::to_owned),
+        region: cx.settings.region.to_string(),
+        failure_domain: cx.settings.failure_domain.to_string(),
+        running_requests: u32::try_from(measures::running()).unwrap_or(u32::MAX),
+    }
+}
+
+/// Asks one instance what it is; none if it does not answer in time.
+pub(crate) fn ask(cx: &Context, name: &InstanceName) -> Option<IdentifyReply> {
+    ask_all(cx, std::slice::from_ref(name)).pop().flatten()
+}
+
+/// Asks several instances at once. The answers are in the order of the names.
+pub(crate) fn ask_all(cx: &Context, names: &[InstanceName]) -> Vec<Option<IdentifyReply>> {
+    let calls: Vec<_> = names.iter().map(|name| start(cx, name)).collect();
+    calls
+        .into_iter()
+        .map(|call| cx.links.wait(call?).ok().flatten())
+        .collect()
+}
+
+fn start(
+    cx: &Context,
+    name: &InstanceName,
+) -> Option<tokio::task::JoinHandle<Option<IdentifyReply>>> {
+    let mut client = StoreClient::new(cx.links.channel(name)?);
+    Some(cx.links.start(async move {
+        let call = client.identify(IdentifyRequest {});
+        let reply = tokio::time::timeout(TIMEOUT.duration(), call).await;
+        reply.ok()?.ok().map(tonic::Response::into_inner)
+    }))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod entry;
 mod health;
 mod http;
+mod instances;
 mod jobs;
 mod logging;
 mod measures;
@@ -31,6 +32,7 @@
 mod settings;
 mod store;
 mod targets;
+mod upkeep;
 mod upstream;
 
 pub use run::run;
--- a/crates/daemon/src/replica/blobs.rs
+++ b/crates/daemon/src/replica/blobs.rs
@@ -5,6 +5,7 @@
 //! place only when it holds everything: otherwise the next lost disk could hold the only copy.
 
 use std::{
+    collections::BTreeSet,
     sync::{
         Arc, Mutex, MutexGuard,
         mpsc::{
@@ -17,6 +18,7 @@
 
 use anyhow::Context as _;
 use yuccaseam_base::{
+    Clock,
     InstanceName,
     Millis,
     Reason,
@@ -43,6 +45,10 @@
 /// The pause between two passes over the blobs of the state.
 const PERIOD: Millis = Millis::from_secs(1);
 
+/// The pause between two passes that look for blobs that nothing refers to. It is longer than a
+/// caller may take between storing a blob and proposing the command that refers to it.
+const COMPACTION_PERIOD: Millis = Millis::from_secs(600);
+
 /// The blobs of this replica.
 pub(crate) struct Blobs {
     store: Mutex<BlobStore>,
@@ -85,6 +91,30 @@
         }
     }
 
+    /// Removes blobs that nothing referred to in this pass nor in the one before, and returns those
+    /// that nothing refers to now.
+    fn compact(
+        &self,
+        live: &BTreeSet<BlobId>,
+        dead_before: &BTreeSet<BlobId>,
+    ) -> Result<BTreeSet<BlobId>, JournalError> {
+        let mut store = self.lock();
+        let ids = store.ids()?.into_iter().map(|id| BlobId(id.0));
+        let dead = ids.filter(|id| !live.contains(id)).collect();
+        let done = store.compact(|id| {
+            let id = BlobId(id.0);
+            live.contains(&id) || !dead_before.contains(&id)
+        })?;
+        if done.removed > 0 {
+            log::info!(
+                "{} blobs removed, {} bytes freed",
+                done.removed,
+                done.freed_bytes
+            );
+        }
+        Ok(dead)
+    }
+
     fn lacks(&self, id: &BlobId) -> bool {
         let id = yuccaseam_journal::BlobId(id.0);
         !self.lock().contains(&id).unwrap_or(false)
@@ -96,6 +126,7 @@
     links: Links,
     others: Vec<InstanceName>,
     tx: Sender<Input>,
+    clock: Clock,
 }
 
 /// Starts the thread that fetches missing blobs. It ends with the process.
@@ -118,6 +149,7 @@
             .cloned()
             .collect(),
         tx,
+        clock: Clock::start(),
     };
     thread::Builder::new()
         .name("replica-blobs".to_owned())
@@ -129,6 +161,8 @@
 impl Repair {
     fn run(&self) {
         let mut whole = None;
+        let mut dead = BTreeSet::new();
+        let mut compact_at = COMPACTION_PERIOD;
         loop {
             thread::sleep(PERIOD.duration());
             let (reply, rx) = mpsc::channel();
@@ -144,6 +178,14 @@
                 // The driver ends only with the process.
                 let _ = self.tx.send(Input::BlobsWhole { upto });
             }
+            if self.clock.now() >= compact_at {
+                compact_at = self.clock.now() + COMPACTION_PERIOD;
+                let live = live.blobs.into_iter().collect();
+                match self.blobs.compact(&live, &dead) {
+                    Ok(found) => dead = found,
+                    Err(error) => log::error!("blobs cannot be removed: {error}"),
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -40,6 +40,7 @@
     },
     store::Store,
     targets::Targets,
+    upkeep,
     upstream::Upstream,
 };
 
@@ -124,6 +125,11 @@
         .name("configuration".to_owned())
         .spawn(move || watcher.store.watch_configuration(&watcher))
         .context("cannot start the configuration thread")?;
+    let keeper = Arc::clone(cx);
+    thread::Builder::new()
+        .name("upkeep".to_owned())
+        .spawn(move || upkeep::run(&keeper))
+        .context("cannot start the upkeep thread")?;
     Admission::start(cx).context("cannot start the threads of admission")?;
     jobs::start(cx)
 }
--- a/crates/daemon/src/store/service.rs
+++ b/crates/daemon/src/store/service.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     context::Context,
+    instances,
     replica::{
         MemberRequest,
         Replica, //
@@ -141,6 +142,13 @@
         .await
     }
 
+    async fn identify(
+        &self,
+        _req: Request<wire::IdentifyRequest>,
+    ) -> Result<Response<wire::IdentifyReply>, Status> {
+        Ok(Response::new(instances::identify(&self.cx)))
+    }
+
     async fn sync(
         &self,
         req: Request<wire::SyncRequest>,
