--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -454,6 +454,7 @@
     }
 
     fn refuse_change(&mut self, token: Token, error: &ChangeError) {
+        log::debug!("a change of the group is refused: {error}");
         let hint = self.leader_name();
         let Some(Waiter::Change(reply)) = self.waiters.remove(&token) else {
             return;
--- a/crates/daemon/src/replica/members.rs
+++ b/crates/daemon/src/replica/members.rs
@@ -48,44 +48,44 @@
 /// A replica that was heard.
 #[derive(Debug)]
 struct Seen {
-    name: InstanceName,
     hello: Hello,
     at: Millis,
 }
 
-/// The replicas that were heard, members or not.
+impl Seen {
+    fn disk(&self) -> DiskId {
+        DiskId(self.hello.disk)
+    }
+}
+
+/// The replicas that were heard, members or not. An instance has the disk that it named last.
 #[derive(Debug, Default)]
 pub(crate) struct Presence {
-    seen: BTreeMap<DiskId, Seen>,
+    seen: BTreeMap<InstanceName, Seen>,
 }
 
 impl Presence {
     pub(crate) fn on_hello(&mut self, name: InstanceName, hello: Hello, now: Millis) {
-        let seen = Seen {
-            name,
-            hello,
-            at: now,
-        };
-        self.seen.insert(DiskId(hello.disk), seen);
+        self.seen.insert(name, Seen { hello, at: now });
     }
 
     /// The instance that holds a disk.
     pub(crate) fn name(&self, id: DiskId) -> Option<&InstanceName> {
-        self.seen.get(&id).map(|seen| &seen.name)
+        let mut seen = self.seen.iter();
+        seen.find(|(_, seen)| seen.disk() == id)
+            .map(|(name, _)| name)
     }
 
-    fn present(&self, now: Millis) -> impl Iterator<Item = (DiskId, &Seen)> {
+    fn present(&self, now: Millis) -> impl Iterator<Item = (&InstanceName, &Seen)> {
         self.seen
             .iter()
             .filter(move |(_, seen)| now < seen.at + PRESENT)
-            .map(|(&id, seen)| (id, seen))
     }
 
     /// The disk that an instance has now.
     fn disk_of(&self, name: &InstanceName, now: Millis) -> Option<DiskId> {
-        self.present(now)
-            .find(|(_, seen)| seen.name == *name)
-            .map(|(id, _)| id)
+        let seen = self.seen.get(name)?;
+        (now < seen.at + PRESENT).then(|| seen.disk())
     }
 
     /// The change that an operator's request comes to, or why there is none.
@@ -127,17 +127,20 @@
     ) -> Option<Change> {
         let mut expected = self
             .present(now)
-            .filter(|(_, seen)| configured.contains(&seen.name));
-        expected.find_map(|(id, seen)| match group.get(id) {
-            None => Some(Change::AddLearner {
-                id,
-                name: seen.name.clone(),
-            }),
-            Some(member) if member.standing == Standing::Learner => {
-                let whole = seen.hello.blobs_upto >= blobs_needed.0;
-                whole.then(|| promotion(id, &seen.name, group))
+            .filter(|(name, _)| configured.contains(name));
+        expected.find_map(|(name, seen)| {
+            let id = seen.disk();
+            match group.get(id).map(|member| member.standing) {
+                None => Some(Change::AddLearner {
+                    id,
+                    name: name.clone(),
+                }),
+                Some(Standing::Learner) => {
+                    let whole = seen.hello.blobs_upto >= blobs_needed.0;
+                    whole.then(|| promotion(id, name, group))
+                }
+                Some(Standing::Voter) => None,
             }
-            Some(_) => None,
         })
     }
 
@@ -153,10 +156,10 @@
         });
         let others = self
             .present(now)
-            .filter(|(id, _)| !group.contains(*id))
-            .map(|(id, seen)| MemberStatus {
-                instance: seen.name.clone(),
-                disk: id.to_string(),
+            .filter(|(_, seen)| !group.contains(seen.disk()))
+            .map(|(name, seen)| MemberStatus {
+                instance: name.clone(),
+                disk: seen.disk().to_string(),
                 role: "candidate".to_owned(),
                 leads: false,
                 synced: None,
--- a/crates/daemon/src/store/members.rs
+++ b/crates/daemon/src/store/members.rs
@@ -84,7 +84,7 @@
     let req = timed(wire::ChangeMembersRequest::from(request));
     let reply = match cx.links.wait(client.change_members(req)) {
         Ok(reply) => reply.into_inner(),
-        Err(status) => return Replied::Lost(status.to_string()),
+        Err(status) => return Replied::broken(&status),
     };
     match reply.result {
         Some(change_members_reply::Result::Committed(_)) => Replied::Answer(()),
--- a/crates/daemon/src/store/remote.rs
+++ b/crates/daemon/src/store/remote.rs
@@ -1,7 +1,10 @@
 //! Calls to the replicas of other instances.
 
+use std::error::Error;
+
 use tonic::{
     Code,
+    ConnectError,
     Status,
     transport::Channel, //
 };
@@ -56,6 +59,19 @@
         }
     }
 
+    /// Of a call that changes something: only one whose connection could not be opened is known
+    /// not to have reached the replica.
+    pub(super) fn broken(status: &Status) -> Self {
+        let mut source = status.source();
+        while let Some(error) = source {
+            if error.is::<ConnectError>() {
+                return Self::NotSent(status.message().to_owned());
+            }
+            source = error.source();
+        }
+        Self::Lost(status.to_string())
+    }
+
     pub(super) fn hint(name: String) -> Self {
         Self::NotLeader((!name.is_empty()).then_some(InstanceName(name)))
     }
@@ -70,8 +86,7 @@
     });
     let reply = match cx.links.wait(client.propose(req)) {
         Ok(reply) => reply.into_inner(),
-        // A proposal may have been forwarded before the connection broke.
-        Err(status) => return Replied::Lost(status.to_string()),
+        Err(status) => return Replied::broken(&status),
     };
     match reply.result {
         Some(propose_reply::Result::Outcome(bytes)) => match Outcome::decode(&bytes) {
