--- a/crates/daemon/src/entry/generate.rs
+++ b/crates/daemon/src/entry/generate.rs
@@ -10,13 +10,15 @@
     Millis,
     Reason,
     Refusal,
-    TargetName, //
+    TargetName,
+    Verdict, //
 };
 
 use crate::{
     admission::{
         Ask,
-        Needs, //
+        Needs,
+        prefix_of, //
     },
     context::Context,
     entry::events::{
@@ -63,6 +65,7 @@
         call,
         ask,
         body,
+        verdict: Verdict::NotRun,
     };
     if generation.body["stream"] == json!(true) {
         generation.run_stream(out);
@@ -77,6 +80,8 @@
     call: &'a Call,
     ask: Ask,
     body: Value,
+    /// The strongest verdict of the attempts so far.
+    verdict: Verdict,
 }
 
 impl Generation<'_> {
@@ -95,7 +100,7 @@
                 Err(refusal) => measures::count_retry(refusal.reason),
             }
         };
-        out.refuse(&refusal);
+        out.refuse(&refusal.at_least(self.verdict));
     }
 
     fn try_whole(&mut self) -> Result<(AnswerHead, Vec<u8>), Refusal> {
@@ -131,6 +136,7 @@
                 Err(refusal) => measures::count_retry(refusal.reason),
             }
         };
+        let refusal = refusal.at_least(self.verdict);
         match (stream, out) {
             (Some(stream), _) => stream.writer.cut(&refusal),
             (None, Some(out)) => out.refuse(&refusal),
@@ -225,10 +231,12 @@
         })
     }
 
-    /// Remembers a target that failed, so that the next attempt goes elsewhere.
+    /// Remembers a target that failed, so that the next attempt goes elsewhere, and whether it may
+    /// have run the call.
     fn note<T>(&mut self, target: &TargetName, result: &Result<T, Refusal>) {
-        if result.is_err() {
+        if let Err(refusal) = result {
             self.ask.avoid.push(target.clone());
+            self.verdict = self.verdict.max(refusal.verdict);
         }
     }
 }
@@ -292,6 +300,7 @@
         class: call.class().unwrap_or(DEFAULT_CLASS).to_owned(),
         prompt_tokens,
         answer_tokens,
+        prefix: prefix_of(body),
         avoid: Vec::new(),
     })
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -29,7 +29,7 @@
         Phase, //
     },
     http::Server,
-    logging, measures,
+    jobs, logging, measures,
     peers::{
         self,
         Links, //
@@ -97,7 +97,7 @@
         store,
         targets: Targets::default(),
         upstream: Upstream::new(),
-        admission: Admission::default(),
+        admission: Admission::new(settings.instance.clone(), clock),
         metrics,
         clock,
         settings,
@@ -124,7 +124,8 @@
         .name("configuration".to_owned())
         .spawn(move || watcher.store.watch_configuration(&watcher))
         .context("cannot start the configuration thread")?;
-    Ok(())
+    Admission::start(cx).context("cannot start the threads of admission")?;
+    jobs::start(cx)
 }
 
 /// Carries out a planned stop: readiness off, the balancer's delay, new calls refused, running
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,4 +1,8 @@
 //! Tests of the daemon as a process, one file a topic.
 
+mod leaving;
+mod orders;
 mod replicas;
 mod settings;
+mod streams;
+mod support;
