--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod jobs;
 mod leaving;
 mod orders;
+mod replicas;
 mod settings;
 mod streams;
 mod support;
