--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -13,6 +13,7 @@
 };
 use yuccaseam_wire::{
     admission::admission_server::AdmissionServer,
+    consensus::consensus_server::ConsensusServer,
     fleet::{
         Packet,
         fleet_server::{
@@ -26,6 +27,7 @@
 use crate::{
     admission::AdmissionService,
     context::Context,
+    replica::ConsensusService,
     store::StoreService,
     targets::Announcement, //
 };
@@ -46,9 +48,12 @@
     let store = StoreServer::new(StoreService::new(Arc::clone(cx)))
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
+    let consensus = ConsensusServer::new(ConsensusService::new(Arc::clone(cx)))
+        .max_decoding_message_size(MAX_MESSAGE);
     let serving = Server::builder()
         .add_service(fleet)
         .add_service(admission)
+        .add_service(consensus)
         .add_service(store)
         .serve_with_incoming(TcpListenerStream::new(listener));
     cx.links.spawn(async {
