daemon: one gate for online and batch at the owner

Cause: the batch side had a gate of its own that never heard of an online request, and its own rule of ownership, so that batch could not yield. The owner's gate now has batch sessions: the side that runs items opens one, gets the gate's orders, and closes it when it leaves; runs of an earlier session hold no slot. Both sides ask one function who owns a target.

A resumed run never told the gate of its first token, which would have filled the few places for prefills for good; each run tells it now, and a sample of its times between tokens.

--- a/crates/admit/src/batch.rs
+++ b/crates/admit/src/batch.rs
@@ -18,9 +18,27 @@
     next: u64,
     ready: u32,
     paused_at: Option<Millis>,
+    closed: bool,
 }
 
 impl BatchRuns {
+    /// Forgets the runs of an earlier session.
+    pub(crate) fn open(&mut self) {
+        self.runs.clear();
+        self.ready = 0;
+        self.closed = false;
+    }
+
+    /// No run starts until batch is opened again.
+    pub(crate) fn close(&mut self) {
+        self.ready = 0;
+        self.closed = true;
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        !self.closed
+    }
+
     /// Runs that hold a slot, those that are told to pause included.
     pub(crate) fn holding(&self) -> u32 {
         self.runs.len() as u32
--- a/crates/admit/src/event.rs
+++ b/crates/admit/src/event.rs
@@ -103,6 +103,10 @@
         /// The time between two tokens, in microseconds.
         step_micros: u32,
     },
+    /// The side that runs batch starts anew: none of its earlier runs holds a slot.
+    BatchOpened,
+    /// The side that runs batch ends: its runs are paused, and none starts.
+    BatchClosing,
     /// This many batch items are at hand for the target, besides those that run.
     BatchReady(u32),
     /// A batch run received its first token.
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -150,6 +150,8 @@
             Event::EntryLost(entry) => self.entry_lost(entry),
             Event::Load(report) => self.load(report, now),
             Event::Paced { step_micros } => self.paced(step_micros),
+            Event::BatchOpened => self.batch.open(),
+            Event::BatchClosing => self.batch.close(),
             Event::BatchReady(items) => self.batch.set_ready(items),
             Event::BatchFirstToken(run) => self.batch.first_token(run),
             Event::BatchPaused(run) | Event::BatchFinished(run) => self.batch_ended(run),
@@ -298,7 +300,7 @@
 
     /// How many batch runs may go on, and up to how many may start.
     fn batch_limits(&mut self, now: Millis) -> BatchLimits {
-        if self.state == TargetState::Leaving {
+        if self.state == TargetState::Leaving || !self.batch.is_open() {
             return BatchLimits { pause: 0, start: 0 };
         }
         let balance = self.cfg.balance;
--- a/crates/admit/tests/all/batch.rs
+++ b/crates/admit/tests/all/batch.rs
@@ -119,6 +119,26 @@
     assert_eq!(paused(&actions), runs);
 }
 
+#[test]
+fn a_side_that_ends_gives_up_its_runs_and_online_goes_on() {
+    let mut bench = Bench::new(settings(100));
+    let runs = bench.fill_with_batch(100);
+    let actions = bench.send(Event::BatchClosing);
+    assert_eq!(paused(&actions).len(), runs.len());
+    assert_eq!(bench.fill_with_batch(100), []);
+    let (permit, actions) = bench.arrive(0);
+    assert_eq!(granted(&actions), [permit]);
+}
+
+#[test]
+fn runs_of_an_earlier_session_hold_no_slot() {
+    let mut bench = Bench::new(settings(100));
+    bench.fill_with_batch(100);
+    bench.send(Event::BatchOpened);
+    assert_eq!(bench.gate.snapshot().batch, 0);
+    assert_eq!(bench.fill_with_batch(100).len(), 4);
+}
+
 #[test]
 fn a_suspect_target_starts_nothing() {
     let mut bench = Bench::new(settings(100));
--- a/crates/daemon/src/admission/entry.rs
+++ b/crates/daemon/src/admission/entry.rs
@@ -69,7 +69,6 @@
 }
 
 /// Chooses targets and asks their owners.
-#[derive(Debug)]
 pub(crate) struct EntrySide {
     pub(super) instance: InstanceName,
     pub(super) peers: Peers,
--- a/crates/daemon/src/admission/mod.rs
+++ b/crates/daemon/src/admission/mod.rs
@@ -31,7 +31,8 @@
 use yuccaseam_base::{
     Clock,
     InstanceName,
-    Refusal, //
+    Refusal,
+    TargetName, //
 };
 
 use crate::context::Context;
@@ -40,12 +41,12 @@
     Ask,
     Needs, //
 };
+pub(crate) use owner::OwnerSide;
 pub(crate) use permit::Permit;
 pub(crate) use prefix::prefix_of;
 pub(crate) use service::AdmissionService;
 
 use entry::EntrySide;
-use owner::OwnerSide;
 
 /// Both sides of admission.
 pub(crate) struct Admission {
@@ -72,6 +73,16 @@
         self.entry.acquire(cx, ask)
     }
 
+    /// The gates of the targets that this daemon owns.
+    pub(crate) fn owner(&self) -> &Arc<OwnerSide> {
+        &self.owner
+    }
+
+    /// Whether this daemon owns a target, as far as it knows.
+    pub(crate) fn owns(&self, cx: &Context, target: &TargetName) -> bool {
+        self.entry.owner_of(cx, target) == cx.settings.instance
+    }
+
     /// Starts the threads that renew permits, watch targets and pass time to the gates.
     ///
     /// # Errors
--- a/crates/daemon/src/admission/owner.rs
+++ b/crates/daemon/src/admission/owner.rs
@@ -25,7 +25,6 @@
     PermitId,
     Request,
     Settings,
-    TargetState,
     Team, //
 };
 use yuccaseam_base::{
@@ -44,6 +43,7 @@
     names::Names,
     target::{
         Answer,
+        BatchOrders,
         OwnedTarget, //
     },
 };
@@ -51,8 +51,7 @@
     context::Context,
     targets::{
         Announcement,
-        Kind,
-        State, //
+        Kind, //
     },
 };
 
@@ -87,13 +86,11 @@
 }
 
 /// The gates of the targets that this daemon owns.
-#[derive(Debug)]
 pub(crate) struct OwnerSide {
     clock: Clock,
     inner: Mutex<Inner>,
 }
 
-#[derive(Debug)]
 struct Inner {
     targets: BTreeMap<TargetName, OwnedTarget>,
     entries: Names<String, Entry>,
@@ -196,7 +193,33 @@
         self.lock().targets.get(target).map(OwnedTarget::busy)
     }
 
-    fn handle(&self, target: &TargetName, event: Event) {
+    /// Begins a session of batch at a target, whose orders go to `orders`.
+    pub(crate) fn open_batch(&self, cx: &Context, target: &Announcement, orders: BatchOrders) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let name = target.name.clone();
+        let target = inner.targets.entry(name).or_insert_with(|| own(cx, target));
+        target.open_batch(orders, now);
+    }
+
+    /// Ends the session of batch at a target.
+    pub(crate) fn end_batch(&self, target: &TargetName) {
+        let now = self.clock.now();
+        if let Some(target) = self.lock().targets.get_mut(target) {
+            target.end_batch(now);
+        }
+    }
+
+    /// The side that runs batch has found out whether a target takes connections.
+    pub(crate) fn set_refuses(&self, target: &TargetName, refuses: bool) {
+        let now = self.clock.now();
+        if let Some(target) = self.lock().targets.get_mut(target) {
+            target.set_refuses(refuses, now);
+        }
+    }
+
+    /// Gives a target's gate an event.
+    pub(crate) fn handle(&self, target: &TargetName, event: Event) {
         let now = self.clock.now();
         if let Some(target) = self.lock().targets.get_mut(target) {
             target.handle(event, now);
@@ -215,17 +238,11 @@
         let now = self.clock.now();
         self.lock().targets.retain(|name, target| {
             let announcement = cx.targets.get(name, now);
-            let state = announcement.as_ref().map(|found| found.state);
-            let event = match state {
-                Some(State::Live) => TargetState::Live,
-                Some(State::Leaving) => TargetState::Leaving,
-                None => TargetState::Suspect,
-            };
-            if let Some(announcement) = announcement {
-                target.configure(settings(cx, &announcement));
+            target.set_state(announcement.as_ref().map(|found| found.state), now);
+            if let Some(announcement) = &announcement {
+                target.configure(settings(cx, announcement));
             }
-            target.handle(Event::Target(event), now);
-            state.is_some() || target.busy() > 0
+            announcement.is_some() || !target.is_idle()
         });
     }
 
--- a/crates/daemon/src/admission/peers.rs
+++ b/crates/daemon/src/admission/peers.rs
@@ -30,11 +30,6 @@
         }
     }
 
-    /// The daemons that are down.
-    pub(crate) fn down(&self) -> Vec<InstanceName> {
-        self.lock().iter().cloned().collect()
-    }
-
     /// The owner of a target: the daemon with the largest hash of both names, so that the fall of
     /// one daemon moves its own targets only.
     pub(crate) fn owner_of(
--- a/crates/daemon/src/admission/remote.rs
+++ b/crates/daemon/src/admission/remote.rs
@@ -24,7 +24,7 @@
 /// it as long as the probes are answered.
 const PROBE_AFTER: Millis = Millis(150);
 /// How long a probe waits for its answer.
-pub(super) const PROBE_BOUND: Millis = Millis(200);
+const PROBE_BOUND: Millis = Millis(200);
 
 /// The owner did not answer. No byte went to a target.
 #[derive(Debug)]
--- a/crates/daemon/src/admission/report.rs
+++ b/crates/daemon/src/admission/report.rs
@@ -32,6 +32,8 @@
 const RENEW_EVERY: Millis = Millis(500);
 /// How long a report waits for its answer.
 const BOUND: Millis = Millis(400);
+/// How long a daemon may take to answer a probe outside of a call.
+const PEER_BOUND: Millis = Millis(400);
 /// How long an owner is told of this entry after it was last asked.
 const REMEMBER: Millis = Millis(30_000);
 
@@ -45,7 +47,7 @@
         let renewal = renewed_at + RENEW_EVERY <= now;
         if renewal {
             renewed_at = now;
-            probe_down(cx);
+            probe_peers(cx);
         }
         for (owner, req) in reports(cx, renewal, now) {
             send(cx, owner, req);
@@ -147,18 +149,20 @@
     }
 }
 
-/// Looks whether daemons that were down answer again.
-fn probe_down(cx: &Arc<Context>) {
-    for peer in cx.admission.entry.peers.down() {
+/// Looks which daemons answer, so that every daemon knows the owners of targets that it did not
+/// ask lately.
+fn probe_peers(cx: &Arc<Context>) {
+    for peer in cx.links.names() {
         let Some(channel) = cx.links.channel(&peer) else {
             continue;
         };
         let cx = Arc::clone(cx);
         let links = &cx.clone().links;
         links.spawn(async move {
-            let bound = remote::PROBE_BOUND.duration();
-            if remote::probe(channel, bound).await.is_ok() {
-                cx.admission.entry.peers.set_up(&peer);
+            let peers = &cx.admission.entry.peers;
+            match remote::probe(channel, PEER_BOUND.duration()).await {
+                Ok(()) => peers.set_up(&peer),
+                Err(_) => peers.set_down(&peer),
             }
         });
     }
--- a/crates/daemon/src/admission/target.rs
+++ b/crates/daemon/src/admission/target.rs
@@ -11,7 +11,8 @@
     Event,
     Gate,
     PermitId,
-    Settings, //
+    Settings,
+    TargetState, //
 };
 use yuccaseam_base::{
     Millis,
@@ -20,6 +21,8 @@
     TargetName, //
 };
 
+use crate::targets::State;
+
 /// What the owner answers to a request for a permit.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -28,11 +31,18 @@
     pub(crate) busy: u32,
 }
 
+/// Carries the gate's orders to the side that runs batch at the target.
+pub(crate) type BatchOrders = Box<dyn Fn(Action) + Send>;
+
 /// One target at its owner.
-#[derive(Debug)]
 pub(crate) struct OwnedTarget {
     name: TargetName,
     gate: Gate,
+    batch: Option<BatchOrders>,
+    /// The state that the target announced last.
+    announced: Option<State>,
+    /// Whether the target refused a connection lately.
+    refuses: bool,
     waiting: HashMap<PermitId, oneshot::Sender<Answer>>,
 }
 
@@ -41,6 +51,9 @@
         Self {
             name,
             gate: Gate::new(cfg),
+            batch: None,
+            announced: Some(State::Live),
+            refuses: false,
             waiting: HashMap::new(),
         }
     }
@@ -49,6 +62,41 @@
         self.gate.configure(cfg);
     }
 
+    /// Begins a session of batch, in place of an earlier one.
+    pub(crate) fn open_batch(&mut self, orders: BatchOrders, now: Millis) {
+        self.batch = Some(orders);
+        self.handle(Event::BatchOpened, now);
+    }
+
+    /// Ends the session of batch.
+    pub(crate) fn end_batch(&mut self, now: Millis) {
+        self.batch = None;
+        self.handle(Event::BatchOpened, now);
+        self.handle(Event::BatchClosing, now);
+    }
+
+    /// Notes whether the target takes connections.
+    pub(crate) fn set_refuses(&mut self, refuses: bool, now: Millis) {
+        self.refuses = refuses;
+        self.set_state(self.announced, now);
+    }
+
+    /// Takes the state that the target announces; none if its announcement is too old.
+    pub(crate) fn set_state(&mut self, state: Option<State>, now: Millis) {
+        self.announced = state;
+        let state = match state {
+            Some(State::Leaving) => TargetState::Leaving,
+            Some(State::Live) if !self.refuses => TargetState::Live,
+            Some(State::Live) | None => TargetState::Suspect,
+        };
+        self.handle(Event::Target(state), now);
+    }
+
+    /// Whether nothing holds a slot or waits for one, and no batch may come.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.batch.is_none() && self.busy() == 0
+    }
+
     /// Registers who waits for the answer on a permit. Its arrival is the next event.
     pub(crate) fn expect(&mut self, permit: PermitId) -> oneshot::Receiver<Answer> {
         let (tx, rx) = oneshot::channel();
@@ -89,9 +137,12 @@
                 self.answer(permit, Err(refusal.with_retry_after(retry_after)));
                 None
             }
-            // No batch item is ever announced to the gate, so it starts none.
-            Action::StartBatch(run) => Some(Event::BatchFinished(run)),
-            Action::PauseBatch(run) => Some(Event::BatchPaused(run)),
+            Action::StartBatch(_) | Action::PauseBatch(_) => {
+                if let Some(orders) = &self.batch {
+                    orders(action);
+                }
+                None
+            }
         }
     }
 
--- a/crates/daemon/src/jobs/runner/item.rs
+++ b/crates/daemon/src/jobs/runner/item.rs
@@ -18,6 +18,7 @@
 };
 use yuccaseam_admit::RunId;
 use yuccaseam_base::{
+    Millis,
     Reason,
     Refusal,
     Verdict, //
@@ -47,6 +48,9 @@
     payload::Request, //
 };
 
+/// One in so many times between tokens is told to the gate.
+const TOKENS_PER_SAMPLE: u32 = 4;
+
 /// The part of an answer that came before its stream stopped.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Partial {
@@ -77,6 +81,8 @@
     pub(super) idempotent: bool,
     pub(super) request: Request,
     pub(super) partial: Partial,
+    /// When the last token of this run came.
+    pub(super) last_token: Option<Millis>,
     pub(super) stop: Arc<AtomicBool>,
     pub(super) tx: Sender<Input>,
 }
@@ -174,13 +180,26 @@
             self.partial.finish_reason = Some(reason.to_owned());
         }
         if has_text {
-            if self.partial.tokens == 0 {
-                let _ = self.tx.send(Input::FirstToken(self.run));
-            }
             self.partial.tokens += 1;
+            self.note_token();
         }
     }
 
+    /// Tells the gate of the first token of this run, and of some times between tokens.
+    fn note_token(&mut self) {
+        let now = self.cx.clock.now();
+        let input = match self.last_token.replace(now) {
+            None => Input::FirstToken(self.run),
+            Some(last) if self.partial.tokens.is_multiple_of(TOKENS_PER_SAMPLE) => {
+                let micros = (now - last).0.saturating_mul(1_000);
+                Input::Paced(u32::try_from(micros).unwrap_or(u32::MAX))
+            }
+            Some(_) => return,
+        };
+        // The thread of a target that is gone needs no news.
+        let _ = self.tx.send(input);
+    }
+
     /// The result line of an answer that has come to its end mark.
     fn whole(&self) -> Vec<u8> {
         let Partial {
--- a/crates/daemon/src/jobs/runner/mod.rs
+++ b/crates/daemon/src/jobs/runner/mod.rs
@@ -58,6 +58,8 @@
     Gate(yuccaseam_admit::Action),
     /// A run received its first token.
     FirstToken(RunId),
+    /// A run had this time between two tokens, in microseconds.
+    Paced(u32),
     /// A run ended.
     Ended(RunId, End),
     /// The target announced itself otherwise than before.
--- a/crates/daemon/src/jobs/runner/owned.rs
+++ b/crates/daemon/src/jobs/runner/owned.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    net::TcpStream,
     sync::{
         Arc,
         atomic::{
@@ -15,7 +14,6 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 use yuccaseam_base::{
-    InstanceName,
     Millis,
     TargetName, //
 };
@@ -39,33 +37,28 @@
 
 /// How often the targets are looked at.
 const PERIOD: Millis = Millis(250);
-/// How long another daemon may take to accept a connection.
-const PROBE: Millis = Millis(300);
-/// How long the result of a probe is used.
-const PROBE_AGE: Millis = Millis(1_000);
 
 /// Makes the seeds of runners differ.
 static SEED: AtomicU64 = AtomicU64::new(0);
 
 /// Starts and stops the threads of targets for the life of the process.
 pub(super) fn watch(cx: &Arc<Context>, registry: &Registry) {
-    let mut neighbours = Neighbours::default();
     loop {
-        let owned = owned(cx, &mut neighbours);
+        let owned = owned(cx);
         update(cx, registry, &owned);
         thread::sleep(PERIOD.duration());
     }
 }
 
 /// The targets that this daemon should run items at; none while it stops.
-fn owned(cx: &Context, neighbours: &mut Neighbours) -> BTreeMap<TargetName, Announcement> {
+fn owned(cx: &Context) -> BTreeMap<TargetName, Announcement> {
     if cx.health.phase() != Phase::Serving {
         return BTreeMap::new();
     }
     let targets = cx.targets.all(cx.clock.now()).into_iter();
     targets
         .filter(|target| target.state == State::Live && target.slots > 0)
-        .filter(|target| neighbours.is_owner(cx, &target.name))
+        .filter(|target| cx.admission.owns(cx, &target.name))
         .map(|target| (target.name.clone(), target))
         .collect()
 }
@@ -103,48 +96,3 @@
         let _ = self.tx.send(input);
     }
 }
-
-/// What is known of the other daemons.
-#[derive(Default)]
-struct Neighbours {
-    probes: BTreeMap<InstanceName, Probe>,
-}
-
-#[derive(Clone, Copy)]
-struct Probe {
-    at: Millis,
-    alive: bool,
-}
-
-impl Neighbours {
-    /// Whether this daemon is the first of those that are alive, in the order of a hash of target
-    /// and daemon. Two owners for a while cost double work and no double result.
-    fn is_owner(&mut self, cx: &Context, target: &TargetName) -> bool {
-        let own = rank(target, &cx.settings.instance);
-        let before: Vec<InstanceName> = cx
-            .settings
-            .peers
-            .keys()
-            .filter(|peer| rank(target, peer) > own)
-            .cloned()
-            .collect();
-        !before.iter().any(|peer| self.is_alive(cx, peer))
-    }
-
-    fn is_alive(&mut self, cx: &Context, peer: &InstanceName) -> bool {
-        let now = cx.clock.now();
-        if let Some(probe) = self.probes.get(peer)
-            && now - probe.at < PROBE_AGE
-        {
-            return probe.alive;
-        }
-        let address = &cx.settings.peers[peer];
-        let alive = TcpStream::connect_timeout(address, PROBE.duration()).is_ok();
-        self.probes.insert(peer.clone(), Probe { at: now, alive });
-        alive
-    }
-}
-
-fn rank(target: &TargetName, instance: &InstanceName) -> u64 {
-    xxh3_64(format!("{target}\n{instance}").as_bytes())
-}
--- a/crates/daemon/src/jobs/runner/slots.rs
+++ b/crates/daemon/src/jobs/runner/slots.rs
@@ -1,49 +1,54 @@
 //! The slots of a target that batch may use.
 
 use std::sync::{
-    Mutex,
+    Arc,
     mpsc::Sender, //
 };
 
-use yuccaseam_admit::{
-    Balance,
-    Event,
-    Gate,
-    Settings, //
-};
-use yuccaseam_base::Millis;
+use yuccaseam_admit::Event;
+use yuccaseam_base::TargetName;
 
-use super::{
-    Input,
-    lock, //
+use super::Input;
+use crate::{
+    admission::OwnerSide,
+    context::Context,
+    targets::Announcement, //
 };
 
-/// The gate of one target, as the batch side tells it what happens. Its orders come back as
-/// [`Input::Gate`].
+/// The batch side of a target's gate. The gate's orders come back as [`Input::Gate`]; dropping
+/// this ends the session.
 pub(super) struct Slots {
-    gate: Mutex<Gate>,
-    tx: Sender<Input>,
+    owner: Arc<OwnerSide>,
+    target: TargetName,
 }
 
 impl Slots {
-    pub(super) fn new(slots: u32, balance: u64, tx: Sender<Input>) -> Self {
-        let percent = u8::try_from(balance).unwrap_or(u8::MAX);
-        let cfg = Settings {
-            balance: Balance::percent(percent),
-            ..Settings::for_slots(slots)
+    pub(super) fn new(cx: &Context, target: &Announcement, tx: Sender<Input>) -> Self {
+        let owner = Arc::clone(cx.admission.owner());
+        let orders = move |action| {
+            // The thread that is gone needs no slots.
+            let _ = tx.send(Input::Gate(action));
         };
+        owner.open_batch(cx, target, Box::new(orders));
         Self {
-            gate: Mutex::new(Gate::new(cfg)),
-            tx,
+            owner,
+            target: target.name.clone(),
         }
     }
 
     /// Tells the gate what happened.
-    pub(super) fn tell(&self, event: Event, now: Millis) {
-        let actions = lock(&self.gate).handle(event, now);
-        for action in actions {
-            // The thread that is gone needs no slots.
-            let _ = self.tx.send(Input::Gate(action));
-        }
+    pub(super) fn tell(&self, event: Event) {
+        self.owner.handle(&self.target, event);
+    }
+
+    /// Tells the gate whether the target takes connections.
+    pub(super) fn set_refuses(&self, refuses: bool) {
+        self.owner.set_refuses(&self.target, refuses);
+    }
+}
+
+impl Drop for Slots {
+    fn drop(&mut self) {
+        self.owner.end_batch(&self.target);
     }
 }
--- a/crates/daemon/src/jobs/runner/target.rs
+++ b/crates/daemon/src/jobs/runner/target.rs
@@ -22,8 +22,7 @@
 use anyhow::Context as _;
 use yuccaseam_admit::{
     Event as GateEvent,
-    RunId,
-    TargetState, //
+    RunId, //
 };
 use yuccaseam_base::Millis;
 use yuccaseam_batch::{
@@ -93,7 +92,7 @@
         target: target.clone(),
         work,
         runner: Runner::new(cfg, seed),
-        slots: Slots::new(target.slots, defaults.balance, tx.clone()),
+        slots: Slots::new(cx, target, tx.clone()),
         payloads: BTreeMap::new(),
         partials: BTreeMap::new(),
         runs: BTreeMap::new(),
@@ -182,6 +181,7 @@
             Input::Gate(yuccaseam_admit::Action::PauseBatch(run)) => self.pause(run),
             Input::Gate(_) => (),
             Input::FirstToken(run) => self.tell(GateEvent::BatchFirstToken(run)),
+            Input::Paced(step_micros) => self.tell(GateEvent::Paced { step_micros }),
             Input::Ended(run, end) => self.ended(run, end),
             Input::Announced(target) => self.announced(target),
             Input::Leave => self.leave(),
@@ -192,7 +192,6 @@
         if self.suspect {
             self.probe();
         }
-        self.tell(GateEvent::Tick);
         self.handle(Event::Tick);
     }
 
@@ -231,7 +230,7 @@
     }
 
     fn tell(&self, event: GateEvent) {
-        self.slots.tell(event, self.cx.clock.now());
+        self.slots.tell(event);
     }
 
     fn leased(&mut self, chunks: Vec<LeasedChunk>) {
@@ -280,6 +279,7 @@
             idempotent: chunk.idempotent,
             request: chunk.payload.item(item.item),
             partial,
+            last_token: None,
             stop,
             tx: self.tx.clone(),
         };
@@ -346,9 +346,9 @@
         let found = TcpStream::connect_timeout(&self.target.address, PROBE.duration()).is_ok();
         if found {
             self.suspect = false;
-            self.tell(GateEvent::Target(TargetState::Live));
+            self.slots.set_refuses(false);
         } else {
-            self.tell(GateEvent::Target(TargetState::Suspect));
+            self.slots.set_refuses(true);
             self.died();
         }
     }
@@ -374,7 +374,7 @@
     fn leave(&mut self) {
         if self.leaving.is_none() {
             self.leaving = Some(measures::Running::start());
-            self.tell(GateEvent::Target(TargetState::Leaving));
+            self.tell(GateEvent::BatchClosing);
             self.handle(Event::Leave);
         }
     }
