--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -29,7 +29,7 @@
         Phase, //
     },
     http::Server,
-    logging, measures,
+    jobs, logging, measures,
     peers::{
         self,
         Links, //
@@ -90,7 +90,7 @@
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .context("cannot install the metrics recorder")?;
-    let store = Store::open(&settings, clock)?;
+    let store = Store::open(&settings, &links, clock)?;
     let cx = Arc::new(Context {
         health: Health::new(clock),
         links,
@@ -124,7 +124,7 @@
         .name("configuration".to_owned())
         .spawn(move || watcher.store.watch_configuration(&watcher))
         .context("cannot start the configuration thread")?;
-    Ok(())
+    jobs::start(cx)
 }
 
 /// Carries out a planned stop: readiness off, the balancer's delay, new calls refused, running
@@ -139,6 +139,7 @@
         if now >= refuse_at && cx.health.phase() == Phase::Draining {
             log::info!("stopping: new calls are refused");
             cx.health.enter(Phase::Refusing);
+            cx.store.hand_over();
         }
         let running = measures::running();
         if cx.health.phase() == Phase::Refusing && running == 0 {
--- a/crates/quorum/tests/all/schedules.rs
+++ b/crates/quorum/tests/all/schedules.rs
@@ -23,13 +23,15 @@
 /// The simulated time of one schedule before everything is mended.
 const TROUBLE: Millis = Millis::from_secs(60);
 
-fn schedule(size: u128, seed: u64) {
+fn schedule(size: u64, seed: u64) {
     let mut group = Group::new(size, seed);
     group.snapshot_every = 40;
+    group.sync_chance = group.rng.random_range(0.05..1.0);
     group.net = Net {
         loss: group.rng.random_range(0.0..0.15),
         doubled: 0.05,
         slow: group.rng.random_range(0.0..0.05),
+        ..Net::default()
     };
     while group.now < TROUBLE {
         load(&mut group);
@@ -51,6 +53,10 @@
     group.rng.random_range(0..group.replicas.len())
 }
 
+/// Writes pause for this long after each such time, so that replicas that are cut off from the
+/// leader alone have logs that are up to date.
+const QUIET: Millis = Millis(3_000);
+
 /// A few writes and reads, mostly at the leader.
 fn load(group: &mut Group) {
     let mut at = any(group);
@@ -60,7 +66,8 @@
     if group.replicas[at].frozen {
         return;
     }
-    if group.rng.random_bool(0.3) {
+    let quiet = group.now.0 / QUIET.0 % 2 == 1;
+    if !quiet && group.rng.random_bool(0.3) {
         let count = group.rng.random_range(1..4);
         group.propose(at, count);
     }
@@ -84,6 +91,7 @@
             group.cuts.insert((at, other));
         }
         5 => group.isolate(at),
+        9 if at != other => group.cut_both(at, other),
         6 => group.cuts.clear(),
         7 | 8 => lose_disk(group, at),
         _ => {
@@ -163,7 +171,7 @@
         .is_some_and(|membership| ids.iter().all(|&id| membership.is_voter(id)))
 }
 
-fn schedules(size: u128, first: u64, last: u64) {
+fn schedules(size: u64, first: u64, last: u64) {
     for seed in first..=last {
         println!("size {size}, seed {seed}");
         schedule(size, seed);
--- a/crates/state/src/jobs/lease.rs
+++ b/crates/state/src/jobs/lease.rs
@@ -44,7 +44,7 @@
         let urgent = now + configuration.fleet_wide_millis(Setting::UrgentMs, now);
         let mut leases = Vec::new();
         for _ in 0..request.max.min(LEASE_LIMIT) {
-            let Some(id) = self.queues.next(&request.serves, &self.shares, urgent) else {
+            let Some(id) = self.queues.next(&request.serves, urgent) else {
                 break;
             };
             let Some(lease) = self.lease_one(id, &request.owner, index) else {
@@ -53,7 +53,7 @@
             let weight = configuration.team_weight(&lease.team, now);
             self.charge(&lease, weight);
             if let Some(job) = self.jobs.get(&id) {
-                self.queues.update(id, job);
+                self.queues.update(id, job, &self.shares);
             }
             leases.push(lease);
         }
@@ -115,6 +115,10 @@
 
     /// Marks items of a non-idempotent job as started; returns those that may run.
     ///
+    /// Items that this lease marked before are granted again: the owner asks twice only if it did
+    /// not hear the first answer, and so has not sent them. Those that another lease marked have
+    /// ended with it.
+    ///
     /// # Errors
     ///
     /// If the lease does not stand any more, or the job is cancelled.
@@ -129,15 +133,14 @@
         let Some(open) = self.current(&start.lease) else {
             return Err(Refusal::not_run(Reason::NotFound, "the lease has ended"));
         };
-        let mut fresh: ItemSet = start
+        let mut items: ItemSet = start
             .items
             .iter()
             .filter(|&i| i < open.spec.items)
             .collect();
-        fresh.remove_from(&open.started);
-        fresh.remove_from(&open.progress.ended());
-        open.started.extend_from(&fresh);
-        Ok(fresh)
+        items.remove_from(&open.progress.ended());
+        open.started.extend_from(&items);
+        Ok(items)
     }
 
     /// The chunk of a lease that still stands.
@@ -162,7 +165,7 @@
         let Some(open) = chunk.open() else {
             return;
         };
-        open.lease = None;
+        open.end_lease();
         let recorded = open.give_up_started();
         job.leased -= 1;
         job.count(&recorded);
@@ -180,7 +183,7 @@
             job.ended_at = Some(now);
             self.ended.insert((now, id));
         }
-        self.queues.update(id, job);
+        self.queues.update(id, job, &self.shares);
     }
 
     fn lease_one(&mut self, id: JobId, owner: &OwnerId, index: LogIndex) -> Option<Lease> {
@@ -199,14 +202,13 @@
     }
 
     fn charge(&mut self, lease: &Lease, weight: u64) {
-        let least = self.queues.least_time(&lease.work, &self.shares);
         let charge = Charge {
             work: &lease.work,
             team: &lease.team,
             items: lease.spec.items,
             weight,
         };
-        self.shares.charge(&charge, least.unwrap_or(0));
+        self.queues.charge(&mut self.shares, &charge);
     }
 }
 
--- a/crates/state/src/jobs/mod.rs
+++ b/crates/state/src/jobs/mod.rs
@@ -170,7 +170,7 @@
             return Err(Refusal::not_run(Reason::LimitReached, detail));
         }
         let job = Job::new(create, now);
-        self.queues.update(create.job, &job);
+        self.queues.update(create.job, &job, &self.shares);
         self.jobs.insert(create.job, job);
         Ok(JobCreated {
             job: create.job,
@@ -193,7 +193,7 @@
             job.ended_at = Some(now);
             self.ended.insert((now, id));
             self.cancelled.insert(index, id);
-            self.queues.update(id, job);
+            self.queues.update(id, job, &self.shares);
         }
         Ok(job.status(id))
     }
@@ -254,6 +254,24 @@
         Ok(job.results(from, limit))
     }
 
+    /// The chunk leases of an owner.
+    pub(crate) fn leases_of(&self, owner: &OwnerId) -> Vec<LeaseRef> {
+        let chunks = self
+            .owners
+            .get(owner)
+            .into_iter()
+            .flat_map(|owner| &owner.chunks);
+        let lease = |at: &ChunkRef| {
+            let chunk = self.jobs.get(&at.job)?.chunks.get(at.chunk as usize)?;
+            Some(LeaseRef {
+                job: at.job,
+                chunk: at.chunk,
+                epoch: chunk.lease()?.epoch,
+            })
+        };
+        chunks.filter_map(lease).collect()
+    }
+
     /// Jobs cancelled after a position in the log.
     pub(crate) fn cancelled_after(&self, index: LogIndex) -> Vec<JobId> {
         let start = LogIndex(index.0.saturating_add(1));
@@ -269,7 +287,7 @@
 
     /// Enters a job in every index but that of returned chunks, which is its own.
     fn index(&mut self, id: JobId, job: &Job) {
-        self.queues.update(id, job);
+        self.queues.update(id, job, &self.shares);
         if let Some(ended_at) = job.ended_at {
             self.ended.insert((ended_at, id));
         }
