--- a/crates/testing/src/jobs.rs
+++ b/crates/testing/src/jobs.rs
@@ -32,11 +32,16 @@
         json!({"custom_id": self.id, "body": body}).to_string()
     }
 
+    /// The text of its answer.
+    pub fn expected(&self) -> String {
+        answer(&self.prompt, 0, self.tokens)
+    }
+
     /// Whether a line of the results is this item's whole answer.
     pub fn is_answered_by(&self, result: &Value) -> bool {
         let text = &result["response"]["body"]["choices"][0]["text"];
         let is_own = result["custom_id"] == self.id.as_str();
-        is_own && *text == answer(&self.prompt, 0, self.tokens)
+        is_own && *text == self.expected()
     }
 }
 
