Orders to targets are reconciled by the leader

A pass each second reads what targets with an order report, ends orders that are carried out, gives those that are loading, and begins an order anew when its target lost the model. Weighed: giving an order once and remembering it (a lost answer leaves the target as it was), and edge-triggered retries by the entry (two leaders in one hand-over). Ruled out for those reasons.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod jobs;
 mod members;
+mod orders;
 mod show;
 
 use serde_json::Value;
@@ -29,6 +30,8 @@
         YuccaseamCmd::Configuration(flags) => configuration::run(client, flags.subcommand, out),
         YuccaseamCmd::Jobs(_) => jobs::list(client, out),
         YuccaseamCmd::Job(flags) => jobs::run(client, flags.subcommand, out),
+        YuccaseamCmd::Orders(_) => orders::list(client, out),
+        YuccaseamCmd::Order(flags) => orders::run(client, flags.subcommand, out),
         YuccaseamCmd::Members(_) => members::list(client, out),
         YuccaseamCmd::Member(flags) => members::run(client, flags.subcommand, out),
     }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -87,6 +87,22 @@
             }
         }
 
+        /// Orders to targets and how far they have come.
+        cmd orders {}
+
+        /// Give an order to a target.
+        cmd order {
+            /// Load a model. The leader carries it out, one load a weight store at a time.
+            cmd load {
+                /// Name of the target.
+                required target: String
+                /// Name of the model.
+                required model: String
+                /// The weight store that the target loads from. Default: weights.
+                optional --store name: String
+            }
+        }
+
         /// Instances that hold the replicated log.
         cmd members {}
 
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod instances;
 mod members;
+mod orders;
 mod status;
 
 pub(crate) use configuration::unexpected;
@@ -26,6 +27,8 @@
 pub(crate) fn dispatch(cx: &Context, call: &Call, path: &[&str], out: Responder) {
     match (&call.method, path) {
         (Method::Get, ["instances"]) => instances::list(cx, out),
+        (Method::Get, ["orders"]) => orders::list(cx, out),
+        (Method::Post, ["orders"]) => orders::issue(cx, call, out),
         (Method::Get, ["status"]) => status::show(cx, out),
         (Method::Get, ["targets"]) => status::list_targets(cx, out),
         (Method::Get, ["configuration"]) => configuration::show(cx, out),
--- /dev/null
+++ b/crates/daemon/src/admin/orders.rs
@@ -0,0 +1,62 @@
+//! Orders to targets.
+
+use serde::Deserialize;
+use serde_json::json;
+use yuccaseam_base::TargetName;
+use yuccaseam_state::{
+    Answer,
+    IssueOrder,
+    Outcome,
+    Query, //
+};
+
+use crate::{
+    admin::unexpected,
+    context::Context,
+    http::{
+        Call,
+        Responder, //
+    },
+};
+
+/// An order as an operator gives it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OrderBody {
+    target: TargetName,
+    model: String,
+    /// The weight store that the target loads from: one load at a time.
+    #[serde(default = "default_store")]
+    store: String,
+}
+
+fn default_store() -> String {
+    "weights".to_owned()
+}
+
+/// Answers with every order and how far it has come.
+pub(crate) fn list(cx: &Context, out: Responder) {
+    match cx.store.query(cx, &Query::Orders) {
+        Ok(Answer::Orders(orders)) => out.json(200, &json!({ "orders": orders })),
+        Ok(other) => out.refuse(&unexpected(&other)),
+        Err(refusal) => out.refuse(&refusal),
+    }
+}
+
+/// Accepts an order. The leader carries it out.
+pub(crate) fn issue(cx: &Context, call: &Call, out: Responder) {
+    let body: OrderBody = match call.json() {
+        Ok(body) => body,
+        Err(refusal) => return out.refuse(&refusal),
+    };
+    let issue = IssueOrder {
+        target: body.target,
+        model: body.model,
+        store: body.store,
+    };
+    match cx.store.propose(cx, issue) {
+        Ok(Outcome::Ordered(order)) => out.json(200, &json!(order)),
+        Ok(other) => out.refuse(&unexpected(&other)),
+        Err(refusal) => out.refuse(&refusal),
+    }
+}
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -6,6 +6,7 @@
 
 use tiny_http::Method;
 use yuccaseam_base::{
+    Millis,
     Reason,
     Refusal,
     Verdict, //
@@ -30,6 +31,8 @@
 const ATTEMPTS: u32 = 3;
 /// The request class of calls to plain services.
 const CLASS: &str = "online";
+/// How long a call to a service that is not configured may take.
+const DEFAULT_TIMEOUT: Millis = Millis::from_secs(30);
 /// The header of the idempotency key.
 const KEY: &str = "idempotency-key";
 /// The longest idempotency key, in bytes.
@@ -117,13 +120,14 @@
             headers.push((name, value));
         }
     }
-    let answer = cx.upstream.send(&Outgoing {
+    let outgoing = Outgoing {
         address,
         method: call.method.as_str(),
         path: &path,
         headers,
         body: &call.body,
-    })?;
+    };
+    let answer = cx.upstream.send_within(&outgoing, timeout(cx, name))?;
     Ok(ServiceAnswer {
         status: answer.status,
         content_type: answer.content_type.clone(),
@@ -131,6 +135,15 @@
     })
 }
 
+/// How long a call to a plain service may take.
+fn timeout(cx: &Context, name: &str) -> Millis {
+    let configuration = cx.store.configuration();
+    configuration
+        .services
+        .get(name)
+        .map_or(DEFAULT_TIMEOUT, |service| Millis(service.timeout_ms))
+}
+
 /// Whether running the call twice has the effect of running it once. A service that is not
 /// configured counts as not idempotent.
 fn is_idempotent(cx: &Context, call: &Call, name: &str) -> bool {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod jobs;
 mod logging;
 mod measures;
+mod orders;
 mod peers;
 mod replica;
 mod run;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -29,7 +29,10 @@
         Phase, //
     },
     http::Server,
-    jobs, logging, measures,
+    jobs,
+    logging,
+    measures,
+    orders,
     peers::{
         self,
         Links, //
@@ -41,7 +44,7 @@
     store::Store,
     targets::Targets,
     upkeep,
-    upstream::Upstream,
+    upstream::Upstream, //
 };
 
 /// Exit code of a command line or settings that are wrong.
@@ -130,6 +133,11 @@
         .name("upkeep".to_owned())
         .spawn(move || upkeep::run(&keeper))
         .context("cannot start the upkeep thread")?;
+    let order_giver = Arc::clone(cx);
+    thread::Builder::new()
+        .name("orders".to_owned())
+        .spawn(move || orders::run(&order_giver))
+        .context("cannot start the thread of orders")?;
     Admission::start(cx).context("cannot start the threads of admission")?;
     jobs::start(cx)
 }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -69,6 +69,23 @@
     ///
     /// The verdict is "not run" only if no connection was opened.
     pub(crate) fn send(&self, call: &Outgoing<'_>) -> Result<Answer, Refusal> {
+        self.run(call, None)
+    }
+
+    /// Sends a call whose whole answer must come within a bound.
+    ///
+    /// # Errors
+    ///
+    /// As [`Upstream::send`].
+    pub(crate) fn send_within(
+        &self,
+        call: &Outgoing<'_>,
+        bound: Millis,
+    ) -> Result<Answer, Refusal> {
+        self.run(call, Some(bound))
+    }
+
+    fn run(&self, call: &Outgoing<'_>, bound: Option<Millis>) -> Result<Answer, Refusal> {
         let mut builder = ureq::http::Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", call.address, call.path));
@@ -78,6 +95,11 @@
         let req = builder.body(call.body).map_err(|error| {
             Refusal::not_run(Reason::BadRequest, format!("cannot be forwarded: {error}"))
         })?;
+        let req = self
+            .agent
+            .configure_request(req)
+            .timeout_global(bound.map(Millis::duration))
+            .build();
         let answer = self
             .agent
             .run(req)
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod jobs;
 mod leaving;
 mod orders;
+mod placement;
 mod replicas;
 mod settings;
 mod streams;
--- a/crates/state/src/orders.rs
+++ b/crates/state/src/orders.rs
@@ -160,7 +160,8 @@
         Ok(self.orders[&issue.target].clone())
     }
 
-    /// Records what a target serves. It ends an order for that model.
+    /// Records what a target serves. It ends an order for that model, and begins the last order
+    /// anew if the target lost the model.
     pub(crate) fn observe(
         &mut self,
         observe: &ObserveTarget,
@@ -173,9 +174,13 @@
         };
         if let Some(order) = self.orders.get_mut(&observe.target) {
             let open = matches!(order.state, OrderState::Waiting | OrderState::Loading);
-            if open && observe.model.as_ref() == Some(&order.model) {
+            let serves = observe.model.as_ref() == Some(&order.model);
+            if open && serves {
                 order.enter(OrderState::Loaded, now);
             }
+            if order.state == OrderState::Loaded && !serves {
+                order.enter(OrderState::Waiting, now);
+            }
         }
         self.start_waiting(configuration, now);
     }
--- a/crates/state/tests/all/orders.rs
+++ b/crates/state/tests/all/orders.rs
@@ -163,3 +163,16 @@
     assert_eq!(state_of(&machine, "w2"), OrderState::Loading);
     assert_matches!(machine.state.answer(&Query::Orders), Answer::Orders(list) if list.len() == 2);
 }
+
+#[test]
+fn a_target_that_lost_its_model_loads_it_again() {
+    let mut machine = fleet();
+    let order = order(&mut machine, "w1", "store");
+    machine.apply(observe("w1", "new"));
+    machine.apply(observe("w1", "old"));
+    let Answer::Orders(orders) = machine.state.answer(&Query::Orders) else {
+        panic!("no orders");
+    };
+    assert_eq!(orders[0].number, order.number);
+    assert_eq!(orders[0].state, OrderState::Loading);
+}
