--- a/crates/quorum/tests/all/elections.rs
+++ b/crates/quorum/tests/all/elections.rs
@@ -153,3 +153,35 @@
     assert!(group.now < asked_at + Timing::default().election);
     group.write();
 }
+
+/// One follower is cut off from the leader alone, while the other one hears both.
+fn partly_cut() -> (Group, usize, usize) {
+    let mut group = Group::new(3, 5);
+    group.write();
+    let leader = group.settle();
+    group.run(Millis(500));
+    group.cut_both(leader, (leader + 1) % 3);
+    (group, leader, (leader + 2) % 3)
+}
+
+#[test]
+fn a_follower_that_hears_the_leader_elects_nobody_else() {
+    let (mut group, leader, _) = partly_cut();
+    let term = group.core(leader).map(Core::term);
+    group.run(Millis::from_secs(30));
+    assert_eq!(group.leader(), Some(leader));
+    assert_eq!(group.core(leader).map(Core::term), term);
+}
+
+#[test]
+fn restarts_of_the_voter_between_leader_and_candidate_depose_nobody() {
+    let (mut group, leader, between) = partly_cut();
+    let term = group.core(leader).map(Core::term);
+    for _ in 0..50 {
+        group.crash(between);
+        group.restart(between);
+        group.run(Timing::default().election - Timing::default().heartbeat);
+    }
+    assert_eq!(group.leader(), Some(leader));
+    assert_eq!(group.core(leader).map(Core::term), term);
+}
