daemon: the next owner of a target is asked when one does not answer

Cause: the new tests of lost daemons failed where the lost one owned the only target (killed and frozen): the entry passed on to the next target and there was none, so the caller was refused as owner_unreachable. The daemon that does not answer is down for this entry at once, so the same target has another owner: it is asked in its place, at most three owners for one request.

--- a/crates/daemon/src/admission/entry.rs
+++ b/crates/daemon/src/admission/entry.rs
@@ -52,6 +52,9 @@
 /// How long a target is passed over after its owner refused without saying when to come back.
 const PASS_OVER: Millis = Millis(100);
 
+/// How many owners of one target are asked for one request.
+const OWNERS: u32 = 3;
+
 /// A permit that this entry holds.
 #[derive(Clone, Debug)]
 pub(super) struct HeldPermit {
@@ -110,7 +113,7 @@
             if let Some(refusal) = &refusal {
                 measures::count_retry(refusal.reason);
             }
-            match self.ask_owner(cx, ask, &target, deadline - now) {
+            match self.ask_owners(cx, ask, &target, deadline) {
                 Ok(permit) => {
                     measures::record_queue_wait(self.clock.now() - start);
                     return Ok(permit);
@@ -138,6 +141,28 @@
         targets
     }
 
+    /// Asks the owner of a target. One that does not answer is down, and the target has another
+    /// owner at once.
+    fn ask_owners(
+        self: &Arc<Self>,
+        cx: &Context,
+        ask: &Ask,
+        target: &Announcement,
+        deadline: Millis,
+    ) -> Result<Permit, Refusal> {
+        let mut owners = 1;
+        loop {
+            let left = deadline - self.clock.now();
+            match self.ask_owner(cx, ask, target, left) {
+                Err(refusal) if refusal.reason == Reason::OwnerUnreachable && owners < OWNERS => {
+                    owners += 1;
+                    measures::count_retry(refusal.reason);
+                }
+                result => return result,
+            }
+        }
+    }
+
     fn ask_owner(
         self: &Arc<Self>,
         cx: &Context,
@@ -168,6 +193,10 @@
                 self.holdings().held.insert(id, held(&permit));
                 Ok(permit)
             }
+            Err(refusal) if refusal.reason == Reason::OwnerUnreachable => {
+                self.with_view(cx, |view| view.ended(name));
+                Err(refusal)
+            }
             Err(refusal) => {
                 let pass_over = refusal.retry_after.unwrap_or(PASS_OVER);
                 self.with_view(cx, |view| view.refused(name, pass_over, now));
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon as a process, one file a topic.
 
+mod admission;
 mod jobs;
 mod leaving;
 mod orders;
