--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -27,10 +27,7 @@
     occupancy::Occupancy,
     pace::Pace,
     permits::Permits,
-    settings::{
-        Balance,
-        Settings, //
-    },
+    settings::Settings,
 };
 
 /// The share of KV cache memory above which no batch run starts, from 0 to 1,000.
@@ -120,9 +117,12 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Changes the balance; the next event acts on it.
-    pub fn set_balance(&mut self, balance: Balance) {
-        self.cfg.balance = balance;
+    /// Changes the settings; the next event acts on them.
+    pub fn configure(&mut self, cfg: Settings) {
+        if cfg.slots != self.cfg.slots {
+            self.pace.resize(cfg.slots);
+        }
+        self.cfg = cfg;
     }
 
     /// When to send the next [`Event::Tick`] at the latest, if a request waits.
@@ -150,6 +150,8 @@
             Event::EntryLost(entry) => self.entry_lost(entry),
             Event::Load(report) => self.load(report, now),
             Event::Paced { step_micros } => self.paced(step_micros),
+            Event::BatchOpened => self.batch.open(),
+            Event::BatchClosing => self.batch.close(),
             Event::BatchReady(items) => self.batch.set_ready(items),
             Event::BatchFirstToken(run) => self.batch.first_token(run),
             Event::BatchPaused(run) | Event::BatchFinished(run) => self.batch_ended(run),
@@ -298,11 +300,12 @@
 
     /// How many batch runs may go on, and up to how many may start.
     fn batch_limits(&mut self, now: Millis) -> BatchLimits {
-        if self.state == TargetState::Leaving {
+        if self.state == TargetState::Leaving || !self.batch.is_open() {
             return BatchLimits { pause: 0, start: 0 };
         }
         let balance = self.cfg.balance;
-        let headroom = self.arrivals.headroom(balance, now);
+        let expected = self.arrivals.headroom(balance, now);
+        let headroom = expected.max(self.cfg.headroom);
         let online = self.online();
         let cap = self.pace.cap(balance, self.cfg.step_bound_micros);
         let paced = cap.saturating_sub(online);
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -6,8 +6,10 @@
 
 use tiny_http::Method;
 use yuccaseam_base::{
+    Millis,
     Reason,
-    Refusal, //
+    Refusal,
+    Verdict, //
 };
 
 use crate::{
@@ -29,6 +31,8 @@
 const ATTEMPTS: u32 = 3;
 /// The request class of calls to plain services.
 const CLASS: &str = "online";
+/// How long a call to a service that is not configured may take.
+const DEFAULT_TIMEOUT: Millis = Millis::from_secs(30);
 /// The header of the idempotency key.
 const KEY: &str = "idempotency-key";
 /// The longest idempotency key, in bytes.
@@ -67,16 +71,22 @@
         class: CLASS.to_owned(),
         prompt_tokens: 0,
         answer_tokens: 0,
+        prefix: Vec::new(),
         avoid: Vec::new(),
     };
     let mut attempts = 0;
+    let mut verdict = Verdict::NotRun;
     loop {
         attempts += 1;
-        let permit = cx.admission.acquire(cx, &ask)?;
+        let permit = match cx.admission.acquire(cx, &ask) {
+            Ok(permit) => permit,
+            Err(refusal) => return Err(refusal.at_least(verdict)),
+        };
         let refusal = match send(cx, call, name, permit.target.address) {
             Ok(answer) => return Ok(answer),
-            Err(refusal) => refusal,
+            Err(refusal) => refusal.at_least(verdict),
         };
+        verdict = refusal.verdict;
         if attempts == ATTEMPTS || !refusal.verdict.allows_retry(idempotent) {
             return Err(refusal);
         }
@@ -110,13 +120,14 @@
             headers.push((name, value));
         }
     }
-    let answer = cx.upstream.send(&Outgoing {
+    let outgoing = Outgoing {
         address,
         method: call.method.as_str(),
         path: &path,
         headers,
         body: &call.body,
-    })?;
+    };
+    let answer = cx.upstream.send_within(&outgoing, timeout(cx, name))?;
     Ok(ServiceAnswer {
         status: answer.status,
         content_type: answer.content_type.clone(),
@@ -124,6 +135,15 @@
     })
 }
 
+/// How long a call to a plain service may take.
+fn timeout(cx: &Context, name: &str) -> Millis {
+    let configuration = cx.store.configuration();
+    configuration
+        .services
+        .get(name)
+        .map_or(DEFAULT_TIMEOUT, |service| Millis(service.timeout_ms))
+}
+
 /// Whether running the call twice has the effect of running it once. A service that is not
 /// configured counts as not idempotent.
 fn is_idempotent(cx: &Context, call: &Call, name: &str) -> bool {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -29,7 +29,10 @@
         Phase, //
     },
     http::Server,
-    jobs, logging, measures,
+    jobs,
+    logging,
+    measures,
+    orders,
     peers::{
         self,
         Links, //
@@ -40,7 +43,8 @@
     },
     store::Store,
     targets::Targets,
-    upstream::Upstream,
+    upkeep,
+    upstream::Upstream, //
 };
 
 /// Exit code of a command line or settings that are wrong.
@@ -90,14 +94,14 @@
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .context("cannot install the metrics recorder")?;
-    let store = Store::open(&settings, clock)?;
+    let store = Store::open(&settings, &links, clock)?;
     let cx = Arc::new(Context {
         health: Health::new(clock),
         links,
         store,
         targets: Targets::default(),
         upstream: Upstream::new(),
-        admission: Admission::default(),
+        admission: Admission::new(settings.instance.clone(), clock),
         metrics,
         clock,
         settings,
@@ -124,6 +128,17 @@
         .name("configuration".to_owned())
         .spawn(move || watcher.store.watch_configuration(&watcher))
         .context("cannot start the configuration thread")?;
+    let keeper = Arc::clone(cx);
+    thread::Builder::new()
+        .name("upkeep".to_owned())
+        .spawn(move || upkeep::run(&keeper))
+        .context("cannot start the upkeep thread")?;
+    let order_giver = Arc::clone(cx);
+    thread::Builder::new()
+        .name("orders".to_owned())
+        .spawn(move || orders::run(&order_giver))
+        .context("cannot start the thread of orders")?;
+    Admission::start(cx).context("cannot start the threads of admission")?;
     jobs::start(cx)
 }
 
@@ -139,6 +154,7 @@
         if now >= refuse_at && cx.health.phase() == Phase::Draining {
             log::info!("stopping: new calls are refused");
             cx.health.enter(Phase::Refusing);
+            cx.store.hand_over();
         }
         let running = measures::running();
         if cx.health.phase() == Phase::Refusing && running == 0 {
--- a/crates/daemon/src/store/remote.rs
+++ b/crates/daemon/src/store/remote.rs
@@ -1,7 +1,10 @@
 //! Calls to the replicas of other instances.
 
+use std::error::Error;
+
 use tonic::{
     Code,
+    ConnectError,
     Status,
     transport::Channel, //
 };
@@ -25,7 +28,10 @@
 
 use crate::{
     context::Context,
-    peers::MAX_MESSAGE, //
+    peers::{
+        Links,
+        MAX_MESSAGE, //
+    }, //
 };
 
 /// How long one replica may take to answer.
@@ -53,7 +59,20 @@
         }
     }
 
-    fn hint(name: String) -> Self {
+    /// Of a call that changes something: only one whose connection could not be opened is known
+    /// not to have reached the replica.
+    pub(super) fn broken(status: &Status) -> Self {
+        let mut source = status.source();
+        while let Some(error) = source {
+            if error.is::<ConnectError>() {
+                return Self::NotSent(status.message().to_owned());
+            }
+            source = error.source();
+        }
+        Self::Lost(status.to_string())
+    }
+
+    pub(super) fn hint(name: String) -> Self {
         Self::NotLeader((!name.is_empty()).then_some(InstanceName(name)))
     }
 }
@@ -67,8 +86,7 @@
     });
     let reply = match cx.links.wait(client.propose(req)) {
         Ok(reply) => reply.into_inner(),
-        // A proposal may have been forwarded before the connection broke.
-        Err(status) => return Replied::Lost(status.to_string()),
+        Err(status) => return Replied::broken(&status),
     };
     match reply.result {
         Some(propose_reply::Result::Outcome(bytes)) => match Outcome::decode(&bytes) {
@@ -182,15 +200,32 @@
     }
 }
 
-fn client(cx: &Context, name: &InstanceName) -> Option<StoreClient<Channel>> {
-    let channel = cx.links.channel(name)?;
+/// Reads a blob from one replica, if it answers and holds it.
+pub(crate) fn fetch_blob(links: &Links, name: &InstanceName, id: &BlobId) -> Option<Vec<u8>> {
+    let mut client = client_of(links, name)?;
+    let req = timed(wire::GetBlobRequest { id: id.0.to_vec() });
+    match links.wait(client.get_blob(req)) {
+        Ok(reply) => reply.into_inner().data,
+        Err(status) => {
+            log::debug!("no blob from {name}: {}", status.message());
+            None
+        }
+    }
+}
+
+pub(super) fn client(cx: &Context, name: &InstanceName) -> Option<StoreClient<Channel>> {
+    client_of(&cx.links, name)
+}
+
+fn client_of(links: &Links, name: &InstanceName) -> Option<StoreClient<Channel>> {
+    let channel = links.channel(name)?;
     let client = StoreClient::new(channel)
         .max_decoding_message_size(MAX_MESSAGE)
         .max_encoding_message_size(MAX_MESSAGE);
     Some(client)
 }
 
-fn timed<T>(message: T) -> tonic::Request<T> {
+pub(super) fn timed<T>(message: T) -> tonic::Request<T> {
     let mut req = tonic::Request::new(message);
     req.set_timeout(TIMEOUT.duration());
     req
@@ -204,7 +239,7 @@
 }
 
 /// A replica's refusal, which it gives before it appends anything.
-fn refusal_of(refused: wire::Refused) -> Refusal {
+pub(super) fn refusal_of(refused: wire::Refused) -> Refusal {
     let reason = Reason::ALL
         .iter()
         .find(|reason| reason.code() == refused.reason);
--- a/crates/testing/src/cluster/mod.rs
+++ b/crates/testing/src/cluster/mod.rs
@@ -146,6 +146,12 @@
         self.dir.path()
     }
 
+    /// Keeps the folder after the processes are gone. Returns it.
+    pub fn keep_dir(&mut self) -> &Path {
+        self.dir.disable_cleanup(true);
+        self.dir.path()
+    }
+
     fn start_target(&mut self, program: &str, name: &str, place: &Place, flags: &[&str]) {
         let record = self.dir.path().join(format!("{name}.record"));
         let mut args: Vec<String> = Vec::new();
