jobs, batch: batch stops by its leases, and services run in parallel

Cause: new tests of frozen owners and of a lost quorum found faults. 1. Calls to plain services ran one at a time: the gate counts a run without a first token as reading its prompt, and services send none. Seen: 5 calls a second at a service of 8 slots and 200 ms. They now count as under way at once. 2. An owner without a quorum ran on to the end of its streams (24 s in the test, with leases of 2 s). It now keeps the time of its last renewal and stops what it runs when the leases have ended by its own clock. Up to two slots' worth of calls that may not be repeated were marked as started ahead of their slots and became of unknown outcome with a lost owner. Now it is half of the slots, and one request for marks at a time; two at a time could take an item for ended before its answer. 4. Two deaths of a target before the first answer mixed their items; answers are now taken in order.

--- a/crates/batch/src/held.rs
+++ b/crates/batch/src/held.rs
@@ -57,8 +57,9 @@
     unmarked: ItemSet,
     /// Items that are being marked as started.
     marking: ItemSet,
-    /// Items that were in flight when the target died, until the answer about them.
-    charging: ItemSet,
+    /// Items that were in flight at each death of the target, until the answer about them. The
+    /// answers come in order.
+    charging: VecDeque<ItemSet>,
     /// Items that run alone.
     suspects: VecDeque<u16>,
     /// Items in flight, those of cut streams included.
@@ -98,7 +99,7 @@
             delayed: Vec::new(),
             unmarked,
             marking: ItemSet::new(),
-            charging: ItemSet::new(),
+            charging: VecDeque::new(),
             suspects,
             running: ItemSet::new(),
             ended: lease.ended.clone(),
@@ -168,9 +169,14 @@
         self.resume.remove(&item).unwrap_or(0)
     }
 
-    /// Takes items to be marked as started.
+    /// Items that may not be repeated and are marked, or being marked, as started without a run.
+    pub(crate) fn marked(&self) -> u32 {
+        self.unsent.len() + self.marking.len()
+    }
+
+    /// Takes items to be marked as started, one request at a time.
     pub(crate) fn take_unmarked(&mut self, most: u32) -> ItemSet {
-        if self.phase != Phase::Active {
+        if self.phase != Phase::Active || !self.marking.is_empty() {
             return ItemSet::new();
         }
         let items: ItemSet = self.unmarked.iter().take(most as usize).collect();
@@ -191,14 +197,16 @@
     /// Takes the items that were in flight when the target died.
     pub(crate) fn take_running(&mut self) -> ItemSet {
         let items = std::mem::take(&mut self.running);
-        self.charging.extend_from(&items);
+        if !items.is_empty() {
+            self.charging.push_back(items.clone());
+        }
         items
     }
 
     /// Items that run alone from now on. Others that were in flight have failed for good.
     pub(crate) fn marked_suspects(&mut self, suspects: Vec<Suspect>) {
         let kept: ItemSet = suspects.iter().map(|suspect| suspect.item).collect();
-        let mut failed = std::mem::take(&mut self.charging);
+        let mut failed = self.charging.pop_front().unwrap_or_default();
         failed.remove_from(&kept);
         self.ended.extend_from(&failed);
         self.suspects.extend(kept.iter());
--- a/crates/batch/src/runner/upkeep.rs
+++ b/crates/batch/src/runner/upkeep.rs
@@ -85,8 +85,8 @@
     }
 
     fn mark_started(&mut self) {
-        let at_hand: u32 = self.leases.iter().map(Held::ready).sum();
-        let mut wanted = self.cfg.at_hand.saturating_sub(at_hand);
+        let marked: u32 = self.leases.iter().map(Held::marked).sum();
+        let mut wanted = self.cfg.marked_ahead.saturating_sub(marked);
         for held in &mut self.leases {
             let items = held.take_unmarked(wanted);
             if items.is_empty() {
--- a/crates/batch/src/settings.rs
+++ b/crates/batch/src/settings.rs
@@ -11,6 +11,9 @@
 pub struct Settings {
     /// The least number of items at hand. Below it more chunks are leased.
     pub at_hand: u32,
+    /// Items that may not be repeated and are marked as started before they have a slot. They are
+    /// of unknown outcome if this daemon is lost.
+    pub marked_ahead: u32,
     /// The most chunks to lease at once.
     pub lease_chunks: u16,
     /// The pause after a request that brought no chunk.
@@ -35,6 +38,7 @@
     fn default() -> Self {
         Self {
             at_hand: 64,
+            marked_ahead: 4,
             lease_chunks: 2,
             lease_pause: Millis(500),
             attempts: 3,
--- a/crates/batch/tests/all/isolate.rs
+++ b/crates/batch/tests/all/isolate.rs
@@ -91,6 +91,30 @@
     assert_eq!(bench.runner.counts().failed, 1);
 }
 
+#[test]
+fn a_second_death_before_the_answer_about_the_first_mixes_nothing() {
+    let mut bench = Bench::new(vec![lease(0, 3)]);
+    bench.start(0);
+    bench.start(1);
+    bench.on(Event::TargetDied);
+    assert_eq!(bench.start(2).map(|item| item.item), Some(2));
+    bench.on(Event::TargetDied);
+    bench.on(Event::Marked {
+        lease: at(0),
+        suspects: vec![suspect(0), suspect(1)],
+        failed: Vec::new(),
+    });
+    bench.on(Event::Marked {
+        lease: at(0),
+        suspects: vec![suspect(2)],
+        failed: Vec::new(),
+    });
+    for (run, item) in (3..6).zip(0..3) {
+        assert_eq!(bench.start(run).map(|item| item.item), Some(item));
+        bench.finish(run);
+    }
+}
+
 #[test]
 fn the_next_owner_isolates_what_it_is_told() {
     let mut known = lease(0, 2);
--- a/crates/batch/tests/all/leases.rs
+++ b/crates/batch/tests/all/leases.rs
@@ -161,10 +161,15 @@
     };
     assert!(actions.contains(&mark));
     assert!(bench.start(0).is_none());
-    bench.on(Event::Started {
+    let actions = bench.on(Event::Started {
         lease: at(0),
         items: items(&[0, 1, 3]),
     });
+    let mark_one = Action::MarkStarted {
+        lease: at(0),
+        items: items(&[4]),
+    };
+    assert!(actions.contains(&mark_one), "{actions:?}");
     let started: Vec<u16> = (1..3)
         .filter_map(|run| bench.start(run))
         .map(|i| i.item)
@@ -184,7 +189,14 @@
         chunk_ended: false,
     };
     bench.on(flushed());
-    let last = bench.on(flushed());
-    assert_matches!(&last[..], [Action::Release { not_run, .. }] if not_run.contains(3));
-    assert_matches!(&last[..], [Action::Release { not_run, .. }] if !not_run.contains(0));
+    assert_eq!(
+        bench.on(flushed()),
+        [],
+        "an answer about item 4 is under way"
+    );
+    let last = bench.on(Event::Started {
+        lease: at(0),
+        items: items(&[4]),
+    });
+    assert_matches!(&last[..], [Action::Release { not_run, .. }] if *not_run == items(&[3, 4]));
 }
--- a/crates/daemon/src/jobs/runner/item.rs
+++ b/crates/daemon/src/jobs/runner/item.rs
@@ -224,6 +224,8 @@
     }
 
     fn call(&self) -> End {
+        // A plain service reads no prompt: its call counts as under way from its start.
+        let _ = self.tx.send(Input::FirstToken(self.run));
         let id = call_id(&self.cx, &self.item, self.run);
         let body = self.request.service_body();
         let answer = self.cx.upstream.send(&Outgoing {
--- a/crates/daemon/src/jobs/runner/keeper.rs
+++ b/crates/daemon/src/jobs/runner/keeper.rs
@@ -76,6 +76,7 @@
         self.renew_at = now + Millis(lease / RENEWALS);
         let owner = cx.store.owner().clone();
         let renewed = cx.store.propose(cx, RenewLeases { owner })?;
+        lock(registry).validity.renewed(now);
         match renewed {
             Outcome::Renewed { chunks } if chunks as usize != leases.len() => {
                 self.compare(cx, registry)
--- a/crates/daemon/src/jobs/runner/mod.rs
+++ b/crates/daemon/src/jobs/runner/mod.rs
@@ -12,6 +12,7 @@
 mod slots;
 mod storing;
 mod target;
+mod validity;
 
 use std::{
     collections::{
@@ -47,6 +48,7 @@
 
 use item::End;
 use payload::Payload;
+use validity::Validity;
 
 /// What reaches the thread of a target.
 enum Input {
@@ -78,6 +80,7 @@
 #[derive(Default)]
 struct Shared {
     targets: BTreeMap<TargetName, Handle>,
+    validity: Arc<Validity>,
 }
 
 /// The thread of one target, as others see it.
--- a/crates/daemon/src/jobs/runner/owned.rs
+++ b/crates/daemon/src/jobs/runner/owned.rs
@@ -83,7 +83,7 @@
             continue;
         }
         let seed = SEED.fetch_add(1, Ordering::Relaxed) ^ xxh3_64(name.as_str().as_bytes());
-        match target::start(cx, target, seed) {
+        match target::start(cx, target, &shared.validity, seed) {
             Ok(handle) => drop(shared.targets.insert(name.clone(), handle)),
             Err(error) => log::error!("no batch at {name}: {error:#}"),
         }
--- a/crates/daemon/src/jobs/runner/storing.rs
+++ b/crates/daemon/src/jobs/runner/storing.rs
@@ -39,7 +39,8 @@
 use super::{
     Input,
     LeasedChunk,
-    payload::Payload, //
+    payload::Payload,
+    validity::Validity, //
 };
 
 /// The pause before a request that found no quorum is repeated.
@@ -50,6 +51,7 @@
     pub(super) cx: Arc<Context>,
     /// What the target serves.
     pub(super) work: Work,
+    pub(super) validity: Arc<Validity>,
     pub(super) tx: Sender<Input>,
 }
 
@@ -117,6 +119,7 @@
     /// Leases chunks and reads their items. A chunk whose items cannot be read goes back.
     fn lease(&self, max: u16) -> Input {
         let owner = self.cx.store.owner().clone();
+        let asked_at = self.cx.clock.now();
         let outcome = self.cx.store.propose(
             &self.cx,
             LeaseChunks {
@@ -126,7 +129,10 @@
             },
         );
         let leases = match outcome {
-            Ok(Outcome::Leased(leases)) => leases,
+            Ok(Outcome::Leased(leases)) => {
+                self.validity.renewed(asked_at);
+                leases
+            }
             other => {
                 log::debug!("no leases: {other:?}");
                 Vec::new()
--- a/crates/daemon/src/jobs/runner/target.rs
+++ b/crates/daemon/src/jobs/runner/target.rs
@@ -56,6 +56,7 @@
     payload::Payload,
     slots::Slots,
     storing::Storing,
+    validity::Validity,
 };
 
 /// The longest time between two looks at the gate and at a target that seems dead.
@@ -70,19 +71,26 @@
 /// # Errors
 ///
 /// Fails if a thread cannot be started, or if the target serves nothing.
-pub(super) fn start(cx: &Arc<Context>, target: &Announcement, seed: u64) -> anyhow::Result<Handle> {
+pub(super) fn start(
+    cx: &Arc<Context>,
+    target: &Announcement,
+    validity: &Arc<Validity>,
+    seed: u64,
+) -> anyhow::Result<Handle> {
     let work = work_of(target).context("it serves neither a model nor a service")?;
     let (tx, rx) = mpsc::channel();
     let (storing_tx, storing_rx) = mpsc::channel();
     let storing = Storing {
         cx: Arc::clone(cx),
         work: work.clone(),
+        validity: Arc::clone(validity),
         tx: tx.clone(),
     };
     let configuration = cx.store.configuration();
     let defaults = &configuration.defaults;
     let cfg = Settings {
         at_hand: target.slots * AT_HAND,
+        marked_ahead: target.slots.div_ceil(2),
         attempts: defaults.max_retries as u32 + 1,
         ..Settings::default()
     };
@@ -99,6 +107,7 @@
         suspect: false,
         counted: Counts::default(),
         held: Arc::clone(&held),
+        validity: Arc::clone(validity),
         storing: storing_tx,
         tx: tx.clone(),
         leaving: None,
@@ -143,6 +152,7 @@
     suspect: bool,
     counted: Counts,
     held: Arc<Mutex<Held>>,
+    validity: Arc<Validity>,
     storing: Sender<Action>,
     tx: Sender<Input>,
     /// While set, a planned stop waits for this thread.
@@ -161,7 +171,9 @@
             let now = self.cx.clock.now();
             let deadline = self.runner.next_deadline().unwrap_or(Millis::MAX);
             let wait = TICK.min(deadline - now);
-            match rx.recv_timeout(wait.duration()) {
+            let received = rx.recv_timeout(wait.duration());
+            self.check_leases();
+            match received {
                 Ok(input) => self.take(input),
                 Err(RecvTimeoutError::Timeout) => self.tick(),
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -173,6 +185,22 @@
         }
     }
 
+    /// Ends what runs under leases that have ended by this daemon's clock.
+    fn check_leases(&mut self) {
+        let lease = Millis(self.cx.store.configuration().defaults.lease_ms);
+        if !self.validity.is_over(lease, self.cx.clock.now()) {
+            return;
+        }
+        let leases = lock(&self.held).leases.clone();
+        if !leases.is_empty() {
+            let name = &self.target.name;
+            log::warn!("the chunk leases at {name} have ended: what runs is stopped");
+        }
+        for lease in leases {
+            self.handle(Event::LeaseLost(lease));
+        }
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Runner(event) => self.handle(event),
--- a/crates/daemon/tests/all/jobs.rs
+++ b/crates/daemon/tests/all/jobs.rs
@@ -20,6 +20,7 @@
     Item,
     Phase,
     Place,
+    Signal,
     wait_until, //
 };
 
@@ -30,6 +31,8 @@
 
 /// Within this time a cancel stops running streams, by the users' promise.
 const CANCEL_BOUND: Millis = Millis(2_000);
+/// Within this time after the end of its leases an owner has stopped what it runs.
+const STOP_BOUND: Millis = Millis(1_000);
 /// How long owners keep leases in these tests, in milliseconds.
 const LEASE_MS: u64 = 2_000;
 
@@ -45,6 +48,13 @@
     cluster.wait_until_ready();
     set_default(&cluster.caller(0), "lease_ms", LEASE_MS);
     set_default(&cluster.caller(0), "chunk_items", 20);
+    for index in 0..cluster.daemons.len() {
+        let caller = cluster.caller(index);
+        wait_until("the configuration is in force", || {
+            let status = caller.get("/admin/v1/status").unwrap_or_default();
+            status["revision"] == 2
+        });
+    }
     cluster
 }
 
@@ -115,6 +125,24 @@
     caller.job(job).expect("the daemon answers")
 }
 
+/// Waits until every stream that started has ended at its engine; when the last one did.
+fn wait_for_streams(cluster: &Cluster) -> Millis {
+    let ended = |entry: &&Entry| matches!(entry.phase, Phase::Finish | Phase::Cancel);
+    wait_until("every stream has ended at its engine", || {
+        let records = cluster.records();
+        let mut started = records.iter().filter(|entry| entry.phase == Phase::Start);
+        let ended: BTreeSet<_> = records
+            .iter()
+            .filter(ended)
+            .map(|entry| &entry.id)
+            .collect();
+        started.all(|entry| ended.contains(&entry.id))
+    });
+    let records = cluster.records();
+    let last = records.iter().filter(ended).map(|entry| entry.at).max();
+    last.expect("streams ran")
+}
+
 /// Checks that every item has just one result, its own and whole.
 fn assert_results(caller: &Caller, job: &str, items: &[Item], failed: &BTreeSet<String>) {
     let results = caller.results(job).expect("results are readable");
@@ -223,6 +251,29 @@
     assert_results(&caller, &job, &items, &BTreeSet::new());
 }
 
+#[test]
+fn batch_stops_by_its_leases_without_a_quorum() {
+    let mut cluster = start(2);
+    let items = items(200, 1_000);
+    create(&cluster, &items);
+    wait_until("streams run", || {
+        let records = cluster.records();
+        records
+            .iter()
+            .filter(|entry| entry.phase == Phase::Start)
+            .count()
+            > 8
+    });
+    cluster.daemons[0].kill();
+    cluster.daemons[1].kill();
+    let killed_at = Millis::unix_now();
+    let took = wait_for_streams(&cluster) - killed_at;
+    assert!(
+        took <= Millis(LEASE_MS) + STOP_BOUND,
+        "streams ran on for {took}"
+    );
+}
+
 #[test]
 fn batch_yields_to_a_burst_and_resumes_where_it_stopped() {
     let cluster = start(1);
@@ -320,20 +371,7 @@
     wait_until("the job is cancelled", || {
         caller.job(&job).unwrap_or_default()["status"] == "cancelled"
     });
-    let ended = |entry: &&Entry| matches!(entry.phase, Phase::Finish | Phase::Cancel);
-    wait_until("every stream has ended at its engine", || {
-        let records = cluster.records();
-        let started = records.iter().filter(|entry| entry.phase == Phase::Start);
-        let ended: BTreeSet<_> = records
-            .iter()
-            .filter(ended)
-            .map(|entry| &entry.id)
-            .collect();
-        started.into_iter().all(|entry| ended.contains(&entry.id))
-    });
-    let records = cluster.records();
-    let last = records.iter().filter(ended).map(|entry| entry.at).max();
-    let took = last.expect("streams ran") - cancelled_at;
+    let took = wait_for_streams(&cluster) - cancelled_at;
     assert!(took <= CANCEL_BOUND, "streams ran on for {took}");
     let lost = leader(&cluster);
     cluster.daemons[lost].kill();
@@ -343,51 +381,89 @@
     assert_eq!(status["status"], "cancelled");
 }
 
-#[test]
-fn calls_that_may_not_be_repeated_run_once() {
+/// Five daemons with copies of `order-desk`, and a job of this many slow orders. `fault` names
+/// what goes wrong with an order.
+fn start_orders(desks: usize, orders: u32, fault: fn(u32) -> &'static str) -> (Cluster, String) {
     let mut cluster = start(0);
     let place = Place::new("morava", "brno-a");
-    for name in ["desk0", "desk1"] {
-        cluster.start_service(name, &place, &[]);
+    for desk in 0..desks {
+        cluster.start_service(&format!("desk{desk}"), &place, &["--delay-ms", "200"]);
     }
     cluster.wait_until_ready();
-    let fault = |number| match number {
-        13 => "lost",
-        30 => "crash",
-        _ => "none",
-    };
     let line = |number| {
-        let body = json!({ "order": format!("order-{number}"), "fault": fault(number) });
-        json!({ "custom_id": format!("{number}"), "url": "/orders", "body": body }).to_string()
+        let body = json!({ "order": order(number), "fault": fault(number) });
+        json!({ "custom_id": order(number), "url": "/orders", "body": body }).to_string()
     };
-    let lines: Vec<String> = (0..60).map(line).collect();
+    let lines: Vec<String> = (0..orders).map(line).collect();
     let caller = cluster.caller(1);
     let answer = caller.call("POST", "/v1/batches?service=order-desk", &lines.join("\n"));
     let job = id_of(&answer.expect("the daemon answers").json());
-    let status = wait_for_end(&caller, &job);
+    (cluster, job)
+}
+
+fn order(number: u32) -> String {
+    format!("order-{number}")
+}
+
+/// Checks that no order ran twice, that each with a result ran, and that all others are of unknown
+/// outcome.
+fn assert_run_once(cluster: &Cluster, job: &str, orders: u32) {
     let records = cluster.records();
-    for number in 0..60 {
-        let order = format!("order-{number}");
+    for number in 0..orders {
+        let order = order(number);
         assert!(runs(&records, &order) <= 1, "{order} ran twice");
     }
-    let results = caller.results(&job).expect("results are readable");
-    let failed: Vec<_> = results
-        .iter()
-        .filter(|line| !line["error"].is_null())
-        .collect();
+    let results = cluster
+        .caller(1)
+        .results(job)
+        .expect("results are readable");
+    assert_eq!(results.len(), orders as usize);
+    for line in results {
+        let order = line["custom_id"].as_str().unwrap_or_default();
+        if line["error"].is_null() {
+            assert_eq!(
+                runs(&records, order),
+                1,
+                "{order} has a result and did not run"
+            );
+            assert_eq!(line["response"]["body"]["order"], order);
+        } else {
+            assert_eq!(line["error"]["code"], "outcome_unknown", "{line}");
+        }
+    }
+}
+
+#[test]
+fn calls_that_may_not_be_repeated_run_once() {
+    let fault = |number| match number {
+        13 => "lost",
+        30 => "crash",
+        _ => "none",
+    };
+    let (cluster, job) = start_orders(2, 60, fault);
+    let status = wait_for_end(&cluster.caller(1), &job);
+    assert!(status["failed"].as_u64() >= Some(2), "{status}");
+    assert_run_once(&cluster, &job, 60);
+}
+
+#[test]
+fn frozen_owners_run_no_call_twice_and_their_late_results_count() {
+    let (mut cluster, job) = start_orders(4, 200, |_| "none");
+    let caller = cluster.caller(1);
+    wait_for_done(&caller, &job, 10);
+    let mut signal = |signal| {
+        for index in [3, 4] {
+            let process = cluster.daemons[index].process.as_mut();
+            process.expect("the daemon runs").signal(signal);
+        }
+    };
+    signal(Signal::Stop);
+    let before = wait_for_end(&caller, &job);
     assert!(
-        failed
-            .iter()
-            .all(|line| line["error"]["code"] == "outcome_unknown"),
-        "{failed:?}"
+        before["failed"].as_u64() > Some(0),
+        "the frozen daemons ran nothing"
     );
-    assert_eq!(status["failed"], json!(failed.len()));
-    for line in results.iter().filter(|line| line["error"].is_null()) {
-        let order = format!("order-{}", line["custom_id"].as_str().unwrap_or_default());
-        assert_eq!(
-            runs(&records, &order),
-            1,
-            "{order} has a result and did not run"
-        );
-    }
+    signal(Signal::Cont);
+    wait_for_done(&caller, &job, before["completed"].as_u64().unwrap_or(0) + 1);
+    assert_run_once(&cluster, &job, 200);
 }
