daemon: tests of silent cuts between regions, a flooding team, an entry that dies

The cuts are relays on each way between daemons of different regions, which hold what is sent and close nothing: both ways, and each way alone. The region leaves the balancer and answers online questions, the others accept changes, and the region follows once the link is healed. The flood is judged by counts from the worker's record, not by times: how many calls of the flooding team started while a quiet team's call waited.

The claim of an order that was refused as "not run" during the cut is still on its way (held by the link, as a retransmission would be), and is applied after the link heals. Its owner lives, so nobody gives the claim up, and the key is in progress for as long as the daemon runs: the order can't be sent again under its key. The refusal itself was true. A claim whose proposer gave up wants either a bound in the command, after which it is ignored, or its withdrawal by the owner until that is confirmed.

--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,8 +1,11 @@
 //! Tests of the daemon as a process, one file a topic.
 
+mod acknowledged;
+mod flood;
 mod jobs;
 mod leaving;
 mod orders;
+mod partitions;
 mod replicas;
 mod settings;
 mod streams;
--- a/crates/testing/src/cluster/mod.rs
+++ b/crates/testing/src/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! Daemons, engines and services as child processes on loopback, for tests and the quickstart.
 
 mod layout;
+mod link;
 mod ports;
 mod process;
 
@@ -25,6 +26,7 @@
 };
 
 pub use layout::{Daemon, Place};
+pub use link::{Cut, Link};
 pub use process::{Process, Signal};
 
 /// A fake engine or a copy of a fake service, as a process.
@@ -58,17 +60,45 @@
     ///
     /// Panics if a process can't be started.
     pub fn start(places: &[Place], flags: &[&str]) -> Self {
+        let mut cluster = Self::new(places, flags);
+        cluster.start_daemons();
+        cluster
+    }
+
+    /// A cluster as [`Self::start`] makes it, in which no daemon runs yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there can be no temporary folder.
+    pub fn new(places: &[Place], flags: &[&str]) -> Self {
         let dir = TempDir::new().expect("a temporary folder");
-        let mut cluster = Self {
+        Self {
             daemons: layout::daemons(places, dir.path()),
             targets: BTreeMap::new(),
             flags: flags.iter().map(|&flag| flag.to_owned()).collect(),
             dir,
-        };
-        for index in 0..cluster.daemons.len() {
-            cluster.start_daemon(index);
         }
-        cluster
+    }
+
+    /// Starts every daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process can't be started.
+    pub fn start_daemons(&mut self) {
+        for index in 0..self.daemons.len() {
+            self.start_daemon(index);
+        }
+    }
+
+    /// Puts a relay on each way between daemons of different regions. Daemons that are started
+    /// after this use them.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a relay can't be started.
+    pub fn join_regions_by_link(&mut self) -> Link {
+        Link::between_regions(&mut self.daemons)
     }
 
     /// Starts a daemon that doesn't run, with the flags and the folder that it had before.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use announce::{Announcement, Announcer, Kind};
 pub use caller::{Answer, Broken, Caller, Streamed};
-pub use cluster::{Cluster, Daemon, Place, Process, Signal, Target};
+pub use cluster::{Cluster, Cut, Daemon, Link, Place, Process, Signal, Target};
 pub use engine::{Engine, EngineConfig};
 pub use jobs::Item;
 pub use load::{Arrival, Figures, LoadPhase, Percentiles, Report, Schedule, Steady, SteadyReport};
