--- a/crates/daemon/tests/all/leaving.rs
+++ b/crates/daemon/tests/all/leaving.rs
@@ -12,10 +12,14 @@
     Phase,
     Schedule,
     Signal,
-    run_online, //
+    run_online,
+    wait_until, //
 };
 
-use crate::support::with_engines;
+use crate::support::{
+    question,
+    with_engines, //
+};
 
 /// From when on a leaving target may get no new work, by the users' promise.
 const LEAVING_BOUND: Millis = Millis(3_000);
@@ -92,17 +96,17 @@
     let mut cluster = with_engines(1, &["--drain-delay", "300"]);
     let caller = cluster.caller(0);
     let long = cluster.caller(0);
-    let body = crate::support::question("long", 600);
+    let body = question("long", 600);
     let asking = thread::spawn(move || long.stream("/v1/completions", &body));
-    yuccaseam_testing::wait_until("the long call runs", || !cluster.records().is_empty());
+    wait_until("the long call runs", || !cluster.records().is_empty());
     let process = cluster.daemons[0].process.as_mut().unwrap();
     process.signal(Signal::Term);
-    yuccaseam_testing::wait_until("readiness is off", || {
+    wait_until("readiness is off", || {
         let answer = caller.call("GET", "/readyz", "").unwrap();
         answer.status == 503
     });
-    let ask = crate::support::question("late", 1);
-    yuccaseam_testing::wait_until("new calls are refused", || {
+    let ask = question("late", 1);
+    wait_until("new calls are refused", || {
         let answer = caller.post("/v1/completions", &ask).unwrap();
         answer.json()["error"]["code"] == "stopping"
     });
