quorum, daemon: a change of voters waits for the changed group's answers; removed instances stay out

Two faults that the process tests showed:

- A removal asked for within an election timeout of another voter's death was taken, because the dead voter still counted as active, and the group could commit nothing more.
A change of voters now begins a heartbeat round and is made once a quorum of the changed group has answered it; otherwise it is refused after an election timeout.
The core's test asks right after the crash now, without the pause it had.
- The leader adds configured voters by itself and so would bring back an instance that an operator removed.
The group remembers the instances that departed until they are added again.
Ruled out: not adding instances whose name has never voted (a group that forms could not be told from one that shrank).

The removal of the leader itself hands leadership over, and the next leader carries it out: the caller's store asks until one does. Also: the list of members is made when the group changes and every 200 ms, no longer after every input.

--- a/crates/daemon/src/replica/blobs.rs
+++ b/crates/daemon/src/replica/blobs.rs
@@ -6,13 +6,15 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc,
+        Mutex,
+        MutexGuard,
         mpsc::{
             self,
             Sender, //
-        },
+        }, //
     },
-    thread,
+    thread, //
 };
 
 use anyhow::Context as _;
--- a/crates/daemon/src/replica/disk.rs
+++ b/crates/daemon/src/replica/disk.rs
@@ -27,7 +27,7 @@
     SnapshotId,
     Term,
     WireEntry,
-    WireMember,
+    WireMembership,
     WirePayload,
     WireSnapshot, //
 };
@@ -36,7 +36,7 @@
 /// How many bytes of entries are read at a time.
 const READ_BYTES: usize = 1 << 20;
 
-/// Bytes of the length that precedes the members in a snapshot.
+/// Bytes of the length that precedes the group in a snapshot.
 const LENGTH_BYTES: usize = 4;
 
 /// Log and snapshots of one data folder.
@@ -48,7 +48,7 @@
 
 /// The content of a snapshot.
 pub(crate) struct Content {
-    members: Vec<WireMember>,
+    group: WireMembership,
     pub(crate) state: State,
 }
 
@@ -85,7 +85,7 @@
         let (snapshot, state) = match self.snapshots.latest() {
             Some(meta) => {
                 let content = self.content()?;
-                (snapshot(meta, content.members)?, content.state)
+                (snapshot(meta, content.group)?, content.state)
             }
             None => (Snapshot::default(), State::new()),
         };
@@ -166,8 +166,8 @@
         state: &[u8],
     ) -> Result<Snapshot, JournalError> {
         let mut writer = self.snapshots.writer(position)?;
-        let wire = WireSnapshot::from(Snapshot::initial(members.clone()));
-        let prefix = postcard::to_stdvec(&wire.members).expect("plain data encodes");
+        let group = WireMembership::from(members.clone());
+        let prefix = postcard::to_stdvec(&group).expect("plain data encodes");
         let len = u32::try_from(prefix.len()).expect("a group is small");
         writer.write(&len.to_le_bytes())?;
         writer.write(&prefix)?;
@@ -253,11 +253,11 @@
     let (len, rest) = data
         .split_first_chunk::<LENGTH_BYTES>()
         .context("the snapshot is too short")?;
-    let (members, state) = rest
+    let (group, state) = rest
         .split_at_checked(u32::from_le_bytes(*len) as usize)
         .context("the snapshot is too short")?;
     Ok(Content {
-        members: postcard::from_bytes(members).context("the snapshot's group is malformed")?,
+        group: postcard::from_bytes(group).context("the snapshot's group is malformed")?,
         state: State::restore(state).context("the snapshot's state is malformed")?,
     })
 }
@@ -282,7 +282,7 @@
     }
 }
 
-fn snapshot(meta: SnapshotMeta, members: Vec<WireMember>) -> anyhow::Result<Snapshot> {
+fn snapshot(meta: SnapshotMeta, group: WireMembership) -> anyhow::Result<Snapshot> {
     let id = id_of(meta).into();
-    Ok(WireSnapshot { id, members }.try_into()?)
+    Ok(WireSnapshot { id, group }.try_into()?)
 }
--- a/crates/daemon/src/replica/disk_thread.rs
+++ b/crates/daemon/src/replica/disk_thread.rs
@@ -9,7 +9,7 @@
         Receiver,
         Sender, //
     },
-    thread,
+    thread, //
 };
 
 use anyhow::Context as _;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -10,7 +10,7 @@
         RecvTimeoutError,
         Sender, //
     },
-    thread,
+    thread, //
 };
 
 use anyhow::Context as _;
@@ -55,7 +55,10 @@
 };
 
 use super::{
-    Input, LiveBlobs, MemberRequest, Status,
+    Input,
+    LiveBlobs,
+    MemberRequest,
+    Status,
     disk_thread::{
         DiskReply,
         DiskRequest, //
@@ -65,9 +68,12 @@
         Frame,
         Hello, //
     },
-    members::Presence,
+    members::{
+        MemberStatus,
+        Presence, //
+    },
     status::SharedStatus,
-    transport::Transport,
+    transport::Transport, //
 };
 
 /// The inputs that are taken from the queue at once.
@@ -128,6 +134,8 @@
     hello_at: Millis,
     upkeep_at: Millis,
     marks: VecDeque<Mark>,
+    /// The replicas as of the last look after the group.
+    members: Vec<MemberStatus>,
 }
 
 /// Starts the thread. It ends with the process.
@@ -183,6 +191,7 @@
             hello_at: Millis::ZERO,
             upkeep_at: Millis::ZERO,
             marks: VecDeque::new(),
+            members: Vec::new(),
         }
     }
 
@@ -421,6 +430,7 @@
         }
         self.applied = index;
         let Payload::Command(data) = &committed.entry.payload else {
+            self.refresh_members();
             if let Some(Waiter::Change(reply)) = waiter {
                 answer(&reply, Replied::Answer(()));
             }
@@ -459,7 +469,12 @@
         let Some(Waiter::Change(reply)) = self.waiters.remove(&token) else {
             return;
         };
+        if *error == ChangeError::IsLeader {
+            // The next leader carries the change out; the caller asks until one does.
+            self.step(Event::HandOver);
+        }
         let replied = match error {
+            ChangeError::IsLeader => Replied::NotLeader(None),
             ChangeError::NotLeader(_) => Replied::NotLeader(hint),
             ChangeError::Unknown(_) => Replied::Lost(error.to_string()),
             _ => Replied::Refused(Refusal::not_run(Reason::UnsafeChange, error.to_string())),
@@ -486,6 +501,7 @@
         if now >= self.upkeep_at {
             self.upkeep_at = now + UPKEEP;
             self.upkeep(now);
+            self.refresh_members();
         }
     }
 
@@ -546,6 +562,12 @@
         }
     }
 
+    fn refresh_members(&mut self) {
+        if let Some(core) = &self.core {
+            self.members = self.presence.list(core, self.clock.now());
+        }
+    }
+
     fn snapshot_if_due(&mut self) {
         let Some(core) = &self.core else {
             return;
@@ -582,7 +604,7 @@
             lease_until: core.lease_until(),
             term: core.term().0,
             applied: self.applied.0,
-            members: self.presence.list(core, self.clock.now()),
+            members: self.members.clone(),
             voters: group.voters().filter_map(name).collect(),
         });
     }
--- a/crates/daemon/src/replica/members.rs
+++ b/crates/daemon/src/replica/members.rs
@@ -117,7 +117,8 @@
     }
 
     /// What the leader does about the configured voters without being asked: an empty disk of
-    /// one follows the log, and once it holds every entry and blob it votes.
+    /// one follows the log, and once it holds every entry and blob it votes. An instance that an
+    /// operator removed stays out.
     pub(crate) fn upkeep(
         &self,
         configured: &[InstanceName],
@@ -127,7 +128,7 @@
     ) -> Option<Change> {
         let mut expected = self
             .present(now)
-            .filter(|(name, _)| configured.contains(name));
+            .filter(|(name, _)| configured.contains(name) && !group.has_departed(name));
         expected.find_map(|(name, seen)| {
             let id = seen.disk();
             match group.get(id).map(|member| member.standing) {
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -30,8 +30,8 @@
             self,
             Receiver,
             Sender, //
-        },
-    },
+        }, //
+    }, //
 };
 
 use anyhow::Context as _;
--- a/crates/daemon/src/replica/transport.rs
+++ b/crates/daemon/src/replica/transport.rs
@@ -5,7 +5,7 @@
     sync::{
         Arc,
         mpsc::Sender as InputSender, //
-    },
+    }, //
 };
 
 use tokio::sync::mpsc::{
@@ -37,7 +37,7 @@
     peers::{
         Links,
         MAX_MESSAGE, //
-    },
+    }, //
 };
 
 use super::{
--- a/crates/daemon/src/store/members.rs
+++ b/crates/daemon/src/store/members.rs
@@ -18,13 +18,15 @@
         MemberStatus, //
     },
     store::{
-        Replied, Store, Voter,
+        Replied,
+        Store,
+        Voter,
         remote::{
             client,
             refusal_of,
             timed, //
-        },
-    },
+        }, //
+    }, //
 };
 
 impl Store {
--- a/crates/daemon/tests/all/replicas.rs
+++ b/crates/daemon/tests/all/replicas.rs
@@ -110,6 +110,22 @@
         configuration["revision"].as_u64()
     }
 
+    /// Changes the group through one instance and returns the status of the answer.
+    fn change(&self, through: usize, verb: &str, at: usize) -> u16 {
+        let body = json!({ "instance": self.cluster.daemons[at].name });
+        let path = format!("/admin/v1/members/{verb}");
+        let answer = self.cluster.caller(through).post(&path, &body);
+        answer.expect("the daemon answers").status
+    }
+
+    fn role(&self, through: usize, at: usize) -> Option<String> {
+        let name = &self.cluster.daemons[at].name;
+        let members = self.members(through);
+        let mut members = members.iter();
+        let member = members.find(|member| member["instance"] == name.as_str())?;
+        member["role"].as_str().map(str::to_owned)
+    }
+
     fn kill(&mut self, at: usize) {
         self.cluster.daemons[at].kill();
     }
@@ -237,3 +253,35 @@
     replicas.write(rest);
     replicas.wait_for_voters(rest);
 }
+
+#[test]
+fn an_operator_removes_the_leader_and_adds_it_again() {
+    let mut replicas = Replicas::start();
+    replicas.write(0);
+    let old = replicas.wait_for_leader(&[0, 1, 2]);
+    let [a, b] = others(old);
+    assert_eq!(replicas.change(a, "remove", old), 200);
+    replicas.wait_for_leader(&[a, b]);
+    replicas.write(a);
+    assert_eq!(replicas.role(a, old).as_deref(), Some("candidate"));
+    assert_eq!(replicas.change(b, "add", old), 200);
+    replicas.wait_for_voters(a);
+    replicas.kill(b);
+    replicas.write(a);
+}
+
+#[test]
+fn a_removal_that_would_lose_the_quorum_is_refused_with_its_reason() {
+    let mut replicas = Replicas::start();
+    replicas.write(0);
+    let leader = replicas.wait_for_leader(&[0, 1, 2]);
+    let [dead, alive] = others(leader);
+    replicas.kill(dead);
+    let body = json!({ "instance": replicas.cluster.daemons[alive].name });
+    let caller = replicas.cluster.caller(leader);
+    let refused = caller.post("/admin/v1/members/remove", &body);
+    let refused = refused.expect("the daemon answers");
+    assert_eq!(refused.status, 409, "{}", refused.text);
+    assert!(refused.text.contains("only 1 voters"), "{}", refused.text);
+    replicas.write(alive);
+}
--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -6,43 +6,120 @@
 //! steps away, might still win.
 
 use crate::{
-    Action, Change, ChangeError, Core, DiskId, Index, Membership, Payload, Token,
+    Action,
+    Change,
+    ChangeError,
+    Core,
+    DiskId,
+    Index,
+    Membership,
+    Payload,
+    Round,
+    Token,
     role::{
+        Proposed,
         Replacing,
         Role, //
-    },
+    }, //
 };
 
 impl Core {
+    /// Takes a change in. One that concerns voters waits until a quorum of the changed group has
+    /// answered a heartbeat sent after it was asked for: a group of which too few answer could
+    /// commit nothing more, not even the way back.
     pub(crate) fn on_change(&mut self, token: Token, change: Change) {
-        let result = match &change {
-            Change::Replace { old, new } => self.replace(token, *old, *new),
-            _ => self.change(token, &change),
+        let result = self.check_may_change().and_then(|()| self.changed(&change));
+        match (result, &change) {
+            (Err(error), _) => self.actions.push(Action::ChangeRefused { token, error }),
+            (Ok(next), Change::AddLearner { .. }) => self.append_members(token, next),
+            (Ok(_), _) => self.ask_group(token, change),
+        }
+    }
+
+    fn ask_group(&mut self, token: Token, change: Change) {
+        let until = self.now + self.timing.election;
+        if let Role::Leader(leading) = &mut self.role {
+            leading.round = leading.round.next();
+            leading.proposed = Some(Proposed {
+                token,
+                change,
+                round: leading.round,
+                until,
+            });
+        }
+        self.send_heartbeats();
+    }
+
+    /// Makes the change that waits, once enough of the changed group has answered.
+    pub(crate) fn continue_change(&mut self) {
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
+        let Some(Proposed {
+            token,
+            change,
+            round,
+            ..
+        }) = &leading.proposed
+        else {
+            return;
+        };
+        let (token, change) = (*token, change.clone());
+        let next = match self.changed(&change) {
+            Ok(next) if !self.has_answered(&next, *round) => return,
+            next => next,
         };
-        if let Err(error) = result {
-            self.actions.push(Action::ChangeRefused { token, error });
+        self.end_change();
+        match (next, change) {
+            (Err(error), _) => self.actions.push(Action::ChangeRefused { token, error }),
+            (Ok(next), Change::Replace { new, .. }) => self.remove_then_promote(token, next, new),
+            (Ok(next), _) => self.append_members(token, next),
         }
     }
 
-    fn change(&mut self, token: Token, change: &Change) -> Result<(), ChangeError> {
-        self.check_may_change()?;
-        let next = self.changed(change)?;
-        self.append_members(token, next);
-        Ok(())
+    fn has_answered(&self, group: &Membership, round: Round) -> bool {
+        group.is_quorum(|id| self.answered_round(id) >= round)
+    }
+
+    /// Refuses the change that waits if too few have answered in time.
+    pub(crate) fn expire_change(&mut self) {
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
+        let Some(proposed) = &leading.proposed else {
+            return;
+        };
+        if self.now < proposed.until {
+            return;
+        }
+        let (token, round) = (proposed.token, proposed.round);
+        let error = match self.changed(&proposed.change) {
+            Ok(next) => ChangeError::WouldLoseQuorum {
+                active: next
+                    .voters()
+                    .filter(|&id| self.answered_round(id) >= round)
+                    .count(),
+                needed: next.majority(),
+            },
+            Err(error) => error,
+        };
+        self.end_change();
+        self.actions.push(Action::ChangeRefused { token, error });
+    }
+
+    fn end_change(&mut self) {
+        if let Role::Leader(leading) = &mut self.role {
+            leading.proposed = None;
+        }
     }
 
     /// Removes the lost voter; [`Core::continue_replacing`] promotes the learner after that.
-    fn replace(&mut self, token: Token, old: DiskId, new: DiskId) -> Result<(), ChangeError> {
-        self.check_may_change()?;
-        self.check_learner_synced(new)?;
-        let next = self.changed(&Change::Remove(old))?;
-        let index = self.append_own(Payload::Members(next));
+    fn remove_then_promote(&mut self, token: Token, next: Membership, new: DiskId) {
+        self.append_own(Payload::Members(next));
         self.refresh_peers();
-        debug_assert!(index > self.commit);
         if let Role::Leader(leading) = &mut self.role {
             leading.replacing = Some(Replacing { new, token });
         }
-        Ok(())
     }
 
     /// Takes the second step of a replacement once the first is committed and the learner has
@@ -58,8 +135,8 @@
             return;
         }
         let next = match self.changed(&Change::Promote(new)) {
-            Ok(next) => next,
-            Err(ChangeError::NotSynced { .. } | ChangeError::WouldLoseQuorum { .. }) => return,
+            Ok(next) if self.is_active(new) => next,
+            Ok(_) | Err(ChangeError::NotSynced { .. }) => return,
             Err(error) => {
                 self.end_replacing();
                 return self.actions.push(Action::ChangeRefused { token, error });
@@ -89,7 +166,8 @@
             return Err(ChangeError::TermNotCommitted);
         }
         let is_committed = self.log.membership_index() <= self.commit;
-        if !is_committed || leading.replacing.is_some() || leading.hand_over.is_some() {
+        let is_busy = leading.proposed.is_some() || leading.replacing.is_some();
+        if !is_committed || is_busy || leading.hand_over.is_some() {
             return Err(ChangeError::InProgress);
         }
         Ok(())
@@ -108,20 +186,27 @@
             Change::Promote(id) => {
                 self.check_learner_synced(id)?;
                 self.check_name_free(id)?;
-                self.check_quorum_of(group.with_voter(id))
+                Ok(group.with_voter(id))
             }
-            Change::Remove(id) | Change::Replace { old: id, .. } => {
-                if id == self.id {
-                    return Err(ChangeError::IsLeader);
-                }
-                if !group.contains(id) {
-                    return Err(ChangeError::NotMember(id));
-                }
-                self.check_quorum_of(group.without(id))
+            Change::Remove(id) => self.check_removal(id),
+            Change::Replace { old, new } => {
+                self.check_learner_synced(new)?;
+                self.check_removal(old)
             }
         }
     }
 
+    fn check_removal(&self, id: DiskId) -> Result<Membership, ChangeError> {
+        let group = self.log.membership();
+        if id == self.id {
+            return Err(ChangeError::IsLeader);
+        }
+        if !group.contains(id) {
+            return Err(ChangeError::NotMember(id));
+        }
+        Ok(group.without(id))
+    }
+
     fn check_learner_synced(&self, id: DiskId) -> Result<(), ChangeError> {
         let group = self.log.membership();
         if !group.contains(id) {
@@ -155,14 +240,4 @@
             None => Ok(()),
         }
     }
-
-    /// Refuses a group whose voters could not commit anything now.
-    fn check_quorum_of(&self, group: Membership) -> Result<Membership, ChangeError> {
-        let active = group.voters().filter(|&id| self.is_active(id)).count();
-        let needed = group.majority();
-        if active < needed {
-            return Err(ChangeError::WouldLoseQuorum { active, needed });
-        }
-        Ok(group)
-    }
 }
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -126,6 +126,7 @@
         self.dispatch(event);
         self.advance_commit();
         self.hand_over_commits();
+        self.continue_change();
         self.continue_replacing();
         self.confirm_reads();
         self.replicate();
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -3,12 +3,17 @@
 use yuccaseam_base::Millis;
 
 use crate::{
-    Body, Core, DiskId, HardState, LastEntry, Term,
+    Body,
+    Core,
+    DiskId,
+    HardState,
+    LastEntry,
+    Term,
     role::{
         Ballot,
         Following,
         Role, //
-    },
+    }, //
 };
 
 impl Core {
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -196,7 +196,7 @@
     NameVotes(DiskId),
     /// The leader cannot remove itself: hand leadership over first.
     IsLeader,
-    /// Too few voters of the changed group answer.
+    /// Too few voters of the changed group answered in time.
     WouldLoseQuorum {
         /// How many answered of late.
         active: usize,
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -6,8 +6,20 @@
 };
 
 use crate::{
-    Action, AppendResult, Body, ChangeError, Committed, Core, DiskId, Echo, Entry, Envelope, Index,
-    Payload, Proposal, Token,
+    Action,
+    AppendResult,
+    Body,
+    ChangeError,
+    Committed,
+    Core,
+    DiskId,
+    Echo,
+    Entry,
+    Envelope,
+    Index,
+    Payload,
+    Proposal,
+    Token,
     progress::{
         Progress,
         Stamp, //
@@ -17,7 +29,7 @@
         Leading,
         Pending,
         Role, //
-    },
+    }, //
 };
 
 /// The entries that may wait for commitment before proposals are refused.
@@ -51,6 +63,12 @@
                 rejected(pending.token, Verdict::MayHaveRun, None)
             });
         }
+        if let Some(proposed) = leading.proposed {
+            self.actions.push(Action::ChangeRefused {
+                token: proposed.token,
+                error: ChangeError::NotLeader(None),
+            });
+        }
         if let Some(replacing) = leading.replacing {
             self.actions.push(Action::ChangeRefused {
                 token: replacing.token,
@@ -232,6 +250,7 @@
             self.send_heartbeats();
         }
         self.retry_transfers();
+        self.expire_change();
     }
 
     /// When the latest message was sent that a majority of the voters has answered.
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -79,6 +79,7 @@
     WireError,
     WireHardState,
     WireMember,
+    WireMembership,
     WirePayload,
     WireSnapshot,
     WireSnapshotId, //
--- a/crates/quorum/src/membership.rs
+++ b/crates/quorum/src/membership.rs
@@ -1,6 +1,9 @@
 //! Which disks are members of the group, and which of them vote.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use yuccaseam_base::{
     InstanceName,
@@ -33,6 +36,9 @@
 #[derive(Default)]
 pub struct Membership {
     members: BTreeMap<DiskId, Member>,
+    /// Instances that were removed and not added again. A leader that adds configured instances by
+    /// itself must not bring them back.
+    departed: BTreeSet<InstanceName>,
 }
 
 impl Membership {
@@ -53,6 +59,21 @@
         self.members.insert(id, Member { name, standing });
     }
 
+    /// Notes that an instance was removed.
+    pub fn depart(&mut self, name: InstanceName) {
+        self.departed.insert(name);
+    }
+
+    /// The instances that were removed and not added again.
+    pub fn departed(&self) -> impl Iterator<Item = &InstanceName> {
+        self.departed.iter()
+    }
+
+    /// Whether an instance was removed and not added again.
+    pub fn has_departed(&self, name: &InstanceName) -> bool {
+        self.departed.contains(name)
+    }
+
     /// Whether nobody is a member, as on a disk that has not heard from any leader.
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
@@ -123,6 +144,7 @@
         let mut next = self.clone();
         next.members
             .retain(|_, member| member.name != name || member.standing == Standing::Voter);
+        next.departed.remove(&name);
         next.insert(id, name, Standing::Learner);
         next
     }
@@ -136,10 +158,14 @@
         next
     }
 
-    /// This group without a member.
+    /// This group without a member. Its instance has departed, unless another disk of it stays.
     pub(crate) fn without(&self, id: DiskId) -> Self {
         let mut next = self.clone();
-        next.members.remove(&id);
+        if let Some(Member { name, .. }) = next.members.remove(&id)
+            && !next.members.values().any(|member| member.name == name)
+        {
+            next.depart(name);
+        }
         next
     }
 }
--- a/crates/quorum/src/reads.rs
+++ b/crates/quorum/src/reads.rs
@@ -5,12 +5,16 @@
 use yuccaseam_base::Verdict;
 
 use crate::{
-    Action, Core, Round, Token,
+    Action,
+    Core,
+    DiskId,
+    Round,
+    Token,
     leader::rejected,
     role::{
         FIRST_ROUND,
         Role, //
-    },
+    }, //
 };
 
 impl Core {
@@ -66,22 +70,26 @@
     }
 
     fn quorum_round(&self) -> Round {
+        self.log
+            .membership()
+            .quorum_value(|id| self.answered_round(id))
+            .unwrap_or_default()
+    }
+
+    /// The latest round that a member answered.
+    pub(crate) fn answered_round(&self, id: DiskId) -> Round {
         let Role::Leader(leading) = &self.role else {
             return Round::default();
         };
-        let round = |id| match leading.progress.get(&id) {
+        match leading.progress.get(&id) {
             _ if id == self.id => leading.round,
             Some(progress) => progress.round,
             None => Round::default(),
-        };
-        self.log
-            .membership()
-            .quorum_value(round)
-            .unwrap_or_default()
+        }
     }
 
-    /// How many rounds of reads this leader has begun in its term.
-    pub fn read_rounds(&self) -> u64 {
+    /// How many rounds this leader has begun in its term, for reads and for changes of the group.
+    pub fn rounds(&self) -> u64 {
         match &self.role {
             Role::Leader(leading) => leading.round.0 - FIRST_ROUND.0,
             _ => 0,
--- a/crates/quorum/src/role.rs
+++ b/crates/quorum/src/role.rs
@@ -9,6 +9,7 @@
 use yuccaseam_base::Millis;
 
 use crate::{
+    Change,
     DiskId,
     Echo,
     Index,
@@ -81,6 +82,15 @@
     pub(crate) until: Millis,
 }
 
+/// A change of the group that waits until a quorum of the changed group has answered.
+#[derive(Debug)]
+pub(crate) struct Proposed {
+    pub(crate) token: Token,
+    pub(crate) change: Change,
+    pub(crate) round: Round,
+    pub(crate) until: Millis,
+}
+
 /// The second step of a replacement: the learner to promote.
 #[derive(Debug)]
 pub(crate) struct Replacing {
@@ -101,6 +111,7 @@
     pub(crate) round: Round,
     pub(crate) heartbeat_at: Millis,
     pub(crate) hand_over: Option<HandOver>,
+    pub(crate) proposed: Option<Proposed>,
     pub(crate) replacing: Option<Replacing>,
 }
 
@@ -115,6 +126,7 @@
             round: FIRST_ROUND,
             heartbeat_at: now,
             hand_over: None,
+            proposed: None,
             replacing: None,
         }
     }
--- a/crates/quorum/src/wire.rs
+++ b/crates/quorum/src/wire.rs
@@ -19,6 +19,7 @@
     WireEntry,
     WireHardState,
     WireMember,
+    WireMembership,
     WirePayload,
     WireSnapshot,
     WireSnapshotId, //
--- a/crates/quorum/src/wire/entry.rs
+++ b/crates/quorum/src/wire/entry.rs
@@ -40,6 +40,15 @@
     pub votes: bool,
 }
 
+/// The group.
+#[record]
+pub struct WireMembership {
+    /// Its members.
+    pub members: Vec<WireMember>,
+    /// The instances that were removed and not added again.
+    pub departed: Vec<InstanceName>,
+}
+
 /// What an entry carries.
 #[record]
 pub enum WirePayload {
@@ -48,7 +57,7 @@
     /// A command.
     Command(WireBytes),
     /// The group.
-    Members(Vec<WireMember>),
+    Members(WireMembership),
 }
 
 /// One entry of the log.
@@ -92,10 +101,10 @@
     /// Which snapshot.
     pub id: WireSnapshotId,
     /// The group as of its last entry.
-    pub members: Vec<WireMember>,
+    pub group: WireMembership,
 }
 
-fn members(membership: Membership) -> Vec<WireMember> {
+fn members(membership: &Membership) -> Vec<WireMember> {
     let member = |(id, member): (DiskId, &crate::Member)| WireMember {
         id: id.0,
         name: member.name.clone(),
@@ -104,20 +113,36 @@
     membership.iter().map(member).collect()
 }
 
-fn membership(members: Vec<WireMember>) -> Result<Membership, WireError> {
-    let ids: BTreeSet<u64> = members.iter().map(|member| member.id).collect();
-    if ids.len() < members.len() {
-        return Err(WireError::DoubleMember);
+impl From<Membership> for WireMembership {
+    fn from(membership: Membership) -> Self {
+        Self {
+            members: members(&membership),
+            departed: membership.departed().cloned().collect(),
+        }
     }
-    let mut membership = Membership::default();
-    for member in members {
-        let standing = match member.votes {
-            true => Standing::Voter,
-            false => Standing::Learner,
-        };
-        membership.insert(DiskId(member.id), member.name, standing);
+}
+
+impl TryFrom<WireMembership> for Membership {
+    type Error = WireError;
+
+    fn try_from(wire: WireMembership) -> Result<Self, WireError> {
+        let ids: BTreeSet<u64> = wire.members.iter().map(|member| member.id).collect();
+        if ids.len() < wire.members.len() {
+            return Err(WireError::DoubleMember);
+        }
+        let mut membership = Self::default();
+        for member in wire.members {
+            let standing = match member.votes {
+                true => Standing::Voter,
+                false => Standing::Learner,
+            };
+            membership.insert(DiskId(member.id), member.name, standing);
+        }
+        for name in wire.departed {
+            membership.depart(name);
+        }
+        Ok(membership)
     }
-    Ok(membership)
 }
 
 impl From<Entry> for WireEntry {
@@ -125,7 +150,7 @@
         let payload = match entry.payload {
             Payload::Empty => WirePayload::Empty,
             Payload::Command(data) => WirePayload::Command(WireBytes(data)),
-            Payload::Members(membership) => WirePayload::Members(members(membership)),
+            Payload::Members(membership) => WirePayload::Members(membership.into()),
         };
         Self {
             index: entry.index.0,
@@ -145,7 +170,7 @@
         let payload = match entry.payload {
             WirePayload::Empty => Payload::Empty,
             WirePayload::Command(data) => Payload::Command(data.0),
-            WirePayload::Members(members) => Payload::Members(membership(members)?),
+            WirePayload::Members(wire) => Payload::Members(wire.try_into()?),
         };
         Ok(Self {
             index: Index(entry.index),
@@ -199,7 +224,7 @@
     fn from(snapshot: Snapshot) -> Self {
         Self {
             id: snapshot.id.into(),
-            members: members(snapshot.membership),
+            group: snapshot.membership.into(),
         }
     }
 }
@@ -210,7 +235,7 @@
     fn try_from(snapshot: WireSnapshot) -> Result<Self, WireError> {
         Ok(Self {
             id: snapshot.id.into(),
-            membership: membership(snapshot.members)?,
+            membership: snapshot.group.try_into()?,
         })
     }
 }
--- a/crates/quorum/tests/all/disk.rs
+++ b/crates/quorum/tests/all/disk.rs
@@ -5,7 +5,7 @@
     hash::{
         DefaultHasher,
         Hasher, //
-    },
+    }, //
 };
 
 use yuccaseam_quorum::{
--- a/crates/quorum/tests/all/group.rs
+++ b/crates/quorum/tests/all/group.rs
@@ -6,7 +6,7 @@
         BTreeSet,
         VecDeque, //
     },
-    sync::Arc,
+    sync::Arc, //
 };
 
 use rand::{
--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -28,6 +28,7 @@
 fn refusal(group: &mut Group, change: Change) -> ChangeError {
     let leader = group.settle();
     let token = group.change(leader, change);
+    group.until("it is refused", |group| group.refused.contains_key(&token));
     group.refused[&token].clone()
 }
 
@@ -124,7 +125,6 @@
     let leader = group.settle();
     let (dead, alive) = others(leader);
     group.crash(dead);
-    group.run(Millis::from_secs(3));
     let alive = group.replicas[alive].id;
     assert_eq!(
         refusal(&mut group, Change::Remove(alive)),
@@ -182,3 +182,20 @@
     assert_eq!(group.leader(), Some(0));
     group.write();
 }
+
+#[test]
+fn a_removed_instance_has_departed_until_it_is_added_again() {
+    let mut group = Group::new(3, 30);
+    let leader = group.settle();
+    let (gone, _) = others(leader);
+    let (id, name) = (group.replicas[gone].id, group.replicas[gone].name.clone());
+    let departed = |group: &Group| {
+        let core = group.core(leader).expect("it runs");
+        core.membership().has_departed(&name)
+    };
+    group.change_and_wait(Change::Remove(id));
+    assert!(departed(&group));
+    group.lose_disk(gone);
+    add_learner(&mut group, gone);
+    assert!(!departed(&group));
+}
--- a/crates/quorum/tests/all/wire.rs
+++ b/crates/quorum/tests/all/wire.rs
@@ -15,6 +15,7 @@
     WireEnvelope,
     WireError,
     WireMember,
+    WireMembership,
     WirePayload,
     WireSnapshot,
     WireSnapshotId, //
@@ -40,6 +41,13 @@
     }
 }
 
+fn group(members: Vec<WireMember>) -> WireMembership {
+    WireMembership {
+        members,
+        departed: vec!["instance-9".into()],
+    }
+}
+
 fn append(indexes: &[u64], payload: WirePayload) -> WireBody {
     let entry = |&index: &u64| WireEntry {
         index,
@@ -82,7 +90,10 @@
         },
         WireBody::VoteReply { granted: false },
         append(&[5, 6], WirePayload::Command(data.clone())),
-        append(&[5], WirePayload::Members(vec![member(1), member(2)])),
+        append(
+            &[5],
+            WirePayload::Members(group(vec![member(1), member(2)])),
+        ),
         append(&[], WirePayload::Empty),
         WireBody::Matched {
             index: 5,
@@ -95,7 +106,7 @@
         },
         WireBody::Offer(WireSnapshot {
             id: SNAPSHOT,
-            members: vec![member(1)],
+            group: group(vec![member(1)]),
         }),
         WireBody::Chunk {
             id: SNAPSHOT,
@@ -128,7 +139,10 @@
     assert_eq!(refused(envelope(3, gap)), WireError::Gap);
     let later = append(&[5], WirePayload::Empty);
     assert_eq!(refused(envelope(2, later)), WireError::BadEntry);
-    let double = append(&[5], WirePayload::Members(vec![member(1), member(1)]));
+    let double = append(
+        &[5],
+        WirePayload::Members(group(vec![member(1), member(1)])),
+    );
     assert_eq!(refused(envelope(3, double)), WireError::DoubleMember);
 }
 
--- a/crates/quorum/tests/all/writes.rs
+++ b/crates/quorum/tests/all/writes.rs
@@ -71,7 +71,7 @@
         reads.iter().all(|read| group.answered_reads.contains(read))
     });
     let core = group.core(leader).expect("it runs");
-    assert_eq!(core.read_rounds(), 2);
+    assert_eq!(core.rounds(), 2);
 }
 
 #[test]
