--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,15 +22,18 @@
 mod entry;
 mod health;
 mod http;
+mod instances;
 mod jobs;
 mod logging;
 mod measures;
+mod orders;
 mod peers;
 mod replica;
 mod run;
 mod settings;
 mod store;
 mod targets;
+mod upkeep;
 mod upstream;
 
 pub use run::run;
