--- a/crates/daemon/src/replica/blobs.rs
+++ b/crates/daemon/src/replica/blobs.rs
@@ -7,13 +7,15 @@
 use std::{
     collections::BTreeSet,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc,
+        Mutex,
+        MutexGuard,
         mpsc::{
             self,
             Sender, //
-        },
+        }, //
     },
-    thread,
+    thread, //
 };
 
 use anyhow::Context as _;
