Membership by the fleet core; dead owners end; claims without an answer are released

Targets' announcements were told to every daemon by every daemon that took one, and each daemon probed every other one twice a second: idle processor time of an entry grew from 0.63% of a core with 9 daemons to 1.24% with 30. Membership, target records and who may own a target now come from the fleet core over one RPC; owners are chosen among live daemons in the target's failure domain, else its region, and no longer anywhere.

Cause of the failing test an_order_refused_during_a_cut_runs_when_sent_again: a claim that was proposed during the cut was committed after its caller had been told 'not run', and held the key. Such claims are now made again, which changes nothing, and ended as not run.

The leader ends leases and claims of daemons that membership says are dead, or that answer as another run; before, chunks of a killed daemon waited for their lease of 30 s.

--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -29,13 +29,14 @@
                 "voters": replica.voters,
             })),
             "running_requests": measures::running(),
-            "targets": cx.targets.all(cx.clock.now()).len(),
+            "targets": cx.targets.all().len(),
         }),
     );
 }
 
 /// Answers with every target that this instance knows.
 pub(crate) fn list_targets(cx: &Context, out: Responder) {
-    let targets = cx.targets.all(cx.clock.now());
+    let all = cx.targets.all();
+    let targets: Vec<_> = all.values().collect();
     out.json(200, &json!({ "targets": targets }));
 }
--- a/crates/daemon/src/admission/entry.rs
+++ b/crates/daemon/src/admission/entry.rs
@@ -42,11 +42,11 @@
 };
 use crate::{
     context::Context,
-    measures,
-    targets::{
+    fleet::{
         Announcement,
         State, //
     },
+    measures,
 };
 
 /// How long a target is passed over after its owner refused without saying when to come back.
@@ -127,13 +127,13 @@
     /// The targets to ask, best first. Those that failed the request come last.
     fn choose(&self, cx: &Context, ask: &Ask, now: Millis) -> Vec<Announcement> {
         let names = self.with_view(cx, |view| view.choose(cx, ask, now));
-        let known = names.iter().filter_map(|name| cx.targets.get(name, now));
+        let known = names.iter().filter_map(|name| cx.targets.get(name));
         let mut targets: Vec<_> = known.filter(|found| found.state == State::Live).collect();
         let failed = |target: &Announcement| ask.avoid.contains(&target.name);
         if targets.iter().all(failed) {
             let others = match &ask.needs {
-                Needs::Model(model) => cx.targets.of_model(model, now),
-                Needs::Service(service) => cx.targets.of_service(service, now),
+                Needs::Model(model) => cx.targets.of_model(model),
+                Needs::Service(service) => cx.targets.of_service(service),
             };
             targets.extend(others.into_iter().filter(|other| !failed(other)));
         }
@@ -250,7 +250,7 @@
             None => Err(remote::Unreachable("no address is known".to_owned())),
         };
         answer.unwrap_or_else(|unreachable| {
-            self.peers.set_down(owner);
+            self.set_down(cx, owner);
             let detail = format!("{owner} owns {target}: {}", unreachable.0);
             Answer {
                 result: Err(Refusal::not_run(Reason::OwnerUnreachable, detail)),
@@ -275,8 +275,15 @@
     }
 
     pub(super) fn owner_of(&self, cx: &Context, target: &TargetName) -> InstanceName {
-        let others = cx.links.names();
-        self.peers.owner_of(target, &self.instance, &others)
+        let candidates = cx.fleet.owners(cx, target);
+        self.peers
+            .owner_of(target, &self.instance, &candidates, self.clock.now())
+    }
+
+    /// Passes over a daemon that did not answer, and lets membership look after it.
+    pub(super) fn set_down(&self, cx: &Context, peer: &InstanceName) {
+        self.peers.set_down(peer, self.clock.now());
+        cx.fleet.peer_failed(cx, peer);
     }
 
     pub(super) fn holdings(&self) -> MutexGuard<'_, Holdings> {
--- a/crates/daemon/src/admission/owner.rs
+++ b/crates/daemon/src/admission/owner.rs
@@ -49,7 +49,7 @@
 };
 use crate::{
     context::Context,
-    targets::{
+    fleet::{
         Announcement,
         Kind, //
     },
@@ -123,7 +123,7 @@
     /// Refuses if this daemon does not know the target.
     pub(crate) fn ask(&self, cx: &Context, req: &PermitRequest) -> Result<Ticket, Refusal> {
         let now = self.clock.now();
-        let Some(announcement) = cx.targets.get(&req.target, now) else {
+        let Some(announcement) = cx.targets.get(&req.target) else {
             let detail = format!("{} is not known here", req.target);
             return Err(Refusal::not_run(Reason::NoTarget, detail));
         };
@@ -178,7 +178,7 @@
             if inner.targets.contains_key(target) {
                 continue;
             }
-            if let Some(announcement) = cx.targets.get(target, now) {
+            if let Some(announcement) = cx.targets.get(target) {
                 inner.targets.insert(target.clone(), own(cx, &announcement));
             }
         }
@@ -237,7 +237,7 @@
     fn refresh(&self, cx: &Context) {
         let now = self.clock.now();
         self.lock().targets.retain(|name, target| {
-            let announcement = cx.targets.get(name, now);
+            let announcement = cx.targets.get(name);
             target.set_state(announcement.as_ref().map(|found| found.state), now);
             if let Some(announcement) = &announcement {
                 target.configure(settings(cx, announcement));
@@ -313,7 +313,7 @@
     loop {
         thread::sleep(LOAD_EVERY.duration());
         for name in owner.names() {
-            let Some(target) = cx.targets.get(&name, cx.clock.now()) else {
+            let Some(target) = cx.targets.get(&name) else {
                 continue;
             };
             if target.kind != Kind::Engine {
--- a/crates/daemon/src/admission/peers.rs
+++ b/crates/daemon/src/admission/peers.rs
@@ -1,51 +1,60 @@
 //! Which daemon owns a target, among those that answer.
 
 use std::{
-    collections::BTreeSet,
-    sync::Mutex, //
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        MutexGuard, //
+    },
 };
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yuccaseam_base::{
     InstanceName,
+    Millis,
     TargetName, //
 };
 
-/// Daemons that did not answer lately.
+/// How long a daemon that did not answer is passed over. Membership finds out within this time
+/// whether it is dead.
+const PASSED_OVER: Millis = Millis(2_000);
+
+/// Daemons that did not answer this one lately.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    down: Mutex<BTreeSet<InstanceName>>,
+    down_until: Mutex<BTreeMap<InstanceName, Millis>>,
 }
 
 impl Peers {
-    pub(crate) fn set_down(&self, peer: &InstanceName) {
-        if self.lock().insert(peer.clone()) {
+    pub(crate) fn set_down(&self, peer: &InstanceName, now: Millis) {
+        let until = now + PASSED_OVER;
+        if self.lock().insert(peer.clone(), until).is_none() {
             log::warn!("{peer} does not answer: others own its targets now");
         }
     }
 
-    pub(crate) fn set_up(&self, peer: &InstanceName) {
-        if self.lock().remove(peer) {
-            log::info!("{peer} answers again");
-        }
-    }
-
     /// The owner of a target: the daemon with the largest hash of both names, so that the fall of
-    /// one daemon moves its own targets only.
+    /// one daemon moves its own targets only. If no candidate answers, this daemon owns it.
     pub(crate) fn owner_of(
         &self,
         target: &TargetName,
         own: &InstanceName,
-        others: &[InstanceName],
+        candidates: &[InstanceName],
+        now: Millis,
     ) -> InstanceName {
-        let down = self.lock();
-        let up = others.iter().filter(|peer| !down.contains(*peer));
-        let owner = up.chain([own]).max_by_key(|peer| weight(target, peer));
+        let mut down = self.lock();
+        down.retain(|_, until| now < *until);
+        let up = candidates
+            .iter()
+            .filter(|&peer| peer == own || !down.contains_key(peer));
+        let owner = up.max_by_key(|peer| weight(target, peer));
         owner.unwrap_or(own).clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeSet<InstanceName>> {
-        self.down.lock().expect("no thread panics with the lock")
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceName, Millis>> {
+        self.down_until
+            .lock()
+            .expect("no thread panics with the lock")
     }
 }
 
--- a/crates/daemon/src/admission/permit.rs
+++ b/crates/daemon/src/admission/permit.rs
@@ -6,7 +6,7 @@
 use yuccaseam_base::InstanceName;
 
 use super::entry::EntrySide;
-use crate::targets::Announcement;
+use crate::fleet::Announcement;
 
 /// Leave to run one call at a target. Dropping it returns it.
 pub(crate) struct Permit {
--- a/crates/daemon/src/admission/report.rs
+++ b/crates/daemon/src/admission/report.rs
@@ -22,18 +22,13 @@
     admission_client::AdmissionClient, //
 };
 
-use super::{
-    entry::EntrySide,
-    remote, //
-};
+use super::entry::EntrySide;
 use crate::context::Context;
 
 /// How often permits are renewed. The owner takes them back after three seconds of silence.
 const RENEW_EVERY: Millis = Millis(500);
 /// How long a report waits for its answer.
 const BOUND: Millis = Millis(400);
-/// How long a daemon may take to answer a probe outside of a call.
-const PEER_BOUND: Millis = Millis(400);
 /// How long an owner is told of this entry after it was last asked.
 const REMEMBER: Millis = Millis(30_000);
 
@@ -47,7 +42,6 @@
         let renewal = renewed_at + RENEW_EVERY <= now;
         if renewal {
             renewed_at = now;
-            probe_peers(cx);
         }
         for (owner, req) in reports(cx, renewal, now) {
             send(cx, owner, req);
@@ -145,25 +139,6 @@
                 entry.report(&TargetName(load.target), load.busy);
             }
         }
-        Ok(Err(_)) | Err(_) => entry.peers.set_down(owner),
-    }
-}
-
-/// Looks which daemons answer, so that every daemon knows the owners of targets that it did not
-/// ask lately.
-fn probe_peers(cx: &Arc<Context>) {
-    for peer in cx.links.names() {
-        let Some(channel) = cx.links.channel(&peer) else {
-            continue;
-        };
-        let cx = Arc::clone(cx);
-        let links = &cx.clone().links;
-        links.spawn(async move {
-            let peers = &cx.admission.entry.peers;
-            match remote::probe(channel, PEER_BOUND.duration()).await {
-                Ok(()) => peers.set_up(&peer),
-                Err(_) => peers.set_down(&peer),
-            }
-        });
+        Ok(Err(_)) | Err(_) => entry.set_down(cx, owner),
     }
 }
--- a/crates/daemon/src/admission/target.rs
+++ b/crates/daemon/src/admission/target.rs
@@ -21,7 +21,7 @@
     TargetName, //
 };
 
-use crate::targets::State;
+use crate::fleet::State;
 
 /// What the owner answers to a request for a permit.
 #[derive(Debug)]
@@ -87,7 +87,7 @@
         let state = match state {
             Some(State::Leaving) => TargetState::Leaving,
             Some(State::Live) if !self.refuses => TargetState::Live,
-            Some(State::Live) | None => TargetState::Suspect,
+            Some(State::Live | State::Suspect) | None => TargetState::Suspect,
         };
         self.handle(Event::Target(state), now);
     }
--- a/crates/daemon/src/admission/view.rs
+++ b/crates/daemon/src/admission/view.rs
@@ -34,7 +34,7 @@
 };
 use crate::{
     context::Context,
-    targets::{
+    fleet::{
         Announcement,
         State, //
     },
@@ -132,8 +132,8 @@
     fn feed(&mut self, cx: &Context, now: Millis) {
         self.fed_at = Some(now);
         let mut gone = std::mem::take(&mut self.known);
-        for announcement in cx.targets.all(now) {
-            if let Some(candidate) = self.candidate(&announcement) {
+        for announcement in cx.targets.all().values() {
+            if let Some(candidate) = self.candidate(announcement) {
                 self.link(candidate.place.region, now);
                 self.router.update(candidate, now);
                 gone.remove(&candidate.target);
@@ -156,6 +156,7 @@
         let service = announcement.service.clone().map(Needs::Service);
         let liveness = match announcement.state {
             State::Live => Liveness::Live,
+            State::Suspect => Liveness::Suspect,
             State::Leaving => Liveness::Leaving,
         };
         Some(Candidate {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,11 +4,15 @@
 
 use crate::{
     admission::Admission,
+    entry::Unanswered,
+    fleet::{
+        Membership,
+        Targets, //
+    },
     health::Health,
     peers::Links,
     settings::Settings,
     store::Store,
-    targets::Targets,
     upstream::Upstream, //
 };
 
@@ -19,8 +23,11 @@
     pub(crate) health: Health,
     pub(crate) links: Links,
     pub(crate) store: Store,
+    pub(crate) fleet: Membership,
     pub(crate) targets: Targets,
     pub(crate) upstream: Upstream,
     pub(crate) admission: Admission,
+    /// Claims of keys that ran nothing and are to be ended.
+    pub(crate) unanswered: Unanswered,
     pub(crate) metrics: metrics_exporter_prometheus::PrometheusHandle,
 }
--- a/crates/daemon/src/entry/claim.rs
+++ b/crates/daemon/src/entry/claim.rs
@@ -80,10 +80,15 @@
         Ok(Outcome::KeyClaim(found)) => Ok(found),
         Ok(other) => Err(admin::unexpected(&other)),
         // A claim that was made and not answered ran nothing.
-        Err(refusal) => Err(Refusal {
-            verdict: Verdict::NotRun,
-            ..refusal
-        }),
+        Err(refusal) => {
+            if refusal.verdict == Verdict::MayHaveRun {
+                cx.unanswered.add(claim.clone());
+            }
+            Err(Refusal {
+                verdict: Verdict::NotRun,
+                ..refusal
+            })
+        }
     }
 }
 
--- a/crates/daemon/src/entry/generate.rs
+++ b/crates/daemon/src/entry/generate.rs
@@ -25,13 +25,13 @@
         Event,
         Events, //
     },
+    fleet::Announcement,
     http::{
         Call,
         ChunkWriter,
         Responder, //
     },
     measures,
-    targets::Announcement,
     upstream::{
         self,
         Answer,
--- a/crates/daemon/src/entry/models.rs
+++ b/crates/daemon/src/entry/models.rs
@@ -11,10 +11,10 @@
 
 /// Answers with the models that some target serves.
 pub(crate) fn list_models(cx: &Context, out: Responder) {
-    let targets = cx.targets.all(cx.clock.now());
+    let targets = cx.targets.all();
     let models: BTreeSet<_> = targets
-        .into_iter()
-        .filter_map(|target| target.model)
+        .values()
+        .filter_map(|target| target.model.as_ref())
         .collect();
     let data: Vec<_> = models
         .into_iter()
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -3,6 +3,7 @@
 use std::sync::{
     Mutex,
     atomic::{
+        AtomicBool,
         AtomicU8,
         Ordering, //
     },
@@ -32,6 +33,7 @@
 pub(crate) struct Health {
     clock: Clock,
     phase: AtomicU8,
+    is_joined: AtomicBool,
     confirmed_at: Mutex<Option<Millis>>,
 }
 
@@ -40,6 +42,7 @@
         Self {
             clock,
             phase: AtomicU8::new(Phase::Serving as u8),
+            is_joined: AtomicBool::new(false),
             confirmed_at: Mutex::new(None),
         }
     }
@@ -56,6 +59,11 @@
         self.phase.store(phase as u8, Ordering::SeqCst);
     }
 
+    /// Notes that this daemon has learned from another one which instances and targets there are.
+    pub(crate) fn set_joined(&self) {
+        self.is_joined.store(true, Ordering::SeqCst);
+    }
+
     /// Notes that the configuration that runs here was confirmed by a quorum at this time.
     pub(crate) fn confirm(&self, at: Millis) {
         let mut confirmed = self
@@ -79,6 +87,9 @@
         if self.phase() != Phase::Serving {
             return Some("stopping");
         }
+        if !self.is_joined.load(Ordering::SeqCst) {
+            return Some("no other daemon has told what it knows");
+        }
         match self.confirmation_age() {
             None => Some("the configuration was never confirmed"),
             Some(age) if age > CONFIRMATION => Some("the configuration is not confirmed"),
--- a/crates/daemon/src/jobs/create.rs
+++ b/crates/daemon/src/jobs/create.rs
@@ -157,7 +157,7 @@
     };
     let configuration = cx.store.configuration();
     let is_configured = configuration.models.contains_key(name);
-    if !is_configured && cx.targets.of_model(name, cx.clock.now()).is_empty() {
+    if !is_configured && cx.targets.of_model(name).is_empty() {
         let detail = format!("the model {name} is neither configured nor served");
         return Err(Refusal::not_run(Reason::UnknownModel, detail));
     }
--- a/crates/daemon/src/jobs/runner/item.rs
+++ b/crates/daemon/src/jobs/runner/item.rs
@@ -35,8 +35,8 @@
         Event,
         Events, //
     },
+    fleet::Announcement,
     measures,
-    targets::Announcement,
     upstream::{
         Answer,
         Outgoing, //
--- a/crates/daemon/src/jobs/runner/keeper.rs
+++ b/crates/daemon/src/jobs/runner/keeper.rs
@@ -15,7 +15,6 @@
     ItemSet,
     LeaseRef,
     LogIndex,
-    Operation,
     Outcome,
     Query,
     ReleaseChunk,
@@ -32,22 +31,9 @@
 /// How often this daemon asks for cancelled jobs while it holds leases. A cancel has to stop
 /// running streams within 2 s.
 const PERIOD: Millis = Millis(500);
-/// How often a voter has old state removed: leases that were not renewed, and what is past its
-/// retention. More than one voter doing so changes nothing.
-const EXPIRE_PERIOD: Millis = Millis(2_000);
 /// Leases are renewed so many times before they would end.
 const RENEWALS: u64 = 3;
 
-/// Has old state removed for the life of the process, on a voter.
-pub(super) fn expire(cx: &Arc<Context>, _registry: &Registry) {
-    while cx.settings.voters.contains(&cx.settings.instance) {
-        if let Err(refusal) = cx.store.propose(cx, Operation::ExpireOld) {
-            log::debug!("old state stays for now: {refusal}");
-        }
-        thread::sleep(EXPIRE_PERIOD.duration());
-    }
-}
-
 /// Renews leases, learns of cancelled jobs and returns unknown leases, for the life of the
 /// process.
 pub(super) fn keep(cx: &Arc<Context>, registry: &Registry) {
--- a/crates/daemon/src/jobs/runner/mod.rs
+++ b/crates/daemon/src/jobs/runner/mod.rs
@@ -42,7 +42,7 @@
 
 use crate::{
     context::Context,
-    targets::Announcement, //
+    fleet::Announcement, //
 };
 
 use item::End;
@@ -106,7 +106,6 @@
 pub(crate) fn start(cx: &Arc<Context>) -> anyhow::Result<()> {
     let registry = Registry::default();
     spawn(cx, &registry, "batch-owned", owned::watch)?;
-    spawn(cx, &registry, "batch-expire", keeper::expire)?;
     spawn(cx, &registry, "batch-leases", keeper::keep)
 }
 
--- a/crates/daemon/src/jobs/runner/owned.rs
+++ b/crates/daemon/src/jobs/runner/owned.rs
@@ -20,11 +20,11 @@
 
 use crate::{
     context::Context,
-    health::Phase,
-    targets::{
+    fleet::{
         Announcement,
         State, //
     },
+    health::Phase,
 };
 
 use super::{
@@ -55,11 +55,12 @@
     if cx.health.phase() != Phase::Serving {
         return BTreeMap::new();
     }
-    let targets = cx.targets.all(cx.clock.now()).into_iter();
+    let targets = cx.targets.all();
     targets
-        .filter(|target| target.state == State::Live && target.slots > 0)
+        .values()
+        .filter(|target| target.state != State::Leaving && target.slots > 0)
         .filter(|target| cx.admission.owns(cx, &target.name))
-        .map(|target| (target.name.clone(), target))
+        .map(|target| (target.name.clone(), target.clone()))
         .collect()
 }
 
--- a/crates/daemon/src/jobs/runner/slots.rs
+++ b/crates/daemon/src/jobs/runner/slots.rs
@@ -12,7 +12,7 @@
 use crate::{
     admission::OwnerSide,
     context::Context,
-    targets::Announcement, //
+    fleet::Announcement, //
 };
 
 /// The batch side of a target's gate. The gate's orders come back as [`Input::Gate`]; dropping
--- a/crates/daemon/src/jobs/runner/target.rs
+++ b/crates/daemon/src/jobs/runner/target.rs
@@ -40,8 +40,8 @@
 
 use crate::{
     context::Context,
+    fleet::Announcement, //
     measures,
-    targets::Announcement, //
 };
 
 use super::{
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod admission;
 mod context;
 mod entry;
+mod fleet;
 mod health;
 mod http;
 mod instances;
@@ -32,7 +33,6 @@
 mod run;
 mod settings;
 mod store;
-mod targets;
 mod upkeep;
 mod upstream;
 
--- a/crates/daemon/src/orders/mod.rs
+++ b/crates/daemon/src/orders/mod.rs
@@ -109,7 +109,7 @@
 }
 
 fn reconcile(cx: &Arc<Context>, given: &Arc<Given>, order: &Order) -> Result<(), Refusal> {
-    let Some(announcement) = cx.targets.get(&order.target, cx.clock.now()) else {
+    let Some(announcement) = cx.targets.get(&order.target) else {
         return Ok(());
     };
     let Some(placement) = target::placement(cx, announcement.address) else {
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -2,11 +2,9 @@
 
 mod links;
 mod server;
-mod spread;
 
 pub(crate) use links::Links;
 pub(crate) use server::{
     MAX_MESSAGE,
     serve, //
 };
-pub(crate) use spread::spread;
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -25,11 +25,7 @@
 };
 
 use crate::{
-    admission::AdmissionService,
-    context::Context,
-    replica::ConsensusService,
-    store::StoreService,
-    targets::Announcement, //
+    admission::AdmissionService, context::Context, replica::ConsensusService, store::StoreService,
 };
 
 /// Starts to listen for other daemons.
@@ -76,9 +72,7 @@
 #[tonic::async_trait]
 impl Fleet for FleetService {
     async fn exchange(&self, req: Request<Packet>) -> Result<Response<Packet>, Status> {
-        let announcement: Announcement = serde_json::from_slice(&req.get_ref().message)
-            .map_err(|error| Status::invalid_argument(error.to_string()))?;
-        self.cx.targets.announce(announcement, self.cx.clock.now());
+        self.cx.fleet.receive(&self.cx, &req.get_ref().message);
         let reply = Packet {
             from: self.cx.settings.instance.to_string(),
             message: Vec::new(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -24,6 +24,12 @@
 use crate::{
     admission::Admission,
     context::Context,
+    entry::Unanswered,
+    fleet::{
+        self,
+        Membership,
+        Targets, //
+    },
     health::{
         Health,
         Phase, //
@@ -42,7 +48,6 @@
         Settings, //
     },
     store::Store,
-    targets::Targets,
     upkeep,
     upstream::Upstream, //
 };
@@ -99,8 +104,10 @@
         health: Health::new(clock),
         links,
         store,
+        fleet: Membership::new(&settings, clock),
         targets: Targets::default(),
         upstream: Upstream::new(),
+        unanswered: Unanswered::default(),
         admission: Admission::new(settings.instance.clone(), clock),
         metrics,
         clock,
@@ -133,6 +140,11 @@
         .name("upkeep".to_owned())
         .spawn(move || upkeep::run(&keeper))
         .context("cannot start the upkeep thread")?;
+    let member = Arc::clone(cx);
+    thread::Builder::new()
+        .name("membership".to_owned())
+        .spawn(move || fleet::run(&member))
+        .context("cannot start the membership thread")?;
     let order_giver = Arc::clone(cx);
     thread::Builder::new()
         .name("orders".to_owned())
@@ -153,6 +165,7 @@
         let now = cx.clock.now();
         if now >= refuse_at && cx.health.phase() == Phase::Draining {
             log::info!("stopping: new calls are refused");
+            cx.fleet.leave(cx);
             cx.health.enter(Phase::Refusing);
             cx.store.hand_over();
         }
--- a/crates/state/src/jobs/lease.rs
+++ b/crates/state/src/jobs/lease.rs
@@ -101,6 +101,11 @@
         state.chunks.len() as u32
     }
 
+    /// Runs of daemons that hold leases.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = &OwnerId> {
+        self.owners.keys()
+    }
+
     /// Ends the leases of owners that did not renew them; returns how many owners.
     pub(crate) fn expire_leases(&mut self, lease: Millis, now: Millis) -> u32 {
         let late = |(owner, state): (&OwnerId, &Owner)| {
--- a/crates/state/src/keys.rs
+++ b/crates/state/src/keys.rs
@@ -272,6 +272,11 @@
         self.keys.get(&id).map(found)
     }
 
+    /// Runs of daemons that hold claims.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = &OwnerId> {
+        self.claims.keys()
+    }
+
     /// The blobs that kept answers refer to, into `out`.
     pub(crate) fn blobs(&self, out: &mut Vec<BlobId>) {
         for key in self.keys.values() {
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -1,5 +1,7 @@
 //! The state machine: commands in log order, queries, snapshots.
 
+use std::collections::BTreeSet;
+
 use xxhash_rust::xxh3::xxh3_64;
 use yuccaseam_base::{
     Millis,
@@ -19,6 +21,7 @@
     LogIndex,
     Operation,
     Outcome,
+    OwnerId,
     Query,
     Setting,
     Summary,
@@ -161,6 +164,7 @@
             Query::Leases(owner) => Answer::Leases(self.jobs.leases_of(owner)),
             Query::Key(key) => Answer::Key(self.keys.status(*key)),
             Query::Orders => Answer::Orders(self.orders.list()),
+            Query::Owners => Answer::Owners(self.owners()),
             Query::Summary => Answer::Summary(self.summary()),
         }
     }
@@ -274,6 +278,11 @@
         }
     }
 
+    fn owners(&self) -> Vec<OwnerId> {
+        let all: BTreeSet<_> = self.jobs.owners().chain(self.keys.owners()).collect();
+        all.into_iter().cloned().collect()
+    }
+
     fn summary(&self) -> Summary {
         Summary {
             applied: self.applied,
--- a/crates/state/src/query.rs
+++ b/crates/state/src/query.rs
@@ -67,6 +67,8 @@
     Key(KeyId),
     /// Every order to a target.
     Orders,
+    /// Runs of daemons that hold chunk leases or claims of keys.
+    Owners,
     /// How much the state holds.
     Summary,
 }
@@ -112,6 +114,8 @@
     Key(Option<KeyClaim>),
     /// Orders.
     Orders(Vec<Order>),
+    /// Runs of daemons.
+    Owners(Vec<OwnerId>),
     /// How much the state holds.
     Summary(Summary),
     /// The query cannot be answered, such as for an unknown job.
