--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -307,7 +307,8 @@
         let expected = self.arrivals.headroom(balance, now);
         let headroom = expected.max(self.cfg.headroom);
         let online = self.online();
-        let cap = self.pace.cap(balance, self.cfg.step_bound_micros);
+        let bound = self.cfg.step_bound_micros;
+        let cap = self.pace.cap(balance, bound, now);
         let paced = cap.saturating_sub(online);
         let slack = if online > 0 { SLACK } else { 0 };
         BatchLimits {
--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -30,6 +30,9 @@
 /// By what a step may grow at a balance of 0, over the step at the median of online requests.
 const HARMLESS: f64 = 1.03;
 
+/// How long after the last online request batch fills the target, at a balance of 0.
+const QUIET: Millis = Millis(10_000);
+
 /// The share of online tokens that come at or below the median.
 const HALF: f64 = 0.5;
 
@@ -109,6 +112,8 @@
     /// The time that each number of online requests ran, decayed.
     online_time: Vec<f64>,
     online: u32,
+    /// When an online request last ran.
+    online_until: Millis,
     updated_at: Millis,
 }
 
@@ -118,6 +123,7 @@
             fit: StepFit::default(),
             online_time: vec![0.0; slots as usize + 1],
             online: 0,
+            online_until: Millis::ZERO,
             updated_at: Millis::ZERO,
         }
     }
@@ -142,15 +148,19 @@
             self.online_time[(self.online as usize).min(last)] += elapsed;
             self.updated_at = now;
         }
+        if self.online > 0 || online > 0 {
+            self.online_until = now;
+        }
         self.online = online;
     }
 
     /// The most requests that may run together.
-    pub(crate) fn cap(&self, balance: Balance, bound_micros: u32) -> u32 {
+    pub(crate) fn cap(&self, balance: Balance, bound_micros: u32, now: Millis) -> u32 {
         let slots = (self.online_time.len() - 1) as f64;
         let bound = self.fit.requests_within(f64::from(bound_micros));
         let most = (bound.unwrap_or(slots) + ROUNDING).clamp(1.0, slots);
-        if self.online == 0 {
+        let quiet = balance.between(QUIET.0 as f64, 0.0) as u64;
+        if self.online == 0 && self.online_until + Millis(quiet) <= now {
             return most as u32;
         }
         let median = f64::from(self.online_median());
--- a/crates/admit/tests/all/batch.rs
+++ b/crates/admit/tests/all/batch.rs
@@ -119,6 +119,23 @@
     assert_eq!(paused(&actions), runs);
 }
 
+/// An online request ends, and batch may fill the target at once or after a pause.
+fn batch_fills_after(balance: u8, pause: Millis, runs: u32) {
+    let mut bench = Bench::new(settings(balance));
+    let (permit, _) = bench.arrive(0);
+    bench.now += Millis(1_000);
+    bench.send(Event::Finished(permit));
+    bench.now += pause;
+    bench.fill_with_batch(100);
+    assert_eq!(bench.gate.snapshot().batch, runs);
+}
+
+cases! { batch_fills_after:
+    throughput_fills_at_once(100, Millis::ZERO, 4);
+    latency_keeps_to_what_online_met(0, Millis(5_000), 1);
+    latency_fills_what_stays_idle(0, Millis(10_000), 4);
+}
+
 #[test]
 fn a_side_that_ends_gives_up_its_runs_and_online_goes_on() {
     let mut bench = Bench::new(settings(100));
