--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -20,7 +20,8 @@
     },
     packet::{
         Body,
-        Renewal, //
+        Renewal,
+        Update, //
     },
     receive::Told,
     target::{
@@ -82,8 +83,14 @@
         if entry.record.leaving {
             return;
         }
+        let owner = entry.owner.filter(|&owner| owner != self.me);
         let record = entry.record.leaving(self.me().name.clone());
+        let claim = Update::TargetClaim(record.claim());
         self.hold(record, now);
+        // The owner admits work, so that it hears at once.
+        if let Some(owner) = owner.and_then(|key| self.members.record(key)) {
+            self.emit(owner.address.clone(), Body::Gossip, vec![claim]);
+        }
     }
 
     /// Makes this daemon the holder of a record, and spreads it at once.
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -39,8 +39,9 @@
     pub retransmits: u32,
     /// How often digests are compared with another daemon.
     pub sync_interval: Millis,
-    /// Every how many comparisons one is with another region.
-    pub syncs_per_remote: u64,
+    /// About how many of the daemons of a region compare with another region in one interval; at
+    /// most half of them.
+    pub remote_syncs: usize,
     /// How many bytes of records one comparison may send.
     pub sync_bytes: usize,
     /// When a target that was not renewed is suspect.
@@ -70,10 +71,10 @@
             gossip_fanout: 3,
             remote_sends: 2,
             remote_relays: 3,
-            packet_bytes: 700,
+            packet_bytes: 3_000,
             retransmits: 2,
             sync_interval: Millis(10_000),
-            syncs_per_remote: 4,
+            remote_syncs: 4,
             sync_bytes: 32 << 10,
             target_suspect_after: Millis(3_000),
             target_expiry: Millis(9_000),
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -11,11 +11,11 @@
         Status, //
     },
     members::Members,
-    target::{
-        TargetRecord,
-        TargetState, //
-    },
-    targets::Targets, //
+    target::TargetState,
+    targets::{
+        Entry,
+        Targets, //
+    }, //
 };
 
 /// How many buckets names are spread over.
@@ -42,7 +42,7 @@
     }
     for (_, entry) in targets.iter() {
         if entry.record.state != TargetState::Gone {
-            digest[usize::from(bucket(entry.hash))] ^= of_target(entry.hash, &entry.record);
+            digest[usize::from(bucket(entry.hash))] ^= of_target(entry);
         }
     }
     digest
@@ -62,11 +62,14 @@
     of_numbers(hash, [record.incarnation, leaving, 0, 0])
 }
 
-fn of_target(hash: u64, record: &TargetRecord) -> u32 {
+fn of_target(entry: &Entry) -> u32 {
+    let record = &entry.record;
     let holder = xxh3_64(record.holder.as_str().as_bytes());
     let leaving = u64::from(record.leaving);
-    let incarnation = record.announcement.incarnation;
-    of_numbers(hash, [incarnation, leaving, record.version, holder])
+    of_numbers(
+        entry.hash,
+        [entry.fingerprint, leaving, record.version, holder],
+    )
 }
 
 fn of_numbers(seed: u64, numbers: [u64; 4]) -> u32 {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -117,10 +117,14 @@
     pub(crate) relay: Relay,
     pub(crate) seeds: Vec<String>,
     pub(crate) joined: bool,
-    pub(crate) syncs: u64,
     pub(crate) timers: Timers,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) actions: Vec<Action>,
+    /// The other reachable instances of the region.
+    pub(crate) near: Vec<Instance>,
+    /// The reachable instances of other regions.
+    pub(crate) far: Vec<Instance>,
+    peers_changed: bool,
     owners: Owners,
     owners_changed: bool,
     touched: Vec<Target>,
@@ -157,7 +161,6 @@
             relay: Relay::default(),
             seeds,
             joined,
-            syncs: 0,
             timers: Timers {
                 probe: now + cfg.probe_interval,
                 gossip: now,
@@ -169,6 +172,9 @@
             },
             rng: ChaCha8Rng::seed_from_u64(seed),
             actions: Vec::new(),
+            near: Vec::new(),
+            far: Vec::new(),
+            peers_changed: false,
             owners: Owners::default(),
             owners_changed: true,
             touched: Vec::new(),
@@ -305,6 +311,7 @@
             return;
         };
         self.owners_changed |= member.counted != member.record.may_own();
+        self.peers_changed = true;
         self.actions
             .push(Action::InstanceChanged(member.record.clone()));
         self.check_orphans(key, now);
@@ -320,6 +327,9 @@
 
     /// Chooses the owners that a change concerns, and hands out what there is to do.
     pub(crate) fn finish(&mut self) -> Vec<Action> {
+        if std::mem::take(&mut self.peers_changed) {
+            self.list_peers();
+        }
         let touched = std::mem::take(&mut self.touched);
         if std::mem::take(&mut self.owners_changed) {
             self.owners = Owners::of(&self.members);
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -55,7 +55,8 @@
 
     /// Counts that the first `count` subjects of [`Queue::near`] were sent.
     pub(crate) fn count_near(&mut self, count: usize, limit: u32) {
-        for queued in &mut self.queued[..count] {
+        let waiting = self.queued.iter_mut().filter(|queued| queued.sent < limit);
+        for queued in waiting.take(count) {
             queued.sent += 1;
         }
         self.remove_finished(limit);
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -18,6 +18,7 @@
         Status, //
     },
     target::{
+        TargetClaim,
         TargetLoad,
         TargetRecord, //
     },
@@ -96,6 +97,8 @@
     Claim(Claim),
     /// All of a target.
     Target(TargetRecord),
+    /// The state of a target that the receiver knows.
+    TargetClaim(TargetClaim),
 }
 
 /// The status of an instance.
--- a/crates/fleet/src/probing.rs
+++ b/crates/fleet/src/probing.rs
@@ -59,14 +59,13 @@
     /// The next instance of the region in turn; now and then one of another region.
     fn next_to_probe(&mut self) -> Option<Instance> {
         self.prober.count += 1;
-        if self.prober.count.is_multiple_of(self.cfg.probes_per_remote) {
-            let remote = self.peers(|fleet, record| record.region != fleet.me().region);
-            if let Some(&key) = remote.choose(&mut self.rng) {
-                return Some(key);
-            }
+        if self.prober.count.is_multiple_of(self.cfg.probes_per_remote)
+            && let Some(&key) = self.far.choose(&mut self.rng)
+        {
+            return Some(key);
         }
         if self.prober.order.is_empty() {
-            self.prober.order = self.near_peers();
+            self.prober.order = self.near_peers().to_vec();
             self.prober.order.shuffle(&mut self.rng);
         }
         self.prober.order.pop()
@@ -81,14 +80,10 @@
             address: record.address.clone(),
             probe,
         };
-        let mut helpers = self.near_peers();
+        let mut helpers = self.some_near_peers(self.cfg.indirect_count + 1);
         helpers.retain(|&key| key != target);
-        let count = self.cfg.indirect_count;
-        let chosen: Vec<_> = helpers
-            .choose_multiple(&mut self.rng, count)
-            .copied()
-            .collect();
-        for helper in chosen {
+        helpers.truncate(self.cfg.indirect_count);
+        for helper in helpers {
             self.send(helper, body.clone());
         }
     }
--- a/crates/fleet/src/receive.rs
+++ b/crates/fleet/src/receive.rs
@@ -23,12 +23,13 @@
         PacketError,
         Update, //
     },
-    probe::Relayed, //
+    probe::Relayed,
+    target::TargetClaim, //
 };
 
 /// A packet that changes more than this many records is not gossiped on: it comes from a
 /// comparison of digests, in which others take part too.
-const MAX_GOSSIPED_CHANGES: usize = 32;
+const MAX_GOSSIPED_CHANGES: usize = 128;
 
 /// What the updates of a packet did.
 #[derive(Debug, Default)]
@@ -95,6 +96,15 @@
             Update::Instance(record) => self.told_of_instance(record, told, now),
             Update::Claim(claim) => self.told_of_status(&claim, told, now),
             Update::Target(record) => self.told_of_target(record, told, now),
+            Update::TargetClaim(claim) => self.told_of_target_claim(claim, told, now),
+        }
+    }
+
+    fn told_of_target_claim(&mut self, claim: TargetClaim, told: &mut Told, now: Millis) {
+        let known = self.targets.find(&claim.name);
+        let entry = known.and_then(|key| self.targets.get(key));
+        if let Some(record) = entry.and_then(|entry| entry.record.claimed(claim)) {
+            self.told_of_target(record, told, now);
         }
     }
 
--- a/crates/fleet/src/send.rs
+++ b/crates/fleet/src/send.rs
@@ -28,7 +28,8 @@
         Claim,
         Packet,
         Update, //
-    }, //
+    },
+    target::TargetState, //
 };
 
 /// About how many bytes a delta takes beside its texts.
@@ -42,13 +43,10 @@
         }
         self.timers.gossip = now + self.cfg.gossip_interval;
         self.gossip_remote();
-        let mut near = self.near_peers();
-        near.shuffle(&mut self.rng);
-        near.truncate(self.cfg.gossip_fanout);
-        for peer in near {
+        for peer in self.some_near_peers(self.cfg.gossip_fanout) {
             self.send(peer, Body::Gossip);
         }
-        if self.peers(|_, _| true).is_empty() {
+        if self.is_alone() {
             self.queue = Queue::default();
         }
     }
@@ -69,7 +67,7 @@
     }
 
     fn one_of_each_other_region(&mut self) -> Vec<Instance> {
-        let mut remote = self.peers(|fleet, record| record.region != fleet.me().region);
+        let mut remote = self.far.clone();
         remote.shuffle(&mut self.rng);
         let mut regions = Vec::new();
         remote.retain(|&key| {
@@ -93,34 +91,52 @@
         self.queue.push(subject, remote);
     }
 
-    /// The other reachable instances for which `choose` holds.
-    pub(crate) fn peers<F>(&self, choose: F) -> Vec<Instance>
-    where
-        F: Fn(&Self, &InstanceRecord) -> bool,
-    {
-        let others = self.members.iter().filter(|(key, _)| *key != self.me);
-        let reachable = others.filter(|(_, member)| member.record.is_reachable());
-        reachable
-            .filter(|(_, member)| choose(self, &member.record))
-            .map(|(key, _)| key)
-            .collect()
+    /// Lists the other reachable instances anew.
+    pub(crate) fn list_peers(&mut self) {
+        let region = &self.me().region;
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for (key, member) in self.members.iter() {
+            if key == self.me || !member.record.is_reachable() {
+                continue;
+            }
+            match member.record.region == *region {
+                true => near.push(key),
+                false => far.push(key),
+            }
+        }
+        self.near = near;
+        self.far = far;
+    }
+
+    /// Whether no other instance is reachable.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.near.is_empty() && self.far.is_empty()
     }
 
     /// The other reachable instances of the region; all, if there are none.
-    pub(crate) fn near_peers(&self) -> Vec<Instance> {
-        let near = self.peers(|fleet, record| record.region == fleet.me().region);
-        if near.is_empty() {
-            return self.peers(|_, _| true);
+    pub(crate) fn near_peers(&self) -> &[Instance] {
+        match self.near.is_empty() {
+            true => &self.far,
+            false => &self.near,
         }
-        near
+    }
+
+    /// Some of [`Fleet::near_peers`] by chance.
+    pub(crate) fn some_near_peers(&mut self, count: usize) -> Vec<Instance> {
+        let mut rng = self.rng.clone();
+        let chosen = self.near_peers().choose_multiple(&mut rng, count);
+        let chosen = chosen.copied().collect();
+        self.rng = rng;
+        chosen
     }
 
     /// One other reachable instance, of another region if `remote`.
     pub(crate) fn random_peer(&mut self, remote: bool) -> Option<Instance> {
-        let far = self.peers(|fleet, record| record.region != fleet.me().region);
-        let peers = match remote && !far.is_empty() {
-            true => far,
-            false => self.near_peers(),
+        let peers = match remote && !self.far.is_empty() {
+            true => &self.far,
+            false if self.near.is_empty() => &self.far,
+            false => &self.near,
         };
         peers.choose(&mut self.rng).copied()
     }
@@ -203,8 +219,11 @@
                 })
             }
             Subject::Target(key) => {
-                let entry = self.targets.get(key)?;
-                Some(Update::Target(entry.record.clone()))
+                let record = &self.targets.get(key)?.record;
+                Some(match record.state {
+                    TargetState::Live => Update::Target(record.clone()),
+                    _ => Update::TargetClaim(record.claim()),
+                })
             }
         }
     }
@@ -229,6 +248,7 @@
                 + record.region.0.len()
         }
         Update::Claim(claim) => claim.name.0.len(),
+        Update::TargetClaim(claim) => claim.name.0.len() + claim.holder.0.len(),
         Update::Target(record) => {
             let announcement = &record.announcement;
             announcement.name.0.len()
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -2,7 +2,10 @@
 
 use std::collections::HashSet;
 
-use rand::seq::IndexedRandom;
+use rand::{
+    Rng,
+    seq::IndexedRandom, //
+};
 use yuccaseam_base::Millis;
 
 use crate::{
@@ -37,7 +40,7 @@
     /// Starts a comparison if one is due, and tries seeds and dead instances now and then.
     pub(crate) fn tick_sync(&mut self, now: Millis) {
         if now >= self.timers.reconnect {
-            let alone = self.peers(|_, _| true).is_empty();
+            let alone = self.is_alone();
             let interval = match alone {
                 true => JOIN_INTERVAL,
                 false => self.cfg.reconnect_interval,
@@ -47,8 +50,8 @@
         }
         if now >= self.timers.sync {
             self.timers.sync = now + self.cfg.sync_interval;
-            self.syncs += 1;
-            let remote = self.syncs.is_multiple_of(self.cfg.syncs_per_remote);
+            let near = self.near.len().max(2 * self.cfg.remote_syncs);
+            let remote = self.rng.random_range(0..near) < self.cfg.remote_syncs;
             let peer = self.random_peer(remote);
             let address = peer.and_then(|key| self.members.record(key));
             if let Some(address) = address.map(|record| record.address.clone()) {
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -1,5 +1,8 @@
 //! What is known of a target.
 
+use std::cmp::Ordering;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yuccaseam_base::{
     FailureDomain,
     InstanceName,
@@ -57,6 +60,42 @@
     pub incarnation: u64,
 }
 
+/// What changed of a target of which the receiver knows the announcement.
+#[value]
+pub(crate) struct TargetClaim {
+    /// The target.
+    pub(crate) name: TargetName,
+    /// The target's incarnation.
+    pub(crate) incarnation: u64,
+    /// Whether it can be used.
+    pub(crate) state: TargetState,
+    /// Whether it said that it is leaving.
+    pub(crate) leaving: bool,
+    /// The version of the record.
+    pub(crate) version: u64,
+    /// The daemon that takes its renewals.
+    pub(crate) holder: InstanceName,
+}
+
+impl Announcement {
+    /// A hash of all that the target says.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let numbers = [self.incarnation, u64::from(self.slots), self.kind as u64];
+        let texts = [
+            self.name.as_str(),
+            &self.address,
+            &self.serves,
+            self.domain.as_str(),
+            self.region.as_str(),
+        ];
+        let hash = |seed, text: &str| xxh3_64_with_seed(text.as_bytes(), seed);
+        let seed = numbers.into_iter().fold(0, |seed, number| {
+            xxh3_64_with_seed(&number.to_le_bytes(), seed)
+        });
+        texts.into_iter().fold(seed, hash)
+    }
+}
+
 /// A target as daemons know it.
 #[value]
 pub struct TargetRecord {
@@ -82,7 +121,10 @@
     /// leaving stands until its next incarnation. The holder's name decides between two records
     /// that were made independently, so that all daemons choose the same one.
     pub fn is_newer_than(&self, other: &Self) -> bool {
-        self.order() > other.order()
+        match self.order().cmp(&other.order()) {
+            Ordering::Equal => self.announcement.fingerprint() > other.announcement.fingerprint(),
+            order => order.is_gt(),
+        }
     }
 
     /// The first record of an announcement that nothing was known of.
@@ -124,6 +166,30 @@
         }
     }
 
+    /// What is sent of the record to those that know the announcement.
+    pub(crate) fn claim(&self) -> TargetClaim {
+        TargetClaim {
+            name: self.name().clone(),
+            incarnation: self.announcement.incarnation,
+            state: self.state,
+            leaving: self.leaving,
+            version: self.version,
+            holder: self.holder.clone(),
+        }
+    }
+
+    /// The record that a claim is of, if it is of this incarnation. If the announcement has changed
+    /// beside, a comparison of digests repairs that.
+    pub(crate) fn claimed(&self, claim: TargetClaim) -> Option<Self> {
+        (claim.incarnation == self.announcement.incarnation).then(|| Self {
+            announcement: self.announcement.clone(),
+            state: claim.state,
+            leaving: claim.leaving,
+            version: claim.version,
+            holder: claim.holder,
+        })
+    }
+
     /// Whether the last renewal was in time.
     pub(crate) fn is_current(&self) -> bool {
         matches!(self.state, TargetState::Live | TargetState::Leaving)
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -25,6 +25,8 @@
     pub(crate) record: TargetRecord,
     /// Hash of its name.
     pub(crate) hash: u64,
+    /// Hash of the announcement.
+    pub(crate) fingerprint: u64,
     /// When it last renewed here, if this daemon holds it.
     pub(crate) renewed: Option<Millis>,
     /// When the record is dropped because its holder is dead.
@@ -95,6 +97,7 @@
     ) -> Target {
         if let Some(key) = self.find(record.name()) {
             let entry = &mut self.table[key];
+            entry.fingerprint = record.announcement.fingerprint();
             entry.record = record;
             entry.renewed = renewed;
             entry.orphan_until = None;
@@ -104,6 +107,7 @@
         let name = record.name().clone();
         let hash = xxh3_64(name.as_str().as_bytes());
         let key = self.table.insert(Entry {
+            fingerprint: record.announcement.fingerprint(),
             record,
             hash,
             renewed,
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -27,6 +27,7 @@
     },
     target::{
         Announcement,
+        TargetClaim,
         TargetKind,
         TargetLoad,
         TargetRecord,
@@ -87,6 +88,17 @@
     Instance(WireInstance),
     Claim(WireClaim),
     Target(WireTarget),
+    TargetClaim(WireTargetClaim),
+}
+
+#[derive(Serialize, Deserialize)]
+pub(crate) struct WireTargetClaim {
+    name: String,
+    incarnation: u64,
+    state: u8,
+    leaving: bool,
+    version: u64,
+    holder: String,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -247,6 +259,7 @@
             Update::Instance(record) => Self::Instance(record.into()),
             Update::Claim(claim) => Self::Claim(claim.into()),
             Update::Target(record) => Self::Target(record.into()),
+            Update::TargetClaim(claim) => Self::TargetClaim(claim.into()),
         }
     }
 }
@@ -259,6 +272,7 @@
             WireUpdate::Instance(wire) => Self::Instance(wire.try_into()?),
             WireUpdate::Claim(wire) => Self::Claim(wire.try_into()?),
             WireUpdate::Target(wire) => Self::Target(wire.try_into()?),
+            WireUpdate::TargetClaim(wire) => Self::TargetClaim(wire.try_into()?),
         })
     }
 }
@@ -357,6 +371,34 @@
     }
 }
 
+impl From<&TargetClaim> for WireTargetClaim {
+    fn from(claim: &TargetClaim) -> Self {
+        Self {
+            name: claim.name.0.clone(),
+            incarnation: claim.incarnation,
+            state: claim.state as u8,
+            leaving: claim.leaving,
+            version: claim.version,
+            holder: claim.holder.0.clone(),
+        }
+    }
+}
+
+impl TryFrom<WireTargetClaim> for TargetClaim {
+    type Error = PacketError;
+
+    fn try_from(wire: WireTargetClaim) -> Result<Self, PacketError> {
+        Ok(Self {
+            name: TargetName(wire.name),
+            incarnation: wire.incarnation,
+            state: state(wire.state)?,
+            leaving: wire.leaving,
+            version: wire.version,
+            holder: InstanceName(wire.holder),
+        })
+    }
+}
+
 fn status(number: u8) -> Result<Status, PacketError> {
     let all = [
         Status::Alive,
--- a/crates/fleet/tests/all/membership.rs
+++ b/crates/fleet/tests/all/membership.rs
@@ -84,12 +84,15 @@
     other.stop(2);
     assert!(other.run_until(Millis::from_secs(30), |net| net.all_see(2, Status::Suspect)));
     let before = net.node(2).me().incarnation;
-    let node = other.nodes[5].as_mut().unwrap();
-    let event = Event::PeerFailed(InstanceName::from("instance-2"));
-    let actions = node.handle(event, other.now);
-    let ping = actions.iter().find_map(|action| match action {
-        Action::Send { packet, .. } => Some(packet.clone()),
-        _ => None,
+    // One that probes it already does not probe it again.
+    let name = InstanceName::from("instance-2");
+    let now = other.now;
+    let ping = other.nodes.iter_mut().flatten().find_map(|node| {
+        let actions = node.handle(Event::PeerFailed(name.clone()), now);
+        actions.into_iter().find_map(|action| match action {
+            Action::Send { packet, .. } => Some(packet),
+            _ => None,
+        })
     });
     let now = net.now;
     let node = net.nodes[2].as_mut().unwrap();
--- a/crates/fleet/tests/all/targets.rs
+++ b/crates/fleet/tests/all/targets.rs
@@ -75,6 +75,22 @@
     assert!(net.all_see_target(&targets[1].name, TargetState::Live));
 }
 
+#[test]
+fn the_owner_hears_of_leaving_at_once() {
+    let (mut net, Announcement { name, .. }) = with_target(18, 3);
+    let owner = net.node(0).owner_of(&name).unwrap().name.clone();
+    let (owner, _) = net
+        .running()
+        .find(|(_, node)| node.me().name == owner)
+        .unwrap();
+    let elsewhere = (0..18).find(|&number| number != owner).unwrap();
+    net.handle(elsewhere, Event::TargetLeaving(name.clone()));
+    // One step takes the packet there.
+    net.run(Millis(50));
+    let seen = net.node(owner).target(&name).unwrap();
+    assert_eq!(seen.state, TargetState::Leaving);
+}
+
 #[test]
 fn renewals_do_not_undo_leaving() {
     let (mut net, announcement) = with_target(9, 2);
