--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -82,6 +82,8 @@
     Cancelled = "cancelled",
     /// The caller closed its connection.
     CallerGone = "caller_gone",
+    /// The item's target died with it, alone, as often as the settings allow.
+    ItemAttemptsSpent = "item_attempts_spent",
     /// A limit of the configuration is reached, such as the number of jobs.
     LimitReached = "limit_reached",
     /// A fault of this program.
@@ -131,6 +133,14 @@
         self
     }
 
+    /// The same refusal with this verdict if it is the stronger one: a request that was tried
+    /// several times may have run if any of its attempts may have.
+    #[must_use]
+    pub fn at_least(mut self, verdict: Verdict) -> Self {
+        self.verdict = self.verdict.max(verdict);
+        self
+    }
+
     fn new<T>(verdict: Verdict, reason: Reason, detail: T) -> Self
     where
         T: Into<String>,
--- /dev/null
+++ b/crates/quorum/tests/all/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the replication core.
+
+mod checks;
+mod disk;
+mod elections;
+mod group;
+mod leases;
+mod members;
+mod rules;
+mod schedules;
+mod single;
+mod snapshots;
+mod wire;
+mod writes;
