--- a/crates/daemon/tests/all/replicas.rs
+++ b/crates/daemon/tests/all/replicas.rs
@@ -115,7 +115,9 @@
         let body = json!({ "instance": self.cluster.daemons[at].name });
         let path = format!("/admin/v1/members/{verb}");
         let answer = self.cluster.caller(through).post(&path, &body);
-        answer.expect("the daemon answers").status
+        let answer = answer.expect("the daemon answers");
+        eprintln!("{verb}: {}", answer.text);
+        answer.status
     }
 
     fn role(&self, through: usize, at: usize) -> Option<String> {
