--- a/crates/testing/src/engine/batching.rs
+++ b/crates/testing/src/engine/batching.rs
@@ -24,7 +24,7 @@
 
 use super::{
     cache::PrefixCache,
-    front::EngineConfig, //
+    config::EngineConfig, //
 };
 use crate::{
     record::Phase,
--- a/crates/testing/src/engine/front.rs
+++ b/crates/testing/src/engine/front.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::VecDeque,
-    path::PathBuf,
     sync::{
         Arc,
         Mutex,
@@ -12,15 +11,11 @@
         },
         mpsc::{
             self,
-            Receiver,
             Sender, //
         }, //
     },
     thread,
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Instant,
 };
 
 use serde::{
@@ -39,6 +34,11 @@
 use yuccaseam_base::Millis;
 
 use super::{
+    answers::{
+        Shape,
+        stream,
+        whole, //
+    },
     batching::{
         Batching,
         Call,
@@ -47,6 +47,7 @@
         Progress, //
     },
     cache::PrefixCache,
+    config::EngineConfig,
 };
 use crate::{
     announce::{
@@ -54,10 +55,7 @@
         Announcer,
         Kind, //
     },
-    http::{
-        self,
-        EventStream, //
-    },
+    http,
     record::{
         Entry,
         Record, //
@@ -71,47 +69,6 @@
 /// How much of a prompt is recorded, in characters.
 const SUBJECT_CHARS: usize = 160;
 
-/// The settings of one emulated engine.
-#[derive(Clone, Debug)]
-pub struct EngineConfig {
-    /// The target's name.
-    pub name: String,
-    /// The address to listen on; port 0 takes a free one.
-    pub listen: String,
-    /// The model that is loaded at the start.
-    pub model: String,
-    /// The region that it announces.
-    pub region: String,
-    /// The failure domain that it announces.
-    pub failure_domain: String,
-    /// How many calls run at once.
-    pub slots: u32,
-    /// The time of a step besides what follows.
-    pub step: Duration,
-    /// What each running call adds to a step.
-    pub step_per_call: Duration,
-    /// What each computed prompt token adds to a step.
-    pub prefill_per_token: Duration,
-    /// How many blocks the prefix cache holds.
-    pub cache_blocks: usize,
-    /// How many tokens the KV cache holds, for the load report.
-    pub kv_tokens: usize,
-    /// How old a load report gets.
-    pub load_lag: Duration,
-    /// How late cache events are.
-    pub event_lag: Millis,
-    /// One cache event in so many is lost; zero loses none.
-    pub lose_every: u64,
-    /// How long an order takes to be carried out.
-    pub order_time: Duration,
-    /// Whether an order with an old number is refused.
-    pub check_orders: bool,
-    /// The daemons to announce to.
-    pub announce: Vec<String>,
-    /// The file of the record.
-    pub record: Option<PathBuf>,
-}
-
 /// The models that are loaded, and the last order that was carried out.
 #[derive(Clone, Debug, Default, Serialize)]
 struct Placement {
@@ -391,77 +348,3 @@
         prefill: 0,
     }
 }
-
-/// How the answers of one call look.
-struct Shape {
-    id: String,
-    model: String,
-    chat: bool,
-}
-
-impl Shape {
-    fn chunk(&self, text: &str, finish: Option<&str>) -> String {
-        let choice = if self.chat {
-            json!({"index": 0, "delta": {"content": text}, "finish_reason": finish})
-        } else {
-            json!({"index": 0, "text": text, "finish_reason": finish})
-        };
-        self.body(&choice, "chunk").to_string()
-    }
-
-    fn whole(&self, text: &str, tokens: u32) -> Value {
-        let choice = if self.chat {
-            json!({"index": 0, "message": {"role": "assistant", "content": text},
-                   "finish_reason": "length"})
-        } else {
-            json!({"index": 0, "text": text, "finish_reason": "length"})
-        };
-        let mut body = self.body(&choice, "whole");
-        body["usage"] = json!({ "completion_tokens": tokens });
-        body
-    }
-
-    fn body(&self, choice: &Value, form: &str) -> Value {
-        let object = match (self.chat, form) {
-            (true, "chunk") => "chat.completion.chunk",
-            (true, _) => "chat.completion",
-            (false, _) => "text_completion",
-        };
-        json!({"id": self.id, "object": object, "model": self.model, "choices": [choice]})
-    }
-}
-
-fn stream(req: Request, shape: &Shape, rx: &Receiver<Progress>) -> std::io::Result<()> {
-    let mut events = EventStream::start(req)?;
-    for progress in rx {
-        match progress {
-            Progress::Token(text) => events.event(&shape.chunk(&text, None))?,
-            Progress::Done => {
-                events.event(&shape.chunk("", Some("length")))?;
-                events.event("[DONE]")?;
-                break;
-            }
-            Progress::Cancelled => {
-                events.event(r#"{"error":"cancelled"}"#)?;
-                break;
-            }
-        }
-    }
-    events.finish()
-}
-
-fn whole(req: Request, shape: &Shape, rx: &Receiver<Progress>) {
-    let mut answer = String::new();
-    let mut tokens = 0;
-    for progress in rx {
-        match progress {
-            Progress::Token(text) => {
-                answer.push_str(&text);
-                tokens += 1;
-            }
-            Progress::Done => return http::respond_json(req, 200, &shape.whole(&answer, tokens)),
-            Progress::Cancelled => break,
-        }
-    }
-    http::respond_error(req, 499, "cancelled");
-}
--- a/crates/testing/src/engine/mod.rs
+++ b/crates/testing/src/engine/mod.rs
@@ -1,7 +1,10 @@
 //! One emulated worker of a model engine.
 
+mod answers;
 mod batching;
 mod cache;
+mod config;
 mod front;
 
-pub use front::{Engine, EngineConfig};
+pub use config::EngineConfig;
+pub use front::Engine;
