--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -3,8 +3,14 @@
 use std::sync::Arc;
 
 use anyhow::Context as _;
-use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
+use tokio_stream::{
+    StreamExt as _,
+    wrappers::TcpListenerStream, //
+};
 use tonic::{
     Request,
     Response,
@@ -55,7 +61,7 @@
         .add_service(consensus)
         .add_service(admission)
         .add_service(store)
-        .serve_with_incoming(TcpListenerStream::new(listener));
+        .serve_with_incoming(TcpListenerStream::new(listener).map(without_delay));
     cx.links.spawn(async {
         if let Err(error) = serving.await {
             log::error!("the service for daemons ended: {error}");
@@ -66,6 +72,14 @@
     Ok(())
 }
 
+/// Sends small answers at once. Otherwise one may wait for the peer's delayed acknowledgement, which
+/// is 40 ms.
+fn without_delay(stream: std::io::Result<TcpStream>) -> std::io::Result<TcpStream> {
+    let stream = stream?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
 /// The largest message between daemons, in bytes.
 pub(crate) const MAX_MESSAGE: usize = 64 * 1024 * 1024;
 
--- a/crates/daemon/src/replica/blobs.rs
+++ b/crates/daemon/src/replica/blobs.rs
@@ -45,7 +45,9 @@
 };
 
 /// The pause between two passes over the blobs of the state.
-const PERIOD: Millis = Millis::from_secs(1);
+const PERIOD: Millis = Millis::from_secs(30);
+/// The same while this replica does not vote: it waits for the passes to be promoted.
+const PERIOD_JOINING: Millis = Millis(500);
 
 /// The pause between two passes that look for blobs that nothing refers to. It is longer than a
 /// caller may take between storing a blob and proposing the command that refers to it.
@@ -165,8 +167,9 @@
         let mut whole = None;
         let mut dead = BTreeSet::new();
         let mut compact_at = COMPACTION_PERIOD;
+        let mut pause = PERIOD_JOINING;
         loop {
-            thread::sleep(PERIOD.duration());
+            thread::sleep(pause.duration());
             let (reply, rx) = mpsc::channel();
             if self.tx.send(Input::LiveBlobs(reply)).is_err() {
                 return;
@@ -174,6 +177,7 @@
             let Ok(live) = rx.recv() else {
                 continue;
             };
+            pause = if live.votes { PERIOD } else { PERIOD_JOINING };
             if whole != Some(live.upto) && self.fetch_missing(&live) {
                 whole = Some(live.upto);
                 let upto = live.upto;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -78,10 +78,12 @@
 
 /// The inputs that are taken from the queue at once.
 const MAX_INPUTS: usize = 4_096;
-/// The entries after which the state machine is written to a snapshot.
-const SNAPSHOT_ENTRIES: u64 = 8_192;
-/// The command bytes after which it is, whatever their number.
-const SNAPSHOT_BYTES: usize = 16 << 20;
+/// The least growth of the log, in bytes, after which the state machine is written to a snapshot.
+/// A larger snapshot waits until the log has grown by its size, so that snapshots cost a constant
+/// share of the writes and a restart reads no more than twice the state.
+const SNAPSHOT_BYTES: u64 = 4 << 20;
+/// What an entry costs besides its command, in bytes.
+const ENTRY_BYTES: u64 = 64;
 /// How often the other replicas are told who this one is.
 const HELLO: Millis = Millis(1_000);
 /// How often they are told while this replica does not vote.
@@ -120,8 +122,10 @@
     core: Option<Core>,
     state: State,
     applied: Index,
-    /// The command bytes applied since the last snapshot.
-    applied_bytes: usize,
+    /// How much the log has grown since the last snapshot, in bytes.
+    log_bytes: u64,
+    /// The length of the last snapshot, in bytes.
+    snapshot_bytes: u64,
     snapshot_running: bool,
     waiters: HashMap<Token, Waiter>,
     next_token: u64,
@@ -178,7 +182,8 @@
             core: None,
             state: State::new(),
             applied: Index::ZERO,
-            applied_bytes: 0,
+            log_bytes: 0,
+            snapshot_bytes: 0,
             snapshot_running: false,
             waiters: HashMap::new(),
             next_token: 0,
@@ -201,6 +206,8 @@
         if self.applied <= index {
             self.state = state;
             self.applied = index;
+            self.log_bytes = 0;
+            self.snapshot_bytes = restored.snapshot.id.size;
         }
         let cfg = Config {
             id: self.id,
@@ -245,6 +252,7 @@
                 let live = LiveBlobs {
                     upto: self.applied.0,
                     blobs: self.state.live_blobs(),
+                    votes: self.votes(),
                 };
                 // The blob thread ends only with the process.
                 let _ = reply.send(live);
@@ -336,7 +344,8 @@
             DiskReply::Installed { id, state } => {
                 self.state = *state;
                 self.applied = id.index;
-                self.applied_bytes = 0;
+                self.log_bytes = 0;
+                self.snapshot_bytes = id.size;
                 self.step(Event::SnapshotInstalled(id));
             }
             DiskReply::Full => self.on_full(),
@@ -436,7 +445,7 @@
             }
             return;
         };
-        self.applied_bytes += data.len();
+        self.log_bytes += ENTRY_BYTES + data.len() as u64;
         let outcome = match Command::decode(data) {
             Ok(command) => self.state.apply(LogIndex(index.0), &command),
             Err(error) => Refusal::not_run(Reason::Internal, error.to_string()).into(),
@@ -505,6 +514,10 @@
         }
     }
 
+    fn votes(&self) -> bool {
+        self.group().is_some_and(|group| group.is_voter(self.id))
+    }
+
     fn has_group(&self) -> bool {
         self.core
             .as_ref()
@@ -523,8 +536,7 @@
 
     /// Tells every replica that is known who this one is.
     fn say_hello(&mut self, now: Millis) {
-        let votes = self.group().is_some_and(|group| group.is_voter(self.id));
-        self.hello_at = now + if votes { HELLO } else { HELLO_JOINING };
+        self.hello_at = now + if self.votes() { HELLO } else { HELLO_JOINING };
         let hello = Frame::Hello(Hello {
             disk: self.id.0,
             has_group: self.has_group(),
@@ -572,24 +584,25 @@
         let Some(core) = &self.core else {
             return;
         };
-        let entries = self.applied.0.saturating_sub(core.snapshot_index().0);
-        let due = entries >= SNAPSHOT_ENTRIES || self.applied_bytes >= SNAPSHOT_BYTES;
+        let due = self.log_bytes >= SNAPSHOT_BYTES.max(self.snapshot_bytes);
         if !due || self.snapshot_running {
             return;
         }
         let Some((term, members)) = core.describe(self.applied) else {
             return;
         };
+        let state = self.state.snapshot();
+        self.snapshot_bytes = state.len() as u64;
         let request = DiskRequest::Snapshot {
             position: Position {
                 index: self.applied.0,
                 term: term.0,
             },
             members: members.clone(),
-            state: self.state.snapshot(),
+            state,
         };
         self.snapshot_running = true;
-        self.applied_bytes = 0;
+        self.log_bytes = 0;
         self.ask_disk(request);
     }
 
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -111,6 +111,8 @@
 pub(crate) struct LiveBlobs {
     pub(crate) upto: u64,
     pub(crate) blobs: Vec<BlobId>,
+    /// Whether this replica votes.
+    pub(crate) votes: bool,
 }
 
 /// The replica of this instance.
