--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the daemon as a process, one file a topic.
 
+mod acknowledged;
 mod admission;
+mod flood;
 mod jobs;
 mod leaving;
 mod orders;
+mod partitions;
 mod placement;
 mod replicas;
 mod settings;
