--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod acknowledged;
 mod admission;
 mod flood;
+mod history;
 mod jobs;
 mod leaving;
 mod orders;
