--- a/crates/daemon/examples/commits.rs
+++ b/crates/daemon/examples/commits.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p yuccaseam-daemon --example commits -- [SECONDS]` prints commits a
 //! second and latencies for 1, 8, 64 and 512 writers on 1, 3 and 5 voters, the baseline of one
-//! sync a write on the same disk, the time from the kill of a leader to the next commit, and the
+//! sync a write on the same disk, the processor time of idle voters, the time from the kill of a leader to the next commit, and the
 //! time from a start to the first answer after many changes.
 
 use std::{
@@ -62,6 +62,9 @@
 /// How long one proposal of the failover measurement may take.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The unit of processor time in `/proc`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
 static NEXT: AtomicU64 = AtomicU64::new(0);
 
 fn main() -> anyhow::Result<()> {
@@ -82,6 +85,7 @@
             );
         }
     }
+    idle()?;
     failover(&runtime)?;
     for changes in [1_000, 10_000, 100_000] {
         recovery(&runtime, changes)?;
@@ -219,6 +223,51 @@
     bail!("no replica commits")
 }
 
+/// The processor time of daemons that nobody calls.
+fn idle() -> anyhow::Result<()> {
+    const LENGTH: Duration = Duration::from_secs(10);
+    let _cluster = start(3);
+    let before = children_ticks()?;
+    std::thread::sleep(LENGTH);
+    let after = children_ticks()?;
+    let shares = before.iter().zip(&after).map(|(before, after)| {
+        let ticks = after.saturating_sub(*before) as f64;
+        format!(
+            "{:.2} %",
+            ticks / TICKS_PER_SECOND / LENGTH.as_secs_f64() * 100.0
+        )
+    });
+    let shares: Vec<_> = shares.collect();
+    println!("3 idle voters, share of a core each: {}", shares.join(", "));
+    Ok(())
+}
+
+/// The processor time of each child process, in clock ticks, by process identifier.
+fn children_ticks() -> anyhow::Result<Vec<u64>> {
+    let own = std::process::id();
+    let mut children = Vec::new();
+    for entry in std::fs::read_dir("/proc")? {
+        // A process may end while it is looked at.
+        let Ok(stat) = std::fs::read_to_string(entry?.path().join("stat")) else {
+            continue;
+        };
+        let Some((pid, rest)) = stat.split_once(' ') else {
+            continue;
+        };
+        let fields: Vec<&str> = match rest.rsplit_once(") ") {
+            Some((_, fields)) => fields.split(' ').collect(),
+            None => continue,
+        };
+        // After the name: state, parent, ten more, user time, system time.
+        if fields[1].parse() == Ok(own) {
+            let ticks = fields[11].parse::<u64>()? + fields[12].parse::<u64>()?;
+            children.push((pid.parse::<u32>()?, ticks));
+        }
+    }
+    children.sort_unstable();
+    Ok(children.into_iter().map(|(_, ticks)| ticks).collect())
+}
+
 /// The time from the kill of a leader to the next commit.
 fn failover(runtime: &Runtime) -> anyhow::Result<()> {
     let mut cluster = start(3);
--- a/crates/daemon/src/replica/blobs.rs
+++ b/crates/daemon/src/replica/blobs.rs
@@ -41,7 +41,8 @@
 
 use super::{
     Input,
-    LiveBlobs, //
+    LiveBlobs,
+    status::SharedStatus, //
 };
 
 /// The pause between two passes over the blobs of the state.
@@ -130,6 +131,7 @@
     links: Links,
     others: Vec<InstanceName>,
     tx: Sender<Input>,
+    status: SharedStatus,
     clock: Clock,
 }
 
@@ -143,6 +145,7 @@
     settings: &Settings,
     links: &Links,
     tx: Sender<Input>,
+    status: SharedStatus,
 ) -> anyhow::Result<()> {
     let others = settings.voters.iter();
     let repair = Repair {
@@ -153,6 +156,7 @@
             .cloned()
             .collect(),
         tx,
+        status,
         clock: Clock::start(),
     };
     thread::Builder::new()
@@ -167,9 +171,14 @@
         let mut whole = None;
         let mut dead = BTreeSet::new();
         let mut compact_at = COMPACTION_PERIOD;
-        let mut pause = PERIOD_JOINING;
+        let mut pass_at = Millis::ZERO;
         loop {
-            thread::sleep(pause.duration());
+            thread::sleep(PERIOD_JOINING.duration());
+            let now = self.clock.now();
+            if self.status.get().votes && now < pass_at {
+                continue;
+            }
+            pass_at = now + PERIOD;
             let (reply, rx) = mpsc::channel();
             if self.tx.send(Input::LiveBlobs(reply)).is_err() {
                 return;
@@ -177,7 +186,6 @@
             let Ok(live) = rx.recv() else {
                 continue;
             };
-            pause = if live.votes { PERIOD } else { PERIOD_JOINING };
             if whole != Some(live.upto) && self.fetch_missing(&live) {
                 whole = Some(live.upto);
                 let upto = live.upto;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -252,7 +252,6 @@
                 let live = LiveBlobs {
                     upto: self.applied.0,
                     blobs: self.state.live_blobs(),
-                    votes: self.votes(),
                 };
                 // The blob thread ends only with the process.
                 let _ = reply.send(live);
@@ -284,10 +283,13 @@
     }
 
     /// Whether the group has not got its second voter yet. What it acknowledged now would be on
-    /// one disk.
+    /// one disk. A group that operators made that small is complete.
     fn is_forming(&self) -> bool {
-        let voters = self.group().map_or(0, |group| group.voters().count());
-        voters < 2 && self.configured.len() > 1
+        let Some(group) = self.group() else {
+            return true;
+        };
+        let expected = |name: &&InstanceName| **name != self.own && !group.has_departed(name);
+        group.voters().count() < 2 && self.configured.iter().any(|name| expected(&name))
     }
 
     fn group(&self) -> Option<&Membership> {
@@ -619,6 +621,8 @@
             applied: self.applied.0,
             members: self.members.clone(),
             voters: group.voters().filter_map(name).collect(),
+            votes: self.votes(),
+            forming: self.is_forming(),
         });
     }
 }
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -111,8 +111,6 @@
 pub(crate) struct LiveBlobs {
     pub(crate) upto: u64,
     pub(crate) blobs: Vec<BlobId>,
-    /// Whether this replica votes.
-    pub(crate) votes: bool,
 }
 
 /// The replica of this instance.
@@ -149,7 +147,7 @@
         let transport = Transport::new(settings.instance.clone(), links.clone());
         let driver = Driver::new(id, settings, clock, transport, requests, status.clone());
         driver::start(driver, restored, rx)?;
-        blobs::start_repair(&blobs, settings, links, tx.clone())?;
+        blobs::start_repair(&blobs, settings, links, tx.clone(), status.clone())?;
         log::info!("the replica on disk {id} has started");
         Ok(Self { tx, blobs, status })
     }
--- a/crates/daemon/src/replica/status.rs
+++ b/crates/daemon/src/replica/status.rs
@@ -26,6 +26,10 @@
     pub(crate) members: Vec<MemberStatus>,
     /// The instances that vote.
     pub(crate) voters: Vec<InstanceName>,
+    /// Whether this replica's disk votes.
+    pub(crate) votes: bool,
+    /// Whether the group waits for its second voter.
+    pub(crate) forming: bool,
 }
 
 impl Status {
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -264,7 +264,7 @@
     /// the configured ones.
     fn voters(&self) -> Vec<InstanceName> {
         match self.replica_status() {
-            Some(status) if status.voters.len() > 1 => status.voters,
+            Some(status) if !status.forming && !status.voters.is_empty() => status.voters,
             _ => self.voters.clone(),
         }
     }
--- a/crates/daemon/tests/all/replicas.rs
+++ b/crates/daemon/tests/all/replicas.rs
@@ -285,3 +285,27 @@
     assert!(refused.text.contains("only 1 voters"), "{}", refused.text);
     replicas.write(alive);
 }
+
+#[test]
+fn a_group_shrinks_to_one_voter_and_grows_again() {
+    let mut replicas = Replicas::start();
+    replicas.write(0);
+    let last = replicas.wait_for_leader(&[0, 1, 2]);
+    let [a, b] = others(last);
+    assert_eq!(replicas.change(last, "remove", a), 200);
+    assert_eq!(replicas.change(last, "remove", b), 200);
+    replicas.write(last);
+    replicas.kill(last);
+    replicas.cluster.start_daemon(last);
+    replicas.write(last);
+    for at in [a, b] {
+        wait_until("the removed replica is a candidate", || {
+            replicas.role(last, at).as_deref() == Some("candidate")
+        });
+        // Refused while the other one is being promoted.
+        wait_until("it is added", || replicas.change(last, "add", at) == 200);
+    }
+    replicas.wait_for_voters(last);
+    replicas.kill(last);
+    replicas.write(a);
+}
