--- a/crates/daemon/src/jobs/runner/target.rs
+++ b/crates/daemon/src/jobs/runner/target.rs
@@ -1,8 +1,9 @@
 //! The thread of one owned target.
 
+mod alive;
+
 use std::{
     collections::BTreeMap,
-    net::TcpStream,
     sync::{
         Arc, Mutex,
         atomic::{
@@ -61,8 +62,6 @@
 
 /// The longest time between two looks at the gate and at a target that seems dead.
 const TICK: Millis = Millis(200);
-/// How long a target may take to accept a connection.
-const PROBE: Millis = Millis(500);
 /// Items at hand for each slot.
 const AT_HAND: u32 = 2;
 
@@ -368,37 +367,6 @@
         tokens
     }
 
-    /// Finds out whether a target that failed a call is there. One that refuses connections is
-    /// dead, with everything that ran there.
-    fn probe(&mut self) {
-        let found = TcpStream::connect_timeout(&self.target.address, PROBE.duration()).is_ok();
-        if found {
-            self.suspect = false;
-            self.slots.set_refuses(false);
-        } else {
-            self.slots.set_refuses(true);
-            self.died();
-        }
-    }
-
-    fn died(&mut self) {
-        for run in std::mem::take(&mut self.runs).into_keys() {
-            self.tell(GateEvent::BatchFinished(run));
-        }
-        self.handle(Event::TargetDied);
-    }
-
-    /// A new incarnation means that the process before it died.
-    fn announced(&mut self, target: Announcement) {
-        let restarted = target.incarnation != self.target.incarnation;
-        self.target = target;
-        if restarted {
-            self.died();
-            self.suspect = true;
-            self.probe();
-        }
-    }
-
     fn leave(&mut self) {
         if self.leaving.is_none() {
             self.leaving = Some(measures::Running::start());
