daemon: retries draw from a budget; targets that fail are passed over

Cause: an entry sent each failed call again up to twice whatever the state of the fleet, and chose a target that refuses connections again and again until its announcement expired. A daemon now has one retry budget (the configuration's percentage, 100 saved up, which covers the streams of one entry at a domain that falls); a call that finds it spent ends with its own verdict and the reason retry_budget_spent.

--- a/crates/admit/src/breaker.rs
+++ b/crates/admit/src/breaker.rs
@@ -79,6 +79,17 @@
         }
     }
 
+    /// Whether a trial call was sent whose outcome is still awaited.
+    pub fn is_trial_out(&self, now: Millis) -> bool {
+        match self.state {
+            State::HalfOpen {
+                trial_since: Some(since),
+                period,
+            } => now < since + period,
+            _ => false,
+        }
+    }
+
     /// Whether a call may be sent now. In the half-open state the first caller gets the trial;
     /// a trial without an outcome is given up after the period for which the breaker was open.
     pub fn try_call(&mut self, now: Millis) -> bool {
--- a/crates/admit/tests/all/breaker.rs
+++ b/crates/admit/tests/all/breaker.rs
@@ -40,6 +40,7 @@
     let mut breaker = opened(Millis(0));
     assert_eq!(breaker.state(Millis(500)), BreakerState::HalfOpen);
     assert!(breaker.try_call(Millis(500)));
+    assert!(breaker.is_trial_out(Millis(501)));
     assert!(!breaker.try_call(Millis(501)));
     breaker.succeeded();
     assert_eq!(breaker.state(Millis(502)), BreakerState::Closed);
--- a/crates/daemon/src/admission/entry.rs
+++ b/crates/daemon/src/admission/entry.rs
@@ -300,6 +300,14 @@
         }
     }
 
+    /// Notes whether a call to a target failed.
+    pub(super) fn note_result(&self, target: &TargetName, failed: bool) {
+        let now = self.clock.now();
+        if let Some(view) = self.view().as_mut() {
+            view.note_result(target, failed, now);
+        }
+    }
+
     fn with_view<F, T>(&self, cx: &Context, f: F) -> T
     where
         F: FnOnce(&mut View) -> T,
--- a/crates/daemon/src/admission/mod.rs
+++ b/crates/daemon/src/admission/mod.rs
@@ -24,18 +24,30 @@
 
 use std::{
     io,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
     thread, //
 };
 
+use yuccaseam_admit::{
+    BudgetSettings,
+    RetryBudget, //
+};
 use yuccaseam_base::{
     Clock,
     InstanceName,
+    Reason,
     Refusal,
     TargetName, //
 };
 
-use crate::context::Context;
+use crate::{
+    context::Context,
+    measures, //
+};
 
 pub(crate) use ask::{
     Ask,
@@ -48,10 +60,18 @@
 
 use entry::EntrySide;
 
+/// The budget of retries until the configuration is read. What may be saved up covers the streams
+/// of one entry at the targets of a failure domain that falls.
+const BUDGET: BudgetSettings = BudgetSettings {
+    percent: 10,
+    burst: 100,
+};
+
 /// Both sides of admission.
 pub(crate) struct Admission {
     entry: Arc<EntrySide>,
     owner: Arc<OwnerSide>,
+    budget: Mutex<RetryBudget>,
 }
 
 impl Admission {
@@ -61,6 +81,7 @@
         Self {
             entry: Arc::new(entry),
             owner,
+            budget: Mutex::new(RetryBudget::new(BUDGET)),
         }
     }
 
@@ -70,9 +91,43 @@
     ///
     /// The refusal is always "not run".
     pub(crate) fn acquire(&self, cx: &Context, ask: &Ask) -> Result<Permit, Refusal> {
+        if ask.avoid.is_empty() {
+            self.budget().request();
+        }
         self.entry.acquire(cx, ask)
     }
 
+    /// Takes one retry from this entry's budget for a call that failed.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the call's verdict if the budget is spent.
+    pub(crate) fn retry(&self, cx: &Context, refusal: Refusal) -> Result<(), Refusal> {
+        let percent = cx.store.configuration().defaults.retry_budget_percent;
+        let mut budget = self.budget();
+        budget.set_percent(u32::try_from(percent).unwrap_or(u32::MAX));
+        if budget.try_retry() {
+            measures::count_retry(refusal.reason);
+            return Ok(());
+        }
+        Err(Refusal {
+            reason: Reason::RetryBudgetSpent,
+            detail: format!("not sent again after {refusal}"),
+            ..refusal
+        })
+    }
+
+    /// Notes how a call to a target ended, for its circuit breaker.
+    pub(crate) fn note_result(&self, target: &TargetName, failure: Option<&Refusal>) {
+        let failed =
+            |refusal: &Refusal| matches!(refusal.reason, Reason::TargetFailed | Reason::AnswerCut);
+        self.entry.note_result(target, failure.is_some_and(failed));
+    }
+
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().expect("no thread panics with the lock")
+    }
+
     /// The gates of the targets that this daemon owns.
     pub(crate) fn owner(&self) -> &Arc<OwnerSide> {
         &self.owner
--- a/crates/daemon/src/admission/view.rs
+++ b/crates/daemon/src/admission/view.rs
@@ -1,7 +1,15 @@
 //! What this entry knows of targets, for the choice among them.
 
-use std::collections::HashSet;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 
+use yuccaseam_admit::{
+    Breaker,
+    BreakerSettings,
+    BreakerState, //
+};
 use yuccaseam_base::{
     FailureDomain,
     Millis,
@@ -63,6 +71,8 @@
     regions: Names<Region, Zone>,
     domains: Names<FailureDomain, Domain>,
     known: HashSet<Target>,
+    /// The breakers of targets that failed lately.
+    breakers: HashMap<Target, Breaker>,
     linked: HashSet<Zone>,
     fed_at: Option<Millis>,
 }
@@ -89,6 +99,7 @@
             regions,
             domains,
             known: HashSet::new(),
+            breakers: HashMap::new(),
             fed_at: None,
         }
     }
@@ -110,9 +121,31 @@
     pub(crate) fn sent(&mut self, target: &TargetName, ask: &Ask, now: Millis) {
         let model = self.models.key(&ask.needs);
         let target = self.targets.key(target);
+        if let Some(breaker) = self.breakers.get_mut(&target)
+            && breaker.state(now) == BreakerState::HalfOpen
+        {
+            // The trial is out: others pass the target over until it ends.
+            breaker.try_call(now);
+            self.router.set_circuit(target, Circuit::Open);
+        }
         self.router.sent(target, &request(ask, model), now);
     }
 
+    /// Notes whether a call to a target failed. A target that serves has no breaker.
+    pub(crate) fn note_result(&mut self, target: &TargetName, failed: bool, now: Millis) {
+        let target = self.targets.key(target);
+        if !failed {
+            if self.breakers.remove(&target).is_some() {
+                self.router.set_circuit(target, Circuit::Closed);
+            }
+            return;
+        }
+        let new = || Breaker::new(BreakerSettings::default());
+        let breaker = self.breakers.entry(target).or_insert_with(new);
+        breaker.failed(now);
+        self.router.set_circuit(target, circuit(breaker, now));
+    }
+
     pub(crate) fn ended(&mut self, target: &TargetName) {
         let target = self.targets.key(target);
         self.router.ended(target);
@@ -133,7 +166,7 @@
         self.fed_at = Some(now);
         let mut gone = std::mem::take(&mut self.known);
         for announcement in cx.targets.all().values() {
-            if let Some(candidate) = self.candidate(announcement) {
+            if let Some(candidate) = self.candidate(announcement, now) {
                 self.link(candidate.place.region, now);
                 self.router.update(candidate, now);
                 gone.remove(&candidate.target);
@@ -141,6 +174,7 @@
             }
         }
         for target in gone {
+            self.breakers.remove(&target);
             self.router.remove(target);
         }
     }
@@ -151,7 +185,7 @@
         }
     }
 
-    fn candidate(&mut self, announcement: &Announcement) -> Option<Candidate> {
+    fn candidate(&mut self, announcement: &Announcement, now: Millis) -> Option<Candidate> {
         let model = announcement.model.clone().map(Needs::Model);
         let service = announcement.service.clone().map(Needs::Service);
         let liveness = match announcement.state {
@@ -159,21 +193,32 @@
             State::Suspect => Liveness::Suspect,
             State::Leaving => Liveness::Leaving,
         };
+        let target = self.targets.key(&announcement.name);
+        let breaker = self.breakers.get(&target);
         Some(Candidate {
-            target: self.targets.key(&announcement.name),
+            target,
             model: self.models.key(&model.or(service)?),
             place: Place {
                 region: self.regions.key(&announcement.region),
                 domain: self.domains.key(&announcement.failure_domain),
             },
             liveness,
-            circuit: Circuit::Closed,
+            circuit: breaker.map_or(Circuit::Closed, |breaker| circuit(breaker, now)),
             slots: announcement.slots,
             load: None,
         })
     }
 }
 
+fn circuit(breaker: &Breaker, now: Millis) -> Circuit {
+    match breaker.state(now) {
+        BreakerState::Closed => Circuit::Closed,
+        BreakerState::HalfOpen if breaker.is_trial_out(now) => Circuit::Open,
+        BreakerState::HalfOpen => Circuit::HalfOpen,
+        BreakerState::Open => Circuit::Open,
+    }
+}
+
 fn request(ask: &Ask, model: Model) -> Request<'_> {
     let tokens = ask.prompt_tokens.saturating_add(ask.answer_tokens);
     Request {
--- a/crates/daemon/src/entry/generate.rs
+++ b/crates/daemon/src/entry/generate.rs
@@ -97,7 +97,11 @@
                 Err(refusal) if attempts == ATTEMPTS || !is_worth_retrying(&refusal) => {
                     break refusal;
                 }
-                Err(refusal) => measures::count_retry(refusal.reason),
+                Err(refusal) => {
+                    if let Err(refusal) = self.cx.admission.retry(self.cx, refusal) {
+                        break refusal;
+                    }
+                }
             }
         };
         out.refuse(&refusal.at_least(self.verdict));
@@ -133,7 +137,11 @@
                 Err(refusal) if attempts == ATTEMPTS || !is_worth_retrying(&refusal) => {
                     break refusal;
                 }
-                Err(refusal) => measures::count_retry(refusal.reason),
+                Err(refusal) => {
+                    if let Err(refusal) = self.cx.admission.retry(self.cx, refusal) {
+                        break refusal;
+                    }
+                }
             }
         };
         let refusal = refusal.at_least(self.verdict);
@@ -234,6 +242,7 @@
     /// Remembers a target that failed, so that the next attempt goes elsewhere, and whether it may
     /// have run the call.
     fn note<T>(&mut self, target: &TargetName, result: &Result<T, Refusal>) {
+        self.cx.admission.note_result(target, result.as_ref().err());
         if let Err(refusal) = result {
             self.ask.avoid.push(target.clone());
             self.verdict = self.verdict.max(refusal.verdict);
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -82,7 +82,10 @@
             Ok(permit) => permit,
             Err(refusal) => return Err(refusal.at_least(verdict)),
         };
-        let refusal = match send(cx, call, name, permit.target.address) {
+        let result = send(cx, call, name, permit.target.address);
+        cx.admission
+            .note_result(&permit.target.name, result.as_ref().err());
+        let refusal = match result {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal.at_least(verdict),
         };
@@ -90,7 +93,7 @@
         if attempts == ATTEMPTS || !refusal.verdict.allows_retry(idempotent) {
             return Err(refusal);
         }
-        measures::count_retry(refusal.reason);
+        cx.admission.retry(cx, refusal)?;
         ask.avoid.push(permit.target.name.clone());
     }
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -187,6 +187,13 @@
         }
     }
 
+    /// Takes news of the circuit breaker of a target alone.
+    pub fn set_circuit(&mut self, target: Target, circuit: Circuit) {
+        if let Some(known) = self.known.get_mut(&target) {
+            known.candidate.circuit = circuit;
+        }
+    }
+
     /// A target is gone for good.
     pub fn remove(&mut self, target: Target) {
         let Some(known) = self.known.remove(&target) else {
