admission: one way to take a report, bounded names, requests of the router apart

Reports of this instance and of others were taken in by two copies of the same steps. Teams and classes that callers make up cost memory at the owner for the life of the process: beyond 4,096 teams and 256 classes they share a queue.

--- a/crates/daemon/src/admission/names.rs
+++ b/crates/daemon/src/admission/names.rs
@@ -32,6 +32,16 @@
         key
     }
 
+    /// The key of a name, or that of `other` if the name is new and there are `limit` names. Names
+    /// that callers make up then share a key and cost no memory.
+    pub(crate) fn key_within(&mut self, name: &N, limit: usize, other: &N) -> K {
+        if self.keys.contains_key(name) || self.names.len() < limit {
+            self.key(name)
+        } else {
+            self.key(other)
+        }
+    }
+
     /// The name of a key of this collection.
     pub(crate) fn name(&self, key: K) -> &N {
         &self.names[key]
--- a/crates/daemon/src/admission/owner.rs
+++ b/crates/daemon/src/admission/owner.rs
@@ -59,6 +59,11 @@
 const TICK: Millis = Millis(10);
 /// Ticks after which the state and the settings of the targets are read again.
 const TICKS_PER_REFRESH: u32 = 25;
+/// Teams and classes that are told apart. Those that come later are queued as one.
+const TEAMS: usize = 4_096;
+const CLASSES: usize = 256;
+/// The name of the teams and classes that are not told apart; callers cannot name it.
+const OTHERS: &str = "\0";
 /// How often targets are asked for their load.
 const LOAD_EVERY: Millis = Millis(500);
 /// How long a target may take to report its load.
@@ -134,11 +139,12 @@
         let mut inner = self.lock();
         let permit = PermitId(inner.next_permit);
         inner.next_permit += 1;
+        let others = OTHERS.to_owned();
         let request = Request {
             permit,
             entry: inner.entries.key(&req.instance),
-            team: inner.teams.key(&req.team),
-            class: inner.classes.key(&req.class),
+            team: inner.teams.key_within(&req.team, TEAMS, &others),
+            class: inner.classes.key_within(&req.class, CLASSES, &others),
             prompt_tokens: req.prompt_tokens,
             answer_tokens: req.answer_tokens,
             weight: u32::try_from(weight).unwrap_or(u32::MAX),
--- a/crates/daemon/src/admission/report.rs
+++ b/crates/daemon/src/admission/report.rs
@@ -1,15 +1,11 @@
 //! Reports of an entry to the owners: permits returned and renewed, in batches.
 
 use std::{
-    collections::{
-        BTreeMap,
-        HashMap, //
-    },
-    sync::Arc,
+    collections::BTreeMap,
+    sync::Arc, //
 };
 
 use tonic::transport::Channel;
-use yuccaseam_admit::PermitId;
 use yuccaseam_base::{
     InstanceName,
     Millis,
@@ -23,6 +19,7 @@
 };
 
 use super::entry::EntrySide;
+use super::service;
 use crate::context::Context;
 
 /// How often permits are renewed. The owner takes them back after three seconds of silence.
@@ -102,7 +99,8 @@
 
 fn send(cx: &Arc<Context>, owner: InstanceName, req: ReportRequest) {
     if owner == cx.settings.instance {
-        return report_here(cx, &req);
+        service::take_report(cx, &req);
+        return;
     }
     let Some(channel) = cx.links.channel(&owner) else {
         return;
@@ -112,23 +110,6 @@
     links.spawn(async move { report_there(&cx, &owner, channel, req).await });
 }
 
-fn report_here(cx: &Context, req: &ReportRequest) {
-    let owner = &cx.admission.owner;
-    for finished in &req.finished {
-        let target = TargetName(finished.target.clone());
-        owner.finish(&target, PermitId(finished.permit));
-    }
-    if !req.renewal {
-        return;
-    }
-    let mut held: HashMap<TargetName, Vec<PermitId>> = HashMap::new();
-    for permit in &req.held {
-        let target = held.entry(TargetName(permit.target.clone())).or_default();
-        target.push(PermitId(permit.permit));
-    }
-    owner.renew(cx, &req.instance, &held);
-}
-
 async fn report_there(cx: &Context, owner: &InstanceName, channel: Channel, req: ReportRequest) {
     let entry = &cx.admission.entry;
     let mut client = AdmissionClient::new(channel);
--- a/crates/daemon/src/admission/service.rs
+++ b/crates/daemon/src/admission/service.rs
@@ -85,35 +85,40 @@
     }
 
     async fn report(&self, req: Request<ReportRequest>) -> Result<Response<ReportReply>, Status> {
-        let req = req.into_inner();
-        let owner = &self.cx.admission.owner;
-        let mut named = Vec::new();
-        for finished in req.finished {
-            let target = TargetName(finished.target);
-            owner.finish(&target, PermitId(finished.permit));
-            named.push(target);
-        }
-        let mut held: HashMap<TargetName, Vec<PermitId>> = HashMap::new();
-        for permit in req.held {
-            let target = held.entry(TargetName(permit.target)).or_default();
-            target.push(PermitId(permit.permit));
-        }
-        if req.renewal {
-            owner.renew(&self.cx, &req.instance, &held);
-        }
-        named.extend(held.into_keys());
-        named.sort_unstable();
-        named.dedup();
-        let load = |target: TargetName| {
-            let busy = owner.busy(&target)?;
-            let target = target.0;
-            Some(TargetLoad { target, busy })
-        };
-        let loads = named.into_iter().filter_map(load).collect();
-        Ok(Response::new(ReportReply { loads }))
+        let reply = take_report(&self.cx, &req.into_inner());
+        Ok(Response::new(reply))
     }
 }
 
+/// Takes a report of an entry, this one included, in.
+pub(super) fn take_report(cx: &Context, req: &ReportRequest) -> ReportReply {
+    let owner = &cx.admission.owner;
+    let mut named = Vec::new();
+    for finished in &req.finished {
+        let target = TargetName(finished.target.clone());
+        owner.finish(&target, PermitId(finished.permit));
+        named.push(target);
+    }
+    let mut held: HashMap<TargetName, Vec<PermitId>> = HashMap::new();
+    for permit in &req.held {
+        let target = held.entry(TargetName(permit.target.clone())).or_default();
+        target.push(PermitId(permit.permit));
+    }
+    if req.renewal {
+        owner.renew(cx, &req.instance, &held);
+    }
+    named.extend(held.into_keys());
+    named.sort_unstable();
+    named.dedup();
+    let load = |target: TargetName| {
+        let busy = owner.busy(&target)?;
+        let target = target.0;
+        Some(TargetLoad { target, busy })
+    };
+    let loads = named.into_iter().filter_map(load).collect();
+    ReportReply { loads }
+}
+
 impl From<AcquireRequest> for PermitRequest {
     fn from(req: AcquireRequest) -> Self {
         Self {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod link;
 mod load;
+mod request;
 mod router;
 
 pub use affinity::{BLOCK_TOKENS, prefix_chain};
@@ -15,4 +16,5 @@
     Candidate, Circuit, Domain, Liveness, Model, Place, ReportedLoad, Target, Zone,
 };
 pub use link::LinkSettings;
-pub use router::{Choice, Request, Router, Settings, Traffic, Why};
+pub use request::{Choice, Request, Traffic, Why};
+pub use router::{Router, Settings};
--- a/crates/route/src/link.rs
+++ b/crates/route/src/link.rs
@@ -5,7 +5,7 @@
     value, //
 };
 
-use crate::router::Traffic;
+use crate::request::Traffic;
 
 /// Settings of the link from this region to another.
 #[value]
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -9,7 +9,6 @@
 use rand_chacha::ChaCha8Rng;
 use yuccaseam_base::{
     Millis,
-    key,
     value, //
 };
 
@@ -30,6 +29,11 @@
         LinkSettings, //
     },
     load::LoadEstimate,
+    request::{
+        Choice,
+        Request,
+        Why, //
+    },
 };
 
 /// Random targets that are compared.
@@ -51,54 +55,6 @@
 const SPILL_LOAD: f64 = 1.0;
 const SPILL_GAIN: f64 = 0.25;
 
-/// Whether a request is online or batch.
-#[key]
-pub enum Traffic {
-    /// A caller waits.
-    Online,
-    /// An item of a job.
-    Batch {
-        /// Whether the job allows its payloads to leave the region.
-        may_leave: bool,
-    },
-}
-
-/// A request that needs a target.
-#[value]
-#[derive(Copy)]
-pub struct Request<'a> {
-    /// What must serve it.
-    pub model: Model,
-    /// The hashes of its prompt's prefixes, shortest first.
-    pub prefix: &'a [u64],
-    /// Whether it is online or batch.
-    pub traffic: Traffic,
-    /// The bytes of the prompt and the expected answer.
-    pub bytes: u32,
-}
-
-/// Why a target was chosen.
-#[key]
-pub enum Why {
-    /// It has the least load of those drawn.
-    Load,
-    /// It may hold a prefix of the prompt.
-    Affinity,
-    /// This region has no target with room.
-    Spill,
-    /// Only suspect targets are left.
-    LastResort,
-}
-
-/// A target to ask, and why.
-#[key]
-pub struct Choice {
-    /// The target.
-    pub target: Target,
-    /// Why.
-    pub why: Why,
-}
-
 /// Settings of a router.
 #[value]
 #[derive(Copy)]
