daemon: calls of the replica hold no thread while they wait

Each proposal or query of another daemon held a blocking thread until its answer. The answer is a callback now, which wakes either a thread of this daemon or a task of the runtime.

--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -58,6 +58,7 @@
     Input,
     LiveBlobs,
     MemberRequest,
+    Reply,
     Status,
     disk_thread::{
         DiskReply,
@@ -98,9 +99,9 @@
 
 /// Who waits for a token.
 enum Waiter {
-    Propose(Sender<Replied<Outcome>>),
-    Query(Query, Sender<Replied<Answer>>),
-    Change(Sender<Replied<()>>),
+    Propose(Reply<Outcome>),
+    Query(Query, Reply<Answer>),
+    Change(Reply<()>),
 }
 
 /// How far the log had grown at some time.
@@ -269,13 +270,13 @@
     }
 
     /// Queues a command for the next write, so that all that wait share one.
-    fn propose(&mut self, command: Vec<u8>, reply: Sender<Replied<Outcome>>) {
+    fn propose(&mut self, command: Vec<u8>, reply: Reply<Outcome>) {
         if self.clock.now() < self.full_until {
             let refusal = Refusal::not_run(Reason::DiskFull, "the disk of the leader is full");
-            return answer(&reply, Replied::Refused(refusal));
+            return reply(Replied::Refused(refusal));
         }
         if self.is_forming() {
-            return answer(&reply, Replied::NotLeader(None));
+            return reply(Replied::NotLeader(None));
         }
         let token = self.token(Waiter::Propose(reply));
         let data = command.into();
@@ -303,11 +304,11 @@
         }
     }
 
-    fn change(&mut self, request: &MemberRequest, reply: Sender<Replied<()>>) {
+    fn change(&mut self, request: &MemberRequest, reply: Reply<()>) {
         let now = self.clock.now();
         let leads = self.core.as_ref().is_some_and(Core::is_leader);
         if !leads {
-            return answer(&reply, Replied::NotLeader(self.leader_name()));
+            return reply(Replied::NotLeader(self.leader_name()));
         }
         let group = self.group().cloned().unwrap_or_default();
         match self.presence.change(request, &group, now) {
@@ -317,7 +318,7 @@
             }
             Err(detail) => {
                 let refusal = Refusal::not_run(Reason::UnsafeChange, detail);
-                answer(&reply, Replied::Refused(refusal));
+                reply(Replied::Refused(refusal));
             }
         }
     }
@@ -443,7 +444,7 @@
         let Payload::Command(data) = &committed.entry.payload else {
             self.refresh_members();
             if let Some(Waiter::Change(reply)) = waiter {
-                answer(&reply, Replied::Answer(()));
+                reply(Replied::Answer(()));
             }
             return;
         };
@@ -453,13 +454,13 @@
             Err(error) => Refusal::not_run(Reason::Internal, error.to_string()).into(),
         };
         if let Some(Waiter::Propose(reply)) = waiter {
-            answer(&reply, Replied::Answer(outcome));
+            reply(Replied::Answer(outcome));
         }
     }
 
     fn answer_query(&mut self, token: Token) {
         if let Some(Waiter::Query(query, reply)) = self.waiters.remove(&token) {
-            answer(&reply, Replied::Answer(self.state.answer(&query)));
+            reply(Replied::Answer(self.state.answer(&query)));
         }
     }
 
@@ -490,7 +491,7 @@
             ChangeError::Unknown(_) => Replied::Lost(error.to_string()),
             _ => Replied::Refused(Refusal::not_run(Reason::UnsafeChange, error.to_string())),
         };
-        answer(&reply, replied);
+        reply(replied);
     }
 
     fn leader_name(&self) -> Option<InstanceName> {
@@ -631,23 +632,18 @@
     /// Says that another replica leads, and that nothing was done here.
     fn redirect(self, hint: Option<InstanceName>) {
         match self {
-            Self::Propose(reply) => answer(&reply, Replied::NotLeader(hint)),
-            Self::Query(_, reply) => answer(&reply, Replied::NotLeader(hint)),
-            Self::Change(reply) => answer(&reply, Replied::NotLeader(hint)),
+            Self::Propose(reply) => reply(Replied::NotLeader(hint)),
+            Self::Query(_, reply) => reply(Replied::NotLeader(hint)),
+            Self::Change(reply) => reply(Replied::NotLeader(hint)),
         }
     }
 
     /// Says that what was asked for may still take effect.
     fn lose(self, why: &str) {
         match self {
-            Self::Propose(reply) => answer(&reply, Replied::Lost(why.to_owned())),
-            Self::Query(_, reply) => answer(&reply, Replied::NotLeader(None)),
-            Self::Change(reply) => answer(&reply, Replied::Lost(why.to_owned())),
+            Self::Propose(reply) => reply(Replied::Lost(why.to_owned())),
+            Self::Query(_, reply) => reply(Replied::NotLeader(None)),
+            Self::Change(reply) => reply(Replied::Lost(why.to_owned())),
         }
     }
 }
-
-/// Answers one who may have stopped waiting.
-fn answer<T>(reply: &Sender<T>, value: T) {
-    let _ = reply.send(value);
-}
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -28,13 +28,13 @@
         Arc,
         mpsc::{
             self,
-            Receiver,
             Sender, //
         }, //
     }, //
 };
 
 use anyhow::Context as _;
+use tokio::sync::oneshot;
 use yuccaseam_base::{
     Clock,
     InstanceName,
@@ -78,22 +78,22 @@
 /// How long this replica may take to answer.
 const ANSWER: Millis = Millis(2_500);
 
+/// Takes the answer, on the driver's thread. It must not wait.
+pub(crate) type Reply<T> = Box<dyn FnOnce(Replied<T>) + Send>;
+
 /// What reaches the driver.
 pub(crate) enum Input {
     /// A command is to be replicated.
     Propose {
         command: Vec<u8>,
-        reply: Sender<Replied<Outcome>>,
+        reply: Reply<Outcome>,
     },
     /// A query is to be answered from confirmed state.
-    Query {
-        query: Query,
-        reply: Sender<Replied<Answer>>,
-    },
+    Query { query: Query, reply: Reply<Answer> },
     /// An operator changes the group.
     Change {
         request: MemberRequest,
-        reply: Sender<Replied<()>>,
+        reply: Reply<()>,
     },
     /// A message of another replica.
     Received { from: InstanceName, frame: Frame },
@@ -162,16 +162,30 @@
         self.status.get()
     }
 
+    /// Proposes a command and waits on this thread.
     pub(crate) fn propose(&self, command: &Command) -> Replied<Outcome> {
         let command = command.encode();
         self.ask(|reply| Input::Propose { command, reply })
-            .unwrap_or_else(|| Replied::Lost("the replica has not answered in time".to_owned()))
+            .unwrap_or_else(unanswered_proposal)
+    }
+
+    /// Proposes an encoded command without holding a thread.
+    pub(crate) async fn proposal(&self, command: Vec<u8>) -> Replied<Outcome> {
+        let answer = self.answer(|reply| Input::Propose { command, reply });
+        answer.await.unwrap_or_else(unanswered_proposal)
     }
 
+    /// Asks a query and waits on this thread.
     pub(crate) fn query(&self, query: &Query) -> Replied<Answer> {
         let query = query.clone();
         self.ask(|reply| Input::Query { query, reply })
-            .unwrap_or_else(|| Replied::NotSent("no quorum has confirmed in time".to_owned()))
+            .unwrap_or_else(unanswered_query)
+    }
+
+    /// Asks a query without holding a thread.
+    pub(crate) async fn confirmed(&self, query: Query) -> Replied<Answer> {
+        let answer = self.answer(|reply| Input::Query { query, reply });
+        answer.await.unwrap_or_else(unanswered_query)
     }
 
     pub(crate) fn change(&self, request: MemberRequest) -> Replied<()> {
@@ -202,12 +216,39 @@
         self.blobs.get(id)
     }
 
-    fn ask<T, F>(&self, input: F) -> Option<T>
+    fn ask<T, F>(&self, input: F) -> Option<Replied<T>>
     where
-        F: FnOnce(Sender<T>) -> Input,
+        T: Send + 'static,
+        F: FnOnce(Reply<T>) -> Input,
     {
-        let (reply, rx): (Sender<T>, Receiver<T>) = mpsc::channel();
-        self.tx.send(input(reply)).ok()?;
+        let (tx, rx) = mpsc::channel();
+        let reply = move |answer| {
+            // Nobody waits any more if the time is over.
+            let _ = tx.send(answer);
+        };
+        self.tx.send(input(Box::new(reply))).ok()?;
         rx.recv_timeout(ANSWER.duration()).ok()
     }
+
+    async fn answer<T, F>(&self, input: F) -> Option<Replied<T>>
+    where
+        T: Send + 'static,
+        F: FnOnce(Reply<T>) -> Input,
+    {
+        let (tx, rx) = oneshot::channel();
+        let reply = move |answer| {
+            // Nobody waits any more if the time is over.
+            let _ = tx.send(answer);
+        };
+        self.tx.send(input(Box::new(reply))).ok()?;
+        tokio::time::timeout(ANSWER.duration(), rx).await.ok()?.ok()
+    }
+}
+
+fn unanswered_proposal() -> Replied<Outcome> {
+    Replied::Lost("the replica has not answered in time".to_owned())
+}
+
+fn unanswered_query() -> Replied<Answer> {
+    Replied::NotSent("no quorum has confirmed in time".to_owned())
 }
--- a/crates/daemon/src/store/service.rs
+++ b/crates/daemon/src/store/service.rs
@@ -46,6 +46,11 @@
         Self { cx }
     }
 
+    fn replica(&self) -> Result<&Replica, Status> {
+        let replica = self.cx.store.replica.as_ref();
+        replica.ok_or_else(|| Status::failed_precondition("no replica is on this instance"))
+    }
+
     /// Runs a call of the replica on a thread that may block.
     async fn on_replica<T, F>(&self, call: F) -> Result<Response<T>, Status>
     where
@@ -72,19 +77,17 @@
         &self,
         req: Request<wire::ProposeRequest>,
     ) -> Result<Response<wire::ProposeReply>, Status> {
-        let command = Command::decode(&req.get_ref().command).map_err(malformed)?;
-        self.on_replica(move |replica| {
-            let result = match replica.propose(&command) {
-                Replied::Answer(outcome) => propose_reply::Result::Outcome(outcome.encode()),
-                Replied::NotLeader(hint) => propose_reply::Result::LeaderHint(hint_text(hint)),
-                Replied::Refused(refusal) => propose_reply::Result::Refused(refused(refusal)),
-                Replied::NotSent(why) | Replied::Lost(why) => propose_reply::Result::Unknown(why),
-            };
-            Ok(wire::ProposeReply {
-                result: Some(result),
-            })
-        })
-        .await
+        let command = req.into_inner().command;
+        Command::decode(&command).map_err(malformed)?;
+        let result = match self.replica()?.proposal(command).await {
+            Replied::Answer(outcome) => propose_reply::Result::Outcome(outcome.encode()),
+            Replied::NotLeader(hint) => propose_reply::Result::LeaderHint(hint_text(hint)),
+            Replied::Refused(refusal) => propose_reply::Result::Refused(refused(refusal)),
+            Replied::NotSent(why) | Replied::Lost(why) => propose_reply::Result::Unknown(why),
+        };
+        Ok(Response::new(wire::ProposeReply {
+            result: Some(result),
+        }))
     }
 
     async fn query(
@@ -92,21 +95,18 @@
         req: Request<wire::QueryRequest>,
     ) -> Result<Response<wire::QueryReply>, Status> {
         let query = Query::decode(&req.get_ref().query).map_err(malformed)?;
-        self.on_replica(move |replica| {
-            let result = match replica.query(&query) {
-                Replied::Answer(answer) => query_reply::Result::Answer(answer.encode()),
-                Replied::NotLeader(hint) => query_reply::Result::LeaderHint(hint_text(hint)),
-                Replied::Refused(refusal) => query_reply::Result::Refused(refused(refusal)),
-                Replied::NotSent(why) | Replied::Lost(why) => {
-                    let refusal = Refusal::not_run(Reason::NoQuorum, why);
-                    query_reply::Result::Refused(refused(refusal))
-                }
-            };
-            Ok(wire::QueryReply {
-                result: Some(result),
-            })
-        })
-        .await
+        let result = match self.replica()?.confirmed(query).await {
+            Replied::Answer(answer) => query_reply::Result::Answer(answer.encode()),
+            Replied::NotLeader(hint) => query_reply::Result::LeaderHint(hint_text(hint)),
+            Replied::Refused(refusal) => query_reply::Result::Refused(refused(refusal)),
+            Replied::NotSent(why) | Replied::Lost(why) => {
+                let refusal = Refusal::not_run(Reason::NoQuorum, why);
+                query_reply::Result::Refused(refused(refusal))
+            }
+        };
+        Ok(Response::new(wire::QueryReply {
+            result: Some(result),
+        }))
     }
 
     async fn put_blobs(
@@ -154,20 +154,17 @@
         req: Request<wire::SyncRequest>,
     ) -> Result<Response<wire::SyncReply>, Status> {
         let known = req.get_ref().revision;
-        self.on_replica(move |replica| {
-            let Replied::Answer(answer) = replica.query(&Query::Configuration) else {
-                return Err(Status::unavailable("the configuration cannot be confirmed"));
-            };
-            let Answer::Configuration(configuration) = &answer else {
-                return Err(Status::internal("another answer than was asked for"));
-            };
-            let revision = configuration.revision;
-            Ok(wire::SyncReply {
-                revision,
-                configuration: (revision != known).then(|| answer.encode()),
-            })
-        })
-        .await
+        let Replied::Answer(answer) = self.replica()?.confirmed(Query::Configuration).await else {
+            return Err(Status::unavailable("the configuration cannot be confirmed"));
+        };
+        let Answer::Configuration(configuration) = &answer else {
+            return Err(Status::internal("another answer than was asked for"));
+        };
+        let revision = configuration.revision;
+        Ok(Response::new(wire::SyncReply {
+            revision,
+            configuration: (revision != known).then(|| answer.encode()),
+        }))
     }
 
     async fn members(
