--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -1,5 +1,9 @@
 //! The thread that owns the replication core and the state machine.
 
+mod actions;
+mod timed;
+mod waiter;
+
 use std::{
     collections::{
         HashMap,
@@ -19,14 +23,9 @@
     InstanceName,
     Millis,
     Reason,
-    Refusal,
-    Verdict, //
+    Refusal, //
 };
-use yuccaseam_journal::Position;
 use yuccaseam_quorum::{
-    Action,
-    ChangeError,
-    Committed,
     Config,
     Core,
     DiskId,
@@ -34,18 +33,13 @@
     Event,
     Index,
     Membership,
-    Payload,
     Proposal,
     Restored,
     Timing,
     Token, //
 };
 use yuccaseam_state::{
-    Answer,
-    Command,
-    LogIndex,
     Outcome,
-    Query,
     State, //
 };
 
@@ -59,16 +53,12 @@
     LiveBlobs,
     MemberRequest,
     Reply,
-    Status,
     disk_thread::{
         DiskReply,
         DiskRequest, //
     },
     formation::Formation,
-    frame::{
-        Frame,
-        Hello, //
-    },
+    frame::Frame,
     members::{
         MemberStatus,
         Presence, //
@@ -77,33 +67,13 @@
     transport::Transport, //
 };
 
+use waiter::Waiter;
+
 /// The inputs that are taken from the queue at once.
 const MAX_INPUTS: usize = 4_096;
-/// The least growth of the log, in bytes, after which the state machine is written to a snapshot.
-/// A larger snapshot waits until the log has grown by its size, so that snapshots cost a constant
-/// share of the writes and a restart reads no more than twice the state.
-const SNAPSHOT_BYTES: u64 = 4 << 20;
-/// What an entry costs besides its command, in bytes.
-const ENTRY_BYTES: u64 = 64;
-/// How often the other replicas are told who this one is.
-const HELLO: Millis = Millis(1_000);
-/// How often they are told while this replica does not vote.
-const HELLO_JOINING: Millis = Millis(200);
-/// How often the leader looks after the group.
-const UPKEEP: Millis = Millis(200);
-/// How far back the entry lies whose blobs a learner must hold to be promoted. A blob may reach
-/// the learner only after the entry that refers to it.
-const BLOB_LAG: Millis = Millis(2_000);
 /// How long proposals are refused after the disk was found full.
 const FULL_PAUSE: Millis = Millis(1_000);
 
-/// Who waits for a token.
-enum Waiter {
-    Propose(Reply<Outcome>),
-    Query(Query, Reply<Answer>),
-    Change(Reply<()>),
-}
-
 /// How far the log had grown at some time.
 struct Mark {
     at: Millis,
@@ -371,279 +341,4 @@
         // The disk thread ends only with the process.
         let _ = self.disk.send(request);
     }
-
-    /// Gives the core an event and carries its actions out.
-    fn step(&mut self, event: Event) {
-        let now = self.clock.now();
-        let Some(core) = &mut self.core else {
-            return self.refuse_event(event);
-        };
-        for action in core.step(now, event) {
-            self.act(action);
-        }
-    }
-
-    /// Answers those whose event came while there is no core.
-    fn refuse_event(&mut self, event: Event) {
-        let tokens = match event {
-            Event::Propose(proposals) => proposals.iter().map(|one| one.token).collect(),
-            Event::Read(token) | Event::ChangeMembers { token, .. } => vec![token],
-            _ => Vec::new(),
-        };
-        for token in tokens {
-            if let Some(waiter) = self.waiters.remove(&token) {
-                waiter.redirect(None);
-            }
-        }
-    }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Send(envelope) => self.send(envelope),
-            Action::Persist(persist) => self.ask_disk(DiskRequest::Persist(persist)),
-            Action::Commit(entries) => {
-                for committed in entries {
-                    self.apply(committed);
-                }
-            }
-            Action::ReadReady { token, .. } => self.answer_query(token),
-            Action::Rejected { token, verdict, .. } => self.reject(token, verdict),
-            Action::ChangeRefused { token, error } => self.refuse_change(token, &error),
-            Action::ReadChunk { to, id, offset } => {
-                self.ask_disk(DiskRequest::ReadChunk { to, id, offset });
-            }
-            Action::StoreChunk { chunk, .. } => self.ask_disk(DiskRequest::StoreChunk(chunk)),
-            Action::InstallSnapshot(snapshot) => self.ask_disk(DiskRequest::Install(snapshot.id)),
-        }
-    }
-
-    fn send(&mut self, envelope: Envelope) {
-        if let Some(name) = self.name_of(envelope.to) {
-            self.transport.send(&name, &envelope.into());
-        }
-    }
-
-    /// The instance that holds a disk, as the group knows it or as the disk's owner said.
-    fn name_of(&self, id: DiskId) -> Option<InstanceName> {
-        let member = self.group().and_then(|group| group.get(id));
-        member
-            .map(|member| &member.name)
-            .or_else(|| self.presence.name(id))
-            .cloned()
-    }
-
-    fn apply(&mut self, committed: Committed) {
-        let index = committed.entry.index;
-        let waiter = committed
-            .token
-            .and_then(|token| self.waiters.remove(&token));
-        if index <= self.applied {
-            return;
-        }
-        self.applied = index;
-        let Payload::Command(data) = &committed.entry.payload else {
-            self.refresh_members();
-            if let Some(Waiter::Change(reply)) = waiter {
-                reply(Replied::Answer(()));
-            }
-            return;
-        };
-        self.log_bytes += ENTRY_BYTES + data.len() as u64;
-        let outcome = match Command::decode(data) {
-            Ok(command) => self.state.apply(LogIndex(index.0), &command),
-            Err(error) => Refusal::not_run(Reason::Internal, error.to_string()).into(),
-        };
-        if let Some(Waiter::Propose(reply)) = waiter {
-            reply(Replied::Answer(outcome));
-        }
-    }
-
-    fn answer_query(&mut self, token: Token) {
-        if let Some(Waiter::Query(query, reply)) = self.waiters.remove(&token) {
-            reply(Replied::Answer(self.state.answer(&query)));
-        }
-    }
-
-    fn reject(&mut self, token: Token, verdict: Verdict) {
-        let hint = self.leader_name();
-        let Some(waiter) = self.waiters.remove(&token) else {
-            return;
-        };
-        match verdict {
-            Verdict::NotRun => waiter.redirect(hint),
-            Verdict::MayHaveRun | Verdict::Ran => waiter.lose("the leader changed"),
-        }
-    }
-
-    fn refuse_change(&mut self, token: Token, error: &ChangeError) {
-        log::debug!("a change of the group is refused: {error}");
-        let hint = self.leader_name();
-        let Some(Waiter::Change(reply)) = self.waiters.remove(&token) else {
-            return;
-        };
-        if *error == ChangeError::IsLeader {
-            // The next leader carries the change out; the caller asks until one does.
-            self.step(Event::HandOver);
-        }
-        let replied = match error {
-            ChangeError::IsLeader => Replied::NotLeader(None),
-            ChangeError::NotLeader(_) => Replied::NotLeader(hint),
-            ChangeError::Unknown(_) => Replied::Lost(error.to_string()),
-            _ => Replied::Refused(Refusal::not_run(Reason::UnsafeChange, error.to_string())),
-        };
-        reply(replied);
-    }
-
-    fn leader_name(&self) -> Option<InstanceName> {
-        let leader = self.core.as_ref().and_then(Core::leader)?;
-        self.name_of(leader)
-    }
-
-    fn tick_if_due(&mut self) {
-        let now = self.clock.now();
-        if now < self.tick_at {
-            return;
-        }
-        self.tick_at = now + Timing::default().tick;
-        self.step(Event::Tick);
-        self.begin_group_if_first();
-        if now >= self.hello_at {
-            self.say_hello(now);
-        }
-        if now >= self.upkeep_at {
-            self.upkeep_at = now + UPKEEP;
-            self.upkeep(now);
-            self.refresh_members();
-        }
-    }
-
-    fn votes(&self) -> bool {
-        self.group().is_some_and(|group| group.is_voter(self.id))
-    }
-
-    fn has_group(&self) -> bool {
-        self.core
-            .as_ref()
-            .is_none_or(|core| !core.membership().is_empty() || core.last_index() > Index::ZERO)
-    }
-
-    fn begin_group_if_first(&mut self) {
-        if self.has_group() || !self.formation.may_begin_group() {
-            return;
-        }
-        log::info!("no configured voter belongs to a group: a new one begins here");
-        let group = Membership::of_voters([(self.id, self.own.clone())]);
-        self.core = None;
-        self.ask_disk(DiskRequest::BeginGroup(group));
-    }
-
-    /// Tells every replica that is known who this one is.
-    fn say_hello(&mut self, now: Millis) {
-        self.hello_at = now + if self.votes() { HELLO } else { HELLO_JOINING };
-        let hello = Frame::Hello(Hello {
-            disk: self.id.0,
-            has_group: self.has_group(),
-            blobs_upto: self.blobs_upto,
-        });
-        let members = self.group().into_iter().flat_map(Membership::iter);
-        let mut names: Vec<_> = members.map(|(_, member)| member.name.clone()).collect();
-        names.extend(self.configured.iter().cloned());
-        names.sort_unstable();
-        names.dedup();
-        for name in names.iter().filter(|&name| *name != self.own) {
-            self.transport.send(name, &hello);
-        }
-    }
-
-    /// What the leader does about the configured voters without being asked.
-    fn upkeep(&mut self, now: Millis) {
-        let Some(core) = self.core.as_ref().filter(|core| core.is_leader()) else {
-            return self.marks.clear();
-        };
-        let last = core.last_index();
-        self.marks.push_back(Mark { at: now, last });
-        while self.marks.len() > 1 && self.marks[0].at + BLOB_LAG < now {
-            self.marks.pop_front();
-        }
-        let needed = self.marks[0].last;
-        let change = self
-            .presence
-            .upkeep(&self.configured, core.membership(), needed, now);
-        if let Some(change) = change {
-            log::debug!("the group is to change: {change:?}");
-            self.next_token += 1;
-            let token = Token(self.next_token);
-            self.step(Event::ChangeMembers { token, change });
-        }
-    }
-
-    fn refresh_members(&mut self) {
-        if let Some(core) = &self.core {
-            self.members = self.presence.list(core, self.clock.now());
-        }
-    }
-
-    fn snapshot_if_due(&mut self) {
-        let Some(core) = &self.core else {
-            return;
-        };
-        let due = self.log_bytes >= SNAPSHOT_BYTES.max(self.snapshot_bytes);
-        if !due || self.snapshot_running {
-            return;
-        }
-        let Some((term, members)) = core.describe(self.applied) else {
-            return;
-        };
-        let state = self.state.snapshot();
-        self.snapshot_bytes = state.len() as u64;
-        let request = DiskRequest::Snapshot {
-            position: Position {
-                index: self.applied.0,
-                term: term.0,
-            },
-            members: members.clone(),
-            state,
-        };
-        self.snapshot_running = true;
-        self.log_bytes = 0;
-        self.ask_disk(request);
-    }
-
-    fn publish(&mut self) {
-        let Some(core) = &self.core else {
-            return self.status.set(Status::default());
-        };
-        let group = core.membership();
-        let name = |id| group.get(id).map(|member| member.name.clone());
-        self.status.set(Status {
-            leader: self.leader_name(),
-            lease_until: core.lease_until(),
-            term: core.term().0,
-            applied: self.applied.0,
-            members: self.members.clone(),
-            voters: group.voters().filter_map(name).collect(),
-            votes: self.votes(),
-            forming: self.is_forming(),
-        });
-    }
-}
-
-impl Waiter {
-    /// Says that another replica leads, and that nothing was done here.
-    fn redirect(self, hint: Option<InstanceName>) {
-        match self {
-            Self::Propose(reply) => reply(Replied::NotLeader(hint)),
-            Self::Query(_, reply) => reply(Replied::NotLeader(hint)),
-            Self::Change(reply) => reply(Replied::NotLeader(hint)),
-        }
-    }
-
-    /// Says that what was asked for may still take effect.
-    fn lose(self, why: &str) {
-        match self {
-            Self::Propose(reply) => reply(Replied::Lost(why.to_owned())),
-            Self::Query(_, reply) => reply(Replied::NotLeader(None)),
-            Self::Change(reply) => reply(Replied::Lost(why.to_owned())),
-        }
-    }
 }
