batch: a runner with slots asks for leases at once; chunks grow with the job; requests leave a lost target

Cause 1: a second lease that waited behind a running one was returned after 10 s idle, and the runner then asked for nothing for 10 s although its target had slots. The pause now holds only for a runner that runs nothing. The test fails on the old code. Cause 2: with chunks of 256 items a job of 2,000 has 8 chunks, so that 9 targets cannot share it and the last chunks run alone. Chunks begin at 16 items and grow by a sixteenth of the job so far. Cause 3: with the fleet's view a killed worker is suspect, and four online requests that waited at its gate stayed there until their deadline of 5 s. A gate whose target is not heard of for 1.5 s now turns them away as 'not run', and the entry asks the next target.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -49,6 +49,10 @@
 /// The retry hint for a target that takes no requests any more: another one may serve at once.
 const ELSEWHERE: Millis = Millis(100);
 
+/// How long requests wait at a target that is not heard of. A target whose daemon failed announces
+/// itself to the next one within this time.
+const SUSPECT_PATIENCE: Millis = Millis(1_500);
+
 /// Limits on the batch runs at the target.
 #[derive(Clone, Copy, Debug)]
 struct BatchLimits {
@@ -63,6 +67,7 @@
 pub struct Gate {
     cfg: Settings,
     state: TargetState,
+    suspect_since: Option<Millis>,
     permits: Permits,
     backlog: Backlog,
     batch: BatchRuns,
@@ -95,6 +100,7 @@
         Self {
             cfg,
             state: TargetState::Live,
+            suspect_since: None,
             permits: Permits::default(),
             backlog: Backlog::default(),
             batch: BatchRuns::default(),
@@ -155,17 +161,33 @@
             Event::BatchReady(items) => self.batch.set_ready(items),
             Event::BatchFirstToken(run) => self.batch.first_token(run),
             Event::BatchPaused(run) | Event::BatchFinished(run) => self.batch_ended(run),
-            Event::Target(state) => self.state = state,
+            Event::Target(state) => self.target(state, now),
             Event::Tick => {}
         }
     }
 
+    fn target(&mut self, state: TargetState, now: Millis) {
+        if state != TargetState::Suspect {
+            self.suspect_since = None;
+        } else if self.suspect_since.is_none() {
+            self.suspect_since = Some(now);
+        }
+        self.state = state;
+    }
+
+    /// Whether requests had better go elsewhere: the target leaves, or was not heard of for longer
+    /// than the moment that a change of its daemon takes.
+    fn turns_away(&self, now: Millis) -> bool {
+        let is_lost = |since| now - since >= SUSPECT_PATIENCE;
+        self.state == TargetState::Leaving || self.suspect_since.is_some_and(is_lost)
+    }
+
     fn arrived(&mut self, request: Request, now: Millis) {
         if self.permits.knows(request.permit) {
             return;
         }
         self.arrivals.observe(now);
-        if self.state == TargetState::Leaving {
+        if self.turns_away(now) {
             let turned = Turned {
                 reason: Reason::NoTarget,
                 retry_after: ELSEWHERE,
@@ -255,7 +277,7 @@
             let turned = self.backlog.turned_late(&self.cfg);
             self.turn_away(permit, turned);
         }
-        if self.state == TargetState::Leaving {
+        if self.turns_away(now) {
             for permit in self.permits.all_waiting() {
                 let turned = Turned {
                     reason: Reason::NoTarget,
--- a/crates/admit/tests/all/queue.rs
+++ b/crates/admit/tests/all/queue.rs
@@ -113,3 +113,17 @@
     let (late, actions) = bench.arrive(0);
     assert_eq!(refused(&actions)[0].0, late);
 }
+
+#[test]
+fn requests_leave_a_target_that_is_not_heard_of() {
+    let mut bench = Bench::new(Settings::for_slots(2));
+    bench.send(Event::Target(TargetState::Suspect));
+    let (waiting, actions) = bench.arrive(0);
+    assert_eq!(actions, []);
+    bench.now += Millis(1_600);
+    let actions = bench.send(Event::Tick);
+    let elsewhere = Millis(100);
+    assert_eq!(refused(&actions), [(waiting, Reason::NoTarget, elsewhere)]);
+    let (next, actions) = bench.arrive(0);
+    assert_eq!(refused(&actions), [(next, Reason::NoTarget, elsewhere)]);
+}
--- a/crates/batch/src/runner/upkeep.rs
+++ b/crates/batch/src/runner/upkeep.rs
@@ -46,12 +46,16 @@
         }
     }
 
-    /// Closes leases of which nothing ran for a while. Another owner may have room for them.
+    /// Closes leases of which nothing ran for a while. Another owner may have room for them. A
+    /// runner without slots asks for no others meanwhile; one that runs another lease does.
     fn release_idle(&mut self, now: Millis) {
+        let has_slots = !self.runs.is_empty();
         for held in &mut self.leases {
             if held.is_idle(&self.cfg, now) {
                 held.phase = Phase::Closing;
-                self.ask_at = now + self.cfg.idle_release;
+                if !has_slots {
+                    self.ask_at = now + self.cfg.idle_release;
+                }
             }
         }
     }
--- a/crates/batch/tests/all/leases.rs
+++ b/crates/batch/tests/all/leases.rs
@@ -91,6 +91,26 @@
     assert!(bench.runner.next_deadline() > Some(bench.now));
 }
 
+#[test]
+fn a_runner_that_returned_a_waiting_lease_asks_again_at_once() {
+    let mut bench = Bench::new(vec![lease(0, 9), lease(1, 9)]);
+    bench.start(0);
+    let returned = Action::Release {
+        lease: at(1),
+        not_run: ItemSet::new(),
+    };
+    assert!(bench.wait(settings().idle_release).contains(&returned));
+    let mut asked = false;
+    for run in 1..9 {
+        let mut actions = bench.on(Event::Slot(RunId(run)));
+        actions.extend(bench.finish(run));
+        asked |= actions
+            .iter()
+            .any(|action| matches!(action, Action::LeaseMore { .. }));
+    }
+    assert!(asked, "its target has slots and nothing at hand");
+}
+
 #[test]
 fn a_lost_lease_stops_its_runs_and_counts_what_comes_late() {
     let mut bench = Bench::new(vec![lease(0, 5)]);
--- a/crates/daemon/src/jobs/items.rs
+++ b/crates/daemon/src/jobs/items.rs
@@ -14,6 +14,11 @@
 
 use crate::http;
 
+/// The size of a job's first chunks, in items.
+const FIRST: u16 = 16;
+/// A later chunk has one item for so many before it.
+const SHARE: u64 = 16;
+
 /// The items of one chunk, as the lines that the caller sent.
 #[derive(Debug, Default)]
 pub(crate) struct ChunkLines {
@@ -26,7 +31,9 @@
 pub(crate) struct Chunks<R> {
     lines: BufReader<R>,
     /// The most items in a chunk.
-    items: u16,
+    most: u16,
+    /// How many items were read.
+    read: u64,
     /// The longest line, in bytes.
     line_bytes: u64,
     /// The number of the last line, for error messages.
@@ -40,7 +47,8 @@
     pub(crate) fn new(body: R, items: u16, line_bytes: u64) -> Self {
         Self {
             lines: BufReader::new(body),
-            items,
+            most: items,
+            read: 0,
             line_bytes,
             number: 0,
         }
@@ -53,7 +61,8 @@
     /// Refuses a line that is too long or not a JSON object, and a body that ends early.
     pub(crate) fn next(&mut self) -> Result<Option<ChunkLines>, Refusal> {
         let mut chunk = ChunkLines::default();
-        while chunk.items < self.items {
+        let size = self.size();
+        while chunk.items < size {
             let start = chunk.bytes.len();
             let read = (&mut self.lines)
                 .take(self.line_bytes)
@@ -77,11 +86,24 @@
                 chunk.bytes.push(b'\n');
             }
             chunk.items += 1;
+            self.read += 1;
         }
         Ok((chunk.items > 0).then_some(chunk))
     }
 }
 
+impl<R> Chunks<R> {
+    /// The size of the next chunk. Chunks grow with the job, so that a small job is spread over
+    /// many targets and a large one has few chunks.
+    fn size(&self) -> u16 {
+        let grown = self.read / SHARE;
+        u16::try_from(grown)
+            .unwrap_or(u16::MAX)
+            .max(FIRST)
+            .min(self.most)
+    }
+}
+
 fn check(number: u64, line: &[u8]) -> Result<(), Refusal> {
     let why = match serde_json::from_slice::<Value>(line) {
         Ok(Value::Object(_)) => return Ok(()),
