daemon: two faults together under orders, streams and a job at once

A seed gives two of five faults (a daemon killed or frozen, a worker or an order desk killed, the link between regions cut in silence) and the time between them. Each order is sent twice at once through two daemons. What callers were told is compared with the targets' records; the job's results are read back item by item.

Five seeds stand as tests.

Orders now run for 400 ms and are sent again meanwhile.

--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod acknowledged;
 mod admission;
+mod faults;
 mod flood;
 mod jobs;
 mod leaving;
