--- a/crates/daemon/src/replica/blobs.rs
+++ b/crates/daemon/src/replica/blobs.rs
@@ -41,11 +41,14 @@
 
 use super::{
     Input,
-    LiveBlobs, //
+    LiveBlobs,
+    status::SharedStatus, //
 };
 
 /// The pause between two passes over the blobs of the state.
-const PERIOD: Millis = Millis::from_secs(1);
+const PERIOD: Millis = Millis::from_secs(30);
+/// The same while this replica does not vote: it waits for the passes to be promoted.
+const PERIOD_JOINING: Millis = Millis(500);
 
 /// The pause between two passes that look for blobs that nothing refers to. It is longer than a
 /// caller may take between storing a blob and proposing the command that refers to it.
@@ -128,6 +131,7 @@
     links: Links,
     others: Vec<InstanceName>,
     tx: Sender<Input>,
+    status: SharedStatus,
     clock: Clock,
 }
 
@@ -141,6 +145,7 @@
     settings: &Settings,
     links: &Links,
     tx: Sender<Input>,
+    status: SharedStatus,
 ) -> anyhow::Result<()> {
     let others = settings.voters.iter();
     let repair = Repair {
@@ -151,6 +156,7 @@
             .cloned()
             .collect(),
         tx,
+        status,
         clock: Clock::start(),
     };
     thread::Builder::new()
@@ -165,8 +171,14 @@
         let mut whole = None;
         let mut dead = BTreeSet::new();
         let mut compact_at = COMPACTION_PERIOD;
+        let mut pass_at = Millis::ZERO;
         loop {
-            thread::sleep(PERIOD.duration());
+            thread::sleep(PERIOD_JOINING.duration());
+            let now = self.clock.now();
+            if self.status.get().votes && now < pass_at {
+                continue;
+            }
+            pass_at = now + PERIOD;
             let (reply, rx) = mpsc::channel();
             if self.tx.send(Input::LiveBlobs(reply)).is_err() {
                 return;
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod faults;
 mod flood;
+mod history;
 mod jobs;
 mod leaving;
 mod orders;
