--- a/crates/batch/src/runner/upkeep.rs
+++ b/crates/batch/src/runner/upkeep.rs
@@ -46,12 +46,16 @@
         }
     }
 
-    /// Closes leases of which nothing ran for a while. Another owner may have room for them.
+    /// Closes leases of which nothing ran for a while. Another owner may have room for them. A
+    /// runner without slots asks for no others meanwhile; one that runs another lease does.
     fn release_idle(&mut self, now: Millis) {
+        let has_slots = !self.runs.is_empty();
         for held in &mut self.leases {
             if held.is_idle(&self.cfg, now) {
                 held.phase = Phase::Closing;
-                self.ask_at = now + self.cfg.idle_release;
+                if !has_slots {
+                    self.ask_at = now + self.cfg.idle_release;
+                }
             }
         }
     }
@@ -85,8 +89,8 @@
     }
 
     fn mark_started(&mut self) {
-        let at_hand: u32 = self.leases.iter().map(Held::ready).sum();
-        let mut wanted = self.cfg.at_hand.saturating_sub(at_hand);
+        let marked: u32 = self.leases.iter().map(Held::marked).sum();
+        let mut wanted = self.cfg.marked_ahead.saturating_sub(marked);
         for held in &mut self.leases {
             let items = held.take_unmarked(wanted);
             if items.is_empty() {
--- a/crates/batch/tests/all/leases.rs
+++ b/crates/batch/tests/all/leases.rs
@@ -91,6 +91,26 @@
     assert!(bench.runner.next_deadline() > Some(bench.now));
 }
 
+#[test]
+fn a_runner_that_returned_a_waiting_lease_asks_again_at_once() {
+    let mut bench = Bench::new(vec![lease(0, 9), lease(1, 9)]);
+    bench.start(0);
+    let returned = Action::Release {
+        lease: at(1),
+        not_run: ItemSet::new(),
+    };
+    assert!(bench.wait(settings().idle_release).contains(&returned));
+    let mut asked = false;
+    for run in 1..9 {
+        let mut actions = bench.on(Event::Slot(RunId(run)));
+        actions.extend(bench.finish(run));
+        asked |= actions
+            .iter()
+            .any(|action| matches!(action, Action::LeaseMore { .. }));
+    }
+    assert!(asked, "its target has slots and nothing at hand");
+}
+
 #[test]
 fn a_lost_lease_stops_its_runs_and_counts_what_comes_late() {
     let mut bench = Bench::new(vec![lease(0, 5)]);
@@ -161,10 +181,15 @@
     };
     assert!(actions.contains(&mark));
     assert!(bench.start(0).is_none());
-    bench.on(Event::Started {
+    let actions = bench.on(Event::Started {
         lease: at(0),
         items: items(&[0, 1, 3]),
     });
+    let mark_one = Action::MarkStarted {
+        lease: at(0),
+        items: items(&[4]),
+    };
+    assert!(actions.contains(&mark_one), "{actions:?}");
     let started: Vec<u16> = (1..3)
         .filter_map(|run| bench.start(run))
         .map(|i| i.item)
@@ -184,7 +209,14 @@
         chunk_ended: false,
     };
     bench.on(flushed());
-    let last = bench.on(flushed());
-    assert_matches!(&last[..], [Action::Release { not_run, .. }] if not_run.contains(3));
-    assert_matches!(&last[..], [Action::Release { not_run, .. }] if !not_run.contains(0));
+    assert_eq!(
+        bench.on(flushed()),
+        [],
+        "an answer about item 4 is under way"
+    );
+    let last = bench.on(Event::Started {
+        lease: at(0),
+        items: items(&[4]),
+    });
+    assert_matches!(&last[..], [Action::Release { not_run, .. }] if *not_run == items(&[3, 4]));
 }
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -2,7 +2,9 @@
 
 mod acknowledged;
 mod admission;
+mod faults;
 mod flood;
+mod history;
 mod jobs;
 mod leaving;
 mod orders;
