--- a/crates/daemon/src/replica/driver/actions.rs
+++ b/crates/daemon/src/replica/driver/actions.rs
@@ -149,7 +149,9 @@
         }
         let replied = match error {
             ChangeError::IsLeader => Replied::NotLeader(None),
-            ChangeError::NotLeader(_) => Replied::NotLeader(hint),
+            // Right after an election, such as the hand-over of a leader that is to be removed. The
+            // caller asks again, and soon the leader can tell.
+            ChangeError::NotLeader(_) | ChangeError::TermNotCommitted => Replied::NotLeader(hint),
             ChangeError::Unknown(_) => Replied::Lost(error.to_string()),
             _ => Replied::Refused(Refusal::not_run(Reason::UnsafeChange, error.to_string())),
         };
