fleet: a daemon that is not joined asks its seeds each second

Cause: a daemon that others had probed, and that no seed had told anything yet, counted as not alone and asked one lost seed every 5 s. Readiness of nine daemons that start together took up to 10 s.

--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -40,13 +40,14 @@
     /// Starts a comparison if one is due, and tries seeds and dead instances now and then.
     pub(crate) fn tick_sync(&mut self, now: Millis) {
         if now >= self.timers.reconnect {
-            let alone = self.is_alone();
-            let interval = match alone {
+            // A daemon that others have probed, and told nothing yet, is not alone and not joined.
+            let joining = self.is_alone() || !self.joined;
+            let interval = match joining {
                 true => JOIN_INTERVAL,
                 false => self.cfg.reconnect_interval,
             };
             self.timers.reconnect = now + interval;
-            self.reconnect(alone);
+            self.reconnect(joining);
         }
         if now >= self.timers.sync {
             self.timers.sync = now + self.cfg.sync_interval;
@@ -60,9 +61,9 @@
         }
     }
 
-    /// Asks all seeds while alone; else one seed that is not a live member, or one dead instance.
-    fn reconnect(&mut self, alone: bool) {
-        if alone {
+    /// Asks all seeds while joining; else one seed that is not a live member, or one dead instance.
+    fn reconnect(&mut self, joining: bool) {
+        if joining {
             for address in self.seeds.clone() {
                 self.send_digest(address);
             }
