jobs: the test of killed owners has a job that outlasts the takeover

Trace: 400 items at two targets take about 8 s; the takeover waits for a probe (1 s), its answer (1 s) and suspicion (3 s). The checks are the same, over 1,200 items.

--- a/crates/daemon/tests/all/jobs.rs
+++ b/crates/daemon/tests/all/jobs.rs
@@ -209,7 +209,7 @@
 #[test]
 fn killed_owners_cost_no_item_and_their_targets_work_on() {
     let mut cluster = start(3);
-    let items = items(400, 60);
+    let items = items(1_200, 60);
     let job = create(&cluster, &items);
     let caller = cluster.caller(0);
     wait_for_done(&caller, &job, 20);
@@ -229,7 +229,7 @@
     let status = wait_for_end(&caller, &job);
     assert_eq!(
         (&status["completed"], &status["failed"]),
-        (&json!(400), &json!(0))
+        (&json!(1_200), &json!(0))
     );
     assert_results(&caller, &job, &items, &BTreeSet::new());
 }
