Replicas share confirmations; idle targets cost no log entries; a new group waits for all its voters

Causes: each daemon's question twice a second was a read that a quorum confirmed, and all asked the leader; each idle target asked for leases twice a second, and each request was an entry of the log; a channel stayed open to every daemon that membership had probed once. Now a replica passes on what it runs with the age of its confirmation, daemons spread over replicas, a reply says for which models chunks wait, and channels that nobody asked for in 15 s are dropped.

Found by two tests once instances became ready sooner (a_job_sent_again_after_its_entry_died_is_one_job and an_entry_that_dies_with_a_call_leaves_it_run_once, both red): a new group acknowledged with two of its three voters, so that the loss of one stopped it. It now accepts nothing, and its instances are not ready, until all configured voters vote.

--- a/crates/daemon/src/jobs/runner/storing.rs
+++ b/crates/daemon/src/jobs/runner/storing.rs
@@ -118,6 +118,9 @@
 
     /// Leases chunks and reads their items. A chunk whose items cannot be read goes back.
     fn lease(&self, max: u16) -> Input {
+        if !self.cx.store.has_waiting(&self.work) {
+            return Input::Leased(Vec::new());
+        }
         let owner = self.cx.store.owner().clone();
         let asked_at = self.cx.clock.now();
         let outcome = self.cx.store.propose(
--- a/crates/daemon/src/peers/links.rs
+++ b/crates/daemon/src/peers/links.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc,
+        Mutex,
         RwLock, //
     },
 };
@@ -19,6 +20,7 @@
     Endpoint, //
 };
 use yuccaseam_base::{
+    Clock,
     InstanceName,
     Millis, //
 };
@@ -30,24 +32,39 @@
 /// How long a probe waits for its answer.
 const KEEPALIVE_ANSWER: Millis = Millis(1_500);
 
+/// How long a channel stays open that nobody asks for. Longer than any call between daemons.
+const IDLE: Millis = Millis(15_000);
+
 /// One channel a daemon. A channel connects when it is first used and again after each failure.
 ///
 /// Clones share the channels.
 #[derive(Clone)]
 pub(crate) struct Links {
     runtime: Handle,
+    clock: Clock,
     peers: Arc<RwLock<BTreeMap<InstanceName, Peer>>>,
 }
 
 struct Peer {
     endpoint: Endpoint,
+    open: Mutex<Option<Open>>,
+}
+
+/// A channel and when it was last asked for.
+struct Open {
     channel: Channel,
+    used_at: Millis,
 }
 
 impl Links {
-    pub(crate) fn new(runtime: Handle, peers: &BTreeMap<InstanceName, SocketAddr>) -> Self {
+    pub(crate) fn new(
+        runtime: Handle,
+        clock: Clock,
+        peers: &BTreeMap<InstanceName, SocketAddr>,
+    ) -> Self {
         let links = Self {
             runtime,
+            clock,
             peers: Arc::default(),
         };
         for (name, address) in peers {
@@ -64,8 +81,10 @@
             .http2_keep_alive_interval(KEEPALIVE.duration())
             .keep_alive_timeout(KEEPALIVE_ANSWER.duration())
             .tcp_nodelay(true);
-        let channel = self.connect(&endpoint);
-        let peer = Peer { endpoint, channel };
+        let peer = Peer {
+            endpoint,
+            open: Mutex::new(None),
+        };
         self.peers
             .write()
             .expect("no thread panics with the lock")
@@ -86,7 +105,25 @@
     /// The channel to a daemon.
     pub(crate) fn channel(&self, name: &InstanceName) -> Option<Channel> {
         let peers = self.peers.read().expect("no thread panics with the lock");
-        peers.get(name).map(|peer| peer.channel.clone())
+        let peer = peers.get(name)?;
+        let mut open = peer.open.lock().expect("no thread panics with the lock");
+        let open = open.get_or_insert_with(|| Open {
+            channel: self.connect(&peer.endpoint),
+            used_at: Millis::ZERO,
+        });
+        open.used_at = self.clock.now();
+        Some(open.channel.clone())
+    }
+
+    /// Drops channels that were not asked for lately. Membership probes every daemon in turn, and
+    /// open connections to all of them would take more memory than the rest of the daemon.
+    pub(crate) fn drop_idle(&self) {
+        let now = self.clock.now();
+        let peers = self.peers.read().expect("no thread panics with the lock");
+        for peer in peers.values() {
+            let mut open = peer.open.lock().expect("no thread panics with the lock");
+            open.take_if(|open| open.used_at + IDLE < now);
+        }
     }
 
     /// The names of all other daemons.
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -39,6 +39,7 @@
     Token, //
 };
 use yuccaseam_state::{
+    LogIndex,
     Outcome,
     State, //
 };
@@ -212,6 +213,8 @@
     fn take_in(&mut self, input: Input) {
         match input {
             Input::Propose { command, reply } => self.propose(command, reply),
+            // A group that cannot accept anything yet keeps its instances out of the balancer.
+            Input::Query { reply, .. } if self.is_forming() => reply(Replied::NotLeader(None)),
             Input::Query { query, reply } => {
                 let token = self.token(Waiter::Query(query, reply));
                 self.step(Event::Read(token));
@@ -253,14 +256,20 @@
         self.proposals.push(Proposal { token, data });
     }
 
-    /// Whether the group has not got its second voter yet. What it acknowledged now would be on
-    /// one disk. A group that operators made that small is complete.
+    /// Whether a new group has not got all its configured voters yet, or an older one has a single
+    /// voter left of several. What it acknowledged now would not outlive the loss of a minority. A
+    /// group that operators made that small is complete.
     fn is_forming(&self) -> bool {
         let Some(group) = self.group() else {
             return true;
         };
-        let expected = |name: &&InstanceName| **name != self.own && !group.has_departed(name);
-        group.voters().count() < 2 && self.configured.iter().any(|name| expected(&name))
+        let is_expected = |name: &&InstanceName| **name == self.own || !group.has_departed(name);
+        let expected = self.configured.iter().filter(is_expected).count();
+        let voters = group.voters().count();
+        if self.state.applied() == LogIndex::default() {
+            return voters < expected;
+        }
+        voters < 2 && expected > 1
     }
 
     fn group(&self) -> Option<&Membership> {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -95,7 +95,7 @@
         .build()
         .context("cannot start the runtime")?;
     let clock = Clock::start();
-    let links = Links::new(runtime.handle().clone(), &settings.peers);
+    let links = Links::new(runtime.handle().clone(), clock, &settings.peers);
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .context("cannot install the metrics recorder")?;
--- a/crates/daemon/src/store/configuration.rs
+++ b/crates/daemon/src/store/configuration.rs
@@ -1,16 +1,21 @@
-//! Keeping the configuration of this instance current.
+//! Keeping the configuration of this instance current, and what else all daemons ask for often.
 
-use std::sync::Arc;
+use std::{
+    collections::BTreeSet,
+    sync::Arc, //
+};
 
 use anyhow::{
     Context as _,
     bail, //
 };
+use xxhash_rust::xxh3::xxh3_64;
 use yuccaseam_base::Millis;
 use yuccaseam_state::{
     Answer,
     Configuration,
-    Query, //
+    Query,
+    Work, //
 };
 
 use crate::{
@@ -18,10 +23,7 @@
     measures,
     store::{
         Store,
-        remote::{
-            self,
-            Replied, //
-        },
+        remote, //
     },
 };
 
@@ -31,59 +33,88 @@
 impl Store {
     /// Keeps the configuration current for the life of the process.
     pub(crate) fn watch_configuration(&self, cx: &Context) {
-        let mut voter = 0;
+        // Daemons without a disk spread over the replicas, and go to the next one on a failure.
+        let name = cx.settings.instance.as_str();
+        let mut voter = xxh3_64(name.as_bytes()) as usize;
         loop {
-            let asked_at = self.clock.now();
-            match self.confirm_configuration(cx, voter) {
-                // The confirmation holds from when it was asked for, not from its arrival.
-                Ok(()) => cx.health.confirm(asked_at),
-                Err(error) => {
-                    log::warn!("the configuration is not confirmed: {error:#}");
-                    voter += 1;
-                }
+            if let Err(error) = self.confirm_configuration(cx, voter) {
+                log::warn!("the configuration is not confirmed: {error:#}");
+                voter = voter.wrapping_add(1);
             }
             std::thread::sleep(PERIOD.duration());
         }
     }
 
-    /// Brings this instance to the configuration that a quorum confirms, at once.
+    /// Brings this instance to the configuration that the leader confirms, at once.
     ///
     /// # Errors
     ///
-    /// Fails if no voter confirms it; the watch goes on trying.
+    /// Fails if no leader confirms it; the watch goes on trying.
     pub(crate) fn refresh_configuration(&self, cx: &Context) -> anyhow::Result<()> {
-        let asked_at = self.clock.now();
-        let mut result = Ok(());
-        for voter in 0..self.voters.len() {
-            result = self.confirm_configuration(cx, voter);
-            if result.is_ok() {
-                cx.health.confirm(asked_at);
-                break;
-            }
-        }
-        result
+        self.confirm_with_leader(cx)
     }
 
+    /// Replicas ask the leader; all others ask a replica, so that the leader's work does not grow
+    /// with the number of daemons.
     fn confirm_configuration(&self, cx: &Context, voter: usize) -> anyhow::Result<()> {
-        if let Some(replica) = &self.replica
-            && let Replied::Answer(Answer::Configuration(new)) =
-                replica.query(&Query::Configuration)
-        {
-            return self.run_configuration(*new);
+        if self.replica.is_some() {
+            return self.confirm_with_leader(cx);
         }
         let name = &self.voters[voter % self.voters.len()];
+        let asked_at = self.clock.now();
         let reply = remote::sync(cx, name, self.configuration().revision)?;
-        match reply.configuration {
-            None if reply.revision == self.configuration().revision => Ok(()),
-            None => bail!("{name} confirms revision {}", reply.revision),
-            Some(bytes) => {
-                let answer = Answer::decode(&bytes).context("a malformed configuration")?;
-                let Answer::Configuration(new) = answer else {
-                    bail!("{name} answered with something else");
-                };
-                self.run_configuration(*new)
-            }
+        if let Some(bytes) = &reply.configuration {
+            let answer = Answer::decode(bytes).context("a malformed configuration")?;
+            let Answer::Configuration(new) = answer else {
+                bail!("{name} answered with something else");
+            };
+            self.run_configuration(*new)?;
+        }
+        if reply.revision < self.configuration().revision {
+            bail!("{name} confirms revision {} only", reply.revision);
+        }
+        let models = reply.waiting_models.into_iter().map(Work::Model);
+        let services = reply.waiting_services.into_iter().map(Work::Service);
+        self.set_waiting(models.chain(services).collect());
+        // The confirmation holds from when the quorum was asked, not from the reply's arrival.
+        cx.health.confirm(asked_at - Millis(reply.age_ms));
+        Ok(())
+    }
+
+    fn confirm_with_leader(&self, cx: &Context) -> anyhow::Result<()> {
+        let asked_at = self.clock.now();
+        let Answer::Summary(summary) = self.query(cx, &Query::Summary)? else {
+            bail!("the leader answered with something else");
+        };
+        if summary.revision != self.configuration().revision {
+            let Answer::Configuration(new) = self.query(cx, &Query::Configuration)? else {
+                bail!("the leader answered with something else");
+            };
+            self.run_configuration(*new)?;
         }
+        self.set_waiting(summary.waiting.into_iter().collect());
+        cx.health.confirm(asked_at);
+        Ok(())
+    }
+
+    /// Whether chunks of jobs wait for a target of this kind, as far as is known here. A runner
+    /// asks this before it asks the leader for leases, each of which is an entry of the log.
+    pub(crate) fn has_waiting(&self, work: &Work) -> bool {
+        let waiting = self.waiting.read().expect("no thread panics with the lock");
+        waiting.contains(work)
+    }
+
+    /// The kinds of work for which chunks of jobs wait, as far as is known here.
+    pub(crate) fn waiting(&self) -> BTreeSet<Work> {
+        let waiting = self.waiting.read().expect("no thread panics with the lock");
+        waiting.clone()
+    }
+
+    fn set_waiting(&self, new: BTreeSet<Work>) {
+        *self
+            .waiting
+            .write()
+            .expect("no thread panics with the lock") = new;
     }
 
     /// Runs a configuration from now on. An older one than runs here is refused.
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -15,11 +15,14 @@
 mod remote;
 mod service;
 
-use std::sync::{
-    Arc,
-    Mutex,
-    RwLock,
-    mpsc::Sender, //
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        Mutex,
+        RwLock,
+        mpsc::Sender, //
+    },
 };
 
 use yuccaseam_base::{
@@ -37,7 +40,8 @@
     Operation,
     Outcome,
     OwnerId,
-    Query, //
+    Query,
+    Work, //
 };
 
 use crate::{
@@ -71,6 +75,8 @@
     /// The voter that answered last.
     leader: Mutex<Option<InstanceName>>,
     configuration: RwLock<Arc<Configuration>>,
+    /// The kinds of work for which chunks of jobs wait.
+    waiting: RwLock<BTreeSet<Work>>,
     clock: Clock,
 }
 
@@ -94,6 +100,7 @@
             voters: settings.voters.clone(),
             leader: Mutex::new(None),
             configuration: RwLock::default(),
+            waiting: RwLock::default(),
             clock,
         })
     }
--- a/crates/daemon/src/store/service.rs
+++ b/crates/daemon/src/store/service.rs
@@ -8,6 +8,7 @@
     Status, //
 };
 use yuccaseam_base::{
+    Millis,
     Reason,
     Refusal, //
 };
@@ -15,7 +16,9 @@
     Answer,
     BlobId,
     Command,
-    Query, //
+    Configuration,
+    Query,
+    Work, //
 };
 use yuccaseam_wire::store::{
     self as wire,
@@ -36,6 +39,9 @@
     store::remote::Replied, //
 };
 
+/// How old a confirmation may be that a replica passes on.
+const MAX_AGE: Millis = Millis(2_000);
+
 /// Serves the replica of this instance to other daemons.
 pub(crate) struct StoreService {
     cx: Arc<Context>,
@@ -153,18 +159,31 @@
         &self,
         req: Request<wire::SyncRequest>,
     ) -> Result<Response<wire::SyncReply>, Status> {
+        self.replica()?;
         let known = req.get_ref().revision;
-        let Replied::Answer(answer) = self.replica()?.confirmed(Query::Configuration).await else {
+        // The age is read first: the configuration read after it is at least as new.
+        let age = self.cx.health.confirmation_age();
+        let Some(age) = age.filter(|age| *age <= MAX_AGE) else {
             return Err(Status::unavailable("the configuration cannot be confirmed"));
         };
-        let Answer::Configuration(configuration) = &answer else {
-            return Err(Status::internal("another answer than was asked for"));
-        };
+        let configuration = self.cx.store.configuration();
         let revision = configuration.revision;
-        Ok(Response::new(wire::SyncReply {
+        let mut reply = wire::SyncReply {
             revision,
-            configuration: (revision != known).then(|| answer.encode()),
-        }))
+            age_ms: age.0,
+            ..wire::SyncReply::default()
+        };
+        if revision != known {
+            let answer = Answer::Configuration(Box::new(Configuration::clone(&configuration)));
+            reply.configuration = Some(answer.encode());
+        }
+        for work in self.cx.store.waiting() {
+            match work {
+                Work::Model(name) => reply.waiting_models.push(name),
+                Work::Service(name) => reply.waiting_services.push(name),
+            }
+        }
+        Ok(Response::new(reply))
     }
 
     async fn members(
--- a/crates/daemon/src/upkeep.rs
+++ b/crates/daemon/src/upkeep.rs
@@ -32,6 +32,7 @@
 pub(crate) fn run(cx: &Arc<Context>) {
     for pass in 1_u64.. {
         std::thread::sleep(PERIOD.duration());
+        cx.links.drop_idle();
         cx.unanswered.settle(cx);
         let status = cx.store.replica_status();
         let is_leader = status.is_some_and(|status| status.holds_lease(cx.clock.now()));
--- a/crates/state/src/jobs/lease.rs
+++ b/crates/state/src/jobs/lease.rs
@@ -25,7 +25,8 @@
     OwnerId,
     ReleaseChunk,
     Setting,
-    StartItems, //
+    StartItems,
+    Work, //
 };
 
 /// The most chunks that one command leases.
@@ -101,6 +102,11 @@
         state.chunks.len() as u32
     }
 
+    /// The kinds of work that have chunks to lease.
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = &Work> {
+        self.queues.works()
+    }
+
     /// Runs of daemons that hold leases.
     pub(crate) fn owners(&self) -> impl Iterator<Item = &OwnerId> {
         self.owners.keys()
--- a/crates/state/src/jobs/queues.rs
+++ b/crates/state/src/jobs/queues.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// The kinds of work that have chunks to lease.
+    pub(crate) fn works(&self) -> impl Iterator<Item = &Work> {
+        self.works.keys()
+    }
+
     /// The next job for an owner that serves some kinds of work.
     pub(crate) fn next(&self, serves: &[Work], urgent: Millis) -> Option<JobId> {
         let queues = serves.iter().filter_map(|work| self.works.get(work));
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -290,6 +290,7 @@
             jobs: self.jobs.len() as u32,
             keys: self.keys.len() as u32,
             requests: self.configuration.remembered() as u32,
+            waiting: self.jobs.waiting().cloned().collect(),
         }
     }
 }
--- a/crates/state/src/query.rs
+++ b/crates/state/src/query.rs
@@ -19,6 +19,7 @@
     LogIndex,
     Order,
     OwnerId,
+    Work,
     codec, //
 };
 
@@ -86,6 +87,8 @@
     pub keys: u32,
     /// Operators' requests whose outcome is remembered.
     pub requests: u32,
+    /// The kinds of work that have chunks to lease.
+    pub waiting: Vec<Work>,
 }
 
 /// The answer to a query.
