Fewer questions of idle targets and of seeds

An idle engine was asked for its load twice a second, and a daemon that joins asked every seed it knew at once, which opened a connection to each. An idle engine is asked every two seconds, and five seeds a second are asked.

--- a/crates/daemon/src/admission/owner.rs
+++ b/crates/daemon/src/admission/owner.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         HashMap, //
     },
     sync::{
@@ -66,6 +67,8 @@
 const OTHERS: &str = "\0";
 /// How often targets are asked for their load.
 const LOAD_EVERY: Millis = Millis(500);
+/// An idle target is asked once in so many rounds.
+const IDLE_ROUNDS: u64 = 4;
 /// How long a target may take to report its load.
 const LOAD_BOUND: Millis = Millis(300);
 /// The age that a load report is taken to have.
@@ -316,16 +319,25 @@
         .proxy(None)
         .build()
         .new_agent();
-    loop {
+    let mut idle: BTreeSet<TargetName> = BTreeSet::new();
+    for round in 0_u64.. {
         thread::sleep(LOAD_EVERY.duration());
         for name in owner.names() {
+            let may_skip = idle.contains(&name) && owner.busy(&name) == Some(0);
+            if may_skip && !round.is_multiple_of(IDLE_ROUNDS) {
+                continue;
+            }
             let Some(target) = cx.targets.get(&name) else {
                 continue;
             };
             if target.kind != Kind::Engine {
                 continue;
             }
+            idle.remove(&name);
             if let Some(load) = ask_load(&agent, &target) {
+                if load.running + load.waiting == 0 {
+                    idle.insert(name.clone());
+                }
                 owner.handle(&name, Event::Load(load));
             }
         }
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -35,6 +35,8 @@
 
 /// How often seeds are asked by a daemon that knows no other one.
 const JOIN_INTERVAL: Millis = Millis(1_000);
+/// How many seeds a daemon that joins asks at a time. Each sends all that differs.
+const JOIN_SEEDS: usize = 5;
 
 impl Fleet {
     /// Starts a comparison if one is due, and tries seeds and dead instances now and then.
@@ -61,12 +63,12 @@
         }
     }
 
-    /// Asks all seeds while joining; else one seed that is not a live member, or one dead instance.
+    /// Asks some seeds while joining; else one seed that is not a live member, or one dead instance.
     fn reconnect(&mut self, joining: bool) {
         if joining {
-            for address in self.seeds.clone() {
-                self.send_digest(address);
-            }
+            let some = self.seeds.choose_multiple(&mut self.rng, JOIN_SEEDS);
+            let some: Vec<_> = some.cloned().collect();
+            some.into_iter().for_each(|seed| self.send_digest(seed));
             return;
         }
         let live: HashSet<_> = self
