An unknown model is a clear 404; golden file of a caller's session

The golden session showed 503 no_target for a model that is neither configured nor served, which invites the caller to try again. Chat, completions and jobs now check in one place. Before: 503 no_target; after: 404 unknown_model.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,11 +1,16 @@
 //! What every part of the daemon shares.
 
-use yuccaseam_base::Clock;
+use yuccaseam_base::{
+    Clock,
+    Reason,
+    Refusal, //
+};
 
 use crate::{
     admission::Admission,
     entry::Unanswered,
     fleet::{
+        Announcement,
         Membership,
         Targets, //
     },
@@ -31,3 +36,21 @@
     pub(crate) unanswered: Unanswered,
     pub(crate) metrics: metrics_exporter_prometheus::PrometheusHandle,
 }
+
+impl Context {
+    /// Checks that a model is configured, or that some target serves it.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a model that nothing is known of.
+    pub(crate) fn check_model(&self, name: &str) -> Result<(), Refusal> {
+        let is_configured = self.store.configuration().models.contains_key(name);
+        let targets = self.targets.all();
+        let serves = |target: &Announcement| target.model.as_deref() == Some(name);
+        if is_configured || targets.values().any(serves) {
+            return Ok(());
+        }
+        let detail = format!("the model {name} is neither configured nor served");
+        Err(Refusal::not_run(Reason::UnknownModel, detail))
+    }
+}
--- a/crates/daemon/src/entry/generate.rs
+++ b/crates/daemon/src/entry/generate.rs
@@ -56,7 +56,7 @@
         Ok(body) => body,
         Err(refusal) => return out.refuse(&refusal),
     };
-    let ask = match ask_of(call, &body) {
+    let ask = match ask_of(cx, call, &body) {
         Ok(ask) => ask,
         Err(refusal) => return out.refuse(&refusal),
     };
@@ -289,7 +289,7 @@
     }
 }
 
-fn ask_of(call: &Call, body: &Value) -> Result<Ask, Refusal> {
+fn ask_of(cx: &Context, call: &Call, body: &Value) -> Result<Ask, Refusal> {
     let bad = |detail| Refusal::not_run(Reason::BadRequest, detail);
     let model = body["model"]
         .as_str()
@@ -297,6 +297,7 @@
     if body.get("prompt").is_none() && body.get("messages").is_none() {
         return Err(bad("the field `messages` or `prompt` is missing"));
     }
+    cx.check_model(model)?;
     let answer_tokens = body["max_tokens"]
         .as_u64()
         .map_or(DEFAULT_ANSWER_TOKENS, |tokens| {
--- a/crates/daemon/src/jobs/create.rs
+++ b/crates/daemon/src/jobs/create.rs
@@ -155,11 +155,6 @@
         let detail = "the parameter `model` or `service` is missing";
         return Err(Refusal::not_run(Reason::BadRequest, detail));
     };
-    let configuration = cx.store.configuration();
-    let is_configured = configuration.models.contains_key(name);
-    if !is_configured && cx.targets.of_model(name).is_empty() {
-        let detail = format!("the model {name} is neither configured nor served");
-        return Err(Refusal::not_run(Reason::UnknownModel, detail));
-    }
+    cx.check_model(name)?;
     Ok(Work::Model(name.to_owned()))
 }
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod partitions;
 mod placement;
 mod replicas;
+mod session;
 mod settings;
 mod streams;
 mod support;
