daemon: the leader asks all owners at once; one way to start a background thread

The upkeep of the leader asked the owners of leases one after another, each with a bound of 1 s, so that a few silent ones delayed the end of a dead one's leases; it now uses the call that the operators' list of instances uses. Four copies of starting a thread are one function.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -130,30 +130,24 @@
 }
 
 fn start_background(cx: &Arc<Context>) -> anyhow::Result<()> {
-    let watcher = Arc::clone(cx);
-    thread::Builder::new()
-        .name("configuration".to_owned())
-        .spawn(move || watcher.store.watch_configuration(&watcher))
-        .context("cannot start the configuration thread")?;
-    let keeper = Arc::clone(cx);
-    thread::Builder::new()
-        .name("upkeep".to_owned())
-        .spawn(move || upkeep::run(&keeper))
-        .context("cannot start the upkeep thread")?;
-    let member = Arc::clone(cx);
-    thread::Builder::new()
-        .name("membership".to_owned())
-        .spawn(move || fleet::run(&member))
-        .context("cannot start the membership thread")?;
-    let order_giver = Arc::clone(cx);
-    thread::Builder::new()
-        .name("orders".to_owned())
-        .spawn(move || orders::run(&order_giver))
-        .context("cannot start the thread of orders")?;
+    spawn(cx, "configuration", |cx| cx.store.watch_configuration(cx))?;
+    spawn(cx, "upkeep", upkeep::run)?;
+    spawn(cx, "membership", fleet::run)?;
+    spawn(cx, "orders", orders::run)?;
     Admission::start(cx).context("cannot start the threads of admission")?;
     jobs::start(cx)
 }
 
+/// Starts a thread that runs for the life of the process.
+fn spawn(cx: &Arc<Context>, name: &str, run: fn(&Arc<Context>)) -> anyhow::Result<()> {
+    let cx = Arc::clone(cx);
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || run(&cx))
+        .with_context(|| format!("cannot start the thread {name}"))?;
+    Ok(())
+}
+
 /// Carries out a planned stop: readiness off, the balancer's delay, new calls refused, running
 /// calls end. A second signal or the bound ends it early and says what was cut.
 fn drain(cx: &Context, signals: &mut Signals) -> ExitCode {
--- a/crates/daemon/src/upkeep.rs
+++ b/crates/daemon/src/upkeep.rs
@@ -14,6 +14,7 @@
     OwnerLost,
     Query, //
 };
+use yuccaseam_wire::store::IdentifyReply;
 
 use crate::{
     admin,
@@ -57,8 +58,11 @@
         Answer::Owners(owners) => owners,
         other => return Err(admin::unexpected(&other)),
     };
-    for owner in owners {
-        if is_over(cx, &owner) {
+    let names: Vec<_> = owners.iter().map(|owner| owner.instance.clone()).collect();
+    // All are asked at once: one that is silent must not hold the others up.
+    let replies = instances::ask_all(cx, &names);
+    for (owner, reply) in owners.into_iter().zip(replies) {
+        if is_over(cx, &owner, reply.as_ref()) {
             log::info!(instance = owner.instance.as_str(); "the leases of a dead daemon end");
             let expire = ExpireOwner {
                 owner: owner.clone(),
@@ -72,12 +76,10 @@
 
 /// Whether a run of a daemon is over. Membership says who is dead; a daemon that answers says
 /// which run it is.
-fn is_over(cx: &Context, owner: &OwnerId) -> bool {
+fn is_over(cx: &Context, owner: &OwnerId, reply: Option<&IdentifyReply>) -> bool {
     if owner.instance == cx.settings.instance {
         return owner != cx.store.owner();
     }
-    if cx.fleet.is_dead(&owner.instance) {
-        return true;
-    }
-    instances::ask(cx, &owner.instance).is_some_and(|reply| reply.incarnation != owner.incarnation)
+    let is_other_run = reply.is_some_and(|reply| reply.incarnation != owner.incarnation);
+    is_other_run || cx.fleet.is_dead(&owner.instance)
 }
