--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod arena;
 mod cases;
+mod machine;
 mod millis;
 mod place;
 mod refusal;
 mod verdict;
 
 pub use arena::{EntityKey, PrimaryMap};
+pub use machine::Machine;
 pub use millis::{Clock, Millis};
 pub use place::{FailureDomain, InstanceName, Region, TargetName};
 pub use refusal::{Reason, Refusal};
--- a/crates/base/src/millis.rs
+++ b/crates/base/src/millis.rs
@@ -3,9 +3,11 @@
 use std::{
     fmt,
     ops::{Add, AddAssign, Mul, Sub},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::{ClockId, clock_gettime};
+
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a length of time, in milliseconds.
@@ -98,22 +100,29 @@
 }
 
 /// The monotonic clock of one process, which starts at [`Millis::ZERO`].
+///
+/// It reads `CLOCK_BOOTTIME`, which goes on while the machine is suspended: an instance that wakes
+/// finds its leases expired.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Starts a clock.
     pub fn start() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 
-    /// The time since the start. It never goes back and, on Linux, goes on while the process is
-    /// stopped, so that a frozen process finds its leases expired when it wakes.
+    /// The time since the start. It never goes back.
     pub fn now(&self) -> Millis {
-        self.start.elapsed().into()
+        since_boot().saturating_sub(self.start).into()
     }
 }
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::try_from(time).expect("the time since boot is not negative")
+}
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -38,6 +38,10 @@
     Timing,
     Token, //
 };
+use yuccaseam_replica::{
+    DiskReply,
+    DiskRequest, //
+};
 use yuccaseam_state::{
     LogIndex,
     Outcome,
@@ -54,10 +58,6 @@
     LiveBlobs,
     MemberRequest,
     Reply,
-    disk_thread::{
-        DiskReply,
-        DiskRequest, //
-    },
     formation::Formation,
     frame::Frame,
     members::{
@@ -315,7 +315,7 @@
         }
     }
 
-    fn on_disk(&mut self, reply: DiskReply) {
+    fn on_disk(&mut self, reply: DiskReply<State>) {
         match reply {
             DiskReply::Event(event) => {
                 if matches!(event, Event::SnapshotMade(_)) {
--- a/crates/daemon/src/replica/driver/actions.rs
+++ b/crates/daemon/src/replica/driver/actions.rs
@@ -17,6 +17,7 @@
     Payload,
     Token, //
 };
+use yuccaseam_replica::DiskRequest;
 use yuccaseam_state::{
     Command,
     LogIndex, //
@@ -25,7 +26,6 @@
 use crate::store::Replied;
 
 use super::{
-    super::disk_thread::DiskRequest,
     Driver,
     waiter::Waiter, //
 };
--- a/crates/daemon/src/replica/driver/timed.rs
+++ b/crates/daemon/src/replica/driver/timed.rs
@@ -9,11 +9,11 @@
     Timing,
     Token, //
 };
+use yuccaseam_replica::DiskRequest;
 
 use super::{
     super::{
         Status,
-        disk_thread::DiskRequest,
         frame::{
             Frame,
             Hello, //
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -13,8 +13,6 @@
 //! - A query is answered from state that a quorum confirmed after the query arrived.
 
 mod blobs;
-mod disk;
-mod disk_thread;
 mod driver;
 mod formation;
 mod frame;
@@ -46,12 +44,17 @@
     DataFolder, //
 };
 use yuccaseam_quorum::DiskId;
+use yuccaseam_replica::{
+    Disk,
+    DiskReply, //
+};
 use yuccaseam_state::{
     Answer,
     BlobId,
     Command,
     Outcome,
-    Query, //
+    Query,
+    State, //
 };
 
 use crate::{
@@ -61,8 +64,6 @@
 };
 
 use blobs::Blobs;
-use disk::Disk;
-use disk_thread::DiskReply;
 use driver::Driver;
 use frame::Frame;
 use status::SharedStatus;
@@ -98,7 +99,7 @@
     /// A message of another replica.
     Received { from: InstanceName, frame: Frame },
     /// The disk did something.
-    Disk(DiskReply),
+    Disk(DiskReply<State>),
     /// Which blobs does the state refer to?
     LiveBlobs(Sender<LiveBlobs>),
     /// This replica holds every blob that the state refers to as of an entry.
@@ -143,7 +144,11 @@
 
         let (tx, rx) = mpsc::channel();
         let status = SharedStatus::default();
-        let requests = disk_thread::start(disk, tx.clone())?;
+        let replies = tx.clone();
+        let requests = yuccaseam_replica::start(disk, move |reply| {
+            // The driver ends only with the process.
+            let _ = replies.send(Input::Disk(reply));
+        })?;
         let transport = Transport::new(settings.instance.clone(), links.clone());
         let driver = Driver::new(id, settings, clock, transport, requests, status.clone());
         driver::start(driver, restored, rx)?;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -20,6 +20,7 @@
     Clock,
     Millis, //
 };
+use yuccaseam_platform::SettingsFile;
 
 use crate::{
     admission::Admission,
@@ -61,6 +62,9 @@
 
 /// Runs the daemon with the settings of this process.
 pub fn run() -> ExitCode {
+    if let Some(file) = SettingsFile::from_environment() {
+        return run_on_platform(&file);
+    }
     let settings = match Command::from_process() {
         Ok(Command::Run(settings)) => settings,
         Ok(Command::Check(settings)) => {
@@ -88,6 +92,26 @@
     }
 }
 
+/// Runs an entry or a store with the settings that the platform writes.
+fn run_on_platform(file: &SettingsFile) -> ExitCode {
+    let settings = match file.read() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    logging::start_in_background();
+    match yuccaseam_serving::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("cannot go on: {error:#}");
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn serve(settings: Settings) -> anyhow::Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
--- a/crates/daemon/src/replica/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -1,6 +1,7 @@
 //! The log and the snapshots of a data folder, as the core sees them.
 
 use anyhow::Context as _;
+use yuccaseam_base::Machine;
 use yuccaseam_journal::{
     DataFolder,
     Entry as JournalEntry,
@@ -31,7 +32,6 @@
     WirePayload,
     WireSnapshot, //
 };
-use yuccaseam_state::State;
 
 /// How many bytes of entries are read at a time.
 const READ_BYTES: usize = 1 << 20;
@@ -40,16 +40,16 @@
 const LENGTH_BYTES: usize = 4;
 
 /// Log and snapshots of one data folder.
-pub(crate) struct Disk {
+pub struct Disk {
     log: Log,
     snapshots: Snapshots,
     receiver: Option<SnapshotReceiver>,
 }
 
 /// The content of a snapshot.
-pub(crate) struct Content {
+pub(crate) struct Content<M> {
     group: WireMembership,
-    pub(crate) state: State,
+    pub(crate) state: M,
 }
 
 impl Disk {
@@ -58,7 +58,7 @@
     /// # Errors
     ///
     /// Fails if either is damaged or not accessible.
-    pub(crate) fn open(folder: &DataFolder) -> anyhow::Result<Self> {
+    pub fn open(folder: &DataFolder) -> anyhow::Result<Self> {
         let mut log = Log::open(folder, LogOptions::default()).context("cannot open the log")?;
         let snapshots = Snapshots::open(folder).context("cannot open the snapshots")?;
         snapshots.check_covers(&log)?;
@@ -81,13 +81,16 @@
     /// # Errors
     ///
     /// Fails if an entry or the snapshot cannot be read.
-    pub(crate) fn restore(&self) -> anyhow::Result<(Restored, State)> {
+    pub fn restore<M>(&self) -> anyhow::Result<(Restored, M)>
+    where
+        M: Machine,
+    {
         let (snapshot, state) = match self.snapshots.latest() {
             Some(meta) => {
                 let content = self.content()?;
                 (snapshot(meta, content.group)?, content.state)
             }
-            None => (Snapshot::default(), State::new()),
+            None => (Snapshot::default(), M::empty()),
         };
         let hard = self.log.hard_state();
         let restored = Restored {
@@ -116,7 +119,10 @@
     }
 
     /// The content of the newest snapshot.
-    pub(crate) fn content(&self) -> anyhow::Result<Content> {
+    pub(crate) fn content<M>(&self) -> anyhow::Result<Content<M>>
+    where
+        M: Machine,
+    {
         let reader = self.snapshots.reader()?.context("there is no snapshot")?;
         let data = reader.read_all()?;
         decode_content(&data)
@@ -249,7 +255,10 @@
     Ok(wire.try_into()?)
 }
 
-fn decode_content(data: &[u8]) -> anyhow::Result<Content> {
+fn decode_content<M>(data: &[u8]) -> anyhow::Result<Content<M>>
+where
+    M: Machine,
+{
     let (len, rest) = data
         .split_first_chunk::<LENGTH_BYTES>()
         .context("the snapshot is too short")?;
@@ -258,7 +267,7 @@
         .context("the snapshot is too short")?;
     Ok(Content {
         group: postcard::from_bytes(group).context("the snapshot's group is malformed")?,
-        state: State::restore(state).context("the snapshot's state is malformed")?,
+        state: M::restore(state).context("the snapshot's state is malformed")?,
     })
 }
 
--- a/crates/daemon/src/replica/disk_thread.rs
+++ b/crates/replica/src/disk_thread.rs
@@ -4,6 +4,7 @@
 //! during a sync share the next one.
 
 use std::{
+    marker::PhantomData,
     sync::mpsc::{
         self,
         Receiver,
@@ -13,6 +14,7 @@
 };
 
 use anyhow::Context as _;
+use yuccaseam_base::Machine;
 use yuccaseam_journal::{
     JournalError,
     Position, //
@@ -27,27 +29,29 @@
     SnapshotId,
     SyncSeq, //
 };
-use yuccaseam_state::State;
 
-use super::{
-    Input,
-    disk::Disk, //
-};
+use crate::Disk;
 
 /// What the disk is asked to do.
-pub(crate) enum DiskRequest {
+pub enum DiskRequest {
     /// Write and sync.
     Persist(Persist),
     /// Write a snapshot of the state machine.
     Snapshot {
+        /// The last entry that it covers.
         position: Position,
+        /// The group as of that entry.
         members: Membership,
+        /// The state, from [`Machine::snapshot`].
         state: Vec<u8>,
     },
     /// Read a part of a snapshot for a follower.
     ReadChunk {
+        /// The follower.
         to: DiskId,
+        /// Which snapshot.
         id: SnapshotId,
+        /// Where the part begins, in bytes.
         offset: u64,
     },
     /// Store a part of an incoming snapshot.
@@ -61,34 +65,45 @@
 }
 
 /// What the disk did.
-pub(crate) enum DiskReply {
+pub enum DiskReply<M> {
     /// An event for the core.
     Event(Event),
     /// An incoming snapshot is installed.
-    Installed { id: SnapshotId, state: Box<State> },
+    Installed {
+        /// Which snapshot.
+        id: SnapshotId,
+        /// The state in it.
+        state: Box<M>,
+    },
     /// The disk is full. All requests are ignored until [`DiskRequest::Reload`].
     Full,
     /// The content of the disk, from which the core is to be started again.
-    Restored(Box<(Restored, State)>),
+    Restored(Box<(Restored, M)>),
 }
 
-struct DiskThread {
+struct DiskThread<M, F> {
     disk: Disk,
-    tx: Sender<Input>,
+    on_reply: F,
+    machine: PhantomData<fn() -> M>,
     /// Whether a write failed because the disk is full.
     full: bool,
 }
 
-/// Starts the thread. It ends with the process.
+/// Starts the thread, which hands its replies to a callback. It ends with the process.
 ///
 /// # Errors
 ///
 /// Fails if no thread can be started.
-pub(crate) fn start(disk: Disk, tx: Sender<Input>) -> anyhow::Result<Sender<DiskRequest>> {
+pub fn start<M, F>(disk: Disk, on_reply: F) -> anyhow::Result<Sender<DiskRequest>>
+where
+    M: Machine,
+    F: Fn(DiskReply<M>) + Send + 'static,
+{
     let (requests, rx) = mpsc::channel();
     let mut disk = DiskThread {
         disk,
-        tx,
+        on_reply,
+        machine: PhantomData,
         full: false,
     };
     thread::Builder::new()
@@ -98,7 +113,11 @@
     Ok(requests)
 }
 
-impl DiskThread {
+impl<M, F> DiskThread<M, F>
+where
+    M: Machine,
+    F: Fn(DiskReply<M>),
+{
     fn run(&mut self, rx: &Receiver<DiskRequest>) {
         while let Ok(first) = rx.recv() {
             let waiting = std::iter::once(first).chain(rx.try_iter());
@@ -152,7 +171,7 @@
             }
             DiskRequest::Install(id) => self.install(id)?,
             DiskRequest::BeginGroup(members) => {
-                let state = State::new().snapshot();
+                let state = M::empty().snapshot();
                 let position = Position::default();
                 self.disk.make_snapshot(position, &members, &state)?;
                 self.reload()?;
@@ -214,9 +233,8 @@
         std::process::exit(1);
     }
 
-    fn reply(&self, reply: DiskReply) {
-        // The driver ends only with the process.
-        let _ = self.tx.send(Input::Disk(reply));
+    fn reply(&self, reply: DiskReply<M>) {
+        (self.on_reply)(reply);
     }
 }
 
--- /dev/null
+++ b/crates/serving/src/balance.rs
@@ -0,0 +1,253 @@
+//! Where a request goes: the least loaded target that is near.
+//!
+//! The load of a target is what this instance has under way there, and what all others have, as the
+//! leader last told.
+
+use std::collections::HashMap;
+
+use yuccaseam_base::{
+    FailureDomain,
+    Millis,
+    Region,
+    TargetName,
+    record, //
+};
+
+use crate::targets::{
+    TargetKey,
+    TargetRecord, //
+};
+
+/// Work under way at one target.
+#[record]
+#[derive(Copy, Default)]
+pub struct Load {
+    /// Requests of callers.
+    pub online: u32,
+    /// Batch items.
+    pub batch: u32,
+}
+
+/// What a target in another failure domain of the region costs, in thousandths of a request.
+const OTHER_DOMAIN: u64 = 400;
+/// What a target in another region costs, in thousandths of a request: the link between regions is
+/// narrow, and its delay counts against the objective.
+const OTHER_REGION: u64 = 2_500;
+/// One request, in the same unit.
+const REQUEST: u64 = 1_000;
+/// How long a target is avoided after it failed a first time. Doubles with each failure in a row.
+const AVOIDED: Millis = Millis(500);
+/// The longest time that a target is avoided: a lost target stops announcing itself by then.
+const AVOIDED_MAX: Millis = Millis(8_000);
+
+/// How much of the slots of a target is taken, in the eyes of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// A slot is free.
+    Free,
+    /// A slot is free once batch items have made way.
+    AfterBatch,
+    /// Every slot is taken by callers.
+    Full,
+}
+
+/// A target that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub key: TargetKey,
+    /// Its name.
+    pub name: TargetName,
+    /// Where it takes requests.
+    pub address: std::net::SocketAddr,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether a slot is free.
+    pub room: Room,
+    /// What was believed to be under way there.
+    pub load: Load,
+}
+
+#[derive(Debug)]
+struct View {
+    record: TargetRecord,
+    /// What the others have under way, as the leader last told.
+    others: Load,
+    own: u32,
+    failures: u32,
+    avoided_until: Millis,
+}
+
+impl View {
+    fn load(&self) -> Load {
+        Load {
+            online: self.others.online + self.own,
+            batch: self.others.batch,
+        }
+    }
+
+    fn room(&self) -> Room {
+        let load = self.load();
+        if load.online + load.batch < self.record.slots {
+            Room::Free
+        } else if load.online < self.record.slots {
+            Room::AfterBatch
+        } else {
+            Room::Full
+        }
+    }
+}
+
+/// Where this instance is.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: Region,
+    /// The region of each failure domain.
+    pub regions: std::collections::BTreeMap<FailureDomain, Region>,
+}
+
+impl Place {
+    fn distance(&self, domain: &FailureDomain) -> u64 {
+        if *domain == self.domain {
+            0
+        } else if self.regions.get(domain) == Some(&self.region) {
+            OTHER_DOMAIN
+        } else {
+            OTHER_REGION
+        }
+    }
+}
+
+/// Chooses targets for one instance.
+#[derive(Debug)]
+pub struct Balancer {
+    place: Place,
+    views: HashMap<TargetKey, View>,
+}
+
+impl Balancer {
+    /// A balancer that knows no target.
+    pub fn new(place: Place) -> Self {
+        let views = HashMap::new();
+        Self { place, views }
+    }
+
+    /// Takes in what is known of a target.
+    pub fn set_target(&mut self, record: &TargetRecord) {
+        let key = record.key();
+        let name = &record.name;
+        self.views
+            .retain(|other, view| view.record.name != *name || *other == key || view.own > 0);
+        if let Some(view) = self.views.get_mut(&key) {
+            view.record = record.clone();
+            return;
+        }
+        let view = View {
+            record: record.clone(),
+            others: Load::default(),
+            own: 0,
+            failures: 0,
+            avoided_until: Millis::ZERO,
+        };
+        self.views.insert(key, view);
+    }
+
+    /// Takes in what other instances have under way. Targets that are not named have none.
+    pub fn set_loads(&mut self, loads: &[(TargetKey, Load)]) {
+        for view in self.views.values_mut() {
+            view.others = Load::default();
+        }
+        for (key, load) in loads {
+            if let Some(view) = self.views.get_mut(key) {
+                view.others = *load;
+            }
+        }
+    }
+
+    /// What this instance has under way, for the leader.
+    pub fn report(&mut self) -> Vec<(TargetKey, u32)> {
+        self.views
+            .retain(|_, view| view.own > 0 || !view.record.left);
+        let busy = self.views.iter().filter(|(_, view)| view.own > 0);
+        let mut report: Vec<_> = busy.map(|(key, view)| (*key, view.own)).collect();
+        report.sort_unstable();
+        report
+    }
+
+    /// The best target of a service, or `None` if none takes work. `draw` breaks ties.
+    pub fn choose(
+        &self,
+        service: &str,
+        tried: &[TargetKey],
+        draw: u64,
+        now: Millis,
+    ) -> Option<Choice> {
+        let usable = |view: &&View| view.record.service == service && !view.record.draining;
+        let rank = |view: &View| {
+            let load = view.load();
+            let key = view.record.key();
+            let full = view.room() == Room::Full;
+            let avoided = now < view.avoided_until;
+            let cost = u64::from(load.online + load.batch) * REQUEST / u64::from(view.record.slots)
+                * 8
+                + self.place.distance(&view.record.domain);
+            let tie = key.0.wrapping_mul(draw | 1);
+            (tried.contains(&key), avoided, full, cost, tie)
+        };
+        let best = self
+            .views
+            .values()
+            .filter(usable)
+            .filter(|view| !tried.contains(&view.record.key()))
+            .min_by_key(|view| rank(view))?;
+        Some(Choice {
+            key: best.record.key(),
+            name: best.record.name.clone(),
+            address: best.record.address,
+            slots: best.record.slots,
+            room: best.room(),
+            load: best.load(),
+        })
+    }
+
+    /// Slots of all targets of a service that take work.
+    pub fn slots(&self, service: &str) -> u32 {
+        let views = self.views.values();
+        let usable = views.filter(|view| view.record.service == service && !view.record.draining);
+        usable.map(|view| view.record.slots).sum()
+    }
+
+    /// Counts a request as under way.
+    pub fn begin(&mut self, key: TargetKey) {
+        if let Some(view) = self.views.get_mut(&key) {
+            view.own += 1;
+        }
+    }
+
+    /// Counts a request as ended.
+    pub fn end(&mut self, key: TargetKey) {
+        if let Some(view) = self.views.get_mut(&key) {
+            view.own = view.own.saturating_sub(1);
+        }
+    }
+
+    /// A target did not answer, or not properly.
+    pub fn failed(&mut self, key: TargetKey, now: Millis) {
+        if let Some(view) = self.views.get_mut(&key) {
+            let pause = Millis(AVOIDED.0 << view.failures.min(4)).min(AVOIDED_MAX);
+            view.failures += 1;
+            view.avoided_until = now + pause;
+        }
+    }
+
+    /// A target answered properly.
+    pub fn succeeded(&mut self, key: TargetKey) {
+        if let Some(view) = self.views.get_mut(&key) {
+            view.failures = 0;
+            view.avoided_until = Millis::ZERO;
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/cx.rs
@@ -0,0 +1,246 @@
+//! What all parts of one process share.
+
+use std::{
+    net::IpAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+};
+
+use rand::seq::IndexedRandom as _;
+use tokio::sync::{
+    Notify,
+    mpsc, //
+};
+use yuccaseam_base::{
+    Clock,
+    Millis, //
+};
+use yuccaseam_platform::{
+    Manifest,
+    NodeSettings, //
+};
+
+use crate::{
+    balance::{
+        Balancer,
+        Place, //
+    },
+    link::{
+        AddressBook,
+        Answer,
+        Ask,
+        AskError,
+        Links,
+        StoreEntry,
+        Up,
+        pause, //
+    },
+    routes::RouteTable,
+    state::StoredManifest,
+    targets::{
+        TargetRecord,
+        Targets, //
+    },
+    upstream::Upstream,
+};
+
+/// How long one instance may take to answer a question to the leader.
+const ONE_ANSWER: Millis = Millis(2_300);
+/// The pause after an instance that does not lead was asked.
+const ASK_AGAIN: Millis = Millis(60);
+
+/// What all parts of one process share.
+pub(crate) struct Cx {
+    pub(crate) settings: NodeSettings,
+    pub(crate) clock: Clock,
+    pub(crate) links: Links,
+    pub(crate) upstream: Arc<Upstream>,
+    /// Wakes those who wait for a slot.
+    pub(crate) room: Notify,
+    /// Whether a planned stop has begun.
+    pub(crate) stopping: AtomicBool,
+    book: Mutex<AddressBook>,
+    table: Mutex<Option<Arc<RouteTable>>>,
+    targets: Mutex<Targets>,
+    balancer: Mutex<Balancer>,
+    leader: Mutex<Option<IpAddr>>,
+    ups: Mutex<Option<mpsc::Sender<Up>>>,
+    started_at: Millis,
+    beat: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no thread panics with the lock")
+}
+
+impl Cx {
+    pub(crate) fn new(settings: NodeSettings) -> Self {
+        let clock = Clock::start();
+        let place = Place {
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            regions: settings.regions.clone(),
+        };
+        Self {
+            links: Links::new(settings.first_port),
+            upstream: Arc::new(Upstream::new(clock)),
+            room: Notify::new(),
+            stopping: AtomicBool::new(false),
+            book: Mutex::default(),
+            table: Mutex::default(),
+            targets: Mutex::default(),
+            balancer: Mutex::new(Balancer::new(place)),
+            leader: Mutex::default(),
+            ups: Mutex::default(),
+            started_at: Millis::unix_now(),
+            beat: AtomicU64::new(0),
+            clock,
+            settings,
+        }
+    }
+
+    pub(crate) fn book(&self) -> MutexGuard<'_, AddressBook> {
+        lock(&self.book)
+    }
+
+    pub(crate) fn targets(&self) -> MutexGuard<'_, Targets> {
+        lock(&self.targets)
+    }
+
+    pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
+        lock(&self.balancer)
+    }
+
+    /// The routes in force here, if a manifest is known.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        lock(&self.table).clone()
+    }
+
+    /// Puts a manifest in force, unless a newer one is.
+    pub(crate) fn apply_manifest(&self, stored: &StoredManifest) {
+        let mut table = lock(&self.table);
+        let current = table.as_ref().map(|table| table.version());
+        if current.is_some_and(|version| version >= stored.version) {
+            return;
+        }
+        let decoded = Manifest::decode(&stored.body).map_err(anyhow::Error::from);
+        match decoded.and_then(|manifest| Ok(RouteTable::new(manifest)?)) {
+            Ok(new) => {
+                log::info!(version = stored.version, before:? = current; "manifest in force");
+                *table = Some(Arc::new(new));
+            }
+            // It was checked before it was stored.
+            Err(error) => {
+                log::error!(version = stored.version, error:% = error; "manifest unusable");
+            }
+        }
+    }
+
+    /// Takes in what is known of targets.
+    pub(crate) fn merge_targets(&self, records: Vec<TargetRecord>) {
+        let now = self.clock.now();
+        let mut targets = self.targets();
+        let mut balancer = self.balancer();
+        for record in records {
+            balancer.set_target(&record);
+            if targets.merge(record.clone(), now) {
+                log::info!(
+                    target_name:% = record.name, service:% = record.service, number = record.number,
+                    draining = record.draining, left = record.left; "target changed");
+            }
+        }
+        drop(balancer);
+        self.room.notify_waiters();
+    }
+
+    /// Exchanges known stores.
+    pub(crate) fn gossip(&self, entries: Vec<StoreEntry>) -> Vec<StoreEntry> {
+        let now = self.clock.now();
+        let mut book = self.book();
+        if self.settings.is_store {
+            let own = StoreEntry {
+                name: self.settings.instance.clone(),
+                ip: self.settings.ip,
+                domain: self.settings.domain.clone(),
+                started_at: self.started_at.0,
+                beat: self.beat.fetch_add(1, Ordering::Relaxed),
+            };
+            book.merge(vec![own], now);
+        }
+        book.merge(entries, now);
+        book.entries()
+    }
+
+    pub(crate) fn leader(&self) -> Option<IpAddr> {
+        *lock(&self.leader)
+    }
+
+    pub(crate) fn set_leader(&self, leader: Option<IpAddr>) {
+        *lock(&self.leader) = leader;
+    }
+
+    /// Connects or disconnects the way to the leader.
+    pub(crate) fn set_ups(&self, ups: Option<mpsc::Sender<Up>>) {
+        *lock(&self.ups) = ups;
+    }
+
+    /// Tells the leader something. False if there is no way to it.
+    pub(crate) fn tell_leader(&self, up: Up) -> bool {
+        let ups = lock(&self.ups);
+        ups.as_ref().is_some_and(|ups| ups.try_send(up).is_ok())
+    }
+
+    /// The leader, or some store that may know it.
+    fn whom_to_ask(&self) -> Option<IpAddr> {
+        self.leader().or_else(|| {
+            let stores: Vec<_> = {
+                let book = self.book();
+                book.alive(self.clock.now()).map(|entry| entry.ip).collect()
+            };
+            stores.choose(&mut rand::rng()).copied()
+        })
+    }
+
+    /// Asks the leader, whoever that is, until it answers or the time is up. Questions may be asked
+    /// twice. `None` if none was heard by a leader.
+    pub(crate) async fn ask_leader(&self, ask: &Ask, until: Millis) -> Option<Answer> {
+        let mut heard = false;
+        loop {
+            let now = self.clock.now();
+            if now >= until {
+                return heard.then_some(Answer::Unknown);
+            }
+            let Some(ip) = self.whom_to_ask() else {
+                pause(ASK_AGAIN).await;
+                continue;
+            };
+            let wait = ONE_ANSWER.min(until - now);
+            match self.links.ask(ip, ask, wait).await {
+                Ok(Answer::NotLeader(hint)) => {
+                    self.set_leader(hint.filter(|hint| *hint != ip));
+                    pause(ASK_AGAIN).await;
+                }
+                Ok(Answer::Unknown) => heard = true,
+                Ok(answer) => return Some(answer),
+                Err(error) => {
+                    heard |= matches!(error, AskError::Lost);
+                    self.set_leader(None);
+                    pause(ASK_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/entry/front.rs
@@ -0,0 +1,126 @@
+//! Calls of callers: which route, and which kind of work.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use bytes::Bytes;
+use http::{
+    Method,
+    Request,
+    StatusCode,
+    header,
+    request::Parts, //
+};
+use http_body_util::{
+    BodyExt as _,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::body::Incoming;
+use yuccaseam_base::Millis;
+use yuccaseam_platform::{
+    BatchCall,
+    Repeatability,
+    headers, //
+};
+
+use crate::cx::Cx;
+
+use super::{
+    answer::{
+        Answer,
+        refused,
+        text, //
+    },
+    batch,
+    http_server::{
+        Connections,
+        listen, //
+    },
+    online,
+};
+
+/// When a caller may find a manifest at an instance that had none.
+const MANIFEST_SOON: Millis = Millis(500);
+
+/// Serves callers for the life of the process.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub(crate) async fn serve(
+    cx: &Arc<Cx>,
+    address: SocketAddr,
+    connections: &Arc<Connections>,
+) -> anyhow::Result<()> {
+    let cx = Arc::clone(cx);
+    listen(address, connections, move |req| {
+        let cx = Arc::clone(&cx);
+        let arrived_at = cx.clock.now();
+        handle(cx, req, arrived_at)
+    })
+    .await
+}
+
+async fn handle(cx: Arc<Cx>, req: Request<Incoming>, arrived_at: Millis) -> Answer {
+    let Some(table) = cx.table() else {
+        return refused("no manifest is known yet", MANIFEST_SOON);
+    };
+    let (head, body) = req.into_parts();
+    let host = headers::text(&head.headers, &header::HOST)
+        .or_else(|| head.uri.host())
+        .unwrap_or_default()
+        .to_owned();
+    let path = head.uri.path().to_owned();
+    let Some(route) = table.find(&host, &path) else {
+        return match BatchCall::parse(&head.method, &path, head.uri.query()) {
+            Some(call) => batch::call(&cx, call, &head, arrived_at).await,
+            None => text(StatusCode::NOT_FOUND, "no route"),
+        };
+    };
+    let body = match read_body(body, table.limits().body_bytes).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
+    };
+    match route.repeatability {
+        Repeatability::Batch if head.method == Method::POST => {
+            batch::submit(&cx, route, &host, &head, &body, arrived_at).await
+        }
+        Repeatability::Batch => text(StatusCode::METHOD_NOT_ALLOWED, "jobs are sent by POST"),
+        _ => online::serve(cx, route.clone(), Received::new(head, body, arrived_at)).await,
+    }
+}
+
+/// A request that has been read.
+pub(crate) struct Received {
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    pub(super) arrived_at: Millis,
+}
+
+impl Received {
+    fn new(head: Parts, body: Bytes, arrived_at: Millis) -> Self {
+        Self {
+            head,
+            body,
+            arrived_at,
+        }
+    }
+
+    /// Names the request in logs.
+    pub(super) fn id(&self) -> &str {
+        headers::text(&self.head.headers, &headers::REQUEST_ID).unwrap_or("-")
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Answer> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
+        }
+        Err(_) => Err(text(StatusCode::BAD_REQUEST, "the body is malformed")),
+    }
+}
--- /dev/null
+++ b/crates/serving/src/entry/http_server.rs
@@ -0,0 +1,143 @@
+//! Listening for HTTP connections, and closing them at a planned stop.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+};
+
+use anyhow::Context as _;
+use http::Request;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch, //
+};
+use yuccaseam_base::Millis;
+
+use crate::link::pause;
+
+use super::answer::Answer;
+
+/// How long a connection may be idle, or the head of a request may take. The platform's clients
+/// reuse connections for up to 12 s.
+const IDLE: Millis = Millis(15_000);
+/// The largest head of a request, in bytes.
+const HEAD_BYTES: usize = 16_384;
+/// The pause after an error of accepting, such as too many open files.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
+/// The connections of this process, which a planned stop closes.
+pub(crate) struct Connections {
+    closing: watch::Sender<bool>,
+    open: AtomicUsize,
+}
+
+impl Connections {
+    pub(crate) fn new() -> Self {
+        Self {
+            closing: watch::Sender::new(false),
+            open: AtomicUsize::new(0),
+        }
+    }
+
+    /// Closes connections once what they carry has ended.
+    pub(crate) fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Connections that are still open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+/// Serves connections at an address for the life of the process.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub(super) async fn listen<H, F>(
+    address: SocketAddr,
+    connections: &Arc<Connections>,
+    handler: H,
+) -> anyhow::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let listener = TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen on {address}"))?;
+    let connections = Arc::clone(connections);
+    let handler = Arc::new(handler);
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let serving = serve(stream, Arc::clone(&connections), Arc::clone(&handler));
+                    tokio::spawn(serving);
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "cannot accept a connection");
+                    pause(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve<H, F>(stream: TcpStream, connections: Arc<Connections>, handler: Arc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    connections.open.fetch_add(1, Ordering::Relaxed);
+    // Without it small writes only wait longer.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|req| {
+        let answer = handler(req);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE.duration())
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(conn);
+    let mut closing = connections.closing.subscribe();
+    tokio::select! {
+        // A client that breaks its connection is no event for an operator.
+        ended = conn.as_mut() => drop(ended),
+        () = closed(&mut closing) => {
+            conn.as_mut().graceful_shutdown();
+            drop(conn.await);
+        }
+    }
+    connections.open.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        // The sender lives as long as the process.
+        std::future::pending().await
+    }
+}
--- /dev/null
+++ b/crates/serving/src/entry/mod.rs
@@ -0,0 +1,46 @@
+//! The instances that callers, targets and operators connect to.
+
+mod answer;
+mod batch;
+mod control;
+mod front;
+mod http_server;
+mod online;
+mod stream;
+
+pub(crate) use control::serve as serve_control;
+pub(crate) use front::serve as serve_callers;
+pub(crate) use http_server::Connections;
+
+use std::sync::Arc;
+
+use http::{
+    Method,
+    StatusCode, //
+};
+
+use crate::cx::Cx;
+
+/// Answers the balancer's questions whether this instance takes callers.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub(crate) async fn serve_readiness(
+    cx: &Arc<Cx>,
+    address: std::net::SocketAddr,
+    connections: &Arc<Connections>,
+) -> anyhow::Result<()> {
+    let cx = Arc::clone(cx);
+    http_server::listen(address, connections, move |req| {
+        let known = req.method() == Method::GET && req.uri().path() == "/ready";
+        let ready = cx.table().is_some() && !cx.is_stopping();
+        let status = match (known, ready) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        async move { answer::empty(status) }
+    })
+    .await
+}
--- /dev/null
+++ b/crates/serving/src/follow.rs
@@ -0,0 +1,216 @@
+//! Following the leader: what it believes comes here, and what this instance learns goes there.
+
+use std::{
+    collections::HashMap,
+    net::IpAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+};
+
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot, //
+    },
+    time::timeout, //
+};
+use tokio_stream::{
+    StreamExt as _,
+    wrappers::ReceiverStream, //
+};
+use tonic::Streaming;
+use yuccaseam_base::{
+    Millis,
+    TargetName, //
+};
+use yuccaseam_wire::hub::{
+    Parcel,
+    hub_client::HubClient, //
+};
+
+use crate::{
+    cx::Cx,
+    link::{
+        Ask,
+        Down,
+        MAX_MESSAGE,
+        Up,
+        decode,
+        encode,
+        pause, //
+    },
+    targets::TargetRecord,
+};
+
+/// The leader speaks ten times a second. After this silence it is followed no more.
+const SILENCE: Millis = Millis(1_000);
+/// How long a leader may take to accept a follower.
+const ACCEPT: Millis = Millis(700);
+/// The pause after a store did not accept a follower.
+const RETRY: Millis = Millis(80);
+/// How often load is told while it changes.
+const REPORT: Millis = Millis(100);
+/// Messages to the leader that may wait.
+const WAITING: usize = 256;
+/// How often known stores are exchanged during the first seconds of a process.
+const GOSSIP_EARLY: Millis = Millis(300);
+/// How often they are exchanged later.
+const GOSSIP: Millis = Millis(1_500);
+/// How long a process is in its first seconds.
+const EARLY: Millis = Millis::from_secs(10);
+/// How long the leader may take to confirm that everyone was told of a target that drains.
+const NOTICE: Millis = Millis(800);
+
+/// Notices that wait for the leader's confirmation.
+#[derive(Default)]
+pub(crate) struct Notices {
+    waiting: Mutex<(u64, HashMap<u64, oneshot::Sender<()>>)>,
+}
+
+impl Notices {
+    fn add(&self) -> (u64, oneshot::Receiver<()>) {
+        let (tx, rx) = oneshot::channel();
+        let mut waiting = self.waiting.lock().expect("no thread panics with the lock");
+        waiting.0 += 1;
+        let notice = waiting.0;
+        waiting.1.retain(|_, tx| !tx.is_closed());
+        waiting.1.insert(notice, tx);
+        (notice, rx)
+    }
+
+    fn confirm(&self, notice: u64) {
+        let mut waiting = self.waiting.lock().expect("no thread panics with the lock");
+        if let Some(tx) = waiting.1.remove(&notice) {
+            // Nobody waits any more if this fails.
+            let _ = tx.send(());
+        }
+    }
+
+    /// Tells the leader that a target drains, and waits until everyone was told.
+    pub(crate) async fn tell_draining(&self, cx: &Cx, record: TargetRecord) -> bool {
+        let (notice, rx) = self.add();
+        cx.tell_leader(Up::Draining { record, notice }) && is_confirmed(rx).await
+    }
+
+    /// Tells the leader that a target leaves, and waits until everyone was told.
+    pub(crate) async fn tell_leaving(&self, cx: &Cx, name: TargetName) -> bool {
+        let (notice, rx) = self.add();
+        cx.tell_leader(Up::Leaving { name, notice }) && is_confirmed(rx).await
+    }
+}
+
+async fn is_confirmed(rx: oneshot::Receiver<()>) -> bool {
+    matches!(timeout(NOTICE.duration(), rx).await, Ok(Ok(())))
+}
+
+/// Learns the stores, for the life of the process.
+pub(crate) async fn gossip(cx: Arc<Cx>) {
+    let own = cx.settings.ip;
+    let mut turn = 0;
+    loop {
+        let mut peers: Vec<_> = cx.settings.seeds.iter().map(|seed| seed.ip()).collect();
+        peers.extend(cx.book().ips());
+        peers.retain(|ip| *ip != own);
+        peers.sort_unstable();
+        peers.dedup();
+        if !peers.is_empty() {
+            let ip = peers[turn % peers.len()];
+            turn = turn.wrapping_add(1 + rand::random_range(0..peers.len()));
+            let entries = cx.gossip(Vec::new());
+            if let Ok(crate::link::Answer::Gossip(entries)) =
+                cx.links.ask(ip, &Ask::Gossip(entries), SILENCE).await
+            {
+                cx.gossip(entries);
+            }
+        }
+        let early = cx.clock.now() < EARLY;
+        pause(if early { GOSSIP_EARLY } else { GOSSIP }).await;
+    }
+}
+
+/// Follows the leader, for the life of the process. `leads` says whether this instance itself does.
+pub(crate) async fn run<F>(cx: Arc<Cx>, notices: Arc<Notices>, leads: F)
+where
+    F: Fn() -> bool + Send + 'static,
+{
+    let mut turn = rand::random_range(0..16_usize);
+    loop {
+        let mut stores: Vec<IpAddr> = {
+            let book = cx.book();
+            book.alive(cx.clock.now()).map(|entry| entry.ip).collect()
+        };
+        stores.retain(|ip| *ip != cx.settings.ip);
+        if leads() || stores.is_empty() {
+            pause(RETRY).await;
+            continue;
+        }
+        let hint = cx.leader().filter(|ip| stores.contains(ip));
+        let ip = hint.unwrap_or(stores[turn % stores.len()]);
+        turn = turn.wrapping_add(1);
+        follow(&cx, &notices, ip).await;
+        if cx.leader() == Some(ip) {
+            cx.set_leader(None);
+        }
+        cx.set_ups(None);
+        pause(RETRY).await;
+    }
+}
+
+async fn follow(cx: &Arc<Cx>, notices: &Notices, ip: IpAddr) {
+    let mut client =
+        HubClient::new(cx.links.own_channel(ip)).max_decoding_message_size(MAX_MESSAGE);
+    let (tx, rx) = mpsc::channel(WAITING);
+    let ups = ReceiverStream::new(rx).map(|up: Up| Parcel {
+        message: encode(&up),
+    });
+    let mut downs = match timeout(ACCEPT.duration(), client.follow(ups)).await {
+        Ok(Ok(accepted)) => accepted.into_inner(),
+        Ok(Err(_)) | Err(_) => return,
+    };
+    cx.set_leader(Some(ip));
+    cx.set_ups(Some(tx.clone()));
+    log::info!(leader:% = ip; "following the leader");
+    let why = tokio::select! {
+        why = take_in(cx, notices, &mut downs) => why,
+        () = report(cx, &tx) => "the way to it is closed",
+    };
+    log::warn!(leader:% = ip, why; "the leader is lost");
+}
+
+async fn take_in(cx: &Cx, notices: &Notices, downs: &mut Streaming<Parcel>) -> &'static str {
+    loop {
+        let parcel = match timeout(SILENCE.duration(), downs.message()).await {
+            Ok(Ok(Some(parcel))) => parcel,
+            Ok(Ok(None)) => return "it ended the stream",
+            Ok(Err(_)) => return "the stream broke",
+            Err(_) => return "it is silent",
+        };
+        match decode(&parcel.message) {
+            Ok(Down::Manifest(manifest)) => cx.apply_manifest(&manifest),
+            Ok(Down::Targets(records)) => cx.merge_targets(records),
+            Ok(Down::Loads(loads)) => {
+                cx.balancer().set_loads(&loads);
+                cx.room.notify_waiters();
+            }
+            Ok(Down::Noted(notice)) => notices.confirm(notice),
+            Err(_) => return "a message is malformed",
+        }
+    }
+}
+
+/// Tells the leader the requests that are under way here, while that changes.
+async fn report(cx: &Cx, tx: &mpsc::Sender<Up>) {
+    let mut last = None;
+    loop {
+        let loads = cx.balancer().report();
+        if last.as_ref() != Some(&loads) {
+            if tx.send(Up::Loads(loads.clone())).await.is_err() {
+                return;
+            }
+            last = Some(loads);
+        }
+        pause(REPORT).await;
+    }
+}
--- /dev/null
+++ b/crates/serving/src/run.rs
@@ -0,0 +1,153 @@
+//! The life of a process: start, serve, planned stop.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+};
+
+use anyhow::Context as _;
+use tokio::{
+    signal::unix::{
+        SignalKind,
+        signal, //
+    },
+    sync::mpsc,
+};
+use yuccaseam_base::Millis;
+use yuccaseam_platform::NodeSettings;
+
+use crate::{
+    cx::Cx,
+    entry::{
+        self,
+        Connections, //
+    },
+    follow::{
+        self,
+        Notices, //
+    },
+    link::{
+        self,
+        Answer,
+        Ask,
+        Down,
+        Handler,
+        Up,
+        pause, //
+    },
+    store::Store,
+};
+
+/// How long after a stop signal connections are still taken: the balancer asks once a second and
+/// needs two answers in a row.
+const BALANCER: Millis = Millis(2_800);
+/// How much of the grace is kept for the end of the process.
+const MARGIN: Millis = Millis(400);
+/// How often a planned stop looks for open connections.
+const POLL: Millis = Millis(20);
+/// How long a store that stops waits for another one to lead.
+const HAND_OVER: Millis = Millis(300);
+
+/// Runs a process with the settings of the platform until it is stopped.
+///
+/// # Errors
+///
+/// Fails if an address or the data folder cannot be used.
+pub fn run(settings: NodeSettings) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> anyhow::Result<()> {
+    log::info!(
+        instance:% = settings.instance, domain:% = settings.domain, store = settings.is_store,
+        first_start = settings.is_first_start; "starting");
+    let cx = Arc::new(Cx::new(settings));
+    let connections = Arc::new(Connections::new());
+    let notices = Arc::new(Notices::default());
+    let internal = SocketAddr::new(cx.settings.ip, cx.settings.first_port);
+    let store = if cx.settings.is_store {
+        let store = Store::start(&cx)?;
+        link::serve(internal, Arc::clone(&store)).await?;
+        Some(store)
+    } else {
+        link::serve(internal, Arc::new(Bystander(Arc::clone(&cx)))).await?;
+        None
+    };
+    tokio::spawn(follow::gossip(Arc::clone(&cx)));
+    let leader = store.clone();
+    let leads = move || leader.as_ref().is_some_and(|store| store.leads());
+    tokio::spawn(follow::run(Arc::clone(&cx), Arc::clone(&notices), leads));
+    if let Some(address) = cx.settings.readiness {
+        entry::serve_readiness(&cx, address, &connections).await?;
+    }
+    if let Some(address) = cx.settings.control {
+        entry::serve_control(&cx, &notices, address, &connections).await?;
+    }
+    if let Some(address) = cx.settings.callers {
+        entry::serve_callers(&cx, address, &connections).await?;
+    }
+    log::info!(instance:% = cx.settings.instance; "started");
+    let mut term = signal(SignalKind::terminate()).context("cannot catch signals")?;
+    // Settings that change concern seeds only, which matter only at the start.
+    let mut hup = signal(SignalKind::hangup()).context("cannot catch signals")?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => log::info!("settings reloaded"),
+        }
+    }
+    stop(&cx, &connections, store.as_deref()).await;
+    Ok(())
+}
+
+/// Carries a planned stop out: readiness off, the balancer's delay, running calls end.
+async fn stop(cx: &Cx, connections: &Connections, store: Option<&Store>) {
+    log::info!("stopping");
+    let stopped_at = cx.clock.now();
+    cx.stopping.store(true, Ordering::Relaxed);
+    if let Some(store) = store {
+        store.hand_over();
+        pause(HAND_OVER).await;
+    }
+    if cx.settings.callers.is_some() {
+        pause(BALANCER).await;
+    }
+    connections.close();
+    let until = stopped_at + cx.settings.bounds.grace - MARGIN;
+    while connections.open() > 0 && cx.clock.now() < until {
+        pause(POLL).await;
+    }
+    log::info!(cut = connections.open(), took_ms = (cx.clock.now() - stopped_at).0; "stopped");
+}
+
+/// An instance without a disk: it only tells others which stores it knows.
+struct Bystander(Arc<Cx>);
+
+#[tonic::async_trait]
+impl Handler for Bystander {
+    async fn answer(&self, ask: Ask) -> Answer {
+        match ask {
+            Ask::Gossip(entries) => Answer::Gossip(self.0.gossip(entries)),
+            _ => Answer::NotLeader(self.0.leader()),
+        }
+    }
+
+    fn follow(&self, _tx: mpsc::Sender<Down>) -> Option<u64> {
+        None
+    }
+
+    fn on_up(&self, _follower: u64, _up: Up) {}
+
+    fn unfollow(&self, _follower: u64) {}
+
+    fn on_packet(&self, from: String, _message: Vec<u8>) {
+        log::warn!(peer:% = from; "a message of the replicated log reached an instance without a disk");
+    }
+}
--- /dev/null
+++ b/crates/serving/src/state/command.rs
@@ -0,0 +1,96 @@
+//! Commands to the replicated state and their outcomes.
+
+use yuccaseam_base::{
+    InstanceName,
+    record, //
+};
+
+use super::{
+    Finish,
+    StoredManifest, //
+};
+
+/// One item of a new job.
+#[record]
+pub struct NewItem {
+    /// Names the item in its job.
+    pub id: String,
+    /// Path of the request that runs it.
+    pub path: String,
+    /// Headers of that request.
+    pub headers: Vec<(String, String)>,
+    /// Body of that request.
+    pub body: Vec<u8>,
+    /// Tokens of the prompt and the most tokens of the output together.
+    pub tokens: u64,
+}
+
+/// A new job.
+#[record]
+pub struct NewJob {
+    /// The job. Submissions with the same id are one job.
+    pub id: String,
+    /// The host of its requests.
+    pub host: String,
+    /// Host and prefix of its route.
+    pub route: String,
+    /// Tokens that may wait on the route, if limited.
+    pub waiting_limit: Option<u64>,
+    /// Runs that may fail before an item is given up.
+    pub max_attempts: u32,
+    /// The items, in order.
+    pub items: Vec<NewItem>,
+}
+
+/// An item whose last run has ended.
+#[record]
+pub struct FinishedItem {
+    /// The job.
+    pub job: String,
+    /// Position of the item in its job.
+    pub item: u32,
+    /// How it ended.
+    pub finish: Finish,
+}
+
+/// A change of the replicated state.
+#[record]
+pub enum Command {
+    /// Replaces the manifest, if the version is higher than the one held.
+    PutManifest(StoredManifest),
+    /// Accepts a job, if the tokens of its items fit.
+    Submit(NewJob),
+    /// Lists results.
+    Finish(Vec<FinishedItem>),
+    /// Counts a run that the target itself called failed.
+    FailedRun {
+        /// The job.
+        job: String,
+        /// Position of the item in its job.
+        item: u32,
+    },
+    /// Ends a job: what is not listed yet is dropped.
+    End {
+        /// The job.
+        job: String,
+    },
+    /// Forgets jobs whose results need not be readable any more.
+    Forget {
+        /// The jobs.
+        jobs: Vec<String>,
+    },
+    /// An instance is to be emptied.
+    Retire(InstanceName),
+}
+
+/// What a command did.
+#[record]
+#[derive(Copy)]
+pub enum Outcome {
+    /// It took effect, now or before.
+    Done,
+    /// The tokens of the job do not fit. Nothing of it runs.
+    OverLimit,
+    /// There is no such job.
+    UnknownJob,
+}
--- /dev/null
+++ b/crates/serving/src/state/mod.rs
@@ -0,0 +1,161 @@
+//! The replicated state: the manifest, batch jobs and instances that are to be emptied.
+//!
+//! # Invariants
+//!
+//! - The version of the manifest never goes down.
+//! - A job is accepted once; a result keeps its position and content until the job is forgotten.
+//! - An item is listed at most once.
+
+mod command;
+mod job;
+
+pub use command::{
+    Command,
+    FinishedItem,
+    NewItem,
+    NewJob,
+    Outcome, //
+};
+pub use job::{
+    Finish,
+    Item,
+    Job, //
+};
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use yuccaseam_base::{
+    InstanceName,
+    Machine,
+    record, //
+};
+
+/// A manifest as its operator sent it.
+#[record]
+pub struct StoredManifest {
+    /// Its version.
+    pub version: u64,
+    /// Its bytes.
+    pub body: Vec<u8>,
+}
+
+/// The replicated state. Equal commands in equal order make equal states.
+#[record]
+#[derive(Default)]
+pub struct State {
+    manifest: Option<StoredManifest>,
+    jobs: BTreeMap<String, Job>,
+    retiring: BTreeSet<InstanceName>,
+}
+
+impl State {
+    /// Applies a command.
+    pub fn apply(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::PutManifest(manifest) => self.put_manifest(manifest),
+            Command::Submit(job) => self.submit(job),
+            Command::Finish(finished) => {
+                for one in finished {
+                    self.finish(one);
+                }
+                Outcome::Done
+            }
+            Command::FailedRun { job, item } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.note_failed_run(item);
+                }
+                Outcome::Done
+            }
+            Command::End { job } => match self.jobs.get_mut(&job) {
+                Some(job) => {
+                    job.end();
+                    Outcome::Done
+                }
+                None => Outcome::UnknownJob,
+            },
+            Command::Forget { jobs } => {
+                for job in jobs {
+                    self.jobs.remove(&job);
+                }
+                Outcome::Done
+            }
+            Command::Retire(instance) => {
+                self.retiring.insert(instance);
+                Outcome::Done
+            }
+        }
+    }
+
+    fn put_manifest(&mut self, manifest: StoredManifest) -> Outcome {
+        let newest = self.manifest.as_ref().map(|held| held.version);
+        if newest.is_none_or(|newest| manifest.version > newest) {
+            self.manifest = Some(manifest);
+        }
+        Outcome::Done
+    }
+
+    fn submit(&mut self, new: NewJob) -> Outcome {
+        if self.jobs.contains_key(&new.id) {
+            return Outcome::Done;
+        }
+        let job = Job::from(new);
+        if let Some(most) = job.waiting_limit
+            && self.waiting_tokens(&job.route) + job.waiting_tokens() > most
+        {
+            return Outcome::OverLimit;
+        }
+        self.jobs.insert(job.id.clone(), job);
+        Outcome::Done
+    }
+
+    fn finish(&mut self, finished: FinishedItem) {
+        if let Some(job) = self.jobs.get_mut(&finished.job) {
+            job.finish(finished);
+        }
+    }
+
+    /// The newest manifest.
+    pub fn manifest(&self) -> Option<&StoredManifest> {
+        self.manifest.as_ref()
+    }
+
+    /// A job that is not forgotten.
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Every job that is not forgotten.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// Tokens of the items that wait on a route.
+    pub fn waiting_tokens(&self, route: &str) -> u64 {
+        let jobs = self.jobs.values().filter(|job| job.route == route);
+        jobs.map(Job::waiting_tokens).sum()
+    }
+
+    /// Instances that are to be emptied.
+    pub fn retiring(&self) -> &BTreeSet<InstanceName> {
+        &self.retiring
+    }
+}
+
+impl Machine for State {
+    type Error = postcard::Error;
+
+    fn empty() -> Self {
+        Self::default()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain data encodes")
+    }
+
+    fn restore(data: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(data)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/store/hub.rs
@@ -0,0 +1,261 @@
+//! What the leader knows of all other instances, and tells them.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+};
+
+use tokio::sync::mpsc;
+use yuccaseam_base::Millis;
+
+use crate::{
+    balance::Load,
+    cx::Cx,
+    link::{
+        Down,
+        Up,
+        pause, //
+    },
+    targets::{
+        Effect,
+        TargetKey,
+        TargetRecord, //
+    },
+};
+
+use super::Replica;
+
+/// How often the leader tells loads.
+const TICK: Millis = Millis(100);
+/// How long a target may be silent. It announces itself every 1.2 s, and may be late by seconds.
+const TARGET_SILENCE: Millis = Millis(6_000);
+
+struct Follower {
+    tx: mpsc::Sender<Down>,
+    loads: Vec<(TargetKey, u32)>,
+}
+
+#[derive(Default)]
+struct Inner {
+    next: u64,
+    followers: HashMap<u64, Follower>,
+    /// Items under way at each target.
+    batch: BTreeMap<TargetKey, u32>,
+    /// The version of the manifest that followers were told last.
+    told_version: u64,
+    led: bool,
+}
+
+/// What the leader knows of all other instances.
+pub(crate) struct Hub {
+    cx: Arc<Cx>,
+    replica: Arc<Replica>,
+    inner: Mutex<Inner>,
+}
+
+impl Hub {
+    pub(crate) fn new(cx: Arc<Cx>, replica: Arc<Replica>) -> Self {
+        Self {
+            cx,
+            replica,
+            inner: Mutex::default(),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no thread panics with the lock")
+    }
+
+    /// Takes a follower in. `None` if this instance does not lead.
+    pub(crate) fn follow(&self, tx: mpsc::Sender<Down>) -> Option<u64> {
+        if !self.replica.holds_lease() {
+            return None;
+        }
+        let records: Vec<_> = self.cx.targets().records().cloned().collect();
+        let mut first = vec![Down::Targets(records)];
+        if let Some(manifest) = self.replica.read(|state| state.manifest().cloned()) {
+            first.insert(0, Down::Manifest(manifest));
+        }
+        for down in first {
+            tx.try_send(down).ok()?;
+        }
+        let mut inner = self.inner();
+        inner.next += 1;
+        let number = inner.next;
+        let loads = Vec::new();
+        inner.followers.insert(number, Follower { tx, loads });
+        Some(number)
+    }
+
+    pub(crate) fn unfollow(&self, follower: u64) {
+        self.inner().followers.remove(&follower);
+    }
+
+    /// A follower said something.
+    pub(crate) fn on_up(&self, follower: u64, up: Up) {
+        match up {
+            Up::Announced(record) => self.announce(record),
+            Up::Draining { record, notice } => {
+                self.announce(record);
+                self.tell(follower, Down::Noted(notice));
+            }
+            Up::Leaving { name, notice } => {
+                let now = self.cx.clock.now();
+                let left = self.cx.targets().leave(&name, now);
+                if let Some(record) = left {
+                    self.tell_all_targets(vec![record]);
+                }
+                self.tell(follower, Down::Noted(notice));
+            }
+            Up::Loads(loads) => {
+                if let Some(follower) = self.inner().followers.get_mut(&follower) {
+                    follower.loads = loads;
+                }
+            }
+        }
+    }
+
+    fn announce(&self, record: TargetRecord) {
+        let now = self.cx.clock.now();
+        let effect = self.cx.targets().announce(record, now);
+        if let Effect::Changed(record) = effect {
+            log::info!(
+                target_name:% = record.name, service:% = record.service, number = record.number,
+                address:% = record.address, draining = record.draining; "target announced");
+            self.tell_all_targets(vec![record]);
+        }
+    }
+
+    fn tell_all_targets(&self, records: Vec<TargetRecord>) {
+        let mut balancer = self.cx.balancer();
+        for record in &records {
+            balancer.set_target(record);
+        }
+        drop(balancer);
+        self.tell_all(&Down::Targets(records));
+    }
+
+    fn tell(&self, follower: u64, down: Down) {
+        let mut inner = self.inner();
+        let told = inner
+            .followers
+            .get(&follower)
+            .is_some_and(|follower| follower.tx.try_send(down).is_ok());
+        if !told {
+            inner.followers.remove(&follower);
+        }
+    }
+
+    /// Tells every follower. One that is too far behind is cut off and follows anew.
+    fn tell_all(&self, down: &Down) {
+        self.inner()
+            .followers
+            .retain(|_, follower| follower.tx.try_send(down.clone()).is_ok());
+    }
+
+    /// Requests of callers under way at each target.
+    pub(super) fn online(&self) -> BTreeMap<TargetKey, u32> {
+        let mut online = BTreeMap::new();
+        for follower in self.inner().followers.values() {
+            for (key, count) in &follower.loads {
+                *online.entry(*key).or_default() += count;
+            }
+        }
+        online
+    }
+
+    /// Notes the items that are under way at each target.
+    pub(super) fn set_batch(&self, batch: BTreeMap<TargetKey, u32>) {
+        self.inner().batch = batch;
+    }
+
+    /// Tells each follower what all others have under way.
+    fn tell_loads(&self) {
+        let online = self.online();
+        let mut inner = self.inner();
+        let batch = inner.batch.clone();
+        inner.followers.retain(|_, follower| {
+            let mut loads = BTreeMap::<TargetKey, Load>::new();
+            for (key, count) in &online {
+                loads.entry(*key).or_default().online = *count;
+            }
+            for (key, count) in &batch {
+                loads.entry(*key).or_default().batch = *count;
+            }
+            for (key, count) in &follower.loads {
+                if let Some(load) = loads.get_mut(key) {
+                    load.online = load.online.saturating_sub(*count);
+                }
+            }
+            let loads = loads
+                .into_iter()
+                .filter(|(_, load)| *load != Load::default());
+            let down = Down::Loads(loads.collect());
+            follower.tx.try_send(down).is_ok()
+        });
+    }
+
+    fn tick(&self) {
+        self.take_manifest();
+        let leads = self.replica.holds_lease();
+        let led = std::mem::replace(&mut self.inner().led, leads);
+        if !leads {
+            if led {
+                self.inner().followers.clear();
+            }
+            return;
+        }
+        let now = self.cx.clock.now();
+        if !led {
+            self.cx.targets().forgive_silence(now);
+        }
+        let gone = self.cx.targets().expire(TARGET_SILENCE, now);
+        if !gone.is_empty() {
+            for record in &gone {
+                log::info!(target_name:% = record.name; "target is silent and taken for gone");
+            }
+            self.tell_all_targets(gone);
+        }
+        self.tell_loads();
+    }
+
+    /// Puts the newest manifest in force here and tells it to followers.
+    fn take_manifest(&self) {
+        let told = self.inner().told_version;
+        let newer = self.replica.read(|state| {
+            let manifest = state.manifest()?;
+            (manifest.version > told).then(|| manifest.clone())
+        });
+        if let Some(manifest) = newer {
+            self.cx.apply_manifest(&manifest);
+            self.inner().told_version = manifest.version;
+            self.tell_all(&Down::Manifest(manifest));
+        }
+    }
+}
+
+/// Looks after followers for the life of the process.
+pub(crate) async fn run(hub: Arc<Hub>) {
+    let mut tick_at = Millis::ZERO;
+    loop {
+        let changed = hub.replica.changed();
+        let now = hub.cx.clock.now();
+        if now >= tick_at {
+            tick_at = now + TICK;
+            hub.tick();
+        } else {
+            hub.take_manifest();
+        }
+        tokio::select! {
+            () = changed => {}
+            () = pause(tick_at - hub.cx.clock.now()) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/store/mod.rs
@@ -0,0 +1,187 @@
+//! The instances with disks: the replicated log, the leader's view of all others, and batch items.
+
+mod group;
+mod hub;
+mod pages;
+mod replica;
+mod runner;
+mod transport;
+
+pub use group::{
+    GroupKeeper,
+    Seen, //
+};
+
+pub(crate) use hub::Hub;
+pub(crate) use replica::Replica;
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use yuccaseam_base::{
+    InstanceName,
+    Millis, //
+};
+
+use crate::{
+    cx::Cx,
+    link::{
+        Answer,
+        Ask,
+        Down,
+        Handler,
+        Up, //
+    },
+    state::{
+        Command,
+        Outcome, //
+    },
+};
+
+use replica::ProposeError;
+
+/// The longest time that a reader of results may be kept waiting.
+const MAX_WAIT: Millis = Millis(1_000);
+
+/// What an instance with a disk does for others.
+pub(crate) struct Store {
+    cx: Arc<Cx>,
+    replica: Arc<Replica>,
+    hub: Arc<Hub>,
+}
+
+impl Store {
+    /// Opens the data folder and starts to take part.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the data folder cannot be used.
+    pub(crate) fn start(cx: &Arc<Cx>) -> anyhow::Result<Arc<Self>> {
+        let replica = Replica::open(cx)?;
+        let hub = Arc::new(Hub::new(Arc::clone(cx), Arc::clone(&replica)));
+        tokio::spawn(hub::run(Arc::clone(&hub)));
+        tokio::spawn(runner::run(
+            Arc::clone(cx),
+            Arc::clone(&replica),
+            Arc::clone(&hub),
+        ));
+        Ok(Arc::new(Self {
+            cx: Arc::clone(cx),
+            replica,
+            hub,
+        }))
+    }
+
+    /// Whether this instance leads.
+    pub(crate) fn leads(&self) -> bool {
+        self.replica.holds_lease()
+    }
+
+    /// Gives leadership to another instance.
+    pub(crate) fn hand_over(&self) {
+        self.replica.hand_over();
+    }
+
+    async fn propose(&self, command: Command) -> Answer {
+        match self.replica.propose(command).await {
+            Ok(Outcome::Done) => Answer::Done,
+            Ok(Outcome::OverLimit) => Answer::OverLimit,
+            Ok(Outcome::UnknownJob) => Answer::NotFound,
+            Err(ProposeError::NotLeader) => self.not_leader(),
+            Err(ProposeError::Unknown) => Answer::Unknown,
+        }
+    }
+
+    fn not_leader(&self) -> Answer {
+        let leader = self.replica.leader();
+        let ip = leader.and_then(|name| self.cx.book().ip(&name));
+        Answer::NotLeader(ip)
+    }
+
+    async fn manifest(&self) -> Answer {
+        if !self.replica.confirm().await {
+            return self.not_leader();
+        }
+        Answer::Manifest(self.replica.read(|state| state.manifest().cloned()))
+    }
+
+    async fn item_body(&self, job: &str, item: &str) -> Answer {
+        if !self.replica.confirm().await {
+            return self.not_leader();
+        }
+        let body = self.replica.read(|state| {
+            let item = state.job(job)?.item(item)?;
+            (!item.is_listed()).then(|| item.body.clone())
+        });
+        body.map_or(Answer::NotFound, Answer::Body)
+    }
+
+    async fn start_retiring(&self, instance: InstanceName) -> Answer {
+        if !self.replica.confirm().await {
+            return self.not_leader();
+        }
+        if self
+            .replica
+            .read(|state| state.retiring().contains(&instance))
+        {
+            return Answer::Done;
+        }
+        match self.replica.can_retire(&instance) {
+            None => Answer::NotFound,
+            Some(false) => Answer::TooFewLeft,
+            Some(true) => self.propose(Command::Retire(instance)).await,
+        }
+    }
+
+    async fn get_retiring(&self, instance: &InstanceName) -> Answer {
+        if !self.replica.confirm().await {
+            return self.not_leader();
+        }
+        if !self
+            .replica
+            .read(|state| state.retiring().contains(instance))
+        {
+            return Answer::NotFound;
+        }
+        Answer::Retired(self.replica.has_left_group(instance))
+    }
+}
+
+#[tonic::async_trait]
+impl Handler for Store {
+    async fn answer(&self, ask: Ask) -> Answer {
+        match ask {
+            Ask::Gossip(entries) => Answer::Gossip(self.cx.gossip(entries)),
+            Ask::PutManifest(manifest) => self.propose(Command::PutManifest(manifest)).await,
+            Ask::GetManifest => self.manifest().await,
+            Ask::Submit(job) => self.propose(Command::Submit(job)).await,
+            Ask::Results(request) => {
+                let wait = Millis(request.wait_ms).min(MAX_WAIT);
+                match pages::read(&self.replica, &request, wait).await {
+                    Some(answer) => answer,
+                    None => self.not_leader(),
+                }
+            }
+            Ask::ItemBody { job, item } => self.item_body(&job, &item).await,
+            Ask::EndJob(job) => self.propose(Command::End { job }).await,
+            Ask::StartRetiring(instance) => self.start_retiring(instance).await,
+            Ask::GetRetiring(instance) => self.get_retiring(&instance).await,
+        }
+    }
+
+    fn follow(&self, tx: mpsc::Sender<Down>) -> Option<u64> {
+        self.hub.follow(tx)
+    }
+
+    fn on_up(&self, follower: u64, up: Up) {
+        self.hub.on_up(follower, up);
+    }
+
+    fn unfollow(&self, follower: u64) {
+        self.hub.unfollow(follower);
+    }
+
+    fn on_packet(&self, from: String, message: Vec<u8>) {
+        self.replica.on_packet(InstanceName(from), &message);
+    }
+}
--- /dev/null
+++ b/crates/serving/src/store/runner.rs
@@ -0,0 +1,587 @@
+//! Runs batch items at targets while this instance leads.
+//!
+//! # Invariants
+//!
+//! - Items run only while this instance holds the lease, and only where the manifest sends them.
+//! - A result is proposed only if the stream of its item was whole.
+//! - A run that goes on after event n was asked for with n.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::Arc,
+};
+
+use http::{
+    HeaderName,
+    HeaderValue,
+    Method,
+    Request,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt as _,
+    Full, //
+};
+use tokio::{
+    sync::mpsc,
+    task::AbortHandle, //
+};
+use yuccaseam_base::Millis;
+use yuccaseam_platform::headers;
+
+use crate::{
+    cx::Cx,
+    events::{
+        EventSplitter,
+        event_data, //
+    },
+    link::pause,
+    routes::choose_destination,
+    schedule::{
+        Capacity,
+        ItemKey,
+        Running,
+        Waiting,
+        plan, //
+    },
+    state::{
+        Command,
+        Finish,
+        FinishedItem,
+        Item, //
+    },
+    targets::{
+        TargetKey,
+        TargetRecord, //
+    },
+    upstream::Failure,
+};
+
+use super::{
+    Hub,
+    Replica, //
+};
+
+/// How often the runner looks for work if nothing happens.
+const LOOK: Millis = Millis(50);
+/// When results are due if the route does not say.
+const DUE: Millis = Millis(18_000);
+/// How long an item waits after a run that failed.
+const RETRY: Millis = Millis(300);
+/// How long a target takes no items after one failed there.
+const AVOIDED: Millis = Millis(1_000);
+/// How long a stream may pause before its item goes on elsewhere.
+const STALL: Millis = Millis(2_000);
+/// How long the results of a job are kept beyond the time promised.
+const KEPT_LONGER: Millis = Millis::from_secs(30);
+/// How often jobs are looked for that can be forgotten.
+const FORGET: Millis = Millis::from_secs(5);
+
+/// What of an item's output has arrived.
+#[derive(Debug, Default)]
+struct Progress {
+    lines: Vec<String>,
+    last_id: Option<String>,
+    /// When another run may start.
+    retry_at: Millis,
+    failures: u32,
+}
+
+/// How a run ended.
+#[derive(Debug)]
+enum End {
+    /// The whole output is there.
+    Whole,
+    /// The target says that the item can never be done.
+    Impossible,
+    /// The target itself failed to do it.
+    FailedByTarget,
+    /// The target has not run it.
+    Rejected,
+    /// The stream broke.
+    Broken(Failure),
+}
+
+enum Report {
+    Events {
+        run: u64,
+        lines: Vec<String>,
+        last_id: Option<String>,
+    },
+    Ended {
+        run: u64,
+        end: End,
+    },
+}
+
+struct Run {
+    key: ItemKey,
+    target: TargetKey,
+    task: AbortHandle,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug)]
+struct JobView {
+    number: u64,
+    seen_at: Millis,
+    due_at: Millis,
+}
+
+struct Runner {
+    cx: Arc<Cx>,
+    replica: Arc<Replica>,
+    hub: Arc<Hub>,
+    reports: mpsc::UnboundedSender<Report>,
+    jobs: HashMap<String, JobView>,
+    names: HashMap<u64, String>,
+    next_job: u64,
+    progress: HashMap<ItemKey, Progress>,
+    runs: HashMap<u64, Run>,
+    next_run: u64,
+    avoided: HashMap<TargetKey, Millis>,
+    forget_at: Millis,
+}
+
+/// Runs items for the life of the process.
+pub(crate) async fn run(cx: Arc<Cx>, replica: Arc<Replica>, hub: Arc<Hub>) {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let mut runner = Runner {
+        cx,
+        replica,
+        hub,
+        reports: tx,
+        jobs: HashMap::new(),
+        names: HashMap::new(),
+        next_job: 0,
+        progress: HashMap::new(),
+        runs: HashMap::new(),
+        next_run: 0,
+        avoided: HashMap::new(),
+        forget_at: Millis::ZERO,
+    };
+    let mut look_at = Millis::ZERO;
+    loop {
+        let now = runner.cx.clock.now();
+        if now >= look_at {
+            look_at = now + LOOK;
+            runner.look(now);
+        }
+        tokio::select! {
+            report = rx.recv() => {
+                let mut next = report;
+                while let Some(report) = next {
+                    look_at = if runner.take_in(report) { Millis::ZERO } else { look_at };
+                    next = rx.try_recv().ok();
+                }
+            }
+            () = pause(look_at - now) => {}
+        }
+    }
+}
+
+impl Runner {
+    fn look(&mut self, now: Millis) {
+        if !self.replica.holds_lease() {
+            self.runs.clear();
+            self.progress.clear();
+            self.jobs.clear();
+            self.names.clear();
+            return;
+        }
+        let replica = Arc::clone(&self.replica);
+        let waiting = replica.read(|state| self.waiting(state, now));
+        self.drop_stale_runs();
+        for (service, waiting) in waiting {
+            self.schedule(&service, &waiting, now);
+        }
+        let mut batch = BTreeMap::new();
+        for run in self.runs.values() {
+            *batch.entry(run.target).or_default() += 1;
+        }
+        self.hub.set_batch(batch);
+        if now >= self.forget_at {
+            self.forget_at = now + FORGET;
+            self.forget(now);
+        }
+    }
+
+    /// Every item that is not listed, by the service that runs it. Items without a route are given
+    /// up.
+    fn waiting(
+        &mut self,
+        state: &crate::state::State,
+        now: Millis,
+    ) -> BTreeMap<String, Vec<Waiting>> {
+        let mut by_service = BTreeMap::<String, Vec<Waiting>>::new();
+        let Some(table) = self.cx.table() else {
+            return by_service;
+        };
+        let mut lost = Vec::new();
+        for job in state.jobs().filter(|job| !job.is_settled()) {
+            let view = self.jobs.entry(job.id.clone()).or_insert_with(|| {
+                self.next_job += 1;
+                self.names.insert(self.next_job, job.id.clone());
+                JobView {
+                    number: self.next_job,
+                    seen_at: now,
+                    due_at: now + DUE,
+                }
+            });
+            for (at, item) in job.waiting() {
+                let key = ItemKey {
+                    job: view.number,
+                    item: at,
+                };
+                let Some(route) = table.find(&job.host, &item.path) else {
+                    lost.push((job.id.clone(), at));
+                    continue;
+                };
+                view.due_at = view.seen_at + route.completion_objective.unwrap_or(DUE);
+                // The draw is the same each time, so that an item that goes on stays in its share.
+                let draw = key.job.wrapping_mul(31).wrapping_add(u64::from(at)) * 7_919;
+                let Some(service) = choose_destination(route, draw) else {
+                    continue;
+                };
+                let begun = self.progress.get(&key);
+                let waits = begun.is_some_and(|progress| now < progress.retry_at);
+                let entry = by_service.entry(service.to_owned()).or_default();
+                if !waits {
+                    entry.push(Waiting {
+                        key,
+                        due_at: view.due_at,
+                        begun: begun.is_some_and(|progress| progress.last_id.is_some()),
+                    });
+                }
+            }
+        }
+        for (job, item) in lost {
+            self.finish(job, item, Finish::Errored);
+        }
+        by_service
+    }
+
+    /// Ends runs whose item is listed or whose job was ended.
+    fn drop_stale_runs(&mut self) {
+        let names = &self.names;
+        let replica = &self.replica;
+        self.runs.retain(|_, run| {
+            let Some(name) = names.get(&run.key.job) else {
+                return false;
+            };
+            replica.read(|state| {
+                let job = state.job(name);
+                job.is_some_and(|job| {
+                    let item = job.items().get(run.key.item as usize);
+                    !job.is_ended() && item.is_some_and(|item| !item.is_listed())
+                })
+            })
+        });
+    }
+
+    fn schedule(&mut self, service: &str, waiting: &[Waiting], now: Millis) {
+        let due: HashMap<_, _> = waiting.iter().map(|one| (one.key, one.due_at)).collect();
+        let running = self.runs.values().map(|run| Running {
+            key: run.key,
+            target: run.target,
+            due_at: due.get(&run.key).copied().unwrap_or(now + DUE),
+        });
+        let running: Vec<_> = running.collect();
+        let is_running = |key| running.iter().any(|run| run.key == key);
+        let waiting: Vec<_> = waiting
+            .iter()
+            .copied()
+            .filter(|one| !is_running(one.key))
+            .collect();
+        let online = self.hub.online();
+        let records: HashMap<TargetKey, TargetRecord> = {
+            let targets = self.cx.targets();
+            let of_service = targets.records().filter(|one| one.service == service);
+            of_service.map(|one| (one.key(), one.clone())).collect()
+        };
+        let capacities: Vec<_> = records
+            .values()
+            .map(|record| {
+                let key = record.key();
+                let avoided = self.avoided.get(&key).is_some_and(|until| now < *until);
+                Capacity {
+                    target: key,
+                    slots: record.slots,
+                    online: online.get(&key).copied().unwrap_or(0),
+                    accepts: !record.draining && !avoided,
+                }
+            })
+            .collect();
+        let plan = plan(&waiting, &running, &capacities, now);
+        for key in plan.pause {
+            self.runs.retain(|_, run| run.key != key);
+            metrics::counter!("yuccaseam_batch_runs_total", "outcome" => "paused").increment(1);
+        }
+        for (key, target) in plan.start {
+            if let Some(record) = records.get(&target) {
+                self.start(key, record);
+            }
+        }
+    }
+
+    fn start(&mut self, key: ItemKey, target: &TargetRecord) {
+        let Some(name) = self.names.get(&key.job) else {
+            return;
+        };
+        let progress = self.progress.entry(key).or_default();
+        let last_id = progress.last_id.clone();
+        let req = self.replica.read(|state| {
+            let job = state.job(name)?;
+            let item = job.items().get(key.item as usize)?;
+            request(&job.host, item, target, last_id.as_deref())
+        });
+        let Some(req) = req else {
+            return;
+        };
+        self.next_run += 1;
+        let number = self.next_run;
+        let task = tokio::spawn(stream(
+            Arc::clone(&self.cx),
+            target.clone(),
+            req,
+            number,
+            self.reports.clone(),
+        ));
+        log::info!(
+            job:% = name, item = key.item, target_name:% = target.name, after:? = last_id;
+            "batch item started");
+        let run = Run {
+            key,
+            target: target.key(),
+            task: task.abort_handle(),
+        };
+        self.runs.insert(number, run);
+    }
+
+    /// Takes a report in. True if a slot became free.
+    fn take_in(&mut self, report: Report) -> bool {
+        match report {
+            Report::Events {
+                run,
+                lines,
+                last_id,
+            } => {
+                // A run that was paused meanwhile reports into the void: its events come again.
+                if let Some(run) = self.runs.get(&run) {
+                    let progress = self.progress.entry(run.key).or_default();
+                    progress.lines.extend(lines);
+                    progress.last_id = last_id.or(progress.last_id.take());
+                }
+                false
+            }
+            Report::Ended { run, end } => {
+                if let Some(run) = self.runs.remove(&run) {
+                    self.ended(&run, &end);
+                }
+                true
+            }
+        }
+    }
+
+    fn ended(&mut self, run: &Run, end: &End) {
+        let now = self.cx.clock.now();
+        let Some(job) = self.names.get(&run.key.job).cloned() else {
+            return;
+        };
+        let item = run.key.item;
+        let progress = self.progress.entry(run.key).or_default();
+        let outcome = match end {
+            End::Whole => "done",
+            End::Impossible => "impossible",
+            End::FailedByTarget => "failed",
+            End::Rejected => "rejected",
+            End::Broken(failure) => failure.code(),
+        };
+        metrics::counter!("yuccaseam_batch_runs_total", "outcome" => outcome).increment(1);
+        log::info!(job:%, item, outcome, failures = progress.failures; "batch run ended");
+        match end {
+            End::Whole => {
+                let text = std::mem::take(&mut progress.lines).join("\n");
+                progress.retry_at = Millis::MAX;
+                self.finish(job, item, Finish::Completed(text));
+            }
+            End::Impossible => {
+                progress.retry_at = Millis::MAX;
+                self.finish(job, item, Finish::Errored);
+            }
+            End::FailedByTarget => {
+                progress.retry_at = now + RETRY;
+                progress.failures += 1;
+                self.note_failed(job, item);
+            }
+            End::Rejected | End::Broken(_) => {
+                progress.retry_at = now + RETRY;
+                self.avoided.insert(run.target, now + AVOIDED);
+            }
+        }
+    }
+
+    /// Counts a failed run, and gives the item up after the last one that is allowed.
+    fn note_failed(&self, job: String, item: u32) {
+        let spent = self.replica.read(|state| {
+            let job = state.job(&job)?;
+            let failed = job.items().get(item as usize)?.failed_runs;
+            Some(failed + 1 >= job.max_attempts)
+        });
+        if spent == Some(true) {
+            return self.finish(job, item, Finish::Errored);
+        }
+        self.propose(Command::FailedRun { job, item });
+    }
+
+    fn finish(&self, job: String, item: u32, finish: Finish) {
+        self.propose(Command::Finish(vec![FinishedItem { job, item, finish }]));
+    }
+
+    /// Proposes a command until it is carried out, or this instance leads no more.
+    fn propose(&self, command: Command) {
+        let replica = Arc::clone(&self.replica);
+        tokio::spawn(async move {
+            while replica.holds_lease() {
+                match replica.propose(command.clone()).await {
+                    Ok(_) => return,
+                    Err(_) => pause(RETRY).await,
+                }
+            }
+        });
+    }
+
+    /// Forgets jobs that nobody may read any more.
+    fn forget(&mut self, now: Millis) {
+        let lifetime = self.cx.settings.bounds.result_lifetime + KEPT_LONGER;
+        let known: Vec<_> = self.replica.read(|state| {
+            state
+                .jobs()
+                .map(|job| (job.id.clone(), job.is_settled()))
+                .collect()
+        });
+        for (job, _) in &known {
+            if !self.jobs.contains_key(job) {
+                self.next_job += 1;
+                self.names.insert(self.next_job, job.clone());
+                let view = JobView {
+                    number: self.next_job,
+                    seen_at: now,
+                    due_at: now + DUE,
+                };
+                self.jobs.insert(job.clone(), view);
+            }
+        }
+        let old: Vec<_> = known
+            .into_iter()
+            .filter(|(job, settled)| {
+                let view = self.jobs.get(job);
+                *settled && view.is_some_and(|view| now > view.seen_at + lifetime)
+            })
+            .map(|(job, _)| job)
+            .collect();
+        if !old.is_empty() {
+            self.propose(Command::Forget { jobs: old });
+        }
+    }
+}
+
+fn request(
+    host: &str,
+    item: &Item,
+    target: &TargetRecord,
+    last_id: Option<&str>,
+) -> Option<Request<Full<bytes::Bytes>>> {
+    let body = Full::new(bytes::Bytes::from(item.body.clone()));
+    let mut req = Request::builder()
+        .method(Method::POST)
+        .uri(&item.path)
+        .header(header::HOST, host)
+        .header(headers::EXPECTED_TARGET, target.name.as_str());
+    if let Some(id) = last_id {
+        req = req.header(headers::LAST_EVENT_ID, id);
+    }
+    let mut req = req.body(body).ok()?;
+    for (name, value) in &item.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        let value = HeaderValue::from_str(value).ok()?;
+        req.headers_mut().insert(name, value);
+    }
+    let id = HeaderValue::from_str(&item.id).ok()?;
+    req.headers_mut().insert(headers::REQUEST_ID, id);
+    Some(req)
+}
+
+/// Runs one item at one target and reports its events and its end.
+async fn stream(
+    cx: Arc<Cx>,
+    target: TargetRecord,
+    req: Request<Full<bytes::Bytes>>,
+    run: u64,
+    reports: mpsc::UnboundedSender<Report>,
+) {
+    let end = stream_events(&cx, &target, req, run, &reports).await;
+    // The runner ends only with the process.
+    let _ = reports.send(Report::Ended { run, end });
+}
+
+async fn stream_events(
+    cx: &Arc<Cx>,
+    target: &TargetRecord,
+    req: Request<Full<bytes::Bytes>>,
+    run: u64,
+    reports: &mpsc::UnboundedSender<Report>,
+) -> End {
+    let call = cx.upstream.call(target.address, req, STALL, STALL).await;
+    let mut call = match call {
+        Ok(call) => call,
+        Err(error) => return End::Broken(error.failure),
+    };
+    let head = &call.head;
+    if head.headers.contains_key(headers::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
+    {
+        return End::Rejected;
+    }
+    match head.status {
+        StatusCode::UNPROCESSABLE_ENTITY => return End::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => return End::FailedByTarget,
+        status if status.is_success() && head.headers.contains_key(headers::SIGNATURE) => {}
+        _ => return End::Broken(Failure::WrongAnswer),
+    }
+    let mut splitter = EventSplitter::default();
+    loop {
+        match tokio::time::timeout(STALL.duration(), call.body.frame()).await {
+            Err(_) => return End::Broken(Failure::Silent),
+            Ok(None) if splitter.is_mid_event() => return End::Broken(Failure::Broken),
+            Ok(None) => {
+                call.conn.keep();
+                return End::Whole;
+            }
+            Ok(Some(Err(_))) => return End::Broken(Failure::Broken),
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                if let Some(events) = splitter.push(&data) {
+                    let lines = event_data(&events);
+                    let lines = lines.map(|line| String::from_utf8_lossy(line).into_owned());
+                    // The runner ends only with the process.
+                    let _ = reports.send(Report::Events {
+                        run,
+                        lines: lines.collect(),
+                        last_id: splitter.last_id().map(str::to_owned),
+                    });
+                }
+            }
+        }
+    }
+}
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 use yuccaseam_base::{
+    Machine,
     Millis,
     Reason,
     Refusal,
@@ -300,3 +301,19 @@
         Self::Refused(refusal)
     }
 }
+
+impl Machine for State {
+    type Error = DecodeError;
+
+    fn empty() -> Self {
+        Self::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        Self::snapshot(self)
+    }
+
+    fn restore(data: &[u8]) -> Result<Self, DecodeError> {
+        Self::restore(data)
+    }
+}
--- a/crates/wire/examples/generate.rs
+++ b/crates/wire/examples/generate.rs
@@ -10,10 +10,11 @@
     },
 };
 
-const FILES: [&str; 4] = [
+const FILES: [&str; 5] = [
     "admission.proto",
     "consensus.proto",
     "fleet.proto",
+    "hub.proto",
     "store.proto",
 ];
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,12 @@
 #[path = "generated/yuccaseam.fleet.v1.rs"]
 pub mod fleet;
 
+/// Between entries and stores on the users' platform.
+#[allow(missing_docs, unreachable_pub, clippy::all, reason = "generated code")]
+#[rustfmt::skip]
+#[path = "generated/yuccaseam.hub.v1.rs"]
+pub mod hub;
+
 /// Proposals, reads, blobs and configuration.
 #[allow(missing_docs, unreachable_pub, clippy::all, reason = "generated code")]
 #[rustfmt::skip]
