Entries spread over targets of like cost; loads are told sooner; items keep a reserve

Ruled out: processor time (0.004 of 0.12 cores), waiting at the entry (0 ms), batch alone (late at targets without items too). Change: cost that grows with the last free slots, with a share of chance; loads told each 40 ms as differences; items leave two slots free and give one back.

--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -28,13 +28,23 @@
     pub batch: u32,
 }
 
-/// What a target in another failure domain of the region costs, in thousandths of a request.
-const OTHER_DOMAIN: u64 = 400;
-/// What a target in another region costs, in thousandths of a request: the link between regions is
-/// narrow, and its delay counts against the objective.
-const OTHER_REGION: u64 = 2_500;
-/// One request, in the same unit.
-const REQUEST: u64 = 1_000;
+/// What the last free slot of a target costs. Each further free slot halves it: an engine is hardly
+/// slower with half of its slots taken, and the loads that are known are a little old, so that the
+/// next request may find fewer.
+const LAST_SLOT: u64 = 3_200;
+/// What a target in another failure domain of the region costs.
+const OTHER_DOMAIN: u64 = 250;
+/// What a target in another region costs: the link between regions is narrow, and its delay counts
+/// against the objective.
+const OTHER_REGION: u64 = 2_000;
+/// The most that chance adds. Without it all entries would choose the same target until they hear of
+/// each other's choice.
+const CHANCE: u64 = 500;
+/// Spreads the bits of a number, by Fibonacci hashing.
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+/// What a batch item costs in comparison with a request of a caller, in percent: it makes way, but
+/// not at once.
+const BATCH_PERCENT: u64 = 75;
 /// How long a target is avoided after it failed a first time. Doubles with each failure in a row.
 const AVOIDED: Millis = Millis(500);
 /// The longest time that a target is avoided: a lost target stops announcing itself by then.
@@ -121,6 +131,17 @@
     }
 }
 
+/// What the load of a target costs.
+fn crowding(load: Load, slots: u32) -> u64 {
+    let taken = u64::from(load.online) * 100 + u64::from(load.batch) * BATCH_PERCENT;
+    let free = u64::from(slots) * 100;
+    if taken >= free {
+        return LAST_SLOT * 2 * (1 + (taken - free) / 100);
+    }
+    let left = (free - taken) as f64 / 100.0;
+    (LAST_SLOT as f64 * 2.0 / left.exp2()) as u64
+}
+
 /// Chooses targets for one instance.
 #[derive(Debug)]
 pub struct Balancer {
@@ -155,11 +176,8 @@
         self.views.insert(key, view);
     }
 
-    /// Takes in what other instances have under way. Targets that are not named have none.
+    /// Takes in what other instances have under way at targets where that changed.
     pub fn set_loads(&mut self, loads: &[(TargetKey, Load)]) {
-        for view in self.views.values_mut() {
-            view.others = Load::default();
-        }
         for (key, load) in loads {
             if let Some(view) = self.views.get_mut(key) {
                 view.others = *load;
@@ -167,6 +185,13 @@
         }
     }
 
+    /// Forgets what other instances have under way, because another leader counts from now on.
+    pub fn forget_loads(&mut self) {
+        for view in self.views.values_mut() {
+            view.others = Load::default();
+        }
+    }
+
     /// What this instance has under way, for the leader.
     pub fn report(&mut self) -> Vec<(TargetKey, u32)> {
         self.views
@@ -191,11 +216,11 @@
             let key = view.record.key();
             let full = view.room() == Room::Full;
             let avoided = now < view.avoided_until;
-            let cost = u64::from(load.online + load.batch) * REQUEST / u64::from(view.record.slots)
-                * 8
-                + self.place.distance(&view.record.domain);
-            let tie = key.0.wrapping_mul(draw | 1);
-            (tried.contains(&key), avoided, full, cost, tie)
+            let chance = key.0.wrapping_add(draw).wrapping_mul(GOLDEN) >> 32;
+            let cost = crowding(load, view.record.slots)
+                + self.place.distance(&view.record.domain)
+                + chance % CHANCE;
+            (avoided, full, cost)
         };
         let best = self
             .views
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -131,6 +131,10 @@
     rejections: usize,
     /// Targets that may have run it.
     runs: u32,
+    /// When it was sent to a target last.
+    sent_at: Millis,
+    /// When the first events of a stream were passed on.
+    pub(super) first_event_at: Option<Millis>,
 }
 
 /// Serves a request of a caller.
@@ -166,6 +170,8 @@
             tried: Vec::new(),
             rejections: 0,
             runs: 0,
+            sent_at: Millis::ZERO,
+            first_event_at: None,
             route,
         })
     }
@@ -277,6 +283,7 @@
         loop {
             let slot = self.slot().await?;
             let req = self.request(&slot.choice, last_event);
+            self.sent_at = self.now();
             let fresh = if self.route.repeatability.may_repeat() {
                 FRESH
             } else {
@@ -381,6 +388,8 @@
             request:% = self.id, route:% = self.route.name, target_name:% = slot.choice.name,
             status = status.as_u16(), believed_online = slot.choice.load.online,
             believed_batch = slot.choice.load.batch, runs = self.runs, outcome,
+            waited_ms = (self.sent_at - self.arrived_at).0,
+            first_event_ms:? = self.first_event_at.map(|at| (at - self.arrived_at).0),
             took_ms = took.0; "request ended");
     }
 }
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -50,6 +50,10 @@
     /// Absent once the stream has ended.
     source: Option<Source>,
     splitter: EventSplitter,
+    /// When the last events arrived.
+    event_at: Option<Millis>,
+    /// The longest time between two events.
+    longest_pause: Millis,
 }
 
 /// Where events come from.
@@ -79,6 +83,8 @@
         serving,
         source,
         splitter: EventSplitter::default(),
+        event_at: None,
+        longest_pause: Millis::ZERO,
     };
     let status = head.status;
     if !status.is_success() {
@@ -132,7 +138,10 @@
                 Err(_) => Next::Failed(Failure::Silent),
             };
             match next {
-                Next::Events(events) => return Some(Ok(events)),
+                Next::Events(events) => {
+                    self.note_event();
+                    return Some(Ok(events));
+                }
                 Next::Ended => {
                     self.finish();
                     return None;
@@ -146,9 +155,22 @@
         }
     }
 
+    fn note_event(&mut self) {
+        let now = self.serving.cx.clock.now();
+        match self.event_at {
+            Some(before) => self.longest_pause = self.longest_pause.max(now - before),
+            None => self.serving.first_event_at = Some(now),
+        }
+        self.event_at = Some(now);
+    }
+
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             let serving = &self.serving;
+            log::debug!(
+                request:% = serving.id, longest_pause_ms = self.longest_pause.0; "stream ended");
+            metrics::histogram!("yuccaseam_longest_pause_seconds")
+                .record(self.longest_pause.duration().as_secs_f64());
             serving.cx.balancer().succeeded(source.slot.choice.key);
             serving.log_answer(&source.slot, http::StatusCode::OK, "streamed");
             source.conn.keep();
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -44,14 +44,14 @@
     targets::TargetRecord,
 };
 
-/// The leader speaks ten times a second. After this silence it is followed no more.
+/// The leader speaks several times a second. After this silence it is followed no more.
 const SILENCE: Millis = Millis(1_000);
 /// How long a leader may take to accept a follower.
 const ACCEPT: Millis = Millis(700);
 /// The pause after a store did not accept a follower.
 const RETRY: Millis = Millis(80);
 /// How often load is told while it changes.
-const REPORT: Millis = Millis(100);
+const REPORT: Millis = Millis(30);
 /// Messages to the leader that may wait.
 const WAITING: usize = 256;
 /// How often known stores are exchanged during the first seconds of a process.
@@ -169,6 +169,7 @@
         Ok(Ok(accepted)) => accepted.into_inner(),
         Ok(Err(_)) | Err(_) => return,
     };
+    cx.balancer().forget_loads();
     cx.set_leader(Some(ip));
     cx.set_ups(Some(tx.clone()));
     log::info!(leader:% = ip; "following the leader");
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -126,7 +126,7 @@
     Manifest(StoredManifest),
     /// Targets that are new or have changed. All of them at first.
     Targets(Vec<TargetRecord>),
-    /// The leader still leads; requests under way at each target.
+    /// The leader still leads. Work of others at targets where that changed.
     Loads(Vec<(TargetKey, Load)>),
     /// Everyone who follows was told.
     Noted(u64),
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -15,8 +15,11 @@
 
 use crate::targets::TargetKey;
 
-/// Slots of a target that items leave free for callers.
-const RESERVE: u32 = 1;
+/// Slots of a target that items leave free when they start: callers that arrive before the runner
+/// hears of them find these.
+const RESERVE: u32 = 2;
+/// Slots of a target that runs make free again once callers have taken the reserve.
+const RESERVE_KEPT: u32 = 1;
 /// An item is urgent if less than this is left until its job is due: about twice its run.
 const URGENT: Millis = Millis(9_000);
 
@@ -92,7 +95,7 @@
     let mut free = Vec::new();
     for capacity in capacities {
         let runs = at.remove(&capacity.target).unwrap_or_default();
-        let left = make_way(capacity, runs, &mut plan.pause);
+        let left = make_way(capacity, runs, now, &mut plan.pause);
         let taken = capacity.online + left;
         if capacity.accepts && taken < capacity.slots {
             free.push((capacity.slots - taken, capacity.target));
@@ -103,8 +106,16 @@
 }
 
 /// Pauses the runs that stand in the way of callers, the last due first, and returns how many stay.
-fn make_way(capacity: &Capacity, mut runs: Vec<&Running>, pause: &mut Vec<ItemKey>) -> u32 {
-    let allowed = capacity.slots.saturating_sub(capacity.online) as usize;
+fn make_way(
+    capacity: &Capacity,
+    mut runs: Vec<&Running>,
+    now: Millis,
+    pause: &mut Vec<ItemKey>,
+) -> u32 {
+    let free = capacity.slots.saturating_sub(capacity.online);
+    let urgent = runs.iter().filter(|run| run.due_at <= now + URGENT).count();
+    let allowed = free.saturating_sub(RESERVE_KEPT) as usize;
+    let allowed = allowed.max(urgent.min(free as usize));
     runs.sort_by_key(|run| (run.due_at, run.key));
     let stay = runs.len().min(allowed);
     pause.extend(runs.drain(stay..).map(|run| run.key));
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -32,14 +32,19 @@
 
 use super::Replica;
 
-/// How often the leader tells loads.
-const TICK: Millis = Millis(100);
+/// How often the leader tells loads that changed.
+const TICK: Millis = Millis(40);
+/// How often the leader speaks if no load changes.
+const SIGN_OF_LIFE: Millis = Millis(200);
 /// How long a target may be silent. It announces itself every 1.2 s, and may be late by seconds.
 const TARGET_SILENCE: Millis = Millis(6_000);
 
 struct Follower {
     tx: mpsc::Sender<Down>,
     loads: Vec<(TargetKey, u32)>,
+    /// What it was told that others have under way.
+    told: BTreeMap<TargetKey, Load>,
+    told_at: Millis,
 }
 
 #[derive(Default)]
@@ -89,8 +94,13 @@
         let mut inner = self.inner();
         inner.next += 1;
         let number = inner.next;
-        let loads = Vec::new();
-        inner.followers.insert(number, Follower { tx, loads });
+        let follower = Follower {
+            tx,
+            loads: Vec::new(),
+            told: BTreeMap::new(),
+            told_at: Millis::ZERO,
+        };
+        inner.followers.insert(number, follower);
         Some(number)
     }
 
@@ -176,8 +186,8 @@
         self.inner().batch = batch;
     }
 
-    /// Tells each follower what all others have under way.
-    fn tell_loads(&self) {
+    /// Tells each follower what all others have under way, where that changed.
+    fn tell_loads(&self, now: Millis) {
         let online = self.online();
         let mut inner = self.inner();
         let batch = inner.batch.clone();
@@ -194,11 +204,13 @@
                     load.online = load.online.saturating_sub(*count);
                 }
             }
-            let loads = loads
-                .into_iter()
-                .filter(|(_, load)| *load != Load::default());
-            let down = Down::Loads(loads.collect());
-            follower.tx.try_send(down).is_ok()
+            let changed = changes(&follower.told, &loads);
+            if changed.is_empty() && now < follower.told_at + SIGN_OF_LIFE {
+                return true;
+            }
+            follower.told = loads;
+            follower.told_at = now;
+            follower.tx.try_send(Down::Loads(changed)).is_ok()
         });
     }
 
@@ -223,7 +235,7 @@
             }
             self.tell_all_targets(gone);
         }
-        self.tell_loads();
+        self.tell_loads(now);
     }
 
     /// Puts the newest manifest in force here and tells it to followers.
@@ -241,6 +253,19 @@
     }
 }
 
+/// The loads that differ, with those that are gone as none.
+fn changes(
+    told: &BTreeMap<TargetKey, Load>,
+    loads: &BTreeMap<TargetKey, Load>,
+) -> Vec<(TargetKey, Load)> {
+    let gone = told.keys().filter(|key| !loads.contains_key(key));
+    let gone = gone.map(|key| (*key, Load::default()));
+    let news = loads
+        .iter()
+        .filter(|(key, load)| told.get(key) != Some(load));
+    gone.chain(news.map(|(key, load)| (*key, *load))).collect()
+}
+
 /// Looks after followers for the life of the process.
 pub(crate) async fn run(hub: Arc<Hub>) {
     let mut tick_at = Millis::ZERO;
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -67,7 +67,7 @@
 };
 
 /// How often the runner looks for work if nothing happens.
-const LOOK: Millis = Millis(50);
+const LOOK: Millis = Millis(30);
 /// When results are due if the route does not say.
 const DUE: Millis = Millis(18_000);
 /// How long an item waits after a run that failed.
