Entries of a failure domain tell each other of every request by datagram

Cause: at the peaks 84% of the slots are taken, and loads that are 100 ms old send several requests to one free slot (138 late streams, targets believed to have 3 to 5 requests). Ruled out: waiting at the entry, items (late without them too). Change: an entry tells its neighbours absolute counts at each begin and end, and everything twice a second; it prefers the targets of its failure domain, which it knows exactly, until they are nearly full. The leader leaves the neighbours out of what it tells.

--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -1,9 +1,15 @@
 //! Where a request goes: the least loaded target that is near.
 //!
-//! The load of a target is what this instance has under way there, and what all others have, as the
-//! leader last told.
+//! The load of a target is what this instance has under way there, what its neighbours (the entries
+//! of its failure domain) tell of each request at once, and what all others have, as the leader last
+//! told. Targets of the own failure domain are therefore known exactly, and are preferred until they
+//! are nearly full; among far ones chance decides between like costs, because every entry sees the
+//! same old figures.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    net::IpAddr, //
+};
 
 use yuccaseam_base::{
     FailureDomain,
@@ -33,13 +39,17 @@
 /// next request may find fewer.
 const LAST_SLOT: u64 = 3_200;
 /// What a target in another failure domain of the region costs.
-const OTHER_DOMAIN: u64 = 250;
+const OTHER_DOMAIN: u64 = 900;
 /// What a target in another region costs: the link between regions is narrow, and its delay counts
 /// against the objective.
-const OTHER_REGION: u64 = 2_000;
-/// The most that chance adds. Without it all entries would choose the same target until they hear of
-/// each other's choice.
-const CHANCE: u64 = 500;
+const OTHER_REGION: u64 = 2_400;
+/// The most that chance adds to a target of the own failure domain.
+const CHANCE_NEAR: u64 = 60;
+/// The most that chance adds to other targets. Without it all entries would choose the same target
+/// until they hear of each other's choice.
+const CHANCE_FAR: u64 = 600;
+/// How long a neighbour that is silent is believed.
+const NEIGHBOUR_SILENCE: Millis = Millis(2_000);
 /// Spreads the bits of a number, by Fibonacci hashing.
 const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
 /// What a batch item costs in comparison with a request of a caller, in percent: it makes way, but
@@ -81,8 +91,10 @@
 #[derive(Debug)]
 struct View {
     record: TargetRecord,
-    /// What the others have under way, as the leader last told.
-    others: Load,
+    /// What entries of other failure domains and the runner have under way, as the leader last told.
+    far: Load,
+    /// What the neighbours have under way.
+    near: u32,
     own: u32,
     failures: u32,
     avoided_until: Millis,
@@ -91,8 +103,8 @@
 impl View {
     fn load(&self) -> Load {
         Load {
-            online: self.others.online + self.own,
-            batch: self.others.batch,
+            online: self.far.online + self.near + self.own,
+            batch: self.far.batch,
         }
     }
 
@@ -147,13 +159,39 @@
 pub struct Balancer {
     place: Place,
     views: HashMap<TargetKey, View>,
+    neighbours: HashMap<IpAddr, Neighbour>,
+}
+
+/// What a neighbour said last.
+#[derive(Debug)]
+struct Neighbour {
+    /// Its start and the number of its message.
+    said: (u64, u64),
+    heard_at: Millis,
+    counts: HashMap<TargetKey, u32>,
+}
+
+/// What an entry tells its neighbours.
+#[record]
+pub struct NeighbourReport {
+    /// When the entry started, in ms since the Unix epoch.
+    pub started_at: u64,
+    /// Grows with each report.
+    pub number: u64,
+    /// Whether targets that are not named have no request of this entry.
+    pub complete: bool,
+    /// Requests that the entry has under way.
+    pub counts: Vec<(TargetKey, u32)>,
 }
 
 impl Balancer {
     /// A balancer that knows no target.
     pub fn new(place: Place) -> Self {
-        let views = HashMap::new();
-        Self { place, views }
+        Self {
+            place,
+            views: HashMap::new(),
+            neighbours: HashMap::new(),
+        }
     }
 
     /// Takes in what is known of a target.
@@ -166,9 +204,11 @@
             view.record = record.clone();
             return;
         }
+        let near = self.near(key);
         let view = View {
             record: record.clone(),
-            others: Load::default(),
+            far: Load::default(),
+            near,
             own: 0,
             failures: 0,
             avoided_until: Millis::ZERO,
@@ -180,7 +220,7 @@
     pub fn set_loads(&mut self, loads: &[(TargetKey, Load)]) {
         for (key, load) in loads {
             if let Some(view) = self.views.get_mut(key) {
-                view.others = *load;
+                view.far = *load;
             }
         }
     }
@@ -188,7 +228,7 @@
     /// Forgets what other instances have under way, because another leader counts from now on.
     pub fn forget_loads(&mut self) {
         for view in self.views.values_mut() {
-            view.others = Load::default();
+            view.far = Load::default();
         }
     }
 
@@ -217,9 +257,14 @@
             let full = view.room() == Room::Full;
             let avoided = now < view.avoided_until;
             let chance = key.0.wrapping_add(draw).wrapping_mul(GOLDEN) >> 32;
-            let cost = crowding(load, view.record.slots)
-                + self.place.distance(&view.record.domain)
-                + chance % CHANCE;
+            let distance = self.place.distance(&view.record.domain);
+            let chance = chance
+                % if distance == 0 {
+                    CHANCE_NEAR
+                } else {
+                    CHANCE_FAR
+                };
+            let cost = crowding(load, view.record.slots) + distance + chance;
             (avoided, full, cost)
         };
         let best = self
@@ -245,6 +290,62 @@
         usable.map(|view| view.record.slots).sum()
     }
 
+    fn near(&self, key: TargetKey) -> u32 {
+        let counts = self
+            .neighbours
+            .values()
+            .filter_map(|one| one.counts.get(&key));
+        counts.sum()
+    }
+
+    fn refresh_near<I>(&mut self, keys: I)
+    where
+        I: IntoIterator<Item = TargetKey>,
+    {
+        for key in keys {
+            let near = self.near(key);
+            if let Some(view) = self.views.get_mut(&key) {
+                view.near = near;
+            }
+        }
+    }
+
+    /// Takes in what a neighbour has under way.
+    pub fn on_neighbour(&mut self, ip: IpAddr, report: NeighbourReport, now: Millis) {
+        let said = (report.started_at, report.number);
+        let neighbour = self.neighbours.entry(ip).or_insert_with(|| Neighbour {
+            said: (0, 0),
+            heard_at: now,
+            counts: HashMap::new(),
+        });
+        if said <= neighbour.said {
+            return;
+        }
+        neighbour.heard_at = now;
+        let mut touched: Vec<_> = report.counts.iter().map(|(key, _)| *key).collect();
+        if report.complete || report.started_at != neighbour.said.0 {
+            touched.extend(neighbour.counts.drain().map(|(key, _)| key));
+        }
+        neighbour.said = said;
+        neighbour.counts.extend(report.counts);
+        neighbour.counts.retain(|_, count| *count > 0);
+        self.refresh_near(touched);
+    }
+
+    /// Forgets neighbours that are silent.
+    pub fn expire_neighbours(&mut self, now: Millis) {
+        let silent = |one: &Neighbour| now > one.heard_at + NEIGHBOUR_SILENCE;
+        let gone = self.neighbours.values().filter(|one| silent(one));
+        let touched: Vec<_> = gone.flat_map(|one| one.counts.keys().copied()).collect();
+        self.neighbours.retain(|_, one| !silent(one));
+        self.refresh_near(touched);
+    }
+
+    /// Requests that this instance has under way at a target.
+    pub fn own(&self, key: TargetKey) -> u32 {
+        self.views.get(&key).map_or(0, |view| view.own)
+    }
+
     /// Counts a request as under way.
     pub fn begin(&mut self, key: TargetKey) {
         if let Some(view) = self.views.get_mut(&key) {
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -43,6 +43,7 @@
         Up,
         pause, //
     },
+    neighbours::Neighbours,
     routes::RouteTable,
     state::StoredManifest,
     targets::{
@@ -63,6 +64,7 @@
     pub(crate) clock: Clock,
     pub(crate) links: Links,
     pub(crate) upstream: Arc<Upstream>,
+    pub(crate) neighbours: Neighbours,
     /// Wakes those who wait for a slot.
     pub(crate) room: Notify,
     /// Whether a planned stop has begun.
@@ -92,6 +94,7 @@
         Self {
             links: Links::new(settings.first_port),
             upstream: Arc::new(Upstream::new(clock)),
+            neighbours: Neighbours::new(settings.first_port, Millis::unix_now()),
             room: Notify::new(),
             stopping: AtomicBool::new(false),
             book: Mutex::default(),
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -104,6 +104,7 @@
 impl Slot {
     fn new(cx: &Arc<Cx>, choice: Choice) -> Self {
         cx.balancer().begin(choice.key);
+        cx.neighbours.tell(cx, choice.key);
         let cx = Arc::clone(cx);
         Self { cx, choice }
     }
@@ -112,6 +113,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         self.cx.balancer().end(self.choice.key);
+        self.cx.neighbours.tell(&self.cx, self.choice.key);
         self.cx.room.notify_waiters();
     }
 }
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -173,6 +173,14 @@
     cx.set_leader(Some(ip));
     cx.set_ups(Some(tx.clone()));
     log::info!(leader:% = ip; "following the leader");
+    let hello = Up::Hello {
+        ip: cx.settings.ip,
+        domain: cx.settings.domain.clone(),
+        is_entry: cx.settings.callers.is_some(),
+    };
+    if tx.send(hello).await.is_err() {
+        return;
+    }
     let why = tokio::select! {
         why = take_in(cx, notices, &mut downs) => why,
         () = report(cx, &tx) => "the way to it is closed",
@@ -195,6 +203,7 @@
                 cx.balancer().set_loads(&loads);
                 cx.room.notify_waiters();
             }
+            Ok(Down::Neighbours(ips)) => cx.neighbours.set(ips),
             Ok(Down::Noted(notice)) => notices.confirm(notice),
             Err(_) => return "a message is malformed",
         }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 mod follow;
 mod link;
+mod neighbours;
 pub mod routes;
 mod run;
 pub mod schedule;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -115,6 +115,15 @@
         /// Names this notice in the answer.
         notice: u64,
     },
+    /// Who follows. Said first.
+    Hello {
+        /// The address of the instance.
+        ip: IpAddr,
+        /// Its failure domain.
+        domain: FailureDomain,
+        /// Whether it serves callers.
+        is_entry: bool,
+    },
     /// Requests that this instance has under way.
     Loads(Vec<(TargetKey, u32)>),
 }
@@ -128,6 +137,9 @@
     Targets(Vec<TargetRecord>),
     /// The leader still leads. Work of others at targets where that changed.
     Loads(Vec<(TargetKey, Load)>),
+    /// The other entries of the follower's failure domain. What these have under way is left out of
+    /// the loads.
+    Neighbours(Vec<IpAddr>),
     /// Everyone who follows was told.
     Noted(u64),
 }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -38,6 +38,7 @@
         Up,
         pause, //
     },
+    neighbours,
     store::Store,
 };
 
@@ -81,6 +82,9 @@
         None
     };
     tokio::spawn(follow::gossip(Arc::clone(&cx)));
+    if cx.settings.callers.is_some() {
+        neighbours::start(&cx, internal)?;
+    }
     let leader = store.clone();
     let leads = move || leader.as_ref().is_some_and(|store| store.leads());
     tokio::spawn(follow::run(Arc::clone(&cx), Arc::clone(&notices), leads));
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -5,6 +5,7 @@
         BTreeMap,
         HashMap, //
     },
+    net::IpAddr,
     sync::{
         Arc,
         Mutex,
@@ -13,7 +14,10 @@
 };
 
 use tokio::sync::mpsc;
-use yuccaseam_base::Millis;
+use yuccaseam_base::{
+    FailureDomain,
+    Millis, //
+};
 
 use crate::{
     balance::Load,
@@ -41,6 +45,8 @@
 
 struct Follower {
     tx: mpsc::Sender<Down>,
+    /// Address and failure domain of an entry.
+    entry: Option<(IpAddr, FailureDomain)>,
     loads: Vec<(TargetKey, u32)>,
     /// What it was told that others have under way.
     told: BTreeMap<TargetKey, Load>,
@@ -96,6 +102,7 @@
         let number = inner.next;
         let follower = Follower {
             tx,
+            entry: None,
             loads: Vec::new(),
             told: BTreeMap::new(),
             told_at: Millis::ZERO,
@@ -105,7 +112,27 @@
     }
 
     pub(crate) fn unfollow(&self, follower: u64) {
-        self.inner().followers.remove(&follower);
+        let gone = self.inner().followers.remove(&follower);
+        if let Some((_, domain)) = gone.and_then(|gone| gone.entry) {
+            self.tell_neighbours(&domain);
+        }
+    }
+
+    /// Tells the entries of a failure domain who they are.
+    fn tell_neighbours(&self, domain: &FailureDomain) {
+        let mut inner = self.inner();
+        let of_domain = |follower: &Follower| match &follower.entry {
+            Some((ip, of)) if of == domain => Some(*ip),
+            _ => None,
+        };
+        let ips: Vec<_> = inner.followers.values().filter_map(of_domain).collect();
+        inner.followers.retain(|_, follower| {
+            let Some(own) = of_domain(follower) else {
+                return true;
+            };
+            let others = ips.iter().copied().filter(|ip| *ip != own).collect();
+            follower.tx.try_send(Down::Neighbours(others)).is_ok()
+        });
     }
 
     /// A follower said something.
@@ -124,6 +151,19 @@
                 }
                 self.tell(follower, Down::Noted(notice));
             }
+            Up::Hello {
+                ip,
+                domain,
+                is_entry,
+            } => {
+                if !is_entry {
+                    return;
+                }
+                if let Some(follower) = self.inner().followers.get_mut(&follower) {
+                    follower.entry = Some((ip, domain.clone()));
+                }
+                self.tell_neighbours(&domain);
+            }
             Up::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
                     follower.loads = loads;
@@ -186,20 +226,29 @@
         self.inner().batch = batch;
     }
 
-    /// Tells each follower what all others have under way, where that changed.
+    /// Tells each follower what the others have under way, where that changed. Neighbours tell each
+    /// other.
     fn tell_loads(&self, now: Millis) {
-        let online = self.online();
         let mut inner = self.inner();
-        let batch = inner.batch.clone();
-        inner.followers.retain(|_, follower| {
-            let mut loads = BTreeMap::<TargetKey, Load>::new();
-            for (key, count) in &online {
-                loads.entry(*key).or_default().online = *count;
-            }
-            for (key, count) in &batch {
-                loads.entry(*key).or_default().batch = *count;
-            }
+        let mut all = BTreeMap::<TargetKey, Load>::new();
+        let mut by_domain = BTreeMap::<FailureDomain, BTreeMap<TargetKey, u32>>::new();
+        for follower in inner.followers.values() {
             for (key, count) in &follower.loads {
+                all.entry(*key).or_default().online += count;
+                if let Some((_, domain)) = &follower.entry {
+                    let of_domain = by_domain.entry(domain.clone()).or_default();
+                    *of_domain.entry(*key).or_default() += count;
+                }
+            }
+        }
+        for (key, count) in &inner.batch {
+            all.entry(*key).or_default().batch = *count;
+        }
+        inner.followers.retain(|_, follower| {
+            let mut loads = all.clone();
+            let domain = follower.entry.as_ref().map(|(_, domain)| domain);
+            let known = domain.and_then(|domain| by_domain.get(domain));
+            for (key, count) in known.into_iter().flatten() {
                 if let Some(load) = loads.get_mut(key) {
                     load.online = load.online.saturating_sub(*count);
                 }
