Recovery after a loss of power: shorter elections, targets and stores noted in the log

Change: election 450 ms; addresses of stores and records of targets stand in the replicated state; stores greet the members of their group; an entry that starts names the time at which it will serve.

--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -42,8 +42,11 @@
     online,
 };
 
-/// When a caller may find a manifest at an instance that had none.
-const MANIFEST_SOON: Millis = Millis(500);
+/// How long an instance that starts takes to hear of the manifest: an election after a loss of power,
+/// and its followers' first messages.
+const START: Millis = Millis(1_600);
+/// The least time until a caller comes back that met an instance without a manifest.
+const MANIFEST_SOON: Millis = Millis(400);
 
 /// Serves callers for the life of the process.
 ///
@@ -66,7 +69,8 @@
 
 async fn handle(cx: Arc<Cx>, req: Request<Incoming>, arrived_at: Millis) -> Answer {
     let Some(table) = cx.table() else {
-        return refused("no manifest is known yet", MANIFEST_SOON);
+        let soon = (START - arrived_at).max(MANIFEST_SOON);
+        return refused("no manifest is known yet", soon);
     };
     let (head, body) = req.into_parts();
     let host = headers::text(&head.headers, &header::HOST)
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -55,11 +55,11 @@
 /// Messages to the leader that may wait.
 const WAITING: usize = 256;
 /// How often known stores are exchanged during the first seconds of a process.
-const GOSSIP_EARLY: Millis = Millis(300);
+const GOSSIP_EARLY: Millis = Millis(100);
 /// How often they are exchanged later.
 const GOSSIP: Millis = Millis(1_500);
 /// How long a process is in its first seconds.
-const EARLY: Millis = Millis::from_secs(10);
+const EARLY: Millis = Millis::from_secs(3);
 /// How long the leader may take to confirm that everyone was told of a target that drains.
 const NOTICE: Millis = Millis(800);
 
--- a/crates/serving/src/link/address_book.rs
+++ b/crates/serving/src/link/address_book.rs
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct AddressBook {
     known: BTreeMap<InstanceName, Known>,
+    /// Where stores were before this process started.
+    remembered: BTreeMap<InstanceName, IpAddr>,
 }
 
 impl AddressBook {
@@ -71,11 +73,25 @@
 
     /// The address of a store.
     pub(crate) fn ip(&self, name: &InstanceName) -> Option<IpAddr> {
-        self.known.get(name).map(|known| known.entry.ip)
+        let known = self.known.get(name).map(|known| known.entry.ip);
+        known.or_else(|| self.remembered.get(name).copied())
+    }
+
+    /// Takes in where stores were before this process started.
+    pub(crate) fn remember(&mut self, stores: &BTreeMap<InstanceName, IpAddr>) {
+        self.remembered.clone_from(stores);
+    }
+
+    /// Where the stores that are alive are.
+    pub(crate) fn places(&self, now: Millis) -> BTreeMap<InstanceName, IpAddr> {
+        self.alive(now)
+            .map(|entry| (entry.name.clone(), entry.ip))
+            .collect()
     }
 
     /// Every address.
     pub(crate) fn ips(&self) -> Vec<IpAddr> {
-        self.known.values().map(|known| known.entry.ip).collect()
+        let known = self.known.values().map(|known| known.entry.ip);
+        known.chain(self.remembered.values().copied()).collect()
     }
 }
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -1,10 +1,17 @@
 //! Commands to the replicated state and their outcomes.
 
+use std::{
+    collections::BTreeMap,
+    net::IpAddr, //
+};
+
 use yuccaseam_base::{
     InstanceName,
     record, //
 };
 
+use crate::targets::TargetRecord;
+
 use super::{
     Finish,
     StoredManifest, //
@@ -81,6 +88,10 @@
     },
     /// An instance is to be emptied.
     Retire(InstanceName),
+    /// Notes targets that are new or have changed, so that a system that lost power finds them.
+    NoteTargets(Vec<TargetRecord>),
+    /// Notes where stores are, so that they find each other after a loss of power.
+    NoteStores(BTreeMap<InstanceName, IpAddr>),
 }
 
 /// What a command did.
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -22,17 +22,23 @@
     Job, //
 };
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::IpAddr, //
 };
 
 use yuccaseam_base::{
     InstanceName,
     Machine,
+    TargetName,
     record, //
 };
 
+use crate::targets::TargetRecord;
+
 /// A manifest as its operator sent it.
 #[record]
 pub struct StoredManifest {
@@ -49,6 +55,8 @@
     manifest: Option<StoredManifest>,
     jobs: BTreeMap<String, Job>,
     retiring: BTreeSet<InstanceName>,
+    targets: BTreeMap<TargetName, TargetRecord>,
+    stores: BTreeMap<InstanceName, IpAddr>,
 }
 
 impl State {
@@ -86,6 +94,16 @@
                 self.retiring.insert(instance);
                 Outcome::Done
             }
+            Command::NoteTargets(records) => {
+                for record in records {
+                    self.note_target(record);
+                }
+                Outcome::Done
+            }
+            Command::NoteStores(stores) => {
+                self.stores = stores;
+                Outcome::Done
+            }
         }
     }
 
@@ -111,6 +129,14 @@
         Outcome::Done
     }
 
+    fn note_target(&mut self, record: TargetRecord) {
+        if record.left {
+            self.targets.remove(&record.name);
+        } else {
+            self.targets.insert(record.name.clone(), record);
+        }
+    }
+
     fn finish(&mut self, finished: FinishedItem) {
         if let Some(job) = self.jobs.get_mut(&finished.job) {
             job.finish(finished);
@@ -138,6 +164,16 @@
         jobs.map(Job::waiting_tokens).sum()
     }
 
+    /// The targets as they were noted last. They may be gone since.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.targets.values()
+    }
+
+    /// Where the stores were when that was noted last.
+    pub fn stores(&self) -> &BTreeMap<InstanceName, IpAddr> {
+        &self.stores
+    }
+
     /// Instances that are to be emptied.
     pub fn retiring(&self) -> &BTreeSet<InstanceName> {
         &self.retiring
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -16,7 +16,9 @@
 use tokio::sync::mpsc;
 use yuccaseam_base::{
     FailureDomain,
-    Millis, //
+    InstanceName,
+    Millis,
+    TargetName, //
 };
 
 use crate::{
@@ -27,6 +29,7 @@
         Up,
         pause, //
     },
+    state::Command,
     targets::{
         Effect,
         TargetKey,
@@ -40,6 +43,8 @@
 const TICK: Millis = Millis(40);
 /// How often the leader speaks if no load changes.
 const SIGN_OF_LIFE: Millis = Millis(200);
+/// How often changes of targets and stores are noted in the log.
+const NOTE: Millis = Millis(500);
 /// How long a target may be silent. It announces itself every 1.2 s, and may be late by seconds.
 const TARGET_SILENCE: Millis = Millis(6_000);
 
@@ -62,6 +67,11 @@
     /// The version of the manifest that followers were told last.
     told_version: u64,
     led: bool,
+    /// Targets that changed since they were noted in the log.
+    unnoted: BTreeMap<TargetName, TargetRecord>,
+    /// Where stores were when that was noted in the log.
+    noted_stores: BTreeMap<InstanceName, IpAddr>,
+    note_at: Millis,
 }
 
 /// What the leader knows of all other instances.
@@ -189,6 +199,10 @@
             balancer.set_target(record);
         }
         drop(balancer);
+        let named = records
+            .iter()
+            .map(|record| (record.name.clone(), record.clone()));
+        self.inner().unnoted.extend(named);
         self.tell_all(&Down::Targets(records));
     }
 
@@ -275,8 +289,9 @@
         }
         let now = self.cx.clock.now();
         if !led {
-            self.cx.targets().forgive_silence(now);
+            self.begin_to_lead(now);
         }
+        self.note(now);
         let gone = self.cx.targets().expire(TARGET_SILENCE, now);
         if !gone.is_empty() {
             for record in &gone {
@@ -287,6 +302,43 @@
         self.tell_loads(now);
     }
 
+    /// Takes up the targets that were noted in the log, which may be gone since.
+    fn begin_to_lead(&self, now: Millis) {
+        let noted: Vec<_> = self
+            .replica
+            .read(|state| state.targets().cloned().collect());
+        self.cx.merge_targets(noted);
+        self.cx.targets().forgive_silence(now);
+    }
+
+    /// Notes in the log what a system that lost power has to find again.
+    fn note(&self, now: Millis) {
+        let mut inner = self.inner();
+        if now < inner.note_at {
+            return;
+        }
+        inner.note_at = now + NOTE;
+        let places = self.cx.book().places(now);
+        if places.len() > 1 && places != inner.noted_stores {
+            inner.noted_stores = places.clone();
+            self.propose(Command::NoteStores(places));
+        }
+        if !inner.unnoted.is_empty() {
+            let records = std::mem::take(&mut inner.unnoted);
+            self.propose(Command::NoteTargets(records.into_values().collect()));
+        }
+    }
+
+    /// What is lost here is learnt again from announcements.
+    fn propose(&self, command: Command) {
+        let replica = Arc::clone(&self.replica);
+        tokio::spawn(async move {
+            if let Err(error) = replica.propose(command).await {
+                log::warn!(error:? = error; "the log did not take a note");
+            }
+        });
+    }
+
     /// Puts the newest manifest in force here and tells it to followers.
     fn take_manifest(&self) {
         let told = self.inner().told_version;
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -4,7 +4,12 @@
 //! reach it through one queue; commands that wait there together share one write.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
+    net::IpAddr,
     sync::{
         Arc,
         Mutex,
@@ -150,6 +155,7 @@
         let id = DiskId(folder.identity().0 as u64);
         let disk = Disk::open(&folder)?;
         let restored = disk.restore::<State>()?;
+        cx.book().remember(&known_stores(&restored));
         let (tx, rx) = mpsc::unbounded_channel();
         let replies = tx.clone();
         let requests = yuccaseam_replica::start(disk, move |reply| {
@@ -338,7 +344,7 @@
         }
         let cfg = Config {
             id: self.id,
-            timing: Timing::default(),
+            timing: timing(),
             seed: rand::random(),
         };
         self.core = Some(Core::new(cfg, restored, self.cx.clock.now()));
@@ -357,7 +363,7 @@
     }
 
     async fn run(mut self, mut rx: UnboundedReceiver<Input>) {
-        let mut tick = tokio::time::interval(Timing::default().tick.duration());
+        let mut tick = tokio::time::interval(timing().tick.duration());
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
@@ -636,9 +642,16 @@
         };
         self.keeper().on_hello(own.clone(), seen);
         let frame = Frame::Hello(hello);
-        let others = self.cx.book().entries();
-        for other in others.iter().filter(|other| other.name != own) {
-            self.transport.send(&other.name, &frame);
+        let mut others: BTreeSet<_> = {
+            let book = self.cx.book();
+            book.entries().into_iter().map(|entry| entry.name).collect()
+        };
+        let group = self.core.as_ref().map(Core::membership);
+        let members = group.into_iter().flat_map(Membership::iter);
+        others.extend(members.map(|(_, member)| member.name.clone()));
+        others.remove(&own);
+        for other in others {
+            self.transport.send(&other, &frame);
         }
     }
 
@@ -717,6 +730,32 @@
     }
 }
 
+/// The lengths of time of the protocol: about ten round trips between regions, so that callers wait
+/// no longer than needed for a new leader.
+fn timing() -> Timing {
+    Timing {
+        tick: Millis(25),
+        heartbeat: Millis(100),
+        election: Millis(450),
+        lease: Millis(350),
+    }
+}
+
+/// Where stores were, as the snapshot or the log that follows it says.
+fn known_stores((restored, state): &(Restored, State)) -> BTreeMap<InstanceName, IpAddr> {
+    let commands = restored.entries.iter().rev();
+    let noted = commands.filter_map(|entry| match &entry.payload {
+        Payload::Command(data) => match postcard::from_bytes(data) {
+            Ok(Command::NoteStores(stores)) => Some(stores),
+            // A malformed entry is reported when it is applied.
+            Ok(_) | Err(_) => None,
+        },
+        _ => None,
+    });
+    let mut noted = noted;
+    noted.next().unwrap_or_else(|| state.stores().clone())
+}
+
 impl Waiter {
     /// Says that nothing was done here.
     fn refuse(self) {
