The output of items stands in the log; items that can be on time go first

Change: output is kept in the log twice a second, and a run goes on after the last event kept; output that does not follow what is kept is discarded and asked for again; the job carries when it was handed in; items that are late already wait for those that can be on time.

--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -113,15 +113,20 @@
     pause: &mut Vec<ItemKey>,
 ) -> u32 {
     let free = capacity.slots.saturating_sub(capacity.online);
-    let urgent = runs.iter().filter(|run| run.due_at <= now + URGENT).count();
+    let urgent = runs.iter().filter(|run| is_urgent(run.due_at, now)).count();
     let allowed = free.saturating_sub(RESERVE_KEPT) as usize;
     let allowed = allowed.max(urgent.min(free as usize));
-    runs.sort_by_key(|run| (run.due_at, run.key));
+    runs.sort_by_key(|run| (run.due_at <= now, run.due_at, run.key));
     let stay = runs.len().min(allowed);
     pause.extend(runs.drain(stay..).map(|run| run.key));
     u32::try_from(stay).unwrap_or(u32::MAX)
 }
 
+/// Whether an item can still be on time, if it runs now.
+fn is_urgent(due_at: Millis, now: Millis) -> bool {
+    now < due_at && due_at <= now + URGENT
+}
+
 /// Gives free slots to the items that are due first, the emptiest target first.
 fn start(
     waiting: &[Waiting],
@@ -130,9 +135,10 @@
     starts: &mut Vec<(ItemKey, TargetKey)>,
 ) {
     let mut queue: Vec<_> = waiting.iter().collect();
-    queue.sort_by_key(|item| (item.due_at, !item.begun, item.key));
+    // What is late already is worth little more later: it waits for what can still be on time.
+    queue.sort_by_key(|item| (item.due_at <= now, item.due_at, !item.begun, item.key));
     for item in queue {
-        let reserve = if item.due_at <= now + URGENT {
+        let reserve = if is_urgent(item.due_at, now) {
             0
         } else {
             RESERVE
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -7,15 +7,13 @@
 
 use yuccaseam_base::{
     InstanceName,
+    Millis,
     record, //
 };
 
 use crate::targets::TargetRecord;
 
-use super::{
-    Finish,
-    StoredManifest, //
-};
+use super::StoredManifest;
 
 /// One item of a new job.
 #[record]
@@ -45,10 +43,34 @@
     pub waiting_limit: Option<u64>,
     /// Runs that may fail before an item is given up.
     pub max_attempts: u32,
+    /// When it was handed in, in ms since the Unix epoch. The clocks of instances differ.
+    pub submitted_at: Millis,
     /// The items, in order.
     pub items: Vec<NewItem>,
 }
 
+/// Output of an item that has arrived.
+#[record]
+pub struct Output {
+    /// The event after which it goes on: the last one that the state has.
+    pub after: Option<String>,
+    /// The data of the events, a line each.
+    pub lines: Vec<String>,
+    /// The last event of it.
+    pub last_id: Option<String>,
+}
+
+/// Output of one item.
+#[record]
+pub struct Advance {
+    /// The job.
+    pub job: String,
+    /// Position of the item in its job.
+    pub item: u32,
+    /// What has arrived.
+    pub output: Output,
+}
+
 /// An item whose last run has ended.
 #[record]
 pub struct FinishedItem {
@@ -56,8 +78,8 @@
     pub job: String,
     /// Position of the item in its job.
     pub item: u32,
-    /// How it ended.
-    pub finish: Finish,
+    /// Its last output, or `None` if it can never be done, or failed too often.
+    pub output: Option<Output>,
 }
 
 /// A change of the replicated state.
@@ -67,8 +89,10 @@
     PutManifest(StoredManifest),
     /// Accepts a job, if the tokens of its items fit.
     Submit(NewJob),
-    /// Lists results.
-    Finish(Vec<FinishedItem>),
+    /// Keeps output, so that another leader goes on from there.
+    Advance(Vec<Advance>),
+    /// Lists a result.
+    Finish(FinishedItem),
     /// Counts a run that the target itself called failed.
     FailedRun {
         /// The job.
@@ -104,4 +128,6 @@
     OverLimit,
     /// There is no such job.
     UnknownJob,
+    /// Some output does not follow what the state has. The rest took effect.
+    Gap,
 }
--- a/crates/serving/src/state/job.rs
+++ b/crates/serving/src/state/job.rs
@@ -1,11 +1,14 @@
 //! One batch job.
 
-use yuccaseam_base::record;
+use yuccaseam_base::{
+    Millis,
+    record, //
+};
 
 use super::{
-    FinishedItem,
     NewItem,
-    NewJob, //
+    NewJob,
+    Output, //
 };
 
 /// How an item ended.
@@ -32,6 +35,10 @@
     pub tokens: u64,
     /// Runs that the target itself called failed.
     pub failed_runs: u32,
+    /// The last event of the output that is kept here.
+    pub last_id: Option<String>,
+    /// The data of the events so far, a line each.
+    lines: Vec<String>,
     listed: bool,
 }
 
@@ -51,6 +58,8 @@
             body: new.body,
             tokens: new.tokens,
             failed_runs: 0,
+            last_id: None,
+            lines: Vec::new(),
             listed: false,
         }
     }
@@ -78,6 +87,8 @@
     pub waiting_limit: Option<u64>,
     /// Runs that may fail before an item is given up.
     pub max_attempts: u32,
+    /// When it was handed in, in ms since the Unix epoch.
+    pub submitted_at: Millis,
     items: Vec<Item>,
     results: Vec<Listed>,
     ended: bool,
@@ -91,6 +102,7 @@
             route: new.route,
             waiting_limit: new.waiting_limit,
             max_attempts: new.max_attempts,
+            submitted_at: new.submitted_at,
             items: new.items.into_iter().map(Item::from).collect(),
             results: Vec::new(),
             ended: false,
@@ -150,18 +162,46 @@
         }
     }
 
-    pub(super) fn finish(&mut self, finished: FinishedItem) {
-        let Some(item) = self.items.get_mut(finished.item as usize) else {
-            return;
+    /// Keeps output. False if it does not follow what is kept.
+    pub(super) fn advance(&mut self, item: u32, output: Output) -> bool {
+        let ended = self.ended;
+        let Some(item) = self.items.get_mut(item as usize) else {
+            return false;
+        };
+        if ended || item.listed || item.last_id != output.after {
+            return false;
+        }
+        item.lines.extend(output.lines);
+        item.last_id = output.last_id;
+        true
+    }
+
+    /// Lists an item with its last output. False if that does not follow what is kept.
+    pub(super) fn finish(&mut self, position: u32, output: Option<Output>) -> bool {
+        let finish = match output {
+            Some(output) => {
+                if !self.advance(position, output) {
+                    return false;
+                }
+                let lines = std::mem::take(&mut self.items[position as usize].lines);
+                Finish::Completed(lines.join("\n"))
+            }
+            None => Finish::Errored,
+        };
+        let ended = self.ended;
+        let Some(item) = self.items.get_mut(position as usize) else {
+            return false;
         };
-        if item.listed || self.ended {
-            return;
+        if item.listed || ended {
+            return false;
         }
         item.listed = true;
         item.body = Vec::new();
+        item.lines = Vec::new();
         self.results.push(Listed {
-            item: finished.item,
-            finish: finished.finish,
+            item: position,
+            finish,
         });
+        true
     }
 }
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -10,11 +10,13 @@
 mod job;
 
 pub use command::{
+    Advance,
     Command,
     FinishedItem,
     NewItem,
     NewJob,
-    Outcome, //
+    Outcome,
+    Output, //
 };
 pub use job::{
     Finish,
@@ -65,12 +67,8 @@
         match command {
             Command::PutManifest(manifest) => self.put_manifest(manifest),
             Command::Submit(job) => self.submit(job),
-            Command::Finish(finished) => {
-                for one in finished {
-                    self.finish(one);
-                }
-                Outcome::Done
-            }
+            Command::Advance(advances) => self.advance(advances),
+            Command::Finish(finished) => self.finish(finished),
             Command::FailedRun { job, item } => {
                 if let Some(job) = self.jobs.get_mut(&job) {
                     job.note_failed_run(item);
@@ -137,9 +135,27 @@
         }
     }
 
-    fn finish(&mut self, finished: FinishedItem) {
-        if let Some(job) = self.jobs.get_mut(&finished.job) {
-            job.finish(finished);
+    fn advance(&mut self, advances: Vec<Advance>) -> Outcome {
+        let mut outcome = Outcome::Done;
+        for one in advances {
+            let job = self.jobs.get_mut(&one.job);
+            if !job.is_some_and(|job| job.advance(one.item, one.output)) {
+                outcome = Outcome::Gap;
+            }
+        }
+        outcome
+    }
+
+    fn finish(&mut self, finished: FinishedItem) -> Outcome {
+        match self.jobs.get_mut(&finished.job) {
+            None => Outcome::UnknownJob,
+            Some(job) => {
+                if job.finish(finished.item, finished.output) {
+                    Outcome::Done
+                } else {
+                    Outcome::Gap
+                }
+            }
         }
     }
 
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -86,7 +86,7 @@
         match self.replica.propose(command).await {
             Ok(Outcome::Done) => Answer::Done,
             Ok(Outcome::OverLimit) => Answer::OverLimit,
-            Ok(Outcome::UnknownJob) => Answer::NotFound,
+            Ok(Outcome::UnknownJob | Outcome::Gap) => Answer::NotFound,
             Err(ProposeError::NotLeader) => self.not_leader(),
             Err(ProposeError::Unknown) => Answer::Unknown,
         }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -49,10 +49,12 @@
         plan, //
     },
     state::{
+        Advance,
         Command,
-        Finish,
         FinishedItem,
-        Item, //
+        Item,
+        Outcome,
+        Output, //
     },
     targets::{
         TargetKey,
@@ -78,12 +80,19 @@
 const STALL: Millis = Millis(2_000);
 /// How long the results of a job are kept beyond the time promised.
 const KEPT_LONGER: Millis = Millis::from_secs(30);
+/// How often the output of items is kept in the log.
+const KEEP: Millis = Millis(500);
+/// The highest age that a job is taken to have when this instance begins to lead.
+const MAX_AGE: Millis = Millis::from_secs(120);
 /// How often jobs are looked for that can be forgotten.
 const FORGET: Millis = Millis::from_secs(5);
 
 /// What of an item's output has arrived.
 #[derive(Debug, Default)]
 struct Progress {
+    /// The last event that the replicated state has, or will have once what was proposed is committed.
+    kept_id: Option<String>,
+    /// The data of the events since then, a line each.
     lines: Vec<String>,
     last_id: Option<String>,
     /// When another run may start.
@@ -107,6 +116,8 @@
 }
 
 enum Report {
+    /// What was proposed for these items did not take effect.
+    Lost(Vec<ItemKey>),
     Events {
         run: u64,
         lines: Vec<String>,
@@ -134,6 +145,8 @@
 struct JobView {
     number: u64,
     seen_at: Millis,
+    /// How long before that it was handed in, as far as clocks agree.
+    age_then: Millis,
     due_at: Millis,
 }
 
@@ -150,6 +163,7 @@
     next_run: u64,
     avoided: HashMap<TargetKey, Millis>,
     forget_at: Millis,
+    keep_at: Millis,
 }
 
 /// Runs items for the life of the process.
@@ -168,6 +182,7 @@
         next_run: 0,
         avoided: HashMap::new(),
         forget_at: Millis::ZERO,
+        keep_at: Millis::ZERO,
     };
     let mut look_at = Millis::ZERO;
     loop {
@@ -209,6 +224,10 @@
             *batch.entry(run.target).or_default() += 1;
         }
         self.hub.set_batch(batch);
+        if now >= self.keep_at {
+            self.keep_at = now + KEEP;
+            self.keep();
+        }
         if now >= self.forget_at {
             self.forget_at = now + FORGET;
             self.forget(now);
@@ -231,9 +250,11 @@
             let view = self.jobs.entry(job.id.clone()).or_insert_with(|| {
                 self.next_job += 1;
                 self.names.insert(self.next_job, job.id.clone());
+                let age = Millis::unix_now() - job.submitted_at;
                 JobView {
                     number: self.next_job,
                     seen_at: now,
+                    age_then: age.min(MAX_AGE),
                     due_at: now + DUE,
                 }
             });
@@ -246,7 +267,8 @@
                     lost.push((job.id.clone(), at));
                     continue;
                 };
-                view.due_at = view.seen_at + route.completion_objective.unwrap_or(DUE);
+                let objective = route.completion_objective.unwrap_or(DUE);
+                view.due_at = view.seen_at + objective - view.age_then;
                 // The draw is the same each time, so that an item that goes on stays in its share.
                 let draw = key.job.wrapping_mul(31).wrapping_add(u64::from(at)) * 7_919;
                 let Some(service) = choose_destination(route, draw) else {
@@ -259,13 +281,14 @@
                     entry.push(Waiting {
                         key,
                         due_at: view.due_at,
-                        begun: begun.is_some_and(|progress| progress.last_id.is_some()),
+                        begun: item.last_id.is_some()
+                            || begun.is_some_and(|progress| progress.last_id.is_some()),
                     });
                 }
             }
         }
         for (job, item) in lost {
-            self.finish(job, item, Finish::Errored);
+            self.propose(finished(job, item, None), Vec::new());
         }
         by_service
     }
@@ -337,7 +360,15 @@
         let Some(name) = self.names.get(&key.job) else {
             return;
         };
-        let progress = self.progress.entry(key).or_default();
+        let kept_id = self.replica.read(|state| {
+            let item = state.job(name)?.items().get(key.item as usize)?;
+            item.last_id.clone()
+        });
+        let progress = self.progress.entry(key).or_insert_with(|| Progress {
+            last_id: kept_id.clone(),
+            kept_id,
+            ..Progress::default()
+        });
         let last_id = progress.last_id.clone();
         let req = self.replica.read(|state| {
             let job = state.job(name)?;
@@ -367,6 +398,28 @@
         self.runs.insert(number, run);
     }
 
+    /// Proposes the output that has arrived, so that another leader goes on from there.
+    fn keep(&mut self) {
+        let mut advances = Vec::new();
+        let mut keys = Vec::new();
+        for (key, progress) in &mut self.progress {
+            if progress.lines.is_empty() || progress.retry_at == Millis::MAX {
+                continue;
+            }
+            if let Some(job) = self.names.get(&key.job) {
+                advances.push(Advance {
+                    job: job.clone(),
+                    item: key.item,
+                    output: progress.take_output(),
+                });
+                keys.push(*key);
+            }
+        }
+        if !advances.is_empty() {
+            self.propose(Command::Advance(advances), keys);
+        }
+    }
+
     /// Takes a report in. True if a slot became free.
     fn take_in(&mut self, report: Report) -> bool {
         match report {
@@ -383,6 +436,13 @@
                 }
                 false
             }
+            Report::Lost(keys) => {
+                for key in keys {
+                    self.progress.remove(&key);
+                    self.runs.retain(|_, run| run.key != key);
+                }
+                true
+            }
             Report::Ended { run, end } => {
                 if let Some(run) = self.runs.remove(&run) {
                     self.ended(&run, &end);
@@ -410,18 +470,18 @@
         log::info!(job:%, item, outcome, failures = progress.failures; "batch run ended");
         match end {
             End::Whole => {
-                let text = std::mem::take(&mut progress.lines).join("\n");
                 progress.retry_at = Millis::MAX;
-                self.finish(job, item, Finish::Completed(text));
+                let output = progress.take_output();
+                self.propose(finished(job, item, Some(output)), vec![run.key]);
             }
             End::Impossible => {
                 progress.retry_at = Millis::MAX;
-                self.finish(job, item, Finish::Errored);
+                self.propose(finished(job, item, None), vec![run.key]);
             }
             End::FailedByTarget => {
                 progress.retry_at = now + RETRY;
                 progress.failures += 1;
-                self.note_failed(job, item);
+                self.note_failed(job, run.key);
             }
             End::Rejected | End::Broken(_) => {
                 progress.retry_at = now + RETRY;
@@ -431,30 +491,35 @@
     }
 
     /// Counts a failed run, and gives the item up after the last one that is allowed.
-    fn note_failed(&self, job: String, item: u32) {
+    fn note_failed(&self, job: String, key: ItemKey) {
+        let item = key.item;
         let spent = self.replica.read(|state| {
             let job = state.job(&job)?;
             let failed = job.items().get(item as usize)?.failed_runs;
             Some(failed + 1 >= job.max_attempts)
         });
         if spent == Some(true) {
-            return self.finish(job, item, Finish::Errored);
+            return self.propose(finished(job, item, None), vec![key]);
         }
-        self.propose(Command::FailedRun { job, item });
+        self.propose(Command::FailedRun { job, item }, Vec::new());
     }
 
-    fn finish(&self, job: String, item: u32, finish: Finish) {
-        self.propose(Command::Finish(vec![FinishedItem { job, item, finish }]));
-    }
-
-    /// Proposes a command until it is carried out, or this instance leads no more.
-    fn propose(&self, command: Command) {
+    /// Proposes a command. Items whose output did not take effect go on from what the state has.
+    fn propose(&self, command: Command, keys: Vec<ItemKey>) {
         let replica = Arc::clone(&self.replica);
+        let reports = self.reports.clone();
         tokio::spawn(async move {
-            while replica.holds_lease() {
-                match replica.propose(command.clone()).await {
-                    Ok(_) => return,
-                    Err(_) => pause(RETRY).await,
+            match replica.propose(command).await {
+                Ok(Outcome::Done) => {}
+                Ok(outcome) => {
+                    log::warn!(outcome:? = outcome, items = keys.len(); "output of items is discarded");
+                    // The runner ends only with the process.
+                    let _ = reports.send(Report::Lost(keys));
+                }
+                Err(error) => {
+                    log::warn!(error:? = error, items = keys.len(); "output of items is not kept");
+                    // The runner ends only with the process.
+                    let _ = reports.send(Report::Lost(keys));
                 }
             }
         });
@@ -476,6 +541,7 @@
                 let view = JobView {
                     number: self.next_job,
                     seen_at: now,
+                    age_then: Millis::ZERO,
                     due_at: now + DUE,
                 };
                 self.jobs.insert(job.clone(), view);
@@ -490,7 +556,22 @@
             .map(|(job, _)| job)
             .collect();
         if !old.is_empty() {
-            self.propose(Command::Forget { jobs: old });
+            self.propose(Command::Forget { jobs: old }, Vec::new());
+        }
+    }
+}
+
+fn finished(job: String, item: u32, output: Option<Output>) -> Command {
+    Command::Finish(FinishedItem { job, item, output })
+}
+
+impl Progress {
+    /// The output since it was last taken.
+    fn take_output(&mut self) -> Output {
+        Output {
+            after: std::mem::replace(&mut self.kept_id, self.last_id.clone()),
+            lines: std::mem::take(&mut self.lines),
+            last_id: self.last_id.clone(),
         }
     }
 }
