--- /dev/null
+++ b/crates/serving/tests/all/events.rs
@@ -0,0 +1,43 @@
+//! Streams that arrive in pieces of any size.
+
+use assert_matches::assert_matches;
+use yuccaseam_serving::events::{
+    EventSplitter,
+    event_data, //
+};
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b c\n\nid: 3\ndata: d\n\n";
+
+#[test]
+fn only_whole_events_are_passed_on() {
+    for cut in 0..STREAM.len() {
+        let mut splitter = EventSplitter::default();
+        let mut whole = Vec::new();
+        for piece in [&STREAM[..cut], &STREAM[cut..]] {
+            if let Some(events) = splitter.push(piece) {
+                assert!(events.ends_with(b"\n\n"));
+                whole.extend_from_slice(&events);
+            }
+        }
+        assert_eq!(whole, STREAM, "cut at {cut}");
+        assert!(!splitter.is_mid_event());
+        assert_eq!(splitter.last_id(), Some("3"));
+    }
+}
+
+#[test]
+fn a_stream_that_breaks_in_an_event_goes_on_after_the_one_before() {
+    let mut splitter = EventSplitter::default();
+    assert_matches!(splitter.push(&STREAM[..20]), Some(_));
+    assert!(splitter.is_mid_event());
+    assert_eq!(splitter.last_id(), Some("1"));
+    splitter.discard_partial();
+    assert_matches!(splitter.push(b"id: 2\ndata: b c\n\n"), Some(events) if events.starts_with(b"id: 2"));
+    assert_eq!(splitter.last_id(), Some("2"));
+}
+
+#[test]
+fn the_data_of_events_is_taken_out() {
+    let data: Vec<_> = event_data(STREAM).collect();
+    assert_eq!(data, [b"a".as_slice(), b"b c", b"d"]);
+}
--- /dev/null
+++ b/crates/serving/tests/all/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the modules that decide, one file a topic. None needs a network.
+
+mod admission;
+mod events;
+mod group;
+mod herd;
+mod routes;
+mod schedule;
+mod state;
+mod support;
+mod targets;
--- /dev/null
+++ b/crates/serving/tests/all/state.rs
@@ -0,0 +1,173 @@
+//! The replicated state: accepted once, listed once, never back.
+
+use assert_matches::assert_matches;
+use yuccaseam_base::{
+    Machine as _,
+    Millis, //
+};
+use yuccaseam_serving::state::{
+    Advance,
+    Command,
+    Finish,
+    FinishedItem,
+    NewItem,
+    NewJob,
+    Outcome,
+    Output,
+    State,
+    StoredManifest, //
+};
+
+fn job(id: &str, tokens: &[u64]) -> NewJob {
+    let items = tokens.iter().enumerate().map(|(number, tokens)| NewItem {
+        id: format!("{id}-{number}"),
+        path: "/b/1".to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec(),
+        tokens: *tokens,
+    });
+    NewJob {
+        id: id.to_owned(),
+        host: "h.example".to_owned(),
+        route: "h.example/b/".to_owned(),
+        waiting_limit: Some(100),
+        max_attempts: 3,
+        submitted_at: Millis(1),
+        items: items.collect(),
+    }
+}
+
+fn output(after: Option<&str>, lines: &[&str], last_id: &str) -> Output {
+    Output {
+        after: after.map(str::to_owned),
+        lines: lines.iter().map(|line| (*line).to_owned()).collect(),
+        last_id: Some(last_id.to_owned()),
+    }
+}
+
+fn finish(job: &str, item: u32, output: Option<Output>) -> Command {
+    Command::Finish(FinishedItem {
+        job: job.to_owned(),
+        item,
+        output,
+    })
+}
+
+fn advance(job: &str, item: u32, output: Output) -> Command {
+    Command::Advance(vec![Advance {
+        job: job.to_owned(),
+        item,
+        output,
+    }])
+}
+
+fn manifest(version: u64, body: &str) -> Command {
+    Command::PutManifest(StoredManifest {
+        version,
+        body: body.as_bytes().to_vec(),
+    })
+}
+
+#[test]
+fn the_highest_version_stands_and_its_content_stays() {
+    let mut state = State::default();
+    for (version, body) in [(3, "three"), (2, "two"), (3, "other")] {
+        assert_eq!(state.apply(manifest(version, body)), Outcome::Done);
+    }
+    assert_matches!(state.manifest(), Some(held) if held.body == b"three");
+}
+
+#[test]
+fn a_job_that_is_sent_again_is_one_job() {
+    let mut state = State::default();
+    assert_eq!(
+        state.apply(Command::Submit(job("j", &[40, 40]))),
+        Outcome::Done
+    );
+    assert_eq!(
+        state.apply(Command::Submit(job("j", &[40, 40]))),
+        Outcome::Done
+    );
+    assert_eq!(state.jobs().count(), 1);
+    assert_eq!(state.waiting_tokens("h.example/b/"), 80);
+}
+
+#[test]
+fn tokens_beyond_the_limit_are_refused_until_items_finish() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[40, 40])));
+    assert_eq!(
+        state.apply(Command::Submit(job("k", &[40]))),
+        Outcome::OverLimit
+    );
+    assert!(state.job("k").is_none());
+    state.apply(finish("j", 0, None));
+    assert_eq!(state.apply(Command::Submit(job("k", &[40]))), Outcome::Done);
+}
+
+#[test]
+fn output_is_joined_over_several_leaders() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[1])));
+    let outcome = state.apply(advance("j", 0, output(None, &["a", "b"], "2")));
+    assert_eq!(outcome, Outcome::Done);
+    let outcome = state.apply(finish("j", 0, Some(output(Some("2"), &["c"], "3"))));
+    assert_eq!(outcome, Outcome::Done);
+    let held = state.job("j").expect("the job");
+    assert_matches!(&held.results()[0].finish, Finish::Completed(text) if text == "a\nb\nc");
+    assert!(held.is_settled());
+}
+
+/// Two leaders may run an item at the same time for a moment; only output that follows counts.
+#[test]
+fn output_that_does_not_follow_is_discarded() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[1])));
+    state.apply(advance("j", 0, output(None, &["a", "b"], "2")));
+    let stale = state.apply(finish("j", 0, Some(output(Some("1"), &["b", "c"], "3"))));
+    assert_eq!(stale, Outcome::Gap);
+    assert!(state.job("j").expect("the job").results().is_empty());
+    let twice = state.apply(advance("j", 0, output(None, &["a"], "1")));
+    assert_eq!(twice, Outcome::Gap);
+}
+
+#[test]
+fn a_result_keeps_its_position_and_content() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[1, 1])));
+    state.apply(finish("j", 1, Some(output(None, &["x"], "1"))));
+    state.apply(finish("j", 0, None));
+    assert_eq!(state.apply(finish("j", 1, None)), Outcome::Gap);
+    let results = state.job("j").expect("the job").results();
+    let order: Vec<_> = results.iter().map(|listed| listed.item).collect();
+    assert_eq!(order, [1, 0]);
+    assert_matches!(&results[0].finish, Finish::Completed(text) if text == "x");
+}
+
+#[test]
+fn an_ended_job_lists_nothing_more_and_frees_its_tokens() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[90])));
+    let end = Command::End {
+        job: "j".to_owned(),
+    };
+    assert_eq!(state.apply(end.clone()), Outcome::Done);
+    assert_eq!(state.apply(end), Outcome::Done);
+    assert_eq!(state.waiting_tokens("h.example/b/"), 0);
+    assert_eq!(state.apply(finish("j", 0, None)), Outcome::Gap);
+    let unknown = Command::End {
+        job: "k".to_owned(),
+    };
+    assert_eq!(state.apply(unknown), Outcome::UnknownJob);
+}
+
+#[test]
+fn a_snapshot_restores_the_state() {
+    let mut state = State::default();
+    state.apply(manifest(4, "four"));
+    state.apply(Command::Submit(job("j", &[1, 2])));
+    state.apply(advance("j", 1, output(None, &["a"], "1")));
+    state.apply(finish("j", 0, Some(output(None, &["x"], "1"))));
+    let restored = State::restore(&state.snapshot()).expect("a snapshot");
+    assert_eq!(restored, state);
+}
--- /dev/null
+++ b/crates/serving/tests/all/targets.rs
@@ -0,0 +1,108 @@
+//! Announcements that are late, repeated, or made by targets that are gone.
+
+use std::net::SocketAddr;
+
+use assert_matches::assert_matches;
+use yuccaseam_base::{
+    Millis,
+    TargetName, //
+};
+use yuccaseam_serving::targets::{
+    Effect,
+    TargetRecord,
+    Targets, //
+};
+
+use super::support::target;
+
+const NOW: Millis = Millis(1_000);
+
+fn numbered(number: u64) -> TargetRecord {
+    TargetRecord {
+        number,
+        ..target(1, "a1")
+    }
+}
+
+#[test]
+fn a_renewal_changes_nothing() {
+    let mut targets = Targets::default();
+    assert_matches!(targets.announce(numbered(1), NOW), Effect::Changed(_));
+    assert_eq!(targets.announce(numbered(2), NOW), Effect::Renewed);
+}
+
+#[test]
+fn a_late_announcement_does_not_undo_a_drain() {
+    let mut targets = Targets::default();
+    targets.announce(numbered(1), NOW);
+    let mut draining = numbered(3);
+    draining.draining = true;
+    assert_matches!(targets.announce(draining, NOW), Effect::Changed(_));
+    assert_eq!(targets.announce(numbered(2), NOW), Effect::Stale);
+    // Nor does a newer one of the same start.
+    assert_eq!(targets.announce(numbered(4), NOW), Effect::Renewed);
+    assert!(targets.records().all(|record| record.draining));
+}
+
+#[test]
+fn a_target_that_left_comes_back_only_by_a_new_start() {
+    let mut targets = Targets::default();
+    targets.announce(numbered(1), NOW);
+    let left = targets.leave(&TargetName::from("engine-1"), NOW);
+    assert_matches!(left, Some(record) if record.draining);
+    assert_eq!(targets.announce(numbered(2), NOW), Effect::Stale);
+    let again = TargetRecord {
+        started_at: 2,
+        ..numbered(1)
+    };
+    assert_matches!(targets.announce(again, NOW), Effect::Changed(record) if !record.draining);
+}
+
+#[test]
+fn the_later_start_holds_an_address() {
+    let mut targets = Targets::default();
+    let old = target(1, "a1");
+    targets.announce(old.clone(), NOW);
+    let new = TargetRecord {
+        name: TargetName::from("engine-9"),
+        service: "other".to_owned(),
+        started_at: 2,
+        ..old.clone()
+    };
+    assert_matches!(targets.announce(new, NOW), Effect::Changed(_));
+    let late = TargetRecord { number: 7, ..old };
+    assert_eq!(targets.announce(late, NOW), Effect::Stale);
+    let live: Vec<_> = targets.records().filter(|record| !record.left).collect();
+    assert_eq!(live.len(), 1);
+    assert_eq!(live[0].name, TargetName::from("engine-9"));
+}
+
+#[test]
+fn a_silent_target_expires_unless_nobody_listened() {
+    let mut targets = Targets::default();
+    targets.announce(numbered(1), NOW);
+    targets.forgive_silence(NOW + Millis(5_000));
+    assert!(
+        targets
+            .expire(Millis(6_000), NOW + Millis(8_000))
+            .is_empty()
+    );
+    let gone = targets.expire(Millis(6_000), NOW + Millis(12_000));
+    assert_matches!(gone.as_slice(), [record] if record.left);
+}
+
+#[test]
+fn what_others_know_is_merged_in_order() {
+    let mut targets = Targets::default();
+    let mut draining = numbered(2);
+    draining.draining = true;
+    assert!(targets.merge(draining, NOW));
+    assert!(!targets.merge(numbered(5), NOW), "a drain is not undone");
+    let other: SocketAddr = "10.9.9.9:1".parse().expect("an address");
+    let restarted = TargetRecord {
+        started_at: 3,
+        address: other,
+        ..numbered(1)
+    };
+    assert!(targets.merge(restarted, NOW));
+}
