An entry that cannot reach the stores follows another entry; settings are reloaded

Ruled out: a slow push (others had it within 40 ms). Change: an entry that follows the leader lets others follow it, and passes questions on; a detour ends after 4 s. Seeds of a changed settings file are taken up, with or without SIGHUP.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -94,15 +94,12 @@
 
 /// Runs an entry or a store with the settings that the platform writes.
 fn run_on_platform(file: &SettingsFile) -> ExitCode {
-    let settings = match file.read() {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error:#}");
-            return ExitCode::from(USAGE);
-        }
-    };
+    if let Err(error) = file.read() {
+        eprintln!("error: {error:#}");
+        return ExitCode::from(USAGE);
+    }
     logging::start_in_background();
-    match yuccaseam_serving::run(settings) {
+    match yuccaseam_serving::run(file) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("cannot go on: {error:#}");
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -44,6 +44,7 @@
         pause, //
     },
     neighbours::Neighbours,
+    relay::Relay,
     routes::RouteTable,
     state::StoredManifest,
     targets::{
@@ -54,7 +55,7 @@
 };
 
 /// How long one instance may take to answer a question to the leader.
-const ONE_ANSWER: Millis = Millis(2_300);
+const ONE_ANSWER: Millis = Millis(2_100);
 /// The pause after an instance that does not lead was asked.
 const ASK_AGAIN: Millis = Millis(60);
 
@@ -65,11 +66,14 @@
     pub(crate) links: Links,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) neighbours: Neighbours,
+    pub(crate) relay: Relay,
     /// Wakes those who wait for a slot.
     pub(crate) room: Notify,
     /// Whether a planned stop has begun.
     pub(crate) stopping: AtomicBool,
+    seeds: Mutex<Vec<IpAddr>>,
     book: Mutex<AddressBook>,
+    manifest: Mutex<Option<StoredManifest>>,
     table: Mutex<Option<Arc<RouteTable>>>,
     targets: Mutex<Targets>,
     balancer: Mutex<Balancer>,
@@ -83,6 +87,10 @@
     mutex.lock().expect("no thread panics with the lock")
 }
 
+fn seed_ips(settings: &NodeSettings) -> Vec<IpAddr> {
+    settings.seeds.iter().map(|seed| seed.ip()).collect()
+}
+
 impl Cx {
     pub(crate) fn new(settings: NodeSettings) -> Self {
         let clock = Clock::start();
@@ -94,10 +102,13 @@
         Self {
             links: Links::new(settings.first_port),
             upstream: Arc::new(Upstream::new(clock)),
+            relay: Relay::default(),
             neighbours: Neighbours::new(settings.first_port, Millis::unix_now()),
             room: Notify::new(),
             stopping: AtomicBool::new(false),
+            seeds: Mutex::new(seed_ips(&settings)),
             book: Mutex::default(),
+            manifest: Mutex::default(),
             table: Mutex::default(),
             targets: Mutex::default(),
             balancer: Mutex::new(Balancer::new(place)),
@@ -110,6 +121,18 @@
         }
     }
 
+    /// Addresses of other instances, as the settings name them now.
+    pub(crate) fn seeds(&self) -> Vec<IpAddr> {
+        lock(&self.seeds).clone()
+    }
+
+    /// Takes in settings that have changed. Only the seeds may.
+    pub(crate) fn reload(&self, settings: &NodeSettings) {
+        let seeds = seed_ips(settings);
+        log::info!(seeds:? = seeds; "settings reloaded");
+        *lock(&self.seeds) = seeds;
+    }
+
     pub(crate) fn book(&self) -> MutexGuard<'_, AddressBook> {
         lock(&self.book)
     }
@@ -127,6 +150,11 @@
         lock(&self.table).clone()
     }
 
+    /// The manifest in force here.
+    pub(crate) fn manifest(&self) -> Option<StoredManifest> {
+        lock(&self.manifest).clone()
+    }
+
     /// Puts a manifest in force, unless a newer one is.
     pub(crate) fn apply_manifest(&self, stored: &StoredManifest) {
         let mut table = lock(&self.table);
@@ -139,6 +167,7 @@
             Ok(new) => {
                 log::info!(version = stored.version, before:? = current; "manifest in force");
                 *table = Some(Arc::new(new));
+                *lock(&self.manifest) = Some(stored.clone());
             }
             // It was checked before it was stored.
             Err(error) => {
@@ -212,9 +241,42 @@
         })
     }
 
+    /// Another entry, which may have a way to the leader that this one lacks.
+    pub(crate) fn other_entry(&self) -> Option<IpAddr> {
+        let mut entries = self.neighbours.ips();
+        entries.extend(self.seeds());
+        entries.retain(|ip| *ip != self.settings.ip);
+        entries.choose(&mut rand::rng()).copied()
+    }
+
+    /// Asks the leader, through another entry if it cannot be reached.
+    pub(crate) async fn ask_leader(&self, ask: &Ask, until: Millis) -> Option<Answer> {
+        let now = self.clock.now();
+        let direct = now + Millis((until - now).0 / 2);
+        let answer = self.ask_leader_directly(ask, direct).await;
+        if !matches!(answer, None | Some(Answer::Unknown)) {
+            return answer;
+        }
+        let pass_on = Ask::PassOn(Box::new(ask.clone()));
+        let mut heard = answer.is_some();
+        while self.clock.now() < until {
+            let Some(ip) = self.other_entry() else {
+                break;
+            };
+            let wait = until - self.clock.now();
+            match self.links.ask(ip, &pass_on, wait).await {
+                Ok(Answer::NotLeader(_)) | Err(AskError::NotSent) => {}
+                Ok(Answer::Unknown) | Err(AskError::Lost) => heard = true,
+                Ok(answer) => return Some(answer),
+            }
+            pause(ASK_AGAIN).await;
+        }
+        heard.then_some(Answer::Unknown)
+    }
+
     /// Asks the leader, whoever that is, until it answers or the time is up. Questions may be asked
     /// twice. `None` if none was heard by a leader.
-    pub(crate) async fn ask_leader(&self, ask: &Ask, until: Millis) -> Option<Answer> {
+    pub(crate) async fn ask_leader_directly(&self, ask: &Ask, until: Millis) -> Option<Answer> {
         let mut heard = false;
         loop {
             let now = self.clock.now();
--- a/crates/serving/src/entry/batch.rs
+++ b/crates/serving/src/entry/batch.rs
@@ -35,7 +35,7 @@
 };
 
 /// How long a call about a job may take, beyond the time that a reader lets it wait.
-const CALL: Millis = Millis(2_500);
+const CALL: Millis = Millis(4_000);
 /// When a caller may find a leader again.
 const LEADER_SOON: Millis = Millis(700);
 /// When a job may fit that did not.
--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -56,7 +56,7 @@
 /// The largest body of a call, in bytes.
 const BODY_BYTES: usize = 16 << 20;
 /// How long the leader may take with an operator's call.
-const CALL: Millis = Millis(2_500);
+const CALL: Millis = Millis(4_000);
 
 /// Serves targets and operators for the life of the process.
 ///
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -52,6 +52,8 @@
 const RETRY: Millis = Millis(80);
 /// How often load is told while it changes.
 const REPORT: Millis = Millis(30);
+/// How long the leader is followed through another entry before a direct way is tried again.
+const DETOUR: Millis = Millis(4_000);
 /// Messages to the leader that may wait.
 const WAITING: usize = 256;
 /// How often known stores are exchanged during the first seconds of a process.
@@ -110,7 +112,7 @@
     let own = cx.settings.ip;
     let mut turn = 0;
     loop {
-        let mut peers: Vec<_> = cx.settings.seeds.iter().map(|seed| seed.ip()).collect();
+        let mut peers = cx.seeds();
         peers.extend(cx.book().ips());
         peers.retain(|ip| *ip != own);
         peers.sort_unstable();
@@ -149,16 +151,24 @@
         let hint = cx.leader().filter(|ip| stores.contains(ip));
         let ip = hint.unwrap_or(stores[turn % stores.len()]);
         turn = turn.wrapping_add(1);
-        follow(&cx, &notices, ip).await;
-        if cx.leader() == Some(ip) {
-            cx.set_leader(None);
+        if !follow(&cx, &notices, ip, Way::Direct).await
+            && let Some(ip) = cx.other_entry()
+        {
+            follow(&cx, &notices, ip, Way::ThroughEntry).await;
         }
-        cx.set_ups(None);
         pause(RETRY).await;
     }
 }
 
-async fn follow(cx: &Arc<Cx>, notices: &Notices, ip: IpAddr) {
+/// How the leader is followed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Direct,
+    ThroughEntry,
+}
+
+/// Follows an instance as long as it speaks. False if it did not accept.
+async fn follow(cx: &Arc<Cx>, notices: &Notices, ip: IpAddr, way: Way) -> bool {
     let mut client =
         HubClient::new(cx.links.own_channel(ip)).max_decoding_message_size(MAX_MESSAGE);
     let (tx, rx) = mpsc::channel(WAITING);
@@ -167,25 +177,31 @@
     });
     let mut downs = match timeout(ACCEPT.duration(), client.follow(ups)).await {
         Ok(Ok(accepted)) => accepted.into_inner(),
-        Ok(Err(_)) | Err(_) => return,
+        Ok(Err(_)) | Err(_) => return false,
     };
     cx.balancer().forget_loads();
-    cx.set_leader(Some(ip));
+    let direct = way == Way::Direct;
+    cx.set_leader(direct.then_some(ip));
     cx.set_ups(Some(tx.clone()));
-    log::info!(leader:% = ip; "following the leader");
+    cx.relay.set_direct(direct);
+    log::info!(leader:% = ip, direct; "following the leader");
     let hello = Up::Hello {
         ip: cx.settings.ip,
         domain: cx.settings.domain.clone(),
         is_entry: cx.settings.callers.is_some(),
     };
-    if tx.send(hello).await.is_err() {
-        return;
-    }
+    // If this fails, the stream ends.
+    let _ = tx.send(hello).await;
     let why = tokio::select! {
         why = take_in(cx, notices, &mut downs) => why,
         () = report(cx, &tx) => "the way to it is closed",
+        () = until_direct(way) => "a direct way is tried again",
     };
-    log::warn!(leader:% = ip, why; "the leader is lost");
+    log::warn!(leader:% = ip, why; "the leader is followed no more");
+    cx.relay.set_direct(false);
+    cx.set_leader(None);
+    cx.set_ups(None);
+    true
 }
 
 async fn take_in(cx: &Cx, notices: &Notices, downs: &mut Streaming<Parcel>) -> &'static str {
@@ -196,7 +212,11 @@
             Ok(Err(_)) => return "the stream broke",
             Err(_) => return "it is silent",
         };
-        match decode(&parcel.message) {
+        let down = decode(&parcel.message);
+        if let Ok(down) = &down {
+            cx.relay.pass_on(down);
+        }
+        match down {
             Ok(Down::Manifest(manifest)) => cx.apply_manifest(&manifest),
             Ok(Down::Targets(records)) => cx.merge_targets(records),
             Ok(Down::Loads(loads)) => {
@@ -210,6 +230,14 @@
     }
 }
 
+/// Ends a detour after a while.
+async fn until_direct(way: Way) {
+    match way {
+        Way::Direct => std::future::pending().await,
+        Way::ThroughEntry => pause(DETOUR).await,
+    }
+}
+
 /// Tells the leader the requests that are under way here, while that changes.
 async fn report(cx: &Cx, tx: &mpsc::Sender<Up>) {
     let mut last = None;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod link;
 mod neighbours;
+mod relay;
 pub mod routes;
 mod run;
 pub mod schedule;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -67,6 +67,8 @@
     StartRetiring(InstanceName),
     /// How far is that?
     GetRetiring(InstanceName),
+    /// An entry that cannot reach the stores asks another entry to ask the leader.
+    PassOn(Box<Ask>),
 }
 
 /// The answer to a question.
--- a/crates/serving/src/neighbours.rs
+++ b/crates/serving/src/neighbours.rs
@@ -63,6 +63,12 @@
         *self.peers.lock().expect("no thread panics with the lock") = ips;
     }
 
+    /// Who the neighbours are.
+    pub(crate) fn ips(&self) -> Vec<IpAddr> {
+        let peers = self.peers.lock().expect("no thread panics with the lock");
+        peers.clone()
+    }
+
     /// Tells the neighbours what is under way at a target.
     pub(crate) fn tell(&self, cx: &Cx, key: TargetKey) {
         let counts = vec![(key, cx.balancer().own(key))];
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -9,15 +9,15 @@
 };
 
 use anyhow::Context as _;
-use tokio::{
-    signal::unix::{
-        SignalKind,
-        signal, //
-    },
-    sync::mpsc,
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
 };
 use yuccaseam_base::Millis;
-use yuccaseam_platform::NodeSettings;
+use yuccaseam_platform::{
+    NodeSettings,
+    SettingsFile, //
+};
 
 use crate::{
     cx::Cx,
@@ -31,14 +31,10 @@
     },
     link::{
         self,
-        Answer,
-        Ask,
-        Down,
-        Handler,
-        Up,
         pause, //
     },
     neighbours,
+    relay::Bystander,
     store::Store,
 };
 
@@ -47,6 +43,8 @@
 const BALANCER: Millis = Millis(2_800);
 /// How much of the grace is kept for the end of the process.
 const MARGIN: Millis = Millis(400);
+/// How often the settings file is looked at, which may change without a signal.
+const LOOK_AT_SETTINGS: Millis = Millis(2_000);
 /// How often a planned stop looks for open connections.
 const POLL: Millis = Millis(20);
 /// How long a store that stops waits for another one to lead.
@@ -56,16 +54,17 @@
 ///
 /// # Errors
 ///
-/// Fails if an address or the data folder cannot be used.
-pub fn run(settings: NodeSettings) -> anyhow::Result<()> {
+/// Fails if the settings cannot be read, or an address or the data folder cannot be used.
+pub fn run(file: &SettingsFile) -> anyhow::Result<()> {
+    let settings = file.read()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(file, settings))
 }
 
-async fn serve(settings: NodeSettings) -> anyhow::Result<()> {
+async fn serve(file: &SettingsFile, settings: NodeSettings) -> anyhow::Result<()> {
     log::info!(
         instance:% = settings.instance, domain:% = settings.domain, store = settings.is_store,
         first_start = settings.is_first_start; "starting");
@@ -78,7 +77,11 @@
         link::serve(internal, Arc::clone(&store)).await?;
         Some(store)
     } else {
-        link::serve(internal, Arc::new(Bystander(Arc::clone(&cx)))).await?;
+        let bystander = Bystander {
+            cx: Arc::clone(&cx),
+            notices: Arc::clone(&notices),
+        };
+        link::serve(internal, Arc::new(bystander)).await?;
         None
     };
     tokio::spawn(follow::gossip(Arc::clone(&cx)));
@@ -99,18 +102,34 @@
     }
     log::info!(instance:% = cx.settings.instance; "started");
     let mut term = signal(SignalKind::terminate()).context("cannot catch signals")?;
-    // Settings that change concern seeds only, which matter only at the start.
     let mut hup = signal(SignalKind::hangup()).context("cannot catch signals")?;
+    let mut read_at = file.modified();
     loop {
-        tokio::select! {
+        let signalled = tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => log::info!("settings reloaded"),
+            _ = hup.recv() => true,
+            () = pause(LOOK_AT_SETTINGS) => false,
+        };
+        let modified = file.modified();
+        if signalled || modified != read_at {
+            read_at = modified;
+            reload(&cx, file);
         }
     }
     stop(&cx, &connections, store.as_deref()).await;
     Ok(())
 }
 
+/// Reads settings that have changed. Those that cannot be read leave the old ones in force.
+fn reload(cx: &Cx, file: &SettingsFile) {
+    match file.read() {
+        Ok(settings) => cx.reload(&settings),
+        Err(error) => {
+            log::warn!(error:% = error; "the settings cannot be read and stay as they were")
+        }
+    }
+}
+
 /// Carries a planned stop out: readiness off, the balancer's delay, running calls end.
 async fn stop(cx: &Cx, connections: &Connections, store: Option<&Store>) {
     log::info!("stopping");
@@ -130,28 +149,3 @@
     }
     log::info!(cut = connections.open(), took_ms = (cx.clock.now() - stopped_at).0; "stopped");
 }
-
-/// An instance without a disk: it only tells others which stores it knows.
-struct Bystander(Arc<Cx>);
-
-#[tonic::async_trait]
-impl Handler for Bystander {
-    async fn answer(&self, ask: Ask) -> Answer {
-        match ask {
-            Ask::Gossip(entries) => Answer::Gossip(self.0.gossip(entries)),
-            _ => Answer::NotLeader(self.0.leader()),
-        }
-    }
-
-    fn follow(&self, _tx: mpsc::Sender<Down>) -> Option<u64> {
-        None
-    }
-
-    fn on_up(&self, _follower: u64, _up: Up) {}
-
-    fn unfollow(&self, _follower: u64) {}
-
-    fn on_packet(&self, from: String, _message: Vec<u8>) {
-        log::warn!(peer:% = from; "a message of the replicated log reached an instance without a disk");
-    }
-}
