--- a/crates/daemon/tests/all/platform.rs
+++ b/crates/daemon/tests/all/platform.rs
@@ -4,12 +4,14 @@
 use std::{
     collections::BTreeSet,
     future::Future,
+    io::ErrorKind,
     time::{
         Duration,
         Instant, //
     },
 };
 
+use assert_matches::assert_matches;
 use http::Method;
 use tokio::runtime::Runtime;
 use yuccaseam_testing::{
@@ -391,6 +393,46 @@
     });
 }
 
+/// What an entry accepts late in a planned stop it could only cut off.
+#[test]
+fn an_entry_that_stops_takes_nothing_that_it_cannot_finish() {
+    with_world(12, 2, async |mut world| {
+        world.behave(&Behaviour {
+            events: 105,
+            pause: Duration::from_millis(40),
+            ..Behaviour::default()
+        });
+        let entry = world.system.entries[0].callers();
+        let long = tokio::spawn(async move {
+            let headers = [
+                ("host", HOST),
+                ("request-id", "s1"),
+                ("deadline-ms", "5000"),
+            ];
+            send(
+                entry,
+                Method::POST,
+                &format!("{ONCE}1"),
+                &headers,
+                "",
+                PATIENCE,
+            )
+            .await
+        });
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.system.entries[0].signal(Signal::Term);
+        tokio::time::sleep(Duration::from_millis(3_500)).await;
+        assert!(
+            world.system.entries[0].is_running(),
+            "the long stream still runs"
+        );
+        let late = tokio::net::TcpStream::connect(entry).await;
+        assert_matches!(late, Err(error) if error.kind() == ErrorKind::ConnectionRefused);
+        let reply = long.await.expect("the call ends").expect("an answer comes");
+        assert!(reply.is_whole_success());
+    });
+}
+
 #[test]
 fn a_store_that_lost_its_disk_joins_again_and_nothing_is_lost() {
     with_world(11, 2, async |mut world| {
--- a/crates/serving/src/entry/http_server.rs
+++ b/crates/serving/src/entry/http_server.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Closes connections once what they carry has ended.
+    /// Takes no new connections, and closes those that are open once what they carry has ended.
     pub(crate) fn close(&self) {
         self.closing.send_replace(true);
     }
@@ -89,8 +89,14 @@
     let connections = Arc::clone(connections);
     let handler = Arc::new(handler);
     tokio::spawn(async move {
+        let mut closing = connections.closing.subscribe();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // What came now could only be cut off.
+                () = closed(&mut closing) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let serving = serve(stream, Arc::clone(&connections), Arc::clone(&handler));
                     tokio::spawn(serving);
