--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -99,7 +99,14 @@
         return ExitCode::from(USAGE);
     }
     logging::start_in_background();
-    match yuccaseam_serving::run(file) {
+    let metrics = match PrometheusBuilder::new().install_recorder() {
+        Ok(metrics) => metrics,
+        Err(error) => {
+            eprintln!("error: cannot install the metrics recorder: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match yuccaseam_serving::run(file, move || metrics.render()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("cannot go on: {error:#}");
--- a/crates/daemon/tests/all/platform.rs
+++ b/crates/daemon/tests/all/platform.rs
@@ -13,7 +13,13 @@
 
 use assert_matches::assert_matches;
 use http::Method;
-use tokio::runtime::Runtime;
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    runtime::Runtime, //
+};
 use yuccaseam_testing::{
     Signal,
     platform::{
@@ -393,6 +399,53 @@
     });
 }
 
+/// Callers that send half a head must not be held for ever, and idle ones not be closed.
+#[test]
+fn half_a_head_is_given_up_and_an_idle_connection_is_kept() {
+    with_world(13, 1, async |world| {
+        let entry = world.system.entries[0].callers();
+        let connect = || tokio::net::TcpStream::connect(entry);
+        let mut half = connect().await.expect("a connection opens");
+        half.write_all(b"GET /safe/1 HTTP/1.1\r\nHost")
+            .await
+            .expect("half a head is sent");
+        let mut idle = connect().await.expect("a connection opens");
+        let mut buf = [0; 64];
+        let ended = tokio::time::timeout(Duration::from_secs(5), half.read(&mut buf)).await;
+        let ended = ended.expect("the connection ends within 5 s");
+        assert!(matches!(ended, Ok(0) | Err(_)), "{ended:?}");
+        idle.write_all(b"GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n")
+            .await
+            .expect("a request is sent");
+        let read = tokio::time::timeout(PATIENCE, idle.read(&mut buf)).await;
+        let len = read
+            .expect("an answer comes")
+            .expect("the connection is open");
+        assert!(buf[..len].starts_with(b"HTTP/1.1 404"));
+    });
+}
+
+#[test]
+fn a_head_that_is_too_large_is_refused() {
+    with_world(14, 1, async |world| {
+        let entry = world.system.entries[0].callers();
+        let large = "x".repeat(100_000);
+        let headers = [("host", HOST), ("x-large", large.as_str())];
+        let sent = send(entry, Method::GET, "/safe/1", &headers, "", PATIENCE).await;
+        assert!(sent.is_err() || sent.is_ok_and(|reply| reply.status == 431));
+    });
+}
+
+#[test]
+fn metrics_are_served() {
+    with_world(15, 1, async |world| {
+        let to = world.system.entries[0].metrics();
+        let reply = send(to, Method::GET, "/metrics", &[("host", "m")], "", PATIENCE).await;
+        let text = reply.expect("an answer comes").body;
+        assert!(text.contains("yuccaseam_answers_total"), "{text}");
+    });
+}
+
 /// What an entry accepts late in a planned stop it could only cut off.
 #[test]
 fn an_entry_that_stops_takes_nothing_that_it_cannot_finish() {
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -165,7 +165,7 @@
         let decoded = Manifest::decode(&stored.body).map_err(anyhow::Error::from);
         match decoded.and_then(|manifest| Ok(RouteTable::new(manifest)?)) {
             Ok(new) => {
-                log::info!(version = stored.version, before:? = current; "manifest in force");
+                log::info!(version = stored.version, before = current; "manifest in force");
                 *table = Some(Arc::new(new));
                 *lock(&self.manifest) = Some(stored.clone());
             }
--- a/crates/serving/src/entry/http_server.rs
+++ b/crates/serving/src/entry/http_server.rs
@@ -34,11 +34,18 @@
 
 use crate::link::pause;
 
-use super::answer::Answer;
+use super::{
+    answer::Answer,
+    head_timeout::{
+        HeadState,
+        HeadTimeout, //
+    },
+};
 
-/// How long a connection may be idle, or the head of a request may take. The platform's clients
-/// reuse connections for up to 12 s.
+/// How long a connection may be idle. The platform's clients reuse connections for up to 12 s.
 const IDLE: Millis = Millis(15_000);
+/// How long the head of a request may take. Operators of the platform set 3 s.
+const HEAD: Millis = Millis(3_000);
 /// The largest head of a request, in bytes.
 const HEAD_BYTES: usize = 16_384;
 /// The pause after an error of accepting, such as too many open files.
@@ -119,10 +126,18 @@
     connections.open.fetch_add(1, Ordering::Relaxed);
     // Without it small writes only wait longer.
     let _ = stream.set_nodelay(true);
+    let state = HeadState::default();
     let service = service_fn(|req| {
+        state.begin();
+        let state = state.clone();
         let answer = handler(req);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            state.end();
+            Ok::<_, std::convert::Infallible>(answer)
+        }
     });
+    let stream = HeadTimeout::new(stream, state.clone(), HEAD);
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE.duration())
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod batch;
 mod control;
 mod front;
+mod head_timeout;
 mod http_server;
 mod online;
 mod stream;
@@ -44,3 +45,28 @@
     })
     .await
 }
+
+/// Serves the metrics of this process.
+///
+/// # Errors
+///
+/// Fails if the address cannot be listened on.
+pub(crate) async fn serve_metrics<M>(
+    address: std::net::SocketAddr,
+    connections: &Arc<Connections>,
+    metrics: M,
+) -> anyhow::Result<()>
+where
+    M: Fn() -> String + Send + Sync + 'static,
+{
+    http_server::listen(address, connections, move |req| {
+        let known = req.method() == Method::GET && req.uri().path() == "/metrics";
+        let answer = if known {
+            answer::text(StatusCode::OK, metrics())
+        } else {
+            answer::empty(StatusCode::NOT_FOUND)
+        };
+        async move { answer }
+    })
+    .await
+}
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -311,7 +311,7 @@
         log::info!(
             request:% = self.id, target_name:% = slot.choice.name, status = status.as_u16(),
             believed_online = slot.choice.load.online, believed_batch = slot.choice.load.batch,
-            reported_load:? = headers::text(&call.head.headers, &headers::LOAD);
+            reported_load = headers::text(&call.head.headers, &headers::LOAD);
             "the target turned the request away");
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.cx
@@ -391,7 +391,7 @@
             status = status.as_u16(), believed_online = slot.choice.load.online,
             believed_batch = slot.choice.load.batch, runs = self.runs, outcome,
             waited_ms = (self.sent_at - self.arrived_at).0,
-            first_event_ms:? = self.first_event_at.map(|at| (at - self.arrived_at).0),
+            first_event_ms = self.first_event_at.map(|at| (at - self.arrived_at).0),
             took_ms = took.0; "request ended");
     }
 }
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -194,7 +194,7 @@
             return Err(self.serving.give_up("resume_refused"));
         }
         log::info!(
-            request:% = self.serving.id, target_name:% = slot.choice.name, after:? = last_id;
+            request:% = self.serving.id, target_name:% = slot.choice.name, after = last_id.as_deref();
             "the stream goes on at another target");
         self.source = Some(Source {
             slot,
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -45,26 +45,35 @@
 const MARGIN: Millis = Millis(400);
 /// How often the settings file is looked at, which may change without a signal.
 const LOOK_AT_SETTINGS: Millis = Millis(2_000);
+/// Which of the ports for instances serves metrics, counted from the first.
+const METRICS_PORT: u16 = 1;
 /// How often a planned stop looks for open connections.
 const POLL: Millis = Millis(20);
 /// How long a store that stops waits for another one to lead.
 const HAND_OVER: Millis = Millis(300);
 
-/// Runs a process with the settings of the platform until it is stopped.
+/// Runs a process with the settings of the platform until it is stopped. `metrics` renders the
+/// metrics of the process as text.
 ///
 /// # Errors
 ///
 /// Fails if the settings cannot be read, or an address or the data folder cannot be used.
-pub fn run(file: &SettingsFile) -> anyhow::Result<()> {
+pub fn run<M>(file: &SettingsFile, metrics: M) -> anyhow::Result<()>
+where
+    M: Fn() -> String + Send + Sync + 'static,
+{
     let settings = file.read()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    runtime.block_on(serve(file, settings))
+    runtime.block_on(serve(file, settings, metrics))
 }
 
-async fn serve(file: &SettingsFile, settings: NodeSettings) -> anyhow::Result<()> {
+async fn serve<M>(file: &SettingsFile, settings: NodeSettings, metrics: M) -> anyhow::Result<()>
+where
+    M: Fn() -> String + Send + Sync + 'static,
+{
     log::info!(
         instance:% = settings.instance, domain:% = settings.domain, store = settings.is_store,
         first_start = settings.is_first_start; "starting");
@@ -91,6 +100,8 @@
     let leader = store.clone();
     let leads = move || leader.as_ref().is_some_and(|store| store.leads());
     tokio::spawn(follow::run(Arc::clone(&cx), Arc::clone(&notices), leads));
+    let address = SocketAddr::new(cx.settings.ip, cx.settings.first_port + METRICS_PORT);
+    entry::serve_metrics(address, &connections, metrics).await?;
     if let Some(address) = cx.settings.readiness {
         entry::serve_readiness(&cx, address, &connections).await?;
     }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -388,7 +388,7 @@
             self.reports.clone(),
         ));
         log::info!(
-            job:% = name, item = key.item, target_name:% = target.name, after:? = last_id;
+            job:% = name, item = key.item, target_name:% = target.name, after = last_id.as_deref();
             "batch item started");
         let run = Run {
             key,
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -61,6 +61,11 @@
         SocketAddr::new(self.ip, CONTROL_PORT)
     }
 
+    /// Where metrics are served.
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEER_PORT + 1)
+    }
+
     /// Whether the process runs, frozen or not.
     pub fn is_running(&mut self) -> bool {
         self.process.as_mut().is_some_and(Process::is_running)
