A randomized soak of real processes: faults from outside, promises checked by callers and targets

Entries, stores and targets behind proxies on loopback addresses; kills, stops, freezes, lost disks, silenced and delayed targets, changed manifests.

--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,64 @@
+//! The program `yuccaseam-soak`: runs seeds until one breaks a promise.
+
+use std::{
+    process::ExitCode,
+    time::Duration, //
+};
+
+use yuccaseam_soak::{
+    Config,
+    run, //
+};
+
+mod flags {
+    xflags::xflags! {
+        /// Runs real processes under random faults and checks the promises from outside.
+        cmd yuccaseam-soak {
+            /// The first seed. Default: 1.
+            optional --seed seed: u64
+            /// How many seeds to run. Default: 1.
+            optional --seeds count: u64
+            /// How long faults come in each run, in seconds. Default: 20.
+            optional --seconds seconds: u64
+            /// Entries beside three stores. Default: 4.
+            optional --entries count: usize
+            /// Targets. Default: 6.
+            optional --targets count: usize
+            /// Tells the loopback addresses of several soaks apart, 100 to 250. Default: 100.
+            optional --network number: u8
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<ExitCode> {
+    let flags = flags::YuccaseamSoak::from_env_or_exit();
+    let first = flags.seed.unwrap_or(1);
+    let mut failed = 0;
+    for seed in first..first + flags.seeds.unwrap_or(1) {
+        let report = run(Config {
+            seed,
+            length: Duration::from_secs(flags.seconds.unwrap_or(20)),
+            entries: flags.entries.unwrap_or(4),
+            targets: flags.targets.unwrap_or(6),
+            network: flags.network.unwrap_or(100),
+        })
+        .await;
+        match report {
+            Ok(report) => {
+                print!("{report}");
+                failed += usize::from(!report.violations.is_empty());
+            }
+            Err(error) => {
+                println!("seed {seed}: {error:#}");
+                failed += 1;
+            }
+        }
+    }
+    println!("{failed} seeds failed");
+    Ok(if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- a/crates/testing/src/cluster/process.rs
+++ b/crates/testing/src/cluster/process.rs
@@ -149,6 +149,11 @@
 
 /// The file of a program of this workspace.
 pub(crate) fn program(name: &str) -> PathBuf {
+    let own = env::current_exe().expect("the running program has a file");
+    let beside = own.with_file_name(name);
+    if beside.exists() {
+        return beside;
+    }
     built(&build_dir().join(name))
 }
 
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -7,8 +7,14 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    path::PathBuf,
-    time::Duration, //
+    path::{
+        Path,
+        PathBuf, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use http::Method;
@@ -36,6 +42,9 @@
 const CALLERS_PORT: u16 = 17_644;
 const READY_PORT: u16 = 17_640;
 const CONTROL_PORT: u16 = 17_646;
+/// The least time between two lost disks: the platform counts a disk as lost until 4.9 s after its
+/// return, and other faults may delay that.
+const BETWEEN_WIPES: Duration = Duration::from_secs(15);
 /// How long an operator waits for one answer.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -78,6 +87,13 @@
         self.process = Some(process);
     }
 
+    /// Starts the process unless it runs.
+    pub fn start_if_down(&mut self) {
+        if !self.is_running() {
+            self.start();
+        }
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         self.process = None;
@@ -105,6 +121,7 @@
     /// The stores.
     pub stores: Vec<Instance>,
     folder: TempDir,
+    wiped_at: Option<Instant>,
 }
 
 impl PlatformSystem {
@@ -137,6 +154,7 @@
             entries: (0..entries).map(|at| instance(at, false)).collect(),
             stores: (0..stores).map(|at| instance(entries + at, true)).collect(),
             folder,
+            wiped_at: None,
         };
         for (at, instance) in system
             .stores
@@ -163,12 +181,18 @@
         }
     }
 
+    /// Whether the group has had time to make up for the last disk that was lost.
+    pub fn may_wipe(&self) -> bool {
+        self.wiped_at.is_none_or(|at| at.elapsed() > BETWEEN_WIPES)
+    }
+
     /// Empties the disk of a store that does not run.
     ///
     /// # Panics
     ///
     /// If the folder cannot be emptied.
-    pub fn wipe(&self, store: usize) {
+    pub fn wipe(&mut self, store: usize) {
+        self.wiped_at = Some(Instant::now());
         let data = self
             .folder
             .path()
@@ -177,6 +201,22 @@
         fs::create_dir(&data).expect("the data folder can be made");
     }
 
+    /// Copies the logs of all processes to a folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be written.
+    pub fn keep_logs(&self, folder: &Path) -> std::io::Result<()> {
+        fs::create_dir_all(folder)?;
+        for instance in self.stores.iter().chain(&self.entries) {
+            fs::write(
+                folder.join(format!("{}.log", instance.name)),
+                instance.log(),
+            )?;
+        }
+        Ok(())
+    }
+
     /// Where targets announce themselves.
     pub fn control(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(Instance::control).collect()
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -157,8 +157,31 @@
         slots: usize,
         control: Vec<SocketAddr>,
     ) -> io::Result<Self> {
+        let place = |address| Ok((address, ()));
+        let (target, ()) = Self::start_behind(name, service, domain, slots, control, place).await?;
+        Ok(target)
+    }
+
+    /// Starts a target that announces another address than its own, such as that of a proxy, which
+    /// `place` makes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address can be had.
+    pub async fn start_behind<F, P>(
+        name: &str,
+        service: &str,
+        domain: &str,
+        slots: usize,
+        control: Vec<SocketAddr>,
+        place: F,
+    ) -> io::Result<(Self, P)>
+    where
+        F: FnOnce(SocketAddr) -> io::Result<(SocketAddr, P)>,
+    {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
+        let (announced, proxy) = place(address)?;
         let shared = Arc::new(Shared {
             name: name.to_owned(),
             slots,
@@ -169,13 +192,14 @@
             state: Mutex::new("ready"),
         });
         let serving = tokio::spawn(serve(listener, Arc::clone(&shared)));
-        let place = format!(r#""service":"{service}","address":"{address}","zone":"{domain}""#);
+        let place = format!(r#""service":"{service}","address":"{announced}","zone":"{domain}""#);
         let announcing = tokio::spawn(announce(Arc::clone(&shared), place, control));
-        Ok(Self {
+        let target = Self {
             shared,
             address,
             tasks: vec![serving.abort_handle(), announcing.abort_handle()],
-        })
+        };
+        Ok((target, proxy))
     }
 
     /// Where it takes requests.
