--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -6,6 +6,9 @@
 //! - A result is proposed only if the stream of its item was whole.
 //! - A run that goes on after event n was asked for with n.
 
+mod progress;
+mod stream;
+
 use std::{
     collections::{
         BTreeMap,
@@ -14,31 +17,14 @@
     sync::Arc,
 };
 
-use http::{
-    HeaderName,
-    HeaderValue,
-    Method,
-    Request,
-    StatusCode,
-    header, //
-};
-use http_body_util::{
-    BodyExt as _,
-    Full, //
-};
 use tokio::{
     sync::mpsc,
     task::AbortHandle, //
 };
 use yuccaseam_base::Millis;
-use yuccaseam_platform::headers;
 
 use crate::{
     cx::Cx,
-    events::{
-        EventSplitter,
-        event_data, //
-    },
     link::pause,
     routes::choose_destination,
     schedule::{
@@ -52,7 +38,6 @@
         Advance,
         Command,
         FinishedItem,
-        Item,
         Outcome,
         Output, //
     },
@@ -60,7 +45,6 @@
         TargetKey,
         TargetRecord, //
     },
-    upstream::Failure,
 };
 
 use super::{
@@ -68,6 +52,13 @@
     Replica, //
 };
 
+use progress::Progress;
+use stream::{
+    End,
+    Report,
+    request, //
+};
+
 /// How often the runner looks for work if nothing happens.
 const LOOK: Millis = Millis(30);
 /// When results are due if the route does not say.
@@ -76,8 +67,6 @@
 const RETRY: Millis = Millis(300);
 /// How long a target takes no items after one failed there.
 const AVOIDED: Millis = Millis(1_000);
-/// How long a stream may pause before its item goes on elsewhere.
-const STALL: Millis = Millis(2_000);
 /// How long the results of a job are kept beyond the time promised.
 const KEPT_LONGER: Millis = Millis::from_secs(30);
 /// How often the output of items is kept in the log.
@@ -87,49 +76,6 @@
 /// How often jobs are looked for that can be forgotten.
 const FORGET: Millis = Millis::from_secs(5);
 
-/// What of an item's output has arrived.
-#[derive(Debug, Default)]
-struct Progress {
-    /// The last event that the replicated state has, or will have once what was proposed is committed.
-    kept_id: Option<String>,
-    /// The data of the events since then, a line each.
-    lines: Vec<String>,
-    last_id: Option<String>,
-    /// When another run may start.
-    retry_at: Millis,
-    /// Runs that the target itself called failed.
-    failures: u32,
-}
-
-/// How a run ended.
-#[derive(Debug)]
-enum End {
-    /// The whole output is there.
-    Whole,
-    /// The target says that the item can never be done.
-    Impossible,
-    /// The target itself failed to do it.
-    FailedByTarget,
-    /// The target has not run it.
-    Rejected,
-    /// The stream broke.
-    Broken(Failure),
-}
-
-enum Report {
-    /// What was proposed for these items did not take effect.
-    Lost(Vec<ItemKey>),
-    Events {
-        run: u64,
-        lines: Vec<String>,
-        last_id: Option<String>,
-    },
-    Ended {
-        run: u64,
-        end: End,
-    },
-}
-
 struct Run {
     key: ItemKey,
     target: TargetKey,
@@ -380,7 +326,7 @@
         };
         self.next_run += 1;
         let number = self.next_run;
-        let task = tokio::spawn(stream(
+        let task = tokio::spawn(stream::stream(
             Arc::clone(&self.cx),
             target.clone(),
             req,
@@ -565,116 +511,3 @@
 fn finished(job: String, item: u32, output: Option<Output>) -> Command {
     Command::Finish(FinishedItem { job, item, output })
 }
-
-impl From<&Item> for Progress {
-    fn from(item: &Item) -> Self {
-        Self {
-            kept_id: item.last_id.clone(),
-            last_id: item.last_id.clone(),
-            failures: item.failed_runs,
-            ..Self::default()
-        }
-    }
-}
-
-impl Progress {
-    /// The output since it was last taken.
-    fn take_output(&mut self) -> Output {
-        Output {
-            after: std::mem::replace(&mut self.kept_id, self.last_id.clone()),
-            lines: std::mem::take(&mut self.lines),
-            last_id: self.last_id.clone(),
-        }
-    }
-}
-
-fn request(
-    host: &str,
-    item: &Item,
-    target: &TargetRecord,
-    last_id: Option<&str>,
-) -> Option<Request<Full<bytes::Bytes>>> {
-    let body = Full::new(bytes::Bytes::from(item.body.clone()));
-    let mut req = Request::builder()
-        .method(Method::POST)
-        .uri(&item.path)
-        .header(header::HOST, host)
-        .header(headers::EXPECTED_TARGET, target.name.as_str());
-    if let Some(id) = last_id {
-        req = req.header(headers::LAST_EVENT_ID, id);
-    }
-    let mut req = req.body(body).ok()?;
-    for (name, value) in &item.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        let value = HeaderValue::from_str(value).ok()?;
-        req.headers_mut().insert(name, value);
-    }
-    let id = HeaderValue::from_str(&item.id).ok()?;
-    req.headers_mut().insert(headers::REQUEST_ID, id);
-    Some(req)
-}
-
-/// Runs one item at one target and reports its events and its end.
-async fn stream(
-    cx: Arc<Cx>,
-    target: TargetRecord,
-    req: Request<Full<bytes::Bytes>>,
-    run: u64,
-    reports: mpsc::UnboundedSender<Report>,
-) {
-    let end = stream_events(&cx, &target, req, run, &reports).await;
-    // The runner ends only with the process.
-    let _ = reports.send(Report::Ended { run, end });
-}
-
-async fn stream_events(
-    cx: &Arc<Cx>,
-    target: &TargetRecord,
-    req: Request<Full<bytes::Bytes>>,
-    run: u64,
-    reports: &mpsc::UnboundedSender<Report>,
-) -> End {
-    let call = cx.upstream.call(target.address, req, STALL, STALL).await;
-    let mut call = match call {
-        Ok(call) => call,
-        Err(error) => return End::Broken(error.failure),
-    };
-    let head = &call.head;
-    if head.headers.contains_key(headers::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
-    {
-        return End::Rejected;
-    }
-    match head.status {
-        StatusCode::UNPROCESSABLE_ENTITY => return End::Impossible,
-        StatusCode::INTERNAL_SERVER_ERROR => return End::FailedByTarget,
-        status if status.is_success() && head.headers.contains_key(headers::SIGNATURE) => {}
-        _ => return End::Broken(Failure::WrongAnswer),
-    }
-    let mut splitter = EventSplitter::default();
-    loop {
-        match tokio::time::timeout(STALL.duration(), call.body.frame()).await {
-            Err(_) => return End::Broken(Failure::Silent),
-            Ok(None) if splitter.is_mid_event() => return End::Broken(Failure::Broken),
-            Ok(None) => {
-                call.conn.keep();
-                return End::Whole;
-            }
-            Ok(Some(Err(_))) => return End::Broken(Failure::Broken),
-            Ok(Some(Ok(frame))) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                };
-                if let Some(events) = splitter.push(&data) {
-                    let lines = event_data(&events);
-                    let lines = lines.map(|line| String::from_utf8_lossy(line).into_owned());
-                    // The runner ends only with the process.
-                    let _ = reports.send(Report::Events {
-                        run,
-                        lines: lines.collect(),
-                        last_id: splitter.last_id().map(str::to_owned),
-                    });
-                }
-            }
-        }
-    }
-}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -22,6 +22,7 @@
     BATCH,
     HOST,
     ONCE,
+    PlatformSystem,
     RESUMABLE,
     Reply,
     SAFE,
@@ -229,15 +230,8 @@
         }
         let floor = ledger.highest();
         let to = world.control[turn % world.control.len()];
-        let headers = [("host", "control")];
-        let reply = send(to, Method::GET, "/Config.Get", &headers, "", PATIENCE).await;
-        if let Ok(reply) = reply
-            && reply.status == 200
-            && reply.complete
-        {
+        if let Some(version) = PlatformSystem::read_version_at(to).await {
             ledger.count("manifest reads");
-            let read: Value = serde_json::from_str(&reply.body).unwrap_or_default();
-            let version = read["version"].as_u64().unwrap_or(0);
             if version < floor {
                 ledger.violation(format!(
                     "version {version} was read after {floor} was acknowledged"
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -282,18 +282,8 @@
 
     async fn change_manifest(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = PlatformSystem::manifest(version);
         for to in &self.control {
-            let headers = [("host", "control")];
-            let sent = yuccaseam_testing::platform::send(
-                *to,
-                http::Method::POST,
-                "/Config.Replace",
-                &headers,
-                &body,
-                Duration::from_secs(3),
-            );
-            if sent.await.is_ok_and(|reply| reply.status == 200) {
+            if PlatformSystem::put_manifest_at(*to, version).await {
                 self.ledger.acknowledged(version);
                 self.ledger.count("manifests acknowledged");
                 return;
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -247,21 +247,35 @@
         .to_string()
     }
 
+    /// Sends a manifest to one entry. True if it acknowledges it.
+    pub async fn put_manifest_at(to: SocketAddr, version: u64) -> bool {
+        let body = Self::manifest(version);
+        let headers = [("host", "control")];
+        let sent = send(
+            to,
+            Method::POST,
+            "/Config.Replace",
+            &headers,
+            &body,
+            PATIENCE,
+        );
+        sent.await.is_ok_and(|reply| reply.status == 200)
+    }
+
+    /// The version of the manifest that an entry reads out, if it does.
+    pub async fn read_version_at(to: SocketAddr) -> Option<u64> {
+        let headers = [("host", "control")];
+        let sent = send(to, Method::GET, "/Config.Get", &headers, "", PATIENCE).await;
+        let reply = sent.ok().filter(Reply::is_whole_success)?;
+        let read: serde_json::Value = serde_json::from_str(&reply.body).ok()?;
+        read["version"].as_u64()
+    }
+
     /// Sends a manifest to one entry after another until one acknowledges it.
     pub async fn put_manifest(&self, version: u64) -> bool {
-        let body = Self::manifest(version);
         for _ in 0..10 {
             for to in self.control() {
-                let headers = [("host", "control")];
-                let sent = send(
-                    to,
-                    Method::POST,
-                    "/Config.Replace",
-                    &headers,
-                    &body,
-                    PATIENCE,
-                );
-                if sent.await.is_ok_and(|reply| reply.status == 200) {
+                if Self::put_manifest_at(to, version).await {
                     return true;
                 }
             }
