A leader that begins tells its followers of the targets that were noted in the log

Ruled out: lost slots (engines were a quarter full), neighbours (each service was named by its targets). Change: a leader accepts followers only after it has taken up what was noted. Test: after_all_processes_were_killed_every_target_takes_work_again (the window is 40 ms wide: it does not fail on every run of the old code).

--- a/crates/daemon/tests/all/platform.rs
+++ b/crates/daemon/tests/all/platform.rs
@@ -421,6 +421,64 @@
     });
 }
 
+/// The stores note targets in the log. Entries must hear of all of these from a leader that has just
+/// begun, not only of those that announce something new.
+#[test]
+fn after_all_processes_were_killed_every_target_takes_work_again() {
+    with_world(16, 3, async |mut world| {
+        world.system.end_first_start();
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        let system = &mut world.system;
+        for instance in system.stores.iter_mut().chain(&mut system.entries) {
+            instance.kill();
+        }
+        for instance in system.stores.iter_mut().chain(&mut system.entries) {
+            instance.start();
+        }
+        assert!(
+            world.system.wait_until_serving().await,
+            "every entry serves"
+        );
+        for entry in 0..3 {
+            let before: Vec<_> = world
+                .targets
+                .iter()
+                .map(|target| target.runs().len())
+                .collect();
+            world.behave(&Behaviour {
+                pause: Duration::from_millis(400),
+                ..Behaviour::default()
+            });
+            let calls = (0..24).map(|number| {
+                let to = world.system.entries[entry].callers();
+                tokio::spawn(async move {
+                    let id = format!("e{entry}-{number}");
+                    let headers = [("host", HOST), ("request-id", id.as_str())];
+                    send(
+                        to,
+                        Method::POST,
+                        &format!("{SAFE}1"),
+                        &headers,
+                        "",
+                        PATIENCE,
+                    )
+                    .await
+                })
+            });
+            for call in calls.collect::<Vec<_>>() {
+                let reply = call.await.expect("the call ends").expect("an answer comes");
+                assert_eq!(reply.status, 200, "entry {entry}");
+            }
+            for (target, before) in world.targets.iter().zip(before) {
+                assert!(
+                    target.runs().len() > before,
+                    "entry {entry} misses a target"
+                );
+            }
+        }
+    });
+}
+
 /// Callers that send half a head must not be held for ever, and idle ones not be closed.
 #[test]
 fn half_a_head_is_given_up_and_an_idle_connection_is_kept() {
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -96,7 +96,8 @@
 
     /// Takes a follower in. `None` if this instance does not lead.
     pub(crate) fn follow(&self, tx: mpsc::Sender<Down>) -> Option<u64> {
-        if !self.replica.holds_lease() {
+        // Before the hub has taken up what was noted, a follower would miss targets.
+        if !self.inner().led || !self.replica.holds_lease() {
             return None;
         }
         let records: Vec<_> = self.cx.targets().records().cloned().collect();
@@ -280,11 +281,11 @@
     fn tick(&self) {
         self.take_manifest();
         let leads = self.replica.holds_lease();
-        let led = std::mem::replace(&mut self.inner().led, leads);
+        let led = self.inner().led;
         if !leads {
-            if led {
-                self.inner().followers.clear();
-            }
+            let mut inner = self.inner();
+            inner.led = false;
+            inner.followers.clear();
             return;
         }
         let now = self.cx.clock.now();
@@ -309,6 +310,7 @@
             .read(|state| state.targets().cloned().collect());
         self.cx.merge_targets(noted);
         self.cx.targets().forgive_silence(now);
+        self.inner().led = true;
     }
 
     /// Notes in the log what a system that lost power has to find again.
