--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -283,13 +283,6 @@
         })
     }
 
-    /// Slots of all targets of a service that take work.
-    pub fn slots(&self, service: &str) -> u32 {
-        let views = self.views.values();
-        let usable = views.filter(|view| view.record.service == service && !view.record.draining);
-        usable.map(|view| view.record.slots).sum()
-    }
-
     fn near(&self, key: TargetKey) -> u32 {
         let counts = self
             .neighbours
