quorum: voters that restart together stand as soon as they may vote

Cause: after a loss of power each voter waited a whole election timeout, drawn between one and two of them, before it stood. Ruled out: connections between stores (one was refused and opened again within 0.1 s), and writes (the vote was synced in 8 ms).

A voter that restarted still refuses to vote for one election timeout, so that a lease stays safe.

--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -114,7 +114,7 @@
         };
         if !core.is_sole_voter() {
             core.heard_at = Some(now);
-            core.reset_election_timer();
+            core.start_election_timer();
         }
         core
     }
@@ -281,6 +281,13 @@
         self.election_at = self.now + self.draw(election, election * 2);
     }
 
+    /// Stands as soon as voters that restarted at the same time may vote again: after a loss of power
+    /// nobody leads, and a pre-vote that comes too early deposes nobody.
+    fn start_election_timer(&mut self) {
+        let election = self.timing.election.0;
+        self.election_at = self.now + self.draw(election, election + election / 4);
+    }
+
     /// A length of time in a range.
     pub(crate) fn draw(&mut self, from: u64, to: u64) -> Millis {
         Millis(self.rng.random_range(from..to))
--- a/crates/quorum/tests/all/elections.rs
+++ b/crates/quorum/tests/all/elections.rs
@@ -185,3 +185,27 @@
     assert_eq!(group.leader(), Some(leader));
     assert_eq!(group.core(leader).map(Core::term), term);
 }
+
+/// After a loss of power nobody leads, and callers wait for the first election.
+#[test]
+fn voters_that_restart_together_elect_a_leader_as_soon_as_they_may_vote() {
+    let election = Timing::default().election;
+    for seed in 0..20 {
+        let mut group = Group::new(3, seed);
+        group.write();
+        for at in 0..3 {
+            group.crash(at);
+        }
+        for at in 0..3 {
+            group.restart(at);
+        }
+        let restarted_at = group.now;
+        group.until("a leader", |group| group.leader().is_some());
+        let took = group.now - restarted_at;
+        assert!(
+            took < Millis(election.0 * 3 / 2),
+            "seed {seed}: {} ms",
+            took.0
+        );
+    }
+}
