Loads are known without the leader; detours end; callers that came back wait for the manifest

The leader did not see its load, and while entries were stopped one after the other two of nine were always unseen: streams were 300 to 800 ms late at engines that were believed to have free slots. Now it waits until it has heard of a store, and a detour ends once the leader answers directly. - Without a leader entries saw two thirds of their region's load as it was when the leader fell silent. Entries of one region now tell each other of every request, up to 32 of them; in larger regions those of a failure domain do, as before. - A leader that had just begun knew of no caller's request and started 40 items in 0.1 s. It starts none for 0.6 s. - After a loss of power callers that had found no connection, and have no attempt left, were refused for want of a manifest. They wait for it; the others return spread over 0.4 s in place of one moment. Ruled out: waiting at entries (no late stream had waited 50 ms), rejections by engines (none).

--- a/crates/daemon/tests/all/platform.rs
+++ b/crates/daemon/tests/all/platform.rs
@@ -153,6 +153,26 @@
     format!(r#"{{"items":[{}]}}"#, items.join(","))
 }
 
+/// The leader does not see the load of an entry that follows it through another one.
+#[test]
+fn an_entry_that_starts_again_follows_the_leader_itself() {
+    with_world(17, 1, async |mut world| {
+        for entry in &mut world.system.entries {
+            entry.kill();
+            entry.start();
+        }
+        assert!(
+            world.system.wait_until_serving().await,
+            "every entry serves"
+        );
+        for entry in &world.system.entries {
+            let log = entry.log();
+            assert!(log.contains(r#""direct":true"#), "{log}");
+            assert!(!log.contains(r#""direct":false"#), "{log}");
+        }
+    });
+}
+
 #[test]
 fn requests_streams_and_unknown_routes_are_answered() {
     with_world(1, 3, async |world| {
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -6,6 +6,8 @@
 //! still be served on time at its second attempt. A caller that came back has no attempt left and
 //! waits longer.
 
+use std::collections::HashMap;
+
 use yuccaseam_base::{
     Millis,
     value, //
@@ -34,6 +36,17 @@
 /// How far returns are spread.
 const COME_BACK_SPREAD: Millis = Millis(1_000);
 
+/// How long an instance that starts takes to hear of the manifest after a loss of power: an election,
+/// and its followers' first messages.
+const START: Millis = Millis(1_100);
+/// How far the returns of callers are spread that met an instance without a manifest. They are served
+/// by all instances at once, so that a shorter time does than for those that met full targets.
+const START_SPREAD: Millis = Millis(400);
+/// How long a caller waits for the manifest that has no attempt left.
+pub const MANIFEST_WAIT: Millis = Millis(2_500);
+/// Kinds of requests that are told apart before a manifest is known.
+const MAX_KINDS: usize = 64;
+
 /// What is known of a request that asks for a slot.
 #[value]
 #[derive(Copy)]
@@ -99,3 +112,27 @@
 pub fn come_back_after(draw: u64) -> Millis {
     COME_BACK_MIN + Millis(draw % COME_BACK_SPREAD.0)
 }
+
+/// When a caller is to come back that met an instance without a manifest, `up_for` after its start.
+pub fn come_back_after_start(up_for: Millis, draw: u64) -> Millis {
+    let soonest = (START - up_for).max(COME_BACK_MIN);
+    soonest + Millis(draw % START_SPREAD.0)
+}
+
+/// Tells callers that came back from others while no manifest says how patient callers are at first.
+#[derive(Debug, Default)]
+pub struct Patience {
+    longest: HashMap<String, Millis>,
+}
+
+impl Patience {
+    /// Whether a caller is less patient than another one was that sent the same kind of request.
+    pub fn came_back(&mut self, kind: &str, patience: Millis) -> bool {
+        if self.longest.len() >= MAX_KINDS && !self.longest.contains_key(kind) {
+            return false;
+        }
+        let longest = self.longest.entry(kind.to_owned()).or_default();
+        *longest = patience.max(*longest);
+        patience.0 * 100 < longest.0 * CAME_BACK_PERCENT
+    }
+}
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -1,10 +1,10 @@
 //! Where a request goes: the least loaded target that is near.
 //!
-//! The load of a target is what this instance has under way there, what its neighbours (the entries
-//! of its failure domain) tell of each request at once, and what all others have, as the leader last
-//! told. Targets of the own failure domain are therefore known exactly, and are preferred until they
-//! are nearly full; among far ones chance decides between like costs, because every entry sees the
-//! same old figures.
+//! The load of a target is what this instance has under way there, what its neighbours (other entries
+//! of its region) tell of each request at once, and what all others have, as the leader last told.
+//! Targets of the neighbourhood are therefore known exactly; among others chance decides between like
+//! costs, because every entry sees the same old figures. Near targets are preferred until they are
+//! nearly full.
 
 use std::{
     collections::HashMap,
@@ -43,7 +43,7 @@
 /// What a target in another region costs: the link between regions is narrow, and its delay counts
 /// against the objective.
 const OTHER_REGION: u64 = 2_400;
-/// The most that chance adds to a target of the own failure domain.
+/// The most that chance adds to a target whose load is known exactly.
 const CHANCE_NEAR: u64 = 60;
 /// The most that chance adds to other targets. Without it all entries would choose the same target
 /// until they hear of each other's choice.
@@ -158,6 +158,8 @@
 #[derive(Debug)]
 pub struct Balancer {
     place: Place,
+    /// Whether the neighbours are all entries of the region.
+    whole_region: bool,
     views: HashMap<TargetKey, View>,
     neighbours: HashMap<IpAddr, Neighbour>,
 }
@@ -189,6 +191,7 @@
     pub fn new(place: Place) -> Self {
         Self {
             place,
+            whole_region: false,
             views: HashMap::new(),
             neighbours: HashMap::new(),
         }
@@ -258,12 +261,7 @@
             let avoided = now < view.avoided_until;
             let chance = key.0.wrapping_add(draw).wrapping_mul(GOLDEN) >> 32;
             let distance = self.place.distance(&view.record.domain);
-            let chance = chance
-                % if distance == 0 {
-                    CHANCE_NEAR
-                } else {
-                    CHANCE_FAR
-                };
+            let chance = chance % self.max_chance(distance);
             let cost = crowding(load, view.record.slots) + distance + chance;
             (avoided, full, cost)
         };
@@ -283,6 +281,20 @@
         })
     }
 
+    /// Notes whether the neighbours are all entries of the region.
+    pub fn set_whole_region(&mut self, whole_region: bool) {
+        self.whole_region = whole_region;
+    }
+
+    fn max_chance(&self, distance: u64) -> u64 {
+        let is_exact = match distance {
+            0 => true,
+            OTHER_DOMAIN => self.whole_region,
+            _ => false,
+        };
+        if is_exact { CHANCE_NEAR } else { CHANCE_FAR }
+    }
+
     fn near(&self, key: TargetKey) -> u32 {
         let counts = self
             .neighbours
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -14,7 +14,10 @@
     },
 };
 
-use rand::seq::IndexedRandom as _;
+use rand::seq::{
+    IndexedRandom as _,
+    IteratorRandom as _, //
+};
 use tokio::sync::{
     Notify,
     mpsc, //
@@ -29,6 +32,7 @@
 };
 
 use crate::{
+    admission::Patience,
     balance::{
         Balancer,
         Place, //
@@ -77,6 +81,7 @@
     table: Mutex<Option<Arc<RouteTable>>>,
     targets: Mutex<Targets>,
     balancer: Mutex<Balancer>,
+    patience: Mutex<Patience>,
     leader: Mutex<Option<IpAddr>>,
     ups: Mutex<Option<mpsc::Sender<Up>>>,
     started_at: Millis,
@@ -112,6 +117,7 @@
             table: Mutex::default(),
             targets: Mutex::default(),
             balancer: Mutex::new(Balancer::new(place)),
+            patience: Mutex::default(),
             leader: Mutex::default(),
             ups: Mutex::default(),
             started_at: Millis::unix_now(),
@@ -145,6 +151,11 @@
         lock(&self.balancer)
     }
 
+    /// How patient callers are that came before a manifest was known.
+    pub(crate) fn patience(&self) -> MutexGuard<'_, Patience> {
+        lock(&self.patience)
+    }
+
     /// The routes in force here, if a manifest is known.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         lock(&self.table).clone()
@@ -168,6 +179,8 @@
                 log::info!(version = stored.version, before = current; "manifest in force");
                 *table = Some(Arc::new(new));
                 *lock(&self.manifest) = Some(stored.clone());
+                drop(table);
+                self.room.notify_waiters();
             }
             // It was checked before it was stored.
             Err(error) => {
@@ -232,13 +245,29 @@
 
     /// The leader, or some store that may know it.
     fn whom_to_ask(&self) -> Option<IpAddr> {
-        self.leader().or_else(|| {
-            let stores: Vec<_> = {
-                let book = self.book();
-                book.alive(self.clock.now()).map(|entry| entry.ip).collect()
+        self.leader().or_else(|| self.some_store())
+    }
+
+    fn some_store(&self) -> Option<IpAddr> {
+        let book = self.book();
+        let stores = book.alive(self.clock.now()).map(|entry| entry.ip);
+        stores.choose(&mut rand::rng())
+    }
+
+    /// Whether the leader itself answers. Asks one store, and the leader that it names.
+    pub(crate) async fn reaches_leader(&self, wait: Millis) -> bool {
+        let mut next = self.some_store();
+        for _ in 0..2 {
+            let Some(ip) = next else {
+                return false;
             };
-            stores.choose(&mut rand::rng()).copied()
-        })
+            match self.links.ask(ip, &Ask::Leads, wait).await {
+                Ok(Answer::Done) => return true,
+                Ok(Answer::NotLeader(leader)) => next = leader,
+                Ok(_) | Err(_) => return false,
+            }
+        }
+        false
     }
 
     /// Another entry, which may have a way to the leader that this one lacks.
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -26,7 +26,14 @@
     headers, //
 };
 
-use crate::cx::Cx;
+use crate::{
+    admission::{
+        MANIFEST_WAIT,
+        come_back_after_start, //
+    },
+    cx::Cx,
+    routes::RouteTable,
+};
 
 use super::{
     answer::{
@@ -42,12 +49,6 @@
     online,
 };
 
-/// How long an instance that starts takes to hear of the manifest: an election after a loss of power,
-/// and its followers' first messages.
-const START: Millis = Millis(1_600);
-/// The least time until a caller comes back that met an instance without a manifest.
-const MANIFEST_SOON: Millis = Millis(400);
-
 /// Serves callers for the life of the process.
 ///
 /// # Errors
@@ -68,11 +69,11 @@
 }
 
 async fn handle(cx: Arc<Cx>, req: Request<Incoming>, arrived_at: Millis) -> Answer {
-    let Some(table) = cx.table() else {
-        let soon = (START - arrived_at).max(MANIFEST_SOON);
+    let (head, body) = req.into_parts();
+    let Some(table) = table(&cx, &head, arrived_at).await else {
+        let soon = come_back_after_start(cx.clock.now(), rand::random());
         return refused("no manifest is known yet", soon);
     };
-    let (head, body) = req.into_parts();
     let host = headers::text(&head.headers, &header::HOST)
         .or_else(|| head.uri.host())
         .unwrap_or_default()
@@ -97,6 +98,31 @@
     }
 }
 
+/// The routes in force. A caller that came back waits for them, because it has no attempt left.
+async fn table(cx: &Cx, head: &Parts, arrived_at: Millis) -> Option<Arc<RouteTable>> {
+    if let Some(table) = cx.table() {
+        return Some(table);
+    }
+    let patience = headers::millis(&head.headers, &headers::TIME_LEFT)?;
+    let kind = head.uri.path().split('/').nth(1).unwrap_or_default();
+    if !cx.patience().came_back(kind, patience) {
+        return None;
+    }
+    let until = arrived_at + Millis(patience.0 / 2).min(MANIFEST_WAIT);
+    loop {
+        let changed = cx.room.notified();
+        let left = until - cx.clock.now();
+        if let Some(table) = cx.table() {
+            return Some(table);
+        }
+        if left == Millis::ZERO {
+            return None;
+        }
+        // Either way the loop looks again.
+        let _ = tokio::time::timeout(left.duration(), changed).await;
+    }
+}
+
 /// A request that has been read.
 pub(crate) struct Received {
     pub(super) head: Parts,
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -58,8 +58,11 @@
 const RETRY: Millis = Millis(80);
 /// How often load is told while it changes.
 const REPORT: Millis = Millis(30);
-/// How long the leader is followed through another entry before a direct way is tried again.
-const DETOUR: Millis = Millis(4_000);
+/// How often a direct way is looked for while the leader is followed through another entry. Until it
+/// is found, the leader does not see the load of this entry.
+const LOOK_FOR_DIRECT: Millis = Millis(500);
+/// The pause of a process that has not learnt of any store yet: a round trip in its region.
+const UNTIL_KNOWN: Millis = Millis(10);
 /// Messages to the leader that may wait.
 const WAITING: usize = 256;
 /// How often known stores are exchanged during the first seconds of a process.
@@ -149,7 +152,11 @@
             continue;
         }
         let reached = follow_directly(&cx, &notices).await;
-        // A store that answers knows that there is no leader; another entry has none either.
+        if reached == Reached::NoneKnown {
+            pause(UNTIL_KNOWN).await;
+            continue;
+        }
+        // Stores that name no leader have none, and then other entries have none either.
         if reached == Reached::Nobody
             && cx.settings.callers.is_some()
             && let Some(ip) = cx.other_entry()
@@ -163,10 +170,12 @@
 /// Whom an instance that looked for the leader found.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Reached {
-    /// No store answered.
+    /// No store is known yet, as at the start of a process.
+    NoneKnown,
+    /// No store answered, or only those that named a leader which did not answer.
     Nobody,
-    /// A store answered that does not lead.
-    Store,
+    /// A store answered that knows of no leader.
+    NoLeader,
     /// The leader, which was followed until now.
     Leader,
 }
@@ -178,17 +187,25 @@
         book.alive(cx.clock.now()).map(|entry| entry.ip).collect()
     };
     stores.retain(|ip| *ip != cx.settings.ip);
+    if stores.is_empty() {
+        return Reached::NoneKnown;
+    }
     stores.shuffle(&mut rand::rng());
-    let mut hint = cx.leader();
+    let hinted = cx.leader();
     let mut reached = Reached::Nobody;
-    for ip in stores.into_iter().take(TRIES) {
-        let ip = hint.take().unwrap_or(ip);
-        match follow(cx, notices, ip, Way::Direct).await {
+    for ip in hinted.into_iter().chain(stores.into_iter().take(TRIES)) {
+        let leader = match follow(cx, notices, ip, Way::Direct).await {
             Followed::Until => return Reached::Leader,
-            Followed::Refused(leader) => {
-                reached = Reached::Store;
-                hint = leader.filter(|leader| *leader != ip);
-            }
+            Followed::Refused(leader) => leader.filter(|leader| *leader != ip),
+            Followed::Unreachable => continue,
+        };
+        let Some(leader) = leader else {
+            reached = Reached::NoLeader;
+            continue;
+        };
+        match follow(cx, notices, leader, Way::Direct).await {
+            Followed::Until => return Reached::Leader,
+            Followed::Refused(_) => reached = Reached::NoLeader,
             Followed::Unreachable => {}
         }
     }
@@ -243,7 +260,7 @@
     let why = tokio::select! {
         why = take_in(cx, notices, &mut downs) => why,
         () = report(cx, &tx) => "the way to it is closed",
-        () = until_direct(way) => "a direct way is tried again",
+        () = until_direct(cx, way) => "the leader can be reached directly",
     };
     log::warn!(leader:% = ip, why; "the leader is followed no more");
     cx.relay.set_direct(false);
@@ -271,18 +288,26 @@
                 cx.balancer().set_loads(&loads);
                 cx.room.notify_waiters();
             }
-            Ok(Down::Neighbours(ips)) => cx.neighbours.set(ips),
+            Ok(Down::Neighbours(neighbours)) => {
+                cx.balancer().set_whole_region(neighbours.whole_region);
+                cx.neighbours.set(neighbours.ips.into_iter().collect());
+            }
             Ok(Down::Noted(notice)) => notices.confirm(notice),
             Err(_) => return "a message is malformed",
         }
     }
 }
 
-/// Ends a detour after a while.
-async fn until_direct(way: Way) {
-    match way {
-        Way::Direct => std::future::pending().await,
-        Way::ThroughEntry => pause(DETOUR).await,
+/// Ends a detour once the leader answers directly.
+async fn until_direct(cx: &Cx, way: Way) {
+    if way == Way::Direct {
+        return std::future::pending().await;
+    }
+    loop {
+        pause(LOOK_FOR_DIRECT).await;
+        if cx.reaches_leader(ACCEPT).await {
+            return;
+        }
     }
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,7 +4,7 @@
 //! the state that must survive. The stores replicate one log; its leader knows all targets and what
 //! is under way at them, runs batch items, and tells everyone who follows it.
 //!
-//! The modules that decide ([`admission`], [`balance`], [`routes`], [`schedule`], [`state`],
+//! The modules that decide ([`admission`], [`balance`], [`neighbourhood`], [`routes`], [`schedule`], [`state`],
 //! [`targets`], [`GroupKeeper`]) do no I/O and read no clock.
 
 pub mod admission;
@@ -14,6 +14,7 @@
 pub mod events;
 mod follow;
 mod link;
+pub mod neighbourhood;
 mod neighbours;
 mod relay;
 pub mod routes;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     balance::Load,
+    neighbourhood::Neighbours,
     state::{
         NewJob,
         StoredManifest, //
@@ -67,6 +68,8 @@
     StartRetiring(InstanceName),
     /// How far is that?
     GetRetiring(InstanceName),
+    /// Does this instance lead?
+    Leads,
     /// An entry that cannot reach the stores asks another entry to ask the leader.
     PassOn(Box<Ask>),
 }
@@ -139,9 +142,9 @@
     Targets(Vec<TargetRecord>),
     /// The leader still leads. Work of others at targets where that changed.
     Loads(Vec<(TargetKey, Load)>),
-    /// The other entries of the follower's failure domain. What these have under way is left out of
-    /// the loads.
-    Neighbours(Vec<IpAddr>),
+    /// The entries that tell the follower of each of their requests. What these have under way is left
+    /// out of the loads.
+    Neighbours(Neighbours),
     /// Everyone who follows was told.
     Noted(u64),
 }
--- a/crates/serving/src/neighbours.rs
+++ b/crates/serving/src/neighbours.rs
@@ -1,4 +1,4 @@
-//! What the entries of one failure domain tell each other of every request, by datagram.
+//! What neighbouring entries tell each other of every request, by datagram.
 //!
 //! Datagrams may be lost: each names absolute counts, and a complete report follows twice a second.
 
@@ -38,7 +38,7 @@
 /// Counts in one complete report, so that it fits a datagram.
 const MAX_COUNTS: usize = 500;
 
-/// The way to the other entries of the failure domain.
+/// The way to the neighbours.
 pub(crate) struct Neighbours {
     port: u16,
     started_at: Millis,
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -20,6 +20,9 @@
 const RESERVE: u32 = 2;
 /// Slots of a target that runs make free again once callers have taken the reserve.
 const RESERVE_KEPT: u32 = 1;
+/// How long a new leader starts no items: entries take up to this long to notice that another one
+/// leads and to tell it what they have under way.
+const LOADS_UNKNOWN: Millis = Millis(600);
 /// An item is urgent if less than this is left until its job is due: about twice its run.
 const URGENT: Millis = Millis(9_000);
 
@@ -80,6 +83,11 @@
     pub start: Vec<(ItemKey, TargetKey)>,
 }
 
+/// Whether a leader knows what callers have under way, so that items may start.
+pub fn are_loads_known(leading_for: Millis) -> bool {
+    leading_for >= LOADS_UNKNOWN
+}
+
 /// Plans the next step.
 pub fn plan(
     waiting: &[Waiting],
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         HashMap, //
     },
     net::IpAddr,
@@ -29,6 +30,7 @@
         Up,
         pause, //
     },
+    neighbourhood::Neighbourhoods,
     state::Command,
     targets::{
         Effect,
@@ -48,16 +50,36 @@
 /// How long a target may be silent. It announces itself every 1.2 s, and may be late by seconds.
 const TARGET_SILENCE: Millis = Millis(6_000);
 
+/// An entry that follows.
+struct Entry {
+    ip: IpAddr,
+    domain: FailureDomain,
+    /// The entries that it was told are its neighbours.
+    neighbours: BTreeSet<IpAddr>,
+}
+
 struct Follower {
     tx: mpsc::Sender<Down>,
-    /// Address and failure domain of an entry.
-    entry: Option<(IpAddr, FailureDomain)>,
+    entry: Option<Entry>,
     loads: Vec<(TargetKey, u32)>,
     /// What it was told that others have under way.
     told: BTreeMap<TargetKey, Load>,
     told_at: Millis,
 }
 
+impl Follower {
+    /// The loads that an entry knows without the leader: its own and those of its neighbours.
+    fn told_by_neighbours<'a>(
+        &self,
+        by_entry: &'a HashMap<IpAddr, Vec<(TargetKey, u32)>>,
+    ) -> impl Iterator<Item = &'a (TargetKey, u32)> {
+        let entry = self.entry.as_ref();
+        let ips = entry.map(|one| one.neighbours.iter().copied().chain([one.ip]));
+        let ips: Vec<_> = ips.into_iter().flatten().collect();
+        ips.into_iter().filter_map(|ip| by_entry.get(&ip)).flatten()
+    }
+}
+
 #[derive(Default)]
 struct Inner {
     next: u64,
@@ -66,7 +88,8 @@
     batch: BTreeMap<TargetKey, u32>,
     /// The version of the manifest that followers were told last.
     told_version: u64,
-    led: bool,
+    /// Since when this instance leads, with everything that was noted in the log.
+    led_since: Option<Millis>,
     /// Targets that changed since they were noted in the log.
     unnoted: BTreeMap<TargetName, TargetRecord>,
     /// Where stores were when that was noted in the log.
@@ -97,7 +120,7 @@
     /// Takes a follower in. `None` if this instance does not lead.
     pub(crate) fn follow(&self, tx: mpsc::Sender<Down>) -> Option<u64> {
         // Before the hub has taken up what was noted, a follower would miss targets.
-        if !self.inner().led || !self.replica.holds_lease() {
+        if self.inner().led_since.is_none() || !self.replica.holds_lease() {
             return None;
         }
         let records: Vec<_> = self.cx.targets().records().cloned().collect();
@@ -124,25 +147,30 @@
 
     pub(crate) fn unfollow(&self, follower: u64) {
         let gone = self.inner().followers.remove(&follower);
-        if let Some((_, domain)) = gone.and_then(|gone| gone.entry) {
-            self.tell_neighbours(&domain);
+        if gone.is_some_and(|gone| gone.entry.is_some()) {
+            self.tell_neighbours();
         }
     }
 
-    /// Tells the entries of a failure domain who they are.
-    fn tell_neighbours(&self, domain: &FailureDomain) {
+    /// Tells each entry who its neighbours are, if these have changed.
+    fn tell_neighbours(&self) {
         let mut inner = self.inner();
-        let of_domain = |follower: &Follower| match &follower.entry {
-            Some((ip, of)) if of == domain => Some(*ip),
-            _ => None,
-        };
-        let ips: Vec<_> = inner.followers.values().filter_map(of_domain).collect();
+        let entries = inner
+            .followers
+            .values()
+            .filter_map(|one| one.entry.as_ref());
+        let places: Vec<_> = entries.map(|one| (one.ip, one.domain.clone())).collect();
+        let neighbourhoods = Neighbourhoods::new(&places, &self.cx.settings.regions);
         inner.followers.retain(|_, follower| {
-            let Some(own) = of_domain(follower) else {
+            let Some(entry) = &mut follower.entry else {
                 return true;
             };
-            let others = ips.iter().copied().filter(|ip| *ip != own).collect();
-            follower.tx.try_send(Down::Neighbours(others)).is_ok()
+            let neighbours = neighbourhoods.of(entry.ip, &entry.domain);
+            if neighbours.ips == entry.neighbours {
+                return true;
+            }
+            entry.neighbours.clone_from(&neighbours.ips);
+            follower.tx.try_send(Down::Neighbours(neighbours)).is_ok()
         });
     }
 
@@ -171,9 +199,13 @@
                     return;
                 }
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
-                    follower.entry = Some((ip, domain.clone()));
+                    follower.entry = Some(Entry {
+                        ip,
+                        domain,
+                        neighbours: BTreeSet::new(),
+                    });
                 }
-                self.tell_neighbours(&domain);
+                self.tell_neighbours();
             }
             Up::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
@@ -236,6 +268,12 @@
         online
     }
 
+    /// How long this instance has led.
+    pub(super) fn leading_for(&self, now: Millis) -> Millis {
+        let since = self.inner().led_since;
+        since.map_or(Millis::ZERO, |since| now - since)
+    }
+
     /// Notes the items that are under way at each target.
     pub(super) fn set_batch(&self, batch: BTreeMap<TargetKey, u32>) {
         self.inner().batch = batch;
@@ -246,14 +284,13 @@
     fn tell_loads(&self, now: Millis) {
         let mut inner = self.inner();
         let mut all = BTreeMap::<TargetKey, Load>::new();
-        let mut by_domain = BTreeMap::<FailureDomain, BTreeMap<TargetKey, u32>>::new();
+        let mut by_entry = HashMap::<IpAddr, Vec<(TargetKey, u32)>>::new();
         for follower in inner.followers.values() {
             for (key, count) in &follower.loads {
                 all.entry(*key).or_default().online += count;
-                if let Some((_, domain)) = &follower.entry {
-                    let of_domain = by_domain.entry(domain.clone()).or_default();
-                    *of_domain.entry(*key).or_default() += count;
-                }
+            }
+            if let Some(entry) = &follower.entry {
+                by_entry.insert(entry.ip, follower.loads.clone());
             }
         }
         for (key, count) in &inner.batch {
@@ -261,9 +298,7 @@
         }
         inner.followers.retain(|_, follower| {
             let mut loads = all.clone();
-            let domain = follower.entry.as_ref().map(|(_, domain)| domain);
-            let known = domain.and_then(|domain| by_domain.get(domain));
-            for (key, count) in known.into_iter().flatten() {
+            for (key, count) in follower.told_by_neighbours(&by_entry) {
                 if let Some(load) = loads.get_mut(key) {
                     load.online = load.online.saturating_sub(*count);
                 }
@@ -281,10 +316,10 @@
     fn tick(&self) {
         self.take_manifest();
         let leads = self.replica.holds_lease();
-        let led = self.inner().led;
+        let led = self.inner().led_since.is_some();
         if !leads {
             let mut inner = self.inner();
-            inner.led = false;
+            inner.led_since = None;
             inner.followers.clear();
             return;
         }
@@ -310,7 +345,7 @@
             .read(|state| state.targets().cloned().collect());
         self.cx.merge_targets(noted);
         self.cx.targets().forgive_silence(now);
-        self.inner().led = true;
+        self.inner().led_since = Some(now);
     }
 
     /// Notes in the log what a system that lost power has to find again.
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -172,7 +172,8 @@
             Ask::EndJob(job) => self.propose(Command::End { job }).await,
             Ask::StartRetiring(instance) => self.start_retiring(instance).await,
             Ask::GetRetiring(instance) => self.get_retiring(&instance).await,
-            Ask::PassOn(_) => self.not_leader(),
+            Ask::Leads if self.leads() => Answer::Done,
+            Ask::Leads | Ask::PassOn(_) => self.not_leader(),
         }
     }
 
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -32,6 +32,7 @@
         ItemKey,
         Running,
         Waiting,
+        are_loads_known,
         plan, //
     },
     state::{
@@ -273,6 +274,7 @@
             .filter(|one| !is_running(one.key))
             .collect();
         let online = self.hub.online();
+        let known = are_loads_known(self.hub.leading_for(now));
         let records: HashMap<TargetKey, TargetRecord> = {
             let targets = self.cx.targets();
             let of_service = targets.records().filter(|one| one.service == service);
@@ -287,7 +289,7 @@
                     target: key,
                     slots: record.slots,
                     online: online.get(&key).copied().unwrap_or(0),
-                    accepts: !record.draining && !avoided,
+                    accepts: known && !record.draining && !avoided,
                 }
             })
             .collect();
--- a/crates/serving/tests/all/admission.rs
+++ b/crates/serving/tests/all/admission.rs
@@ -8,7 +8,9 @@
     admission::{
         Asking,
         Decision,
+        Patience,
         come_back_after,
+        come_back_after_start,
         decide, //
     },
     balance::Choice,
@@ -80,3 +82,28 @@
     assert!(returns.len() >= 8, "{returns:?}");
     assert!(returns.iter().all(|tenths| (4..14).contains(tenths)));
 }
+
+/// After a loss of power every instance starts without a manifest. Callers that found no connection
+/// before have no attempt left: they wait, and all others are told when to come back.
+#[test]
+fn callers_that_came_back_are_known_before_a_manifest_is() {
+    let mut patience = Patience::default();
+    assert!(!patience.came_back("drafts", Millis(5_000)));
+    assert!(patience.came_back("drafts", Millis(3_998)));
+    assert!(!patience.came_back("drafts", Millis(5_000)));
+    assert!(!patience.came_back("sheets", Millis(2_000)));
+    assert!(patience.came_back("sheets", Millis(900)));
+}
+
+/// All instances start at the same moment: the callers of their first second must not return at one
+/// moment, nor long after the manifest is known.
+#[test]
+fn returns_after_a_start_are_spread() {
+    let after =
+        |up_for, draw: u64| Millis(up_for) + come_back_after_start(Millis(up_for), draw * 7_919);
+    let mut tenths: Vec<_> = (0..100).map(|draw| after(0, draw).0 / 100).collect();
+    tenths.sort_unstable();
+    tenths.dedup();
+    assert_eq!(tenths, [11, 12, 13, 14]);
+    assert!((0..100).all(|draw| come_back_after_start(Millis(1_600), draw) >= Millis(400)));
+}
--- a/crates/serving/tests/all/herd.rs
+++ b/crates/serving/tests/all/herd.rs
@@ -96,6 +96,53 @@
     assert!(at.values().all(|count| *count <= 8), "{at:?}");
 }
 
+/// The leader is gone, and nobody tells what other failure domains have under way. Entries of two of
+/// them take a burst that fills 120 of the 128 slots of their region, most of it in one domain.
+#[test]
+fn a_burst_while_nobody_leads_overfills_no_engine_of_the_region() {
+    let mut rng = StdRng::seed_from_u64(13);
+    let mut entries: Vec<Balancer> = ["a1", "a1", "a1", "a2", "a2"].map(balancer).into();
+    for entry in &mut entries {
+        entry.set_whole_region(true);
+        for number in 0..16 {
+            entry.set_target(&target(number, if number < 8 { "a1" } else { "a2" }));
+        }
+    }
+    let mut at = HashMap::<TargetKey, u32>::new();
+    for request in 0..120_u64 {
+        let from = rng.random_range(0..entries.len());
+        let choice = entries[from]
+            .choose("llm", &[], rng.random(), NOW)
+            .expect("a target");
+        entries[from].begin(choice.key);
+        *at.entry(choice.key).or_default() += 1;
+        let counts = [(choice.key, entries[from].own(choice.key))];
+        for (number, entry) in entries.iter_mut().enumerate() {
+            if number != from {
+                entry.on_neighbour(ip(from), report(request + 1, &counts), NOW);
+            }
+        }
+    }
+    assert!(at.values().all(|count| *count <= 8), "{at:?}");
+}
+
+/// Entries that know the load of their region exactly need no chance: of two engines of the next
+/// failure domain they choose the emptier one.
+#[test]
+fn exact_loads_of_the_next_domain_are_not_left_to_chance() {
+    let mut entry = balancer("a1");
+    entry.set_whole_region(true);
+    let (busy, idle) = (target(1, "a2"), target(2, "a2"));
+    entry.set_target(&busy);
+    entry.set_target(&idle);
+    let counts = [(busy.key(), 4)];
+    entry.on_neighbour(ip(1), report(1, &counts), NOW);
+    for draw in 0..200 {
+        let choice = entry.choose("llm", &[], draw, NOW).expect("a target");
+        assert_eq!(choice.key, idle.key(), "draw {draw}");
+    }
+}
+
 /// The own failure domain is preferred while it has room, and not beyond.
 #[test]
 fn a_domain_that_is_full_spills_into_the_next_one() {
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod events;
 mod group;
 mod herd;
+mod neighbourhood;
 mod routes;
 mod schedule;
 mod state;
--- a/crates/serving/tests/all/schedule.rs
+++ b/crates/serving/tests/all/schedule.rs
@@ -10,6 +10,7 @@
         ItemKey,
         Running,
         Waiting,
+        are_loads_known,
         plan, //
     },
     targets::TargetKey,
@@ -114,3 +115,13 @@
     assert!(plan.start.is_empty());
     assert!(plan.pause.is_empty());
 }
+
+/// A leader that has just begun sees every engine idle, because no entry has told it of its requests:
+/// items that started then would take the slots of callers. Entries notice after 0.8 s of silence that
+/// the old leader is gone, and a new one leads after 0.45 s at the earliest.
+#[test]
+fn a_leader_that_begins_waits_for_the_loads_of_entries() {
+    assert!(!are_loads_known(Millis::ZERO));
+    assert!(!are_loads_known(Millis(350 + 100)));
+    assert!(are_loads_known(Millis(1_000)));
+}
