Health of targets by name, shared between neighbours; silent targets are suspected early

Each of 24 entries of a region learnt of a failing target by its own requests only, forgot it when the target started anew, and of a silent one after the caller's whole patience of 5 s. If more than half of a service's targets fail, none is avoided.

--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -19,9 +19,12 @@
     record, //
 };
 
-use crate::targets::{
-    TargetKey,
-    TargetRecord, //
+use crate::{
+    health::Health,
+    targets::{
+        TargetKey,
+        TargetRecord, //
+    },
 };
 
 /// Work under way at one target.
@@ -55,10 +58,9 @@
 /// What a batch item costs in comparison with a request of a caller, in percent: it makes way, but
 /// not at once.
 const BATCH_PERCENT: u64 = 75;
-/// How long a target is avoided after it failed a first time. Doubles with each failure in a row.
-const AVOIDED: Millis = Millis(500);
-/// The longest time that a target is avoided: a lost target stops announcing itself by then.
-const AVOIDED_MAX: Millis = Millis(8_000);
+/// The share of a service's targets that may be avoided, in percent. If more fail, it is the load or the
+/// network rather than the targets, and leaving them alone would overload the rest.
+const AVOIDED_PERCENT: usize = 50;
 
 /// How much of the slots of a target is taken, in the eyes of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,8 +98,6 @@
     /// What the neighbours have under way.
     near: u32,
     own: u32,
-    failures: u32,
-    avoided_until: Millis,
 }
 
 impl View {
@@ -161,6 +161,7 @@
     /// Whether the neighbours are all entries of the region.
     whole_region: bool,
     views: HashMap<TargetKey, View>,
+    health: Health,
     neighbours: HashMap<IpAddr, Neighbour>,
 }
 
@@ -184,6 +185,8 @@
     pub complete: bool,
     /// Requests that the entry has under way.
     pub counts: Vec<(TargetKey, u32)>,
+    /// A target at which a request of the entry has just failed.
+    pub failed: Option<TargetKey>,
 }
 
 impl Balancer {
@@ -193,6 +196,7 @@
             place,
             whole_region: false,
             views: HashMap::new(),
+            health: Health::default(),
             neighbours: HashMap::new(),
         }
     }
@@ -213,8 +217,6 @@
             far: Load::default(),
             near,
             own: 0,
-            failures: 0,
-            avoided_until: Millis::ZERO,
         };
         self.views.insert(key, view);
     }
@@ -254,11 +256,19 @@
         now: Millis,
     ) -> Option<Choice> {
         let usable = |view: &&View| view.record.service == service && !view.record.draining;
+        let unsound = |view: &View| self.health.is_avoided(&view.record.name, now);
+        let count = self.views.values().filter(usable).count();
+        let avoided = self
+            .views
+            .values()
+            .filter(usable)
+            .filter(|view| unsound(view));
+        let may_avoid = avoided.count() * 100 <= count * AVOIDED_PERCENT;
         let rank = |view: &View| {
             let load = view.load();
             let key = view.record.key();
             let full = view.room() == Room::Full;
-            let avoided = now < view.avoided_until;
+            let avoided = may_avoid && unsound(view);
             let chance = key.0.wrapping_add(draw).wrapping_mul(GOLDEN) >> 32;
             let distance = self.place.distance(&view.record.domain);
             let chance = chance % self.max_chance(distance);
@@ -327,6 +337,10 @@
             return;
         }
         neighbour.heard_at = now;
+        let failed = report.failed.and_then(|key| self.views.get(&key));
+        if let Some(view) = failed {
+            self.health.failed_at_neighbour(&view.record.name, now);
+        }
         let mut touched: Vec<_> = report.counts.iter().map(|(key, _)| *key).collect();
         if report.complete || report.started_at != neighbour.said.0 {
             touched.extend(neighbour.counts.drain().map(|(key, _)| key));
@@ -337,8 +351,9 @@
         self.refresh_near(touched);
     }
 
-    /// Forgets neighbours that are silent.
-    pub fn expire_neighbours(&mut self, now: Millis) {
+    /// Forgets neighbours that are silent, and failures of long ago.
+    pub fn expire(&mut self, now: Millis) {
+        self.health.expire(now);
         let silent = |one: &Neighbour| now > one.heard_at + NEIGHBOUR_SILENCE;
         let gone = self.neighbours.values().filter(|one| silent(one));
         let touched: Vec<_> = gone.flat_map(|one| one.counts.keys().copied()).collect();
@@ -367,18 +382,15 @@
 
     /// A target did not answer, or not properly.
     pub fn failed(&mut self, key: TargetKey, now: Millis) {
-        if let Some(view) = self.views.get_mut(&key) {
-            let pause = Millis(AVOIDED.0 << view.failures.min(4)).min(AVOIDED_MAX);
-            view.failures += 1;
-            view.avoided_until = now + pause;
+        if let Some(view) = self.views.get(&key) {
+            self.health.failed(&view.record.name, now);
         }
     }
 
     /// A target answered properly.
     pub fn succeeded(&mut self, key: TargetKey) {
-        if let Some(view) = self.views.get_mut(&key) {
-            view.failures = 0;
-            view.avoided_until = Millis::ZERO;
+        if let Some(view) = self.views.get(&key) {
+            self.health.succeeded(&view.record.name);
         }
     }
 }
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -68,6 +68,9 @@
     .await
 }
 
+/// The time that is left for the request itself of a caller that waits for the manifest.
+const TO_SERVE: Millis = Millis(150);
+
 async fn handle(cx: Arc<Cx>, req: Request<Incoming>, arrived_at: Millis) -> Answer {
     let (head, body) = req.into_parts();
     let Some(table) = table(&cx, &head, arrived_at).await else {
@@ -108,7 +111,7 @@
     if !cx.patience().came_back(kind, patience) {
         return None;
     }
-    let until = arrived_at + Millis(patience.0 / 2).min(MANIFEST_WAIT);
+    let until = arrived_at + (patience - TO_SERVE).min(MANIFEST_WAIT);
     loop {
         let changed = cx.room.notified();
         let left = until - cx.clock.now();
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -6,7 +6,10 @@
 //! - A refusal with a status that promises "not run" is sent only if no target may have run it.
 //! - No target is given more time than the caller has left.
 
-use std::sync::Arc;
+use std::{
+    pin::pin,
+    sync::Arc, //
+};
 
 use bytes::Bytes;
 use http::{
@@ -23,6 +26,7 @@
     Full,
     Limited, //
 };
+use tokio::time::timeout;
 use yuccaseam_base::{
     Millis,
     Verdict, //
@@ -39,7 +43,10 @@
         come_back_after,
         decide, //
     },
-    balance::Choice,
+    balance::{
+        Choice,
+        Room, //
+    },
     cx::Cx,
     routes::choose_destination,
     targets::TargetKey,
@@ -68,6 +75,9 @@
 const FRESH: Millis = Millis(4_000);
 /// The least time that a target gets before another one is tried.
 const TRY: Millis = Millis(600);
+/// The least time after which a silent target is suspected: an engine with free slots sends a first event
+/// within some 100 ms.
+const SUSPECTED: Millis = Millis(800);
 /// The largest answer that is not a stream, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
 /// Targets that may turn a request away before its caller is refused.
@@ -108,6 +118,24 @@
         let cx = Arc::clone(cx);
         Self { cx, choice }
     }
+
+    /// Notes that the target failed the request, here and at the neighbours.
+    pub(super) fn note_failed(&self) {
+        let now = self.cx.clock.now();
+        self.cx.balancer().failed(self.choice.key, now);
+        self.cx.neighbours.tell_failed(self.choice.key);
+    }
+
+    /// Notes that the target has been silent for so long that others should not be sent there.
+    pub(super) fn note_silent(&self, request: &str) {
+        if self.choice.room == Room::Full {
+            return;
+        }
+        log::info!(
+            request, target_name:% = self.choice.name, believed_online = self.choice.load.online,
+            believed_batch = self.choice.load.batch; "the target is silent and left alone for now");
+        self.note_failed();
+    }
 }
 
 impl Drop for Slot {
@@ -251,7 +279,7 @@
             }
             let left = asking.max_wait() - asking.waited;
             // Either way the loop looks again.
-            let _ = tokio::time::timeout(left.duration(), room).await;
+            let _ = timeout(left.duration(), room).await;
         }
     }
 
@@ -293,7 +321,8 @@
             };
             let address = slot.choice.address;
             let upstream = Arc::clone(&self.cx.upstream);
-            match upstream.call(address, req, fresh, self.try_wait()).await {
+            let call = upstream.call(address, req, fresh, self.try_wait());
+            match self.watched(&slot, call).await {
                 Ok(call) if is_not_run(&call) => self.rejected(&slot, call)?,
                 Ok(call) if is_sound(&call) => return Ok((slot, call)),
                 Ok(_) => {
@@ -305,6 +334,26 @@
         }
     }
 
+    /// How long a target with free slots may be silent until others are not sent there.
+    pub(super) fn suspected_after(&self) -> Millis {
+        SUSPECTED.max(self.route.objective * 3)
+    }
+
+    /// Waits for a call, and tells others if the target is silent meanwhile.
+    async fn watched<F>(&self, slot: &Slot, call: F) -> F::Output
+    where
+        F: Future,
+    {
+        let mut call = pin!(call);
+        match timeout(self.suspected_after().duration(), &mut call).await {
+            Ok(called) => called,
+            Err(_) => {
+                slot.note_silent(&self.id);
+                call.await
+            }
+        }
+    }
+
     fn rejected(&mut self, slot: &Slot, call: Call) -> Result<(), GiveUp> {
         let status = call.head.status;
         metrics::counter!("yuccaseam_retries_total", "reason" => "rejected").increment(1);
@@ -314,9 +363,7 @@
             reported_load = headers::text(&call.head.headers, &headers::LOAD);
             "the target turned the request away");
         if status == StatusCode::MISDIRECTED_REQUEST {
-            self.cx
-                .balancer()
-                .failed(slot.choice.key, self.cx.clock.now());
+            slot.note_failed();
         }
         self.tried.push(slot.choice.key);
         self.rejections += 1;
@@ -333,9 +380,7 @@
         log::warn!(
             request:% = self.id, target_name:% = slot.choice.name, failure = code,
             verdict = error.verdict.code(); "the target failed");
-        self.cx
-            .balancer()
-            .failed(slot.choice.key, self.cx.clock.now());
+        slot.note_failed();
         self.tried.push(slot.choice.key);
         if error.verdict != Verdict::NotRun {
             self.runs += 1;
@@ -353,7 +398,7 @@
             let status = call.head.status;
             let left = self.deadline - self.now();
             let body = Limited::new(call.body, ANSWER_BYTES).collect();
-            let body = match tokio::time::timeout(left.duration(), body).await {
+            let body = match timeout(left.duration(), body).await {
                 Ok(Ok(body)) => body.to_bytes(),
                 Ok(Err(_)) => {
                     self.failed(&slot, &CallError::may_have_run(Failure::Broken))?;
@@ -365,6 +410,7 @@
                 }
             };
             if status.is_server_error() {
+                slot.note_failed();
                 self.runs += 1;
                 if self.may_repeat() {
                     self.tried.push(slot.choice.key);
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -16,6 +16,7 @@
     Frame,
     Incoming, //
 };
+use tokio::time::timeout;
 use yuccaseam_base::Millis;
 
 use crate::{
@@ -103,8 +104,11 @@
         let Some(source) = self.source.take() else {
             return Err(self.serving.give_up("broken"));
         };
+        if head.status.is_server_error() {
+            source.slot.note_failed();
+        }
         let left = self.serving.deadline - self.serving.cx.clock.now();
-        let body = tokio::time::timeout(left.duration(), source.body.collect()).await;
+        let body = timeout(left.duration(), source.body.collect()).await;
         let Ok(Ok(body)) = body else {
             return Err(self.serving.give_up_after_run("broken"));
         };
@@ -122,7 +126,12 @@
         loop {
             let source = self.source.as_mut()?;
             let wait = self.serving.event_wait();
-            let frame = tokio::time::timeout(wait.duration(), source.body.frame()).await;
+            let suspected = self.serving.suspected_after().min(wait);
+            let mut frame = timeout(suspected.duration(), source.body.frame()).await;
+            if frame.is_err() && suspected < wait {
+                source.slot.note_silent(&self.serving.id);
+                frame = timeout((wait - suspected).duration(), source.body.frame()).await;
+            }
             let next = match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => match self.splitter.push(&data) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,7 +4,7 @@
 //! the state that must survive. The stores replicate one log; its leader knows all targets and what
 //! is under way at them, runs batch items, and tells everyone who follows it.
 //!
-//! The modules that decide ([`admission`], [`balance`], [`neighbourhood`], [`routes`], [`schedule`], [`state`],
+//! The modules that decide ([`admission`], [`balance`], [`health`], [`neighbourhood`], [`routes`], [`schedule`], [`state`],
 //! [`targets`], [`GroupKeeper`]) do no I/O and read no clock.
 
 pub mod admission;
@@ -13,6 +13,7 @@
 mod entry;
 pub mod events;
 mod follow;
+pub mod health;
 mod link;
 pub mod neighbourhood;
 mod neighbours;
--- a/crates/serving/src/neighbours.rs
+++ b/crates/serving/src/neighbours.rs
@@ -72,18 +72,34 @@
     /// Tells the neighbours what is under way at a target.
     pub(crate) fn tell(&self, cx: &Cx, key: TargetKey) {
         let counts = vec![(key, cx.balancer().own(key))];
-        self.send(counts, false);
+        self.send(NeighbourReport {
+            counts,
+            ..self.report()
+        });
     }
 
-    fn send(&self, counts: Vec<(TargetKey, u32)>, complete: bool) {
-        let Some(socket) = self.socket.get() else {
-            return;
-        };
-        let report = NeighbourReport {
+    /// Tells the neighbours that a request failed at a target.
+    pub(crate) fn tell_failed(&self, key: TargetKey) {
+        self.send(NeighbourReport {
+            failed: Some(key),
+            ..self.report()
+        });
+    }
+
+    /// A report that says nothing.
+    fn report(&self) -> NeighbourReport {
+        NeighbourReport {
             started_at: self.started_at.0,
             number: self.number.fetch_add(1, Ordering::Relaxed) + 1,
-            complete,
-            counts,
+            complete: false,
+            counts: Vec::new(),
+            failed: None,
+        }
+    }
+
+    fn send(&self, report: NeighbourReport) {
+        let Some(socket) = self.socket.get() else {
+            return;
         };
         let data = encode(&report);
         let peers = self.peers.lock().expect("no thread panics with the lock");
@@ -139,10 +155,14 @@
         let now = cx.clock.now();
         let mut counts = {
             let mut balancer = cx.balancer();
-            balancer.expire_neighbours(now);
+            balancer.expire(now);
             balancer.report()
         };
         counts.truncate(MAX_COUNTS);
-        cx.neighbours.send(counts, true);
+        cx.neighbours.send(NeighbourReport {
+            complete: true,
+            counts,
+            ..cx.neighbours.report()
+        });
     }
 }
--- a/crates/serving/tests/all/herd.rs
+++ b/crates/serving/tests/all/herd.rs
@@ -43,6 +43,7 @@
         number,
         complete: false,
         counts: counts.to_vec(),
+        failed: None,
     }
 }
 
@@ -213,9 +214,9 @@
     let record = target(1, "a1");
     entry.set_target(&record);
     entry.on_neighbour(ip(1), report(1, &[(record.key(), 8)]), NOW);
-    entry.expire_neighbours(NOW + Millis(1_000));
+    entry.expire(NOW + Millis(1_000));
     assert_matches!(entry.choose("llm", &[], 1, NOW), Some(choice) if choice.load.online == 8);
-    entry.expire_neighbours(NOW + Millis(2_500));
+    entry.expire(NOW + Millis(2_500));
     assert_matches!(entry.choose("llm", &[], 1, NOW), Some(choice) if choice.load.online == 0);
 }
 
@@ -236,6 +237,24 @@
     assert_eq!(choice.key, bad.key());
 }
 
+/// Most targets fail at once: it is the network or the load, and the few others must not get it all.
+#[test]
+fn when_most_targets_fail_none_is_left_alone() {
+    let mut entry = balancer("a1");
+    for number in 0..4 {
+        entry.set_target(&target(number, "a1"));
+    }
+    for number in 0..3 {
+        entry.failed(target(number, "a1").key(), NOW);
+        entry.failed(target(number, "a1").key(), NOW);
+    }
+    for _ in 0..6 {
+        entry.begin(target(3, "a1").key());
+    }
+    let choice = entry.choose("llm", &[], 5, NOW).expect("a target");
+    assert_ne!(choice.key, target(3, "a1").key());
+}
+
 /// When every target failed of late, the least bad one is still tried.
 #[test]
 fn the_last_target_is_not_given_up() {
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod events;
 mod group;
+mod health;
 mod herd;
 mod neighbourhood;
 mod routes;
