Limits of the manifest hold on new connections; a body that does not come is refused; reads that are not sure say 503

Idle time, time and size of a head were constants that happened to be those of the present manifests. A body that stopped halfway held its connection for ever: 408 after the caller's own time, which has not run. A read of results or of the manifest that no quorum confirms is 503, so that readers come back.

--- a/crates/serving/src/entry/batch.rs
+++ b/crates/serving/src/entry/batch.rs
@@ -106,7 +106,11 @@
         BatchCall::ItemBody { job, item } => Ask::ItemBody { job, item },
         BatchCall::End { job } => Ask::EndJob(job),
     };
+    let is_read = !matches!(ask, Ask::EndJob(_));
     match cx.ask_leader(&ask, arrived_at + CALL).await {
+        Some(link::Answer::Unknown) if is_read => {
+            refused("no quorum answered in time", LEADER_SOON)
+        }
         Some(link::Answer::Page(page)) => json(StatusCode::OK, page),
         Some(link::Answer::Body(body)) => text(StatusCode::OK, body),
         Some(link::Answer::Done) => empty(StatusCode::OK),
--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -49,6 +49,7 @@
     },
     http_server::{
         Connections,
+        DEFAULT_LIMITS,
         listen, //
     },
 };
@@ -71,9 +72,12 @@
 ) -> anyhow::Result<()> {
     let cx = Arc::clone(cx);
     let notices = Arc::clone(notices);
-    listen(address, connections, move |req| {
-        handle(Arc::clone(&cx), Arc::clone(&notices), req)
-    })
+    listen(
+        address,
+        connections,
+        || DEFAULT_LIMITS,
+        move |req| handle(Arc::clone(&cx), Arc::clone(&notices), req),
+    )
     .await
 }
 
@@ -155,6 +159,11 @@
         Some(LeaderAnswer::Manifest(None)) => {
             text(StatusCode::SERVICE_UNAVAILABLE, "there is no manifest yet")
         }
+        // Whoever cannot be sure which manifest is the newest names none.
+        Some(LeaderAnswer::Unknown) => text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no quorum answered in time",
+        ),
         other => done_or_unanswered(other),
     }
 }
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -19,6 +19,7 @@
     Limited, //
 };
 use hyper::body::Incoming;
+use tokio::time::timeout;
 use yuccaseam_base::Millis;
 use yuccaseam_platform::{
     BatchCall,
@@ -44,6 +45,7 @@
     batch,
     http_server::{
         Connections,
+        DEFAULT_LIMITS,
         listen, //
     },
     online,
@@ -60,7 +62,12 @@
     connections: &Arc<Connections>,
 ) -> anyhow::Result<()> {
     let cx = Arc::clone(cx);
-    listen(address, connections, move |req| {
+    let known = Arc::clone(&cx);
+    let limits = move || {
+        let table = known.table();
+        table.map_or(DEFAULT_LIMITS, |table| table.limits().into())
+    };
+    listen(address, connections, limits, move |req| {
         let cx = Arc::clone(&cx);
         let arrived_at = cx.clock.now();
         handle(cx, req, arrived_at)
@@ -88,9 +95,12 @@
             None => text(StatusCode::NOT_FOUND, "no route"),
         };
     };
-    let body = match read_body(body, table.limits().body_bytes).await {
-        Ok(body) => body,
-        Err(answer) => return answer,
+    let patience = headers::millis(&head.headers, &headers::TIME_LEFT).unwrap_or(route.timeout);
+    let body = read_body(body, table.limits().body_bytes);
+    let body = match timeout(patience.min(route.timeout).duration(), body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(answer)) => return answer,
+        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
     };
     match route.repeatability {
         Repeatability::Batch if head.method == Method::POST => {
@@ -122,7 +132,7 @@
             return None;
         }
         // Either way the loop looks again.
-        let _ = tokio::time::timeout(left.duration(), changed).await;
+        let _ = timeout(left.duration(), changed).await;
     }
 }
 
--- a/crates/serving/src/entry/http_server.rs
+++ b/crates/serving/src/entry/http_server.rs
@@ -31,6 +31,7 @@
     sync::watch, //
 };
 use yuccaseam_base::Millis;
+use yuccaseam_platform::ClientLimits;
 
 use crate::link::pause;
 
@@ -42,15 +43,38 @@
     },
 };
 
-/// How long a connection may be idle. The platform's clients reuse connections for up to 12 s.
-const IDLE: Millis = Millis(15_000);
-/// How long the head of a request may take. Operators of the platform set 3 s.
-const HEAD: Millis = Millis(3_000);
-/// The largest head of a request, in bytes.
-const HEAD_BYTES: usize = 16_384;
+/// Limits of connections on which no manifest says others: those of the platform's operators.
+pub(super) const DEFAULT_LIMITS: ConnectionLimits = ConnectionLimits {
+    idle: Millis(15_000),
+    head: Millis(3_000),
+    head_bytes: 16_384,
+};
+/// The least buffer that the HTTP library reads heads into, in bytes.
+const LEAST_BUFFER: usize = 8_192;
 /// The pause after an error of accepting, such as too many open files.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
+/// What a client may do on a connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectionLimits {
+    /// How long the connection may be idle.
+    pub(super) idle: Millis,
+    /// How long the head of a request may take.
+    pub(super) head: Millis,
+    /// The largest head of a request, in bytes.
+    pub(super) head_bytes: usize,
+}
+
+impl From<&ClientLimits> for ConnectionLimits {
+    fn from(limits: &ClientLimits) -> Self {
+        Self {
+            idle: limits.idle_timeout,
+            head: limits.header_timeout,
+            head_bytes: limits.header_bytes,
+        }
+    }
+}
+
 /// The connections of this process, which a planned stop closes.
 pub(crate) struct Connections {
     closing: watch::Sender<bool>,
@@ -76,17 +100,19 @@
     }
 }
 
-/// Serves connections at an address for the life of the process.
+/// Serves connections at an address for the life of the process. `limits` says what holds on a new one.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be listened on.
-pub(super) async fn listen<H, F>(
+pub(super) async fn listen<L, H, F>(
     address: SocketAddr,
     connections: &Arc<Connections>,
+    limits: L,
     handler: H,
 ) -> anyhow::Result<()>
 where
+    L: Fn() -> ConnectionLimits + Send + 'static,
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
 {
@@ -105,8 +131,8 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let serving = serve(stream, Arc::clone(&connections), Arc::clone(&handler));
-                    tokio::spawn(serving);
+                    let (connections, handler) = (Arc::clone(&connections), Arc::clone(&handler));
+                    tokio::spawn(serve(stream, connections, limits(), handler));
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "cannot accept a connection");
@@ -118,8 +144,12 @@
     Ok(())
 }
 
-async fn serve<H, F>(stream: TcpStream, connections: Arc<Connections>, handler: Arc<H>)
-where
+async fn serve<H, F>(
+    stream: TcpStream,
+    connections: Arc<Connections>,
+    limits: ConnectionLimits,
+    handler: Arc<H>,
+) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
 {
@@ -137,11 +167,11 @@
             Ok::<_, std::convert::Infallible>(answer)
         }
     });
-    let stream = HeadTimeout::new(stream, state.clone(), HEAD);
+    let stream = HeadTimeout::new(stream, state.clone(), limits.head);
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(IDLE.duration())
-        .max_buf_size(HEAD_BYTES)
+        .header_read_timeout(limits.idle.duration())
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     let mut closing = connections.closing.subscribe();
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -33,7 +33,8 @@
     connections: &Arc<Connections>,
 ) -> anyhow::Result<()> {
     let cx = Arc::clone(cx);
-    http_server::listen(address, connections, move |req| {
+    let limits = || http_server::DEFAULT_LIMITS;
+    http_server::listen(address, connections, limits, move |req| {
         let known = req.method() == Method::GET && req.uri().path() == "/ready";
         let ready = cx.table().is_some() && !cx.is_stopping();
         let status = match (known, ready) {
@@ -59,7 +60,8 @@
 where
     M: Fn() -> String + Send + Sync + 'static,
 {
-    http_server::listen(address, connections, move |req| {
+    let limits = || http_server::DEFAULT_LIMITS;
+    http_server::listen(address, connections, limits, move |req| {
         let known = req.method() == Method::GET && req.uri().path() == "/metrics";
         let answer = if known {
             answer::text(StatusCode::OK, metrics())
