Items that are due soon leave one slot of a target, not two; the soak cuts instances off, steps clocks, spoils disks

An item that is late keeps to two.

The soak: relays between instances (cut, cut one way, late), clocks that jump, disks that are full or stalled, through seams that are environment variables.

--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -50,6 +50,7 @@
     neighbours::Neighbours,
     relay::Relay,
     routes::RouteTable,
+    seams::Seams,
     state::StoredManifest,
     targets::{
         TargetRecord,
@@ -67,6 +68,7 @@
 pub(crate) struct Cx {
     pub(crate) settings: NodeSettings,
     pub(crate) clock: Clock,
+    pub(crate) seams: Seams,
     pub(crate) links: Links,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) neighbours: Neighbours,
@@ -99,16 +101,18 @@
 impl Cx {
     pub(crate) fn new(settings: NodeSettings) -> Self {
         let clock = Clock::start();
+        let seams = Seams::from_env();
+        let started_at = seams.unix_now();
         let place = Place {
             domain: settings.domain.clone(),
             region: settings.region.clone(),
             regions: settings.regions.clone(),
         };
         Self {
-            links: Links::new(settings.first_port),
+            links: Links::new(seams.relay_port.unwrap_or(settings.first_port)),
             upstream: Arc::new(Upstream::new(clock)),
             relay: Relay::default(),
-            neighbours: Neighbours::new(settings.first_port, Millis::unix_now()),
+            neighbours: Neighbours::new(settings.first_port, started_at),
             room: Notify::new(),
             stopping: AtomicBool::new(false),
             seeds: Mutex::new(seed_ips(&settings)),
@@ -120,9 +124,10 @@
             patience: Mutex::default(),
             leader: Mutex::default(),
             ups: Mutex::default(),
-            started_at: Millis::unix_now(),
+            started_at,
             beat: AtomicU64::new(0),
             clock,
+            seams,
             settings,
         }
     }
--- a/crates/serving/src/entry/batch.rs
+++ b/crates/serving/src/entry/batch.rs
@@ -64,7 +64,7 @@
         route: format!("{}{}", route.host, route.path_prefix),
         waiting_limit: route.waiting_tokens,
         max_attempts: route.max_attempts,
-        submitted_at: Millis::unix_now(),
+        submitted_at: cx.seams.unix_now(),
         items: submission.items.into_iter().map(NewItem::from).collect(),
     };
     let answer = cx.ask_leader(&Ask::Submit(job), arrived_at + CALL).await;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod routes;
 mod run;
 pub mod schedule;
+mod seams;
 pub mod state;
 mod store;
 pub mod targets;
--- a/crates/serving/src/link/asking.rs
+++ b/crates/serving/src/link/asking.rs
@@ -61,6 +61,7 @@
 /// Connections to other instances, one each, opened when they are first used.
 #[derive(Debug)]
 pub(crate) struct Links {
+    /// Where other instances listen, or a relay before them.
     port: u16,
     open: Mutex<HashMap<IpAddr, Channel>>,
 }
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -18,6 +18,10 @@
 /// Slots of a target that items leave free when they start: callers that arrive before the runner
 /// hears of them find these.
 const RESERVE: u32 = 2;
+/// The same for an item that is due soon.
+const RESERVE_PRESSING: u32 = 1;
+/// An item is pressing if less than this is left until its job is due: about three times its run.
+const PRESSING: Millis = Millis(13_000);
 /// Slots of a target that runs make free again once callers have taken the reserve.
 const RESERVE_KEPT: u32 = 1;
 /// How long a new leader starts no items: entries take up to this long to notice that another one
@@ -130,6 +134,17 @@
     u32::try_from(stay).unwrap_or(u32::MAX)
 }
 
+/// Slots of a target that an item leaves free when it starts: the fewer, the sooner it is due.
+fn reserve(due_at: Millis, now: Millis) -> u32 {
+    if is_urgent(due_at, now) {
+        0
+    } else if now < due_at && due_at <= now + PRESSING {
+        RESERVE_PRESSING
+    } else {
+        RESERVE
+    }
+}
+
 /// Whether an item can still be on time, if it runs now.
 fn is_urgent(due_at: Millis, now: Millis) -> bool {
     now < due_at && due_at <= now + URGENT
@@ -146,11 +161,7 @@
     // What is late already is worth little more later: it waits for what can still be on time.
     queue.sort_by_key(|item| (item.due_at <= now, item.due_at, !item.begun, item.key));
     for item in queue {
-        let reserve = if is_urgent(item.due_at, now) {
-            0
-        } else {
-            RESERVE
-        };
+        let reserve = reserve(item.due_at, now);
         free.sort_unstable_by(|a, b| b.cmp(a));
         let Some((slots, target)) = free.first_mut() else {
             return;
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -122,7 +122,7 @@
             .data
             .as_ref()
             .context("a store needs a data folder")?;
-        let folder = DataFolder::open(path)
+        let folder = DataFolder::open_in(cx.seams.storage(), path)
             .with_context(|| format!("cannot open the data folder {}", path.display()))?;
         // The identity is random, so that any 64 bits of it are.
         let id = DiskId(folder.identity().0 as u64);
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -198,7 +198,7 @@
             let view = self.jobs.entry(job.id.clone()).or_insert_with(|| {
                 self.next_job += 1;
                 self.names.insert(self.next_job, job.id.clone());
-                let age = Millis::unix_now() - job.submitted_at;
+                let age = self.cx.seams.unix_now() - job.submitted_at;
                 JobView {
                     number: self.next_job,
                     seen_at: now,
--- a/crates/serving/tests/all/schedule.rs
+++ b/crates/serving/tests/all/schedule.rs
@@ -18,6 +18,7 @@
 
 const NOW: Millis = Millis(100_000);
 const FAR: Millis = Millis(118_000);
+const PRESSING: Millis = Millis(112_000);
 const SOON: Millis = Millis(104_000);
 
 fn item(item: u32) -> ItemKey {
@@ -59,6 +60,7 @@
 cases! { starts:
     items_leave_a_reserve_for_callers(0, FAR, 6);
     items_take_what_callers_leave(4, FAR, 2);
+    items_that_are_due_soon_leave_one_slot(4, PRESSING, 3);
     a_burst_of_callers_keeps_items_out(7, FAR, 0);
     items_that_run_out_of_time_use_the_reserve(4, SOON, 4);
     items_that_are_late_already_do_not(4, Millis(99_000), 2);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -48,6 +48,18 @@
     DelayTarget(usize),
     /// A proxy before a target lets nothing back for a while.
     SilenceTarget(usize),
+    /// Nothing passes between an instance and all others, which hold their connections.
+    CutInstance(usize),
+    /// What others send reaches an instance, and nothing that it sends reaches them.
+    MuteInstance(usize),
+    /// What passes between an instance and all others is late.
+    DelayInstance(usize),
+    /// The time of day of an instance jumps ahead or back.
+    StepClock(usize),
+    /// The disk of a store refuses every write.
+    FillDisk(usize),
+    /// The disk of a store answers nothing.
+    StallDisk(usize),
 }
 
 /// A fault and its place in the run.
@@ -68,7 +80,7 @@
     let mut at = Duration::from_millis(500);
     while at < length {
         let which = rng.random_range(0..1_000);
-        let fault = match rng.random_range(0..19) {
+        let fault = match rng.random_range(0..26) {
             0 | 1 => Fault::KillEntry(which),
             2 => Fault::StopEntry(which),
             3 | 4 => Fault::FreezeEntry(which),
@@ -83,6 +95,12 @@
             15 => Fault::RejectAll(which),
             16 => Fault::DelayTarget(which),
             17 => Fault::SilenceTarget(which),
+            18 | 19 => Fault::CutInstance(which),
+            20 => Fault::MuteInstance(which),
+            21 => Fault::DelayInstance(which),
+            22 => Fault::StepClock(which),
+            23 => Fault::FillDisk(which),
+            24 => Fault::StallDisk(which),
             _ => Fault::ChangeManifest,
         };
         let lasts = Duration::from_millis(rng.random_range(100..MAX_DOWN_MS));
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -38,6 +38,18 @@
 /// How long a draining target goes on.
 const DRAIN: Duration = Duration::from_millis(2_500);
 
+const CUT: Shape = Shape {
+    cut: true,
+    delay: Millis::ZERO,
+    bytes_per_second: 0,
+};
+/// A link that is late by more than a region is far.
+const LATE: Shape = Shape {
+    cut: false,
+    delay: Millis(60),
+    bytes_per_second: 0,
+};
+
 struct Behind {
     target: PlatformTarget,
     proxy: Relay,
@@ -64,7 +76,7 @@
         targets: usize,
         ledger: Arc<Ledger>,
     ) -> anyhow::Result<Self> {
-        let system = PlatformSystem::start(number, entries, 3);
+        let system = PlatformSystem::start_behind_relays(number, entries, 3);
         let callers = system.entries.iter().map(|entry| entry.callers()).collect();
         let control = system.control();
         let world = Self {
@@ -168,6 +180,12 @@
                 };
                 self.shape(which, shapes, lasts).await;
             }
+            Fault::CutInstance(which) => self.cut(which, CUT, CUT, lasts).await,
+            Fault::MuteInstance(which) => self.cut(which, CUT, Shape::default(), lasts).await,
+            Fault::DelayInstance(which) => self.cut(which, LATE, LATE, lasts).await,
+            Fault::StepClock(which) => self.step_clock(which, lasts).await?,
+            Fault::FillDisk(which) => self.spoil_disk(which, "full", lasts).await?,
+            Fault::StallDisk(which) => self.spoil_disk(which, "stall", lasts).await?,
             Fault::ChangeManifest => self.change_manifest().await,
         }
         Ok(())
@@ -280,6 +298,56 @@
         proxy.set(Shapes::default());
     }
 
+    /// Shapes what an instance sends to others and what they send to it, over whichever connection.
+    async fn cut(&self, which: usize, out: Shape, back: Shape, lasts: Duration) {
+        let (from, to) = {
+            let system = self.system.lock().await;
+            system.relays_of(which % (system.entries.len() + system.stores.len()))
+        };
+        let set = |out, back| {
+            for relay in &from {
+                relay.set(Shapes {
+                    forward: out,
+                    backward: back,
+                });
+            }
+            for relay in &to {
+                relay.set(Shapes {
+                    forward: back,
+                    backward: out,
+                });
+            }
+        };
+        set(out, back);
+        sleep(lasts).await;
+        set(Shape::default(), Shape::default());
+    }
+
+    async fn step_clock(&self, which: usize, lasts: Duration) -> anyhow::Result<()> {
+        let by_ms = if which.is_multiple_of(2) {
+            4_000
+        } else {
+            -4_000
+        };
+        self.step_clock_by(which, by_ms).await?;
+        sleep(lasts).await;
+        self.step_clock_by(which, 0).await
+    }
+
+    async fn step_clock_by(&self, which: usize, by_ms: i64) -> anyhow::Result<()> {
+        let system = self.system.lock().await;
+        let count = system.entries.len() + system.stores.len();
+        let mut all = system.entries.iter().chain(&system.stores);
+        let instance = all.nth(which % count).context("there are instances")?;
+        Ok(instance.step_clock(by_ms)?)
+    }
+
+    async fn spoil_disk(&self, which: usize, mood: &str, lasts: Duration) -> anyhow::Result<()> {
+        self.system.lock().await.stores[which % 3].set_disk(mood)?;
+        sleep(lasts).await;
+        Ok(self.system.lock().await.stores[which % 3].set_disk("")?)
+    }
+
     async fn change_manifest(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         for to in &self.control {
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -1,6 +1,7 @@
 //! Entries and stores as processes, each on an address of its own of the loopback network.
 
 use std::{
+    collections::HashMap,
     fs,
     net::{
         IpAddr,
@@ -22,7 +23,7 @@
 use tempfile::TempDir;
 
 use crate::{
-    Process, Signal,
+    Process, Relay, Signal,
     cluster::program,
     platform::{
         BATCH,
@@ -39,6 +40,8 @@
 const DOMAINS: [&str; 3] = ["a1", "a2", "b1"];
 /// The port on which instances listen for each other.
 const PEER_PORT: u16 = 17_660;
+/// Where the relays of the first instance listen at the others' addresses; those of the next one follow.
+const RELAY_PORT: u16 = 17_700;
 const CALLERS_PORT: u16 = 17_644;
 const READY_PORT: u16 = 17_640;
 const CONTROL_PORT: u16 = 17_646;
@@ -54,6 +57,8 @@
     pub name: String,
     ip: IpAddr,
     is_store: bool,
+    /// Where it finds the relays before other instances, if there are any.
+    relay_port: Option<u16>,
     settings: PathBuf,
     process: Option<Process>,
     log: PathBuf,
@@ -82,7 +87,14 @@
 
     /// Starts the process.
     pub fn start(&mut self) {
-        let vars = [("YUCCASEAM_NODE_FILE", self.settings.as_path())];
+        let (clock, disk) = (self.seam("clock"), self.seam("disk"));
+        let port = self.relay_port.map(|port| PathBuf::from(port.to_string()));
+        let mut vars = vec![("YUCCASEAM_NODE_FILE", self.settings.as_path())];
+        if let Some(port) = &port {
+            vars.push(("YUCCASEAM_TEST_RELAY_PORT", port));
+            vars.push(("YUCCASEAM_TEST_CLOCK", &clock));
+            vars.push(("YUCCASEAM_TEST_DISK", &disk));
+        }
         let process = Process::start_with(&program("yuccaseamd"), &[], &vars, &self.log);
         self.process = Some(process);
     }
@@ -99,6 +111,28 @@
         self.process = None;
     }
 
+    fn seam(&self, name: &str) -> PathBuf {
+        self.settings.with_extension(name)
+    }
+
+    /// Lets the time of day of the process jump by some ms.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the seam's file cannot be written.
+    pub fn step_clock(&self, by_ms: i64) -> std::io::Result<()> {
+        fs::write(self.seam("clock"), by_ms.to_string())
+    }
+
+    /// Lets the disk be `full` or `stall`, or be sound again if it is neither.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the seam's file cannot be written.
+    pub fn set_disk(&self, mood: &str) -> std::io::Result<()> {
+        fs::write(self.seam("disk"), mood)
+    }
+
     /// Sends a signal, if the process runs.
     pub fn signal(&mut self, signal: Signal) {
         if let Some(process) = self.process.as_mut()
@@ -123,6 +157,8 @@
     pub entries: Vec<Instance>,
     /// The stores.
     pub stores: Vec<Instance>,
+    /// The relays from one instance to another, by their numbers: stores come after entries.
+    relays: HashMap<(usize, usize), Relay>,
     folder: TempDir,
     wiped_at: Option<Instant>,
 }
@@ -134,6 +170,20 @@
     ///
     /// If files cannot be written or processes not started.
     pub fn start(number: u8, entries: usize, stores: usize) -> Self {
+        Self::start_as(number, entries, stores, false)
+    }
+
+    /// Starts a system whose instances reach each other through relays, and whose clocks and disks can
+    /// be made to misbehave.
+    ///
+    /// # Panics
+    ///
+    /// As [`PlatformSystem::start`].
+    pub fn start_behind_relays(number: u8, entries: usize, stores: usize) -> Self {
+        Self::start_as(number, entries, stores, true)
+    }
+
+    fn start_as(number: u8, entries: usize, stores: usize, with_relays: bool) -> Self {
         let folder = tempfile::tempdir().expect("a folder can be made");
         let ip = |at: usize| IpAddr::V4(Ipv4Addr::new(127, 77, number, 1 + at as u8));
         let seeds: Vec<_> = (0..entries.min(3))
@@ -148,6 +198,7 @@
                 name,
                 ip: ip(at),
                 is_store,
+                relay_port: with_relays.then_some(RELAY_PORT + at as u16),
                 settings,
                 process: None,
                 log,
@@ -156,9 +207,13 @@
         let mut system = Self {
             entries: (0..entries).map(|at| instance(at, false)).collect(),
             stores: (0..stores).map(|at| instance(entries + at, true)).collect(),
+            relays: HashMap::new(),
             folder,
             wiped_at: None,
         };
+        if with_relays {
+            system.start_relays(entries + stores, ip);
+        }
         for (at, instance) in system
             .stores
             .iter_mut()
@@ -171,6 +226,35 @@
         system
     }
 
+    fn start_relays<F>(&mut self, instances: usize, ip: F)
+    where
+        F: Fn(usize) -> IpAddr,
+    {
+        for from in 0..instances {
+            for to in (0..instances).filter(|to| *to != from) {
+                let listen = SocketAddr::new(ip(to), RELAY_PORT + from as u16);
+                let upstream = SocketAddr::new(ip(to), PEER_PORT);
+                let relay = Relay::start(&listen.to_string(), upstream);
+                let relay = relay.expect("a relay can be started");
+                self.relays.insert((from, to), relay);
+            }
+        }
+    }
+
+    /// The relays of what one instance sends to others, and of what these send to it.
+    pub fn relays_of(&self, instance: usize) -> (Vec<Relay>, Vec<Relay>) {
+        let all = self.relays.iter();
+        let (mut from, mut to) = (Vec::new(), Vec::new());
+        for ((source, target), relay) in all {
+            if *source == instance {
+                from.push(relay.clone());
+            } else if *target == instance {
+                to.push(relay.clone());
+            }
+        }
+        (from, to)
+    }
+
     /// Tells processes that start from now on that the system has started before.
     ///
     /// # Panics
@@ -319,6 +403,14 @@
     }
 }
 
+impl Drop for PlatformSystem {
+    fn drop(&mut self) {
+        for relay in self.relays.values() {
+            relay.stop();
+        }
+    }
+}
+
 fn write_settings(instance: &Instance, domain: &str, seeds: &[SocketAddr], first: bool) {
     let listen = if instance.is_store {
         json!({})
--- a/crates/testing/src/relay.rs
+++ b/crates/testing/src/relay.rs
@@ -17,6 +17,10 @@
         Arc,
         Condvar,
         Mutex,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
         mpsc, //
     },
     thread,
@@ -78,6 +82,7 @@
 
 #[derive(Debug, Default)]
 struct Shared {
+    stopped: AtomicBool,
     forward: Direction,
     backward: Direction,
     connections: Mutex<HashMap<u16, TcpStream>>,
@@ -110,6 +115,9 @@
         let shared = Arc::clone(&relay.shared);
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
+                if shared.stopped.load(Ordering::Relaxed) {
+                    return;
+                }
                 let shared = Arc::clone(&shared);
                 thread::spawn(move || connect(&shared, client, upstream));
             }
@@ -117,6 +125,13 @@
         Ok(relay)
     }
 
+    /// Takes no more connections, so that another relay can listen in its place.
+    pub fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::Relaxed);
+        // The listener wakes up by this connection. If none opens, it is gone already.
+        drop(TcpStream::connect(self.address));
+    }
+
     /// The address that the relay listens on.
     pub const fn address(&self) -> SocketAddr {
         self.address
