yuccaseam explain: the story and cause of a request from log lines; refusals before a route are logged

On-call engineers had grep. The command merges the lines of one request or job from the logs of several processes, shows what happened to its targets and processes meanwhile, and names the cause.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -11,6 +11,7 @@
 use crate::{
     client::Client,
     exit::Failure,
+    explain,
     flags::YuccaseamCmd, //
 };
 
@@ -33,6 +34,8 @@
         YuccaseamCmd::Orders(_) => orders::list(client, out),
         YuccaseamCmd::Order(flags) => orders::run(client, flags.subcommand, out),
         YuccaseamCmd::Members(_) => members::list(client, out),
+        // It asks no instance and is run before there is a client.
+        YuccaseamCmd::Explain(flags) => explain::run(&flags.id, &flags.file),
         YuccaseamCmd::Member(flags) => members::run(client, flags.subcommand, out),
     }
 }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -127,6 +127,14 @@
             }
         }
 
+        /// The story of one request or batch job, from log lines, and its cause.
+        cmd explain {
+            /// Id of the request or job.
+            required id: String
+            /// Files with the lines of some processes. Default: standard input.
+            repeated file: String
+        }
+
         /// Print the state of the whole system as one JSON document.
         cmd export {}
     }
--- /dev/null
+++ b/crates/cli/tests/all/explain.rs
@@ -0,0 +1,86 @@
+//! The story of a request from log lines alone: as a person reads it, and its cause.
+
+use std::{
+    io::Write as _,
+    process::{
+        Command,
+        Stdio, //
+    },
+};
+
+use yuccaseam_base::cases;
+
+/// What `explain` prints of some lines.
+fn explain(id: &str, lines: &str) -> String {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_yuccaseam"))
+        .args(["explain", id])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the client starts");
+    let mut stdin = child.stdin.take().expect("a pipe");
+    stdin.write_all(lines.as_bytes()).expect("lines are read");
+    drop(stdin);
+    let out = child.wait_with_output().expect("the client ends");
+    String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned()
+}
+
+fn has_cause(lines: &str, expected: &str) {
+    let text = explain("r1", lines);
+    assert!(text.contains(&format!("cause: {expected}")), "{text}");
+}
+
+cases! { has_cause:
+    a_refusal_for_want_of_room(
+        r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request ended","request":"r1","outcome":"given_up","why":"queue_full","loads_age_ms":35,"took_ms":60}"#,
+        "every target of its service was full (loads were told 35 ms before)"
+    );
+    a_refusal_of_an_entry_that_has_just_started(
+        r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"no_manifest","up_for_ms":310}"#,
+        "the entry had no manifest yet, 310 ms after its start"
+    );
+    a_late_answer(
+        r#"edge-1 {"time_ms":2000,"level":"INFO","message":"request ended","request":"r1","outcome":"streamed","target_name":"e7","waited_ms":20,"first_event_ms":520,"believed_online":9,"believed_batch":0,"took_ms":1000}"#,
+        "it was answered by e7: 20 ms until it was sent there, 500 ms until the first event (believed to run 9 requests and 0 items), 1000 ms in all"
+    );
+    an_entry_that_was_killed(
+        concat!(
+            r#"edge-1 {"time_ms":2000,"level":"INFO","message":"the target turned the request away","request":"r1","target_name":"e7"}"#,
+            "\n",
+            r#"edge-1 {"time_ms":2900,"level":"INFO","message":"starting"}"#
+        ),
+        "edge-1 ended without a word and started again 900 ms after the last line"
+    );
+}
+
+/// Files are cut while they are written, and other programs write to the same collector.
+#[test]
+fn cut_and_foreign_lines_are_passed_over() {
+    let lines = concat!(
+        "kernel: link is up\n",
+        r#"edge-1 {"time_ms":1000,"level":"WARN","message":"the target failed","request":"r1","target_name":"e7","failure":"broken"}"#,
+        "\n",
+        r#"store-1 {"time_ms":990,"level":"INFO","message":"target announced","target_name":"e7","number":4}"#,
+        "\n",
+        r#"edge-1 {"time_ms":1001,"level":"INFO","message":"request ended","request":"r1","outcome":"given_up","why":"broken","took_ms":101}"#,
+        "\n",
+        r#"edge-1 {"time_ms":1002,"level":"IN"#,
+    );
+    let text = explain("r1", lines);
+    insta::assert_snapshot!(text, @r"
+    r1
+         +100 ms  edge-1  the target failed  failure=broken  target_name=e7
+         +101 ms  edge-1  request ended  outcome=given_up  took_ms=101  why=broken
+    meanwhile
+          +90 ms  store-1  target announced  number=4  target_name=e7
+    cause: e7 broke off
+    (2 lines were passed over: cut off, or of other programs)
+    ");
+}
+
+#[test]
+fn an_unknown_request_is_an_error() {
+    let text = explain("r2", r#"{"time_ms":1,"message":"starting"}"#);
+    assert!(text.contains("no line is about r2"), "{text}");
+}
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -88,6 +88,8 @@
     pub room: Room,
     /// What was believed to be under way there.
     pub load: Load,
+    /// How long before that the leader told the loads of others.
+    pub loads_age: Millis,
 }
 
 #[derive(Debug)]
@@ -161,6 +163,8 @@
     /// Whether the neighbours are all entries of the region.
     whole_region: bool,
     views: HashMap<TargetKey, View>,
+    /// When the leader told loads last.
+    told_at: Millis,
     health: Health,
     neighbours: HashMap<IpAddr, Neighbour>,
 }
@@ -196,6 +200,7 @@
             place,
             whole_region: false,
             views: HashMap::new(),
+            told_at: Millis::ZERO,
             health: Health::default(),
             neighbours: HashMap::new(),
         }
@@ -230,6 +235,16 @@
         }
     }
 
+    /// Notes that the leader has told all loads that changed.
+    pub fn note_told(&mut self, now: Millis) {
+        self.told_at = now;
+    }
+
+    /// How long ago the leader told loads.
+    pub fn loads_age(&self, now: Millis) -> Millis {
+        now - self.told_at
+    }
+
     /// Forgets what other instances have under way, because another leader counts from now on.
     pub fn forget_loads(&mut self) {
         for view in self.views.values_mut() {
@@ -288,6 +303,7 @@
             slots: best.record.slots,
             room: best.room(),
             load: best.load(),
+            loads_age: self.loads_age(now),
         })
     }
 
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -82,6 +82,9 @@
     let (head, body) = req.into_parts();
     let Some(table) = table(&cx, &head, arrived_at).await else {
         let soon = come_back_after_start(cx.clock.now(), rand::random());
+        log::info!(
+            request = request_id(&head), why = "no_manifest", up_for_ms = cx.clock.now().0,
+            come_back_ms = soon.0; "request refused");
         return refused("no manifest is known yet", soon);
     };
     let host = headers::text(&head.headers, &header::HOST)
@@ -92,22 +95,47 @@
     let Some(route) = table.find(&host, &path) else {
         return match BatchCall::parse(&head.method, &path, head.uri.query()) {
             Some(call) => batch::call(&cx, call, &head, arrived_at).await,
-            None => text(StatusCode::NOT_FOUND, "no route"),
+            None => {
+                log::info!(
+                    request = request_id(&head), why = "no_route", manifest = table.version(), host, path;
+                    "request refused");
+                text(StatusCode::NOT_FOUND, "no route")
+            }
         };
     };
     let patience = headers::millis(&head.headers, &headers::TIME_LEFT).unwrap_or(route.timeout);
     let body = read_body(body, table.limits().body_bytes);
     let body = match timeout(patience.min(route.timeout).duration(), body).await {
         Ok(Ok(body)) => body,
-        Ok(Err(answer)) => return answer,
-        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+        Ok(Err(answer)) => {
+            log::info!(
+                request = request_id(&head), why = "bad_body", status = answer.status().as_u16();
+                "request refused");
+            return answer;
+        }
+        Err(_) => {
+            log::info!(request = request_id(&head), why = "body_late"; "request refused");
+            return text(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
+        }
     };
     match route.repeatability {
         Repeatability::Batch if head.method == Method::POST => {
             batch::submit(&cx, route, &host, &head, &body, arrived_at).await
         }
         Repeatability::Batch => text(StatusCode::METHOD_NOT_ALLOWED, "jobs are sent by POST"),
-        _ => online::serve(cx, route.clone(), Received::new(head, body, arrived_at)).await,
+        _ => {
+            online::serve(
+                cx,
+                route.clone(),
+                Received {
+                    head,
+                    body,
+                    arrived_at,
+                    manifest: table.version(),
+                },
+            )
+            .await
+        }
     }
 }
 
@@ -141,23 +169,21 @@
     pub(super) head: Parts,
     pub(super) body: Bytes,
     pub(super) arrived_at: Millis,
+    /// The version of the manifest that chose its route.
+    pub(super) manifest: u64,
 }
 
 impl Received {
-    fn new(head: Parts, body: Bytes, arrived_at: Millis) -> Self {
-        Self {
-            head,
-            body,
-            arrived_at,
-        }
-    }
-
     /// Names the request in logs.
     pub(super) fn id(&self) -> &str {
-        headers::text(&self.head.headers, &headers::REQUEST_ID).unwrap_or("-")
+        request_id(&self.head)
     }
 }
 
+fn request_id(head: &Parts) -> &str {
+    headers::text(&head.headers, &headers::REQUEST_ID).unwrap_or("-")
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Answer> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -151,6 +151,8 @@
     pub(super) cx: Arc<Cx>,
     pub(super) route: Route,
     pub(super) id: String,
+    /// The version of the manifest that chose its route.
+    manifest: u64,
     head: Parts,
     body: Bytes,
     service: String,
@@ -191,6 +193,7 @@
         Some(Self {
             cx,
             id,
+            manifest: req.manifest,
             head,
             body: req.body,
             service,
@@ -234,6 +237,7 @@
         log::info!(
             request:% = self.id, route:% = self.route.name, outcome = "given_up", why,
             verdict = give_up.verdict.code(), runs = self.runs, rejections = self.rejections,
+            manifest = self.manifest, loads_age_ms = self.cx.balancer().loads_age(self.now()).0,
             took_ms = (self.now() - self.arrived_at).0; "request ended");
         give_up
     }
@@ -435,7 +439,8 @@
         log::info!(
             request:% = self.id, route:% = self.route.name, target_name:% = slot.choice.name,
             status = status.as_u16(), believed_online = slot.choice.load.online,
-            believed_batch = slot.choice.load.batch, runs = self.runs, outcome,
+            believed_batch = slot.choice.load.batch, loads_age_ms = slot.choice.loads_age.0,
+            manifest = self.manifest, runs = self.runs, outcome,
             waited_ms = (self.sent_at - self.arrived_at).0,
             first_event_ms = self.first_event_at.map(|at| (at - self.arrived_at).0),
             took_ms = took.0; "request ended");
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -285,7 +285,10 @@
             Ok(Down::Manifest(manifest)) => cx.apply_manifest(&manifest),
             Ok(Down::Targets(records)) => cx.merge_targets(records),
             Ok(Down::Loads(loads)) => {
-                cx.balancer().set_loads(&loads);
+                let mut balancer = cx.balancer();
+                balancer.set_loads(&loads);
+                balancer.note_told(cx.clock.now());
+                drop(balancer);
                 cx.room.notify_waiters();
             }
             Ok(Down::Neighbours(neighbours)) => {
