Manifests are compressed in the log and on their way; a connection holds one round trip of the region link

While large manifests come in quick succession the leader sends each to 29 instances of the other region over 60 Mbit/s; from 23.4 to 27 s the link is full, leaders are not heard, and connections to targets of the other region do not open within 250 ms: 755 of 1,484 requests of seconds 24 and 25 are late. The window of a connection was twice what the link holds; it is once that now.

--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -94,6 +94,11 @@
     mutex.lock().expect("no thread panics with the lock")
 }
 
+fn read_manifest(stored: &StoredManifest) -> anyhow::Result<RouteTable> {
+    let manifest = Manifest::decode(&stored.unpack()?)?;
+    Ok(RouteTable::new(manifest)?)
+}
+
 fn seed_ips(settings: &NodeSettings) -> Vec<IpAddr> {
     settings.seeds.iter().map(|seed| seed.ip()).collect()
 }
@@ -178,8 +183,7 @@
         if current.is_some_and(|version| version >= stored.version) {
             return;
         }
-        let decoded = Manifest::decode(&stored.body).map_err(anyhow::Error::from);
-        match decoded.and_then(|manifest| Ok(RouteTable::new(manifest)?)) {
+        match read_manifest(stored) {
             Ok(new) => {
                 log::info!(version = stored.version, before = current; "manifest in force");
                 *table = Some(Arc::new(new));
--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -142,10 +142,7 @@
             return text(StatusCode::BAD_REQUEST, error.to_string());
         }
     };
-    let stored = StoredManifest {
-        version,
-        body: body.to_vec(),
-    };
+    let stored = StoredManifest::pack(version, &body);
     let until = cx.clock.now() + CALL;
     let answer = cx.ask_leader(&Ask::PutManifest(stored), until).await;
     log::info!(version, done = (answer == Some(LeaderAnswer::Done)); "manifest handed in");
@@ -155,7 +152,16 @@
 async fn get_manifest(cx: &Cx) -> Answer {
     let until = cx.clock.now() + CALL;
     match cx.ask_leader(&Ask::GetManifest, until).await {
-        Some(LeaderAnswer::Manifest(Some(stored))) => json(StatusCode::OK, stored.body),
+        Some(LeaderAnswer::Manifest(Some(stored))) => match stored.unpack() {
+            Ok(body) => json(StatusCode::OK, body),
+            Err(error) => {
+                log::error!(version = stored.version, error:% = error; "manifest unreadable");
+                text(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "the manifest is unreadable",
+                )
+            }
+        },
         Some(LeaderAnswer::Manifest(None)) => {
             text(StatusCode::SERVICE_UNAVAILABLE, "there is no manifest yet")
         }
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -97,7 +97,7 @@
             Some(call) => batch::call(&cx, call, &head, arrived_at).await,
             None => {
                 log::info!(
-                    request = request_id(&head), why = "no_route", manifest = table.version(), host, path;
+                    request = request_id(&head), why = "no_route", manifest = table.version(), host:%, path:%;
                     "request refused");
                 text(StatusCode::NOT_FOUND, "no route")
             }
--- a/crates/serving/src/link/asking.rs
+++ b/crates/serving/src/link/asking.rs
@@ -36,9 +36,9 @@
 /// The largest message between instances, in bytes.
 pub(crate) const MAX_MESSAGE: usize = 32 << 20;
 
-/// Bytes under way in one direction of a connection: twice what the link between regions holds in a
-/// round trip (60 Mbit/s, 40 ms). More would keep heartbeats waiting behind a snapshot.
-pub(crate) const WINDOW: u32 = 600 << 10;
+/// Bytes under way in one direction of a connection: what the link between regions holds in a round trip
+/// (60 Mbit/s, 40 ms). More would keep heartbeats and new connections waiting behind a snapshot.
+pub(crate) const WINDOW: u32 = 300 << 10;
 
 /// Why a question has no answer.
 #[derive(Debug)]
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -8,6 +8,7 @@
 
 mod command;
 mod job;
+mod stored_manifest;
 
 pub use command::{
     Advance,
@@ -23,6 +24,7 @@
     Item,
     Job, //
 };
+pub use stored_manifest::StoredManifest;
 
 use std::{
     collections::{
@@ -41,15 +43,6 @@
 
 use crate::targets::TargetRecord;
 
-/// A manifest as its operator sent it.
-#[record]
-pub struct StoredManifest {
-    /// Its version.
-    pub version: u64,
-    /// Its bytes.
-    pub body: Vec<u8>,
-}
-
 /// The replicated state. Equal commands in equal order make equal states.
 #[record]
 #[derive(Default)]
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -295,8 +295,8 @@
             .collect();
         let plan = plan(&waiting, &running, &capacities, now);
         for key in plan.pause {
-            log::info!(
-                job = self.names.get(&key.job), item = key.item; "batch item makes way");
+            let job = self.names.get(&key.job).map(String::as_str);
+            log::info!(job, item = key.item; "batch item makes way");
             self.runs.retain(|_, run| run.key != key);
             metrics::counter!("yuccaseam_batch_runs_total", "outcome" => "paused").increment(1);
         }
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -1,6 +1,11 @@
 //! The replicated state: accepted once, listed once, never back.
 
 use assert_matches::assert_matches;
+use rand::{
+    Rng as _,
+    SeedableRng as _,
+    rngs::StdRng, //
+};
 use yuccaseam_base::{
     Machine as _,
     Millis, //
@@ -62,10 +67,7 @@
 }
 
 fn manifest(version: u64, body: &str) -> Command {
-    Command::PutManifest(StoredManifest {
-        version,
-        body: body.as_bytes().to_vec(),
-    })
+    Command::PutManifest(StoredManifest::pack(version, body.as_bytes()))
 }
 
 #[test]
@@ -74,7 +76,32 @@
     for (version, body) in [(3, "three"), (2, "two"), (3, "other")] {
         assert_eq!(state.apply(manifest(version, body)), Outcome::Done);
     }
-    assert_matches!(state.manifest(), Some(held) if held.body == b"three");
+    let held = state.manifest().and_then(|held| held.unpack().ok());
+    assert_eq!(held.as_deref(), Some(&b"three"[..]));
+}
+
+/// At each change a manifest goes to some thirty instances of the other region, over 60 Mbit/s. In a quarter
+/// of a second, a tenth of the time within which it must be in force, 1.9 MB pass: 62 KB for each of them.
+#[test]
+fn a_manifest_of_many_routes_fits_the_link_between_regions() {
+    let mut rng = StdRng::seed_from_u64(9);
+    let routes: Vec<_> = (0..2_000)
+        .map(|number| {
+            let (host, prefix) = (rng.random::<u32>(), rng.random::<u32>());
+            format!(
+                r#"{{"name":"r-{number}","host":"h{host:x}.example","path_prefix":"/p{prefix:x}/","type":"safe","timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"llm","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":500}}"#
+            )
+        })
+        .collect();
+    let body = format!(r#"{{"version":7,"routes":[{}]}}"#, routes.join(","));
+    let packed = StoredManifest::pack(7, body.as_bytes());
+    assert!(
+        packed.packed_len() <= 62_000,
+        "{} of {} bytes",
+        packed.packed_len(),
+        body.len()
+    );
+    assert_eq!(packed.unpack().ok().as_deref(), Some(body.as_bytes()));
 }
 
 #[test]
