--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -44,7 +44,7 @@
     fn decay(&mut self, now: Millis) {
         while self.score > 0 && now >= self.scored_at + HALVES {
             self.score /= 2;
-            self.scored_at = self.scored_at + HALVES;
+            self.scored_at += HALVES;
         }
         if self.score == 0 {
             self.scored_at = now;
