--- /dev/null
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -0,0 +1,144 @@
+//! Entries and stores as processes with the platform's settings, against stand-ins that speak its
+//! protocol. Each system has a loopback network of its own.
+
+mod control;
+mod jobs;
+mod lifecycle;
+mod limits;
+mod online;
+
+use std::{
+    future::Future,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use http::Method;
+use tokio::runtime::Runtime;
+use yuccaseam_testing::platform::{
+    BATCH,
+    Behaviour,
+    HOST,
+    PlatformSystem,
+    PlatformTarget,
+    Reply,
+    send, //
+};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct World {
+    system: PlatformSystem,
+    targets: Vec<PlatformTarget>,
+}
+
+/// Runs a test against a system of three entries and three stores that serves.
+fn with_world<F, T>(number: u8, targets: usize, test: F)
+where
+    F: FnOnce(World) -> T,
+    T: Future<Output = ()>,
+{
+    let runtime = Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let system = PlatformSystem::start(number, 3, 3);
+        let mut started = Vec::new();
+        for at in 0..targets {
+            let domain = ["a1", "a2", "b1"][at % 3];
+            let name = format!("engine-{at}");
+            let target = PlatformTarget::start(&name, "llm", domain, 8, system.control()).await;
+            started.push(target.expect("a target starts"));
+        }
+        assert!(
+            system.put_manifest(1).await,
+            "the first manifest is accepted"
+        );
+        assert!(system.wait_until_serving().await, "every entry serves");
+        test(World {
+            system,
+            targets: started,
+        })
+        .await;
+    });
+}
+
+impl World {
+    fn behave(&self, behaviour: &Behaviour) {
+        for target in &self.targets {
+            target.behave(behaviour.clone());
+        }
+    }
+
+    fn store_logs(&self) -> String {
+        let logs = self.system.stores.iter().map(|store| store.log());
+        logs.collect::<Vec<_>>().join("\n")
+    }
+
+    /// Whether the disk with which a store started for the second time is one of three voters.
+    fn votes_again(&self, store: usize) -> bool {
+        let log = self.system.stores[store].log();
+        if log.matches("the replica has started").count() < 2 {
+            return false;
+        }
+        let disk = field(&log, "the replica has started", "disk");
+        let groups = self.system.stores.iter().filter_map(|store| {
+            let log = store.log();
+            field(&log, "the group has changed", "voters")
+        });
+        disk.is_some_and(|disk| {
+            let mut groups = groups;
+            groups.any(|voters| voters.split(',').count() == 3 && voters.contains(&disk))
+        })
+    }
+
+    /// How often a request ran.
+    fn runs_of(&self, id: &str) -> usize {
+        let runs = self.targets.iter().flat_map(PlatformTarget::runs);
+        runs.filter(|run| run.id == id).count()
+    }
+
+    async fn batch(&self, entry: usize, method: Method, path: &str, id: &str, body: &str) -> Reply {
+        let headers = [("host", HOST), ("request-id", id), ("wait-ms", "500")];
+        let to = self.system.entries[entry].callers();
+        let sent = send(to, method, path, &headers, body, PATIENCE).await;
+        sent.expect("an answer comes")
+    }
+
+    /// Reads a job from the start until all of its results are there.
+    async fn results(&self, entry: usize, job: &str, count: usize) -> serde_json::Value {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let path = format!("/lots/{job}?after=0");
+            let reply = self.batch(entry, Method::GET, &path, "-", "").await;
+            if reply.status == 200 {
+                let page: serde_json::Value =
+                    serde_json::from_str(&reply.body).expect("a page is JSON");
+                if page["next"] == count {
+                    return page;
+                }
+            }
+            assert!(
+                Instant::now() < until,
+                "results are missing: {}\n{}",
+                reply.body,
+                self.store_logs()
+            );
+        }
+    }
+}
+
+/// A field of the last line of a log with this message.
+fn field(log: &str, message: &str, name: &str) -> Option<String> {
+    let lines = log.lines().rev();
+    let mut lines = lines.filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    let line = lines.find(|line| line["message"] == message)?;
+    line[name].as_str().map(str::to_owned)
+}
+
+fn job(id: &str, items: usize) -> String {
+    let items: Vec<_> = (0..items)
+        .map(|at| format!(r#"{{"id":"{id}-{at}","path":"{BATCH}{at}","body":"aGk=","tokens":10}}"#))
+        .collect();
+    format!(r#"{{"items":[{}]}}"#, items.join(","))
+}
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -241,6 +241,15 @@
         }
     }
 
+    /// The relay of what one instance sends to another.
+    ///
+    /// # Panics
+    ///
+    /// If the system has no relays, or no such instances.
+    pub fn relay(&self, from: usize, to: usize) -> &Relay {
+        &self.relays[&(from, to)]
+    }
+
     /// The relays of what one instance sends to others, and of what these send to it.
     pub fn relays_of(&self, instance: usize) -> (Vec<Relay>, Vec<Relay>) {
         let all = self.relays.iter();
