hub: neighbours are computed once a tick, however many entries come and go; docs

With one computation for each of N entries that join or leave, N of which compare N domains each, a region that loses power costs the leader N cubed comparisons: 27 million at 300 entries.

--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -84,6 +84,8 @@
 struct Inner {
     next: u64,
     followers: HashMap<u64, Follower>,
+    /// Whether entries have come or gone since they were told who their neighbours are.
+    neighbours_changed: bool,
     /// Items under way at each target.
     batch: BTreeMap<TargetKey, u32>,
     /// The version of the manifest that followers were told last.
@@ -148,13 +150,16 @@
     pub(crate) fn unfollow(&self, follower: u64) {
         let gone = self.inner().followers.remove(&follower);
         if gone.is_some_and(|gone| gone.entry.is_some()) {
-            self.tell_neighbours();
+            self.inner().neighbours_changed = true;
         }
     }
 
-    /// Tells each entry who its neighbours are, if these have changed.
+    /// Tells each entry who its neighbours are, if these have changed. Many entries come and go at once.
     fn tell_neighbours(&self) {
         let mut inner = self.inner();
+        if !std::mem::take(&mut inner.neighbours_changed) {
+            return;
+        }
         let entries = inner
             .followers
             .values()
@@ -205,7 +210,7 @@
                         neighbours: BTreeSet::new(),
                     });
                 }
-                self.tell_neighbours();
+                self.inner().neighbours_changed = true;
             }
             Up::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
@@ -335,6 +340,7 @@
             }
             self.tell_all_targets(gone);
         }
+        self.tell_neighbours();
         self.tell_loads(now);
     }
 
