--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -133,7 +133,7 @@
         }
         log::info!(
             request, target_name:% = self.choice.name, believed_online = self.choice.load.online,
-            believed_batch = self.choice.load.batch; "the target is silent and left alone for now");
+            believed_batch = self.choice.load.batch; "the target is silent and avoided for now");
         self.note_failed();
     }
 }
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -291,9 +291,9 @@
                 drop(balancer);
                 cx.room.notify_waiters();
             }
-            Ok(Down::Neighbours(neighbours)) => {
-                cx.balancer().set_whole_region(neighbours.whole_region);
-                cx.neighbours.set(neighbours.ips.into_iter().collect());
+            Ok(Down::Neighbours(neighbourhood)) => {
+                cx.balancer().set_whole_region(neighbourhood.whole_region);
+                cx.neighbours.set(neighbourhood.ips.into_iter().collect());
             }
             Ok(Down::Noted(notice)) => notices.confirm(notice),
             Err(_) => return "a message is malformed",
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     balance::Load,
-    neighbourhood::Neighbours,
+    neighbourhood::Neighbourhood,
     state::{
         NewJob,
         StoredManifest, //
@@ -144,7 +144,7 @@
     Loads(Vec<(TargetKey, Load)>),
     /// The entries that tell the follower of each of their requests. What these have under way is left
     /// out of the loads.
-    Neighbours(Neighbours),
+    Neighbours(Neighbourhood),
     /// Everyone who follows was told.
     Noted(u64),
 }
--- a/crates/serving/src/neighbourhood.rs
+++ b/crates/serving/src/neighbourhood.rs
@@ -22,9 +22,9 @@
 /// 1% of a core.
 const MAX_TOGETHER: usize = 32;
 
-/// The neighbours of one entry.
+/// The entries that tell one entry of their requests.
 #[record]
-pub struct Neighbours {
+pub struct Neighbourhood {
     /// Their addresses.
     pub ips: BTreeSet<IpAddr>,
     /// Whether they are all entries of the region, so that the load of its targets is known exactly.
@@ -47,7 +47,7 @@
     }
 
     /// The neighbours of the entry at an address.
-    pub fn of(&self, ip: IpAddr, domain: &FailureDomain) -> Neighbours {
+    pub fn of(&self, ip: IpAddr, domain: &FailureDomain) -> Neighbourhood {
         let region = self.regions.get(domain);
         let in_region = |of: &FailureDomain| region.is_some() && self.regions.get(of) == region;
         let count = self.entries.iter().filter(|(_, of)| in_region(of)).count();
@@ -55,7 +55,7 @@
         let near = |of: &FailureDomain| of == domain || (whole_region && in_region(of));
         let near = self.entries.iter().filter(|(_, of)| near(of));
         let ips = near.map(|(ip, _)| *ip).filter(|other| *other != ip);
-        Neighbours {
+        Neighbourhood {
             ips: ips.collect(),
             whole_region,
         }
--- a/crates/serving/src/seams.rs
+++ b/crates/serving/src/seams.rs
@@ -66,19 +66,19 @@
     pub(crate) fn storage(&self) -> Arc<dyn Storage> {
         match &self.disk {
             None => Arc::new(Disk),
-            Some(path) => Arc::new(FaultyDisk(Mood(path.as_path().into()))),
+            Some(path) => Arc::new(FaultyDisk(Condition(path.as_path().into()))),
         }
     }
 }
 
 /// How a disk behaves at present.
 #[derive(Clone, Debug)]
-struct Mood(Arc<Path>);
+struct Condition(Arc<Path>);
 
-impl Mood {
-    /// A file that is missing or being written is no mood.
-    fn is(&self, mood: &str) -> bool {
-        fs::read_to_string(&self.0).is_ok_and(|text| text.trim() == mood)
+impl Condition {
+    /// A file that is missing or being written is no condition.
+    fn is(&self, condition: &str) -> bool {
+        fs::read_to_string(&self.0).is_ok_and(|text| text.trim() == condition)
     }
 
     /// Fails while the disk is full.
@@ -98,12 +98,12 @@
 }
 
 #[derive(Debug)]
-struct FaultyDisk(Mood);
+struct FaultyDisk(Condition);
 
 impl FaultyDisk {
     fn file(&self, inner: Arc<dyn StorageFile>) -> Arc<dyn StorageFile> {
-        let mood = self.0.clone();
-        Arc::new(FaultyFile { inner, mood })
+        let condition = self.0.clone();
+        Arc::new(FaultyFile { inner, condition })
     }
 }
 
@@ -146,7 +146,7 @@
 #[derive(Debug)]
 struct FaultyFile {
     inner: Arc<dyn StorageFile>,
-    mood: Mood,
+    condition: Condition,
 }
 
 impl StorageFile for FaultyFile {
@@ -159,7 +159,7 @@
     }
 
     fn write_at(&self, buf: &[u8], offset: u64) -> io::Result<()> {
-        self.mood.check_room()?;
+        self.condition.check_room()?;
         self.inner.write_at(buf, offset)
     }
 
@@ -168,7 +168,7 @@
     }
 
     fn sync(&self) -> io::Result<()> {
-        self.mood.wait();
+        self.condition.wait();
         self.inner.sync()
     }
 }
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -170,12 +170,15 @@
             let Some(entry) = &mut follower.entry else {
                 return true;
             };
-            let neighbours = neighbourhoods.of(entry.ip, &entry.domain);
-            if neighbours.ips == entry.neighbours {
+            let neighbourhood = neighbourhoods.of(entry.ip, &entry.domain);
+            if neighbourhood.ips == entry.neighbours {
                 return true;
             }
-            entry.neighbours.clone_from(&neighbours.ips);
-            follower.tx.try_send(Down::Neighbours(neighbours)).is_ok()
+            entry.neighbours.clone_from(&neighbourhood.ips);
+            follower
+                .tx
+                .try_send(Down::Neighbours(neighbourhood))
+                .is_ok()
         });
     }
 
--- a/crates/serving/tests/all/neighbourhood.rs
+++ b/crates/serving/tests/all/neighbourhood.rs
@@ -31,10 +31,10 @@
         })
         .collect();
     let (ip, domain) = &entries[0];
-    let neighbours = Neighbourhoods::new(&entries, &regions).of(*ip, domain);
-    assert_eq!(neighbours.ips.len(), expected);
-    assert_eq!(neighbours.whole_region, whole_region);
-    assert!(!neighbours.ips.contains(ip));
+    let neighbourhood = Neighbourhoods::new(&entries, &regions).of(*ip, domain);
+    assert_eq!(neighbourhood.ips.len(), expected);
+    assert_eq!(neighbourhood.whole_region, whole_region);
+    assert!(!neighbourhood.ips.contains(ip));
 }
 
 cases! { has_neighbours:
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -184,8 +184,8 @@
             Fault::MuteInstance(which) => self.cut(which, CUT, Shape::default(), lasts).await,
             Fault::DelayInstance(which) => self.cut(which, LATE, LATE, lasts).await,
             Fault::StepClock(which) => self.step_clock(which, lasts).await?,
-            Fault::FillDisk(which) => self.spoil_disk(which, "full", lasts).await?,
-            Fault::StallDisk(which) => self.spoil_disk(which, "stall", lasts).await?,
+            Fault::FillDisk(which) => self.disturb_disk(which, "full", lasts).await?,
+            Fault::StallDisk(which) => self.disturb_disk(which, "stall", lasts).await?,
             Fault::ChangeManifest => self.change_manifest().await,
         }
         Ok(())
@@ -342,8 +342,13 @@
         Ok(instance.step_clock(by_ms)?)
     }
 
-    async fn spoil_disk(&self, which: usize, mood: &str, lasts: Duration) -> anyhow::Result<()> {
-        self.system.lock().await.stores[which % 3].set_disk(mood)?;
+    async fn disturb_disk(
+        &self,
+        which: usize,
+        condition: &str,
+        lasts: Duration,
+    ) -> anyhow::Result<()> {
+        self.system.lock().await.stores[which % 3].set_disk(condition)?;
         sleep(lasts).await;
         Ok(self.system.lock().await.stores[which % 3].set_disk("")?)
     }
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -129,8 +129,8 @@
     /// # Errors
     ///
     /// Fails if the seam's file cannot be written.
-    pub fn set_disk(&self, mood: &str) -> std::io::Result<()> {
-        fs::write(self.seam("disk"), mood)
+    pub fn set_disk(&self, condition: &str) -> std::io::Result<()> {
+        fs::write(self.seam("disk"), condition)
     }
 
     /// Sends a signal, if the process runs.
