--- a/crates/serving/src/neighbourhood.rs
+++ b/crates/serving/src/neighbourhood.rs
@@ -18,8 +18,8 @@
 };
 
 /// Entries of one region that tell each other of every request. In a larger region those of a failure
-/// domain do. At nine requests a second and entry, 32 of them cost an entry 560 datagrams a second, about
-/// 1% of a core.
+/// domain do. On a grown deployment 24 of them use 0.017 cores each, and 0.009 if only those of a failure
+/// domain tell each other; the cost grows with their number.
 const MAX_TOGETHER: usize = 32;
 
 /// The entries that tell one entry of their requests.
