--- a/crates/daemon/tests/all/platform/lifecycle.rs
+++ b/crates/daemon/tests/all/platform/lifecycle.rs
@@ -1,7 +1,11 @@
 //! Processes that stop, are killed, or lose their disks.
 
 use std::{
-    io::ErrorKind,
+    io::{
+        self,
+        ErrorKind, //
+    },
+    net::SocketAddr,
     time::{
         Duration,
         Instant, //
@@ -19,6 +23,7 @@
         HOST,
         ONCE,
         PlatformSystem,
+        Reply,
         SAFE,
         expected_events,
         send, //
@@ -31,6 +36,17 @@
     with_world,
 };
 
+/// A stream that may run once, as a caller gets it.
+async fn stream_once(entry: SocketAddr) -> io::Result<Reply> {
+    let headers = [
+        ("host", HOST),
+        ("request-id", "s1"),
+        ("deadline-ms", "5000"),
+    ];
+    let path = format!("{ONCE}1");
+    send(entry, Method::POST, &path, &headers, "", PATIENCE).await
+}
+
 /// The leader does not see the load of an entry that follows it through another one.
 #[test]
 fn an_entry_that_starts_again_follows_the_leader_itself() {
@@ -59,22 +75,7 @@
             ..Behaviour::default()
         });
         let entry = world.system.entries[0].callers();
-        let call = tokio::spawn(async move {
-            let headers = [
-                ("host", HOST),
-                ("request-id", "s1"),
-                ("deadline-ms", "5000"),
-            ];
-            send(
-                entry,
-                Method::POST,
-                &format!("{ONCE}1"),
-                &headers,
-                "",
-                PATIENCE,
-            )
-            .await
-        });
+        let call = tokio::spawn(stream_once(entry));
         tokio::time::sleep(Duration::from_millis(300)).await;
         world.system.entries[0].signal(Signal::Term);
         let reply = call.await.expect("the call ends").expect("an answer comes");
@@ -156,22 +157,7 @@
             ..Behaviour::default()
         });
         let entry = world.system.entries[0].callers();
-        let long = tokio::spawn(async move {
-            let headers = [
-                ("host", HOST),
-                ("request-id", "s1"),
-                ("deadline-ms", "5000"),
-            ];
-            send(
-                entry,
-                Method::POST,
-                &format!("{ONCE}1"),
-                &headers,
-                "",
-                PATIENCE,
-            )
-            .await
-        });
+        let long = tokio::spawn(stream_once(entry));
         tokio::time::sleep(Duration::from_millis(200)).await;
         world.system.entries[0].signal(Signal::Term);
         tokio::time::sleep(Duration::from_millis(3_500)).await;
--- a/crates/serving/tests/all/herd.rs
+++ b/crates/serving/tests/all/herd.rs
@@ -47,6 +47,27 @@
     }
 }
 
+/// How many requests of a burst go to each target, if they come to random entries and each entry tells
+/// all others at once.
+fn burst(entries: &mut [Balancer], requests: u64, rng: &mut StdRng) -> HashMap<TargetKey, u32> {
+    let mut at = HashMap::<TargetKey, u32>::new();
+    for request in 0..requests {
+        let from = rng.random_range(0..entries.len());
+        let choice = entries[from]
+            .choose("llm", &[], rng.random(), NOW)
+            .expect("a target");
+        entries[from].begin(choice.key);
+        *at.entry(choice.key).or_default() += 1;
+        let counts = [(choice.key, entries[from].own(choice.key))];
+        for (number, entry) in entries.iter_mut().enumerate() {
+            if number != from {
+                entry.on_neighbour(ip(from), report(request + 1, &counts), NOW);
+            }
+        }
+    }
+    at
+}
+
 /// Forty entries that have heard nothing of each other choose among twenty far targets of like load
 /// at the same moment. A deterministic choice sends all of them to one.
 #[test]
@@ -78,21 +99,7 @@
             entry.set_target(&target(number, "a1"));
         }
     }
-    let mut at = HashMap::<TargetKey, u32>::new();
-    for request in 0..60_u64 {
-        let from = rng.random_range(0..entries.len());
-        let choice = entries[from]
-            .choose("llm", &[], rng.random(), NOW)
-            .expect("a target");
-        entries[from].begin(choice.key);
-        *at.entry(choice.key).or_default() += 1;
-        let counts = [(choice.key, entries[from].own(choice.key))];
-        for (number, entry) in entries.iter_mut().enumerate() {
-            if number != from {
-                entry.on_neighbour(ip(from), report(request + 1, &counts), NOW);
-            }
-        }
-    }
+    let at = burst(&mut entries, 60, &mut rng);
     assert_eq!(at.len(), 8);
     assert!(at.values().all(|count| *count <= 8), "{at:?}");
 }
@@ -109,21 +116,7 @@
             entry.set_target(&target(number, if number < 8 { "a1" } else { "a2" }));
         }
     }
-    let mut at = HashMap::<TargetKey, u32>::new();
-    for request in 0..120_u64 {
-        let from = rng.random_range(0..entries.len());
-        let choice = entries[from]
-            .choose("llm", &[], rng.random(), NOW)
-            .expect("a target");
-        entries[from].begin(choice.key);
-        *at.entry(choice.key).or_default() += 1;
-        let counts = [(choice.key, entries[from].own(choice.key))];
-        for (number, entry) in entries.iter_mut().enumerate() {
-            if number != from {
-                entry.on_neighbour(ip(from), report(request + 1, &counts), NOW);
-            }
-        }
-    }
+    let at = burst(&mut entries, 120, &mut rng);
     assert!(at.values().all(|count| *count <= 8), "{at:?}");
 }
 
