serving: the later start owns an address in whichever order records arrive

Cause: a leader that starts reads the recorded targets in the order of their names. A record of a target that had crashed took the address from the target that had started there since, which then counted as departed, so that its announcements were stale for good. Evicted targets were neither told to followers nor recorded, and a target that was only silent for 6 s could never come back. Ruled out: slow recovery of the leader (loads were 0 to 80 ms old), full targets before the loss. Change: conflicts of addresses are decided by the start; evicted records are sent and recorded; an expired target takes work again once it announces itself; entries apply only records that are newer than what they know. Two tests fail before.

--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -272,7 +272,7 @@
         draw: u64,
         now: Millis,
     ) -> Option<Choice> {
-        let is_usable = |view: &&View| view.record.service == service && !view.record.draining;
+        let is_usable = |view: &&View| view.record.service == service && view.record.takes_work();
         let is_unhealthy = |view: &View| self.health.is_avoided(&view.record.name, now);
         let count = self.views.values().filter(is_usable).count();
         let avoided = self
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -198,21 +198,24 @@
         }
     }
 
-    /// Merges target records into the target table and the balancer.
-    pub(crate) fn merge_targets(&self, records: Vec<TargetRecord>) {
+    /// Merges target records into the target table and the balancer. Returns those that changed.
+    pub(crate) fn merge_targets(&self, records: Vec<TargetRecord>) -> Vec<TargetRecord> {
         let now = self.clock.now();
         let mut targets = self.targets();
         let mut balancer = self.balancer();
-        for record in records {
-            balancer.set_target(&record);
-            if targets.merge(record.clone(), now) {
-                log::info!(
-                    target_name:% = record.name, service:% = record.service, number = record.number,
-                    draining = record.draining, left = record.left; "target changed");
-            }
+        let merged = records
+            .into_iter()
+            .flat_map(|record| targets.merge(record, now));
+        let changed: Vec<_> = merged.collect();
+        for record in &changed {
+            balancer.set_target(record);
+            log::info!(
+                target_name:% = record.name, service:% = record.service, number = record.number,
+                draining = record.draining, left = record.left; "target changed");
         }
         drop(balancer);
         self.availability_changed.notify_waiters();
+        changed
     }
 
     /// Merges the stores known to a peer and returns all known stores, including this instance if
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -309,7 +309,7 @@
         }
         match message {
             Ok(LeaderMessage::Manifest(manifest)) => cx.apply_manifest(&manifest),
-            Ok(LeaderMessage::Targets(records)) => cx.merge_targets(records),
+            Ok(LeaderMessage::Targets(records)) => drop(cx.merge_targets(records)),
             Ok(LeaderMessage::Loads(loads)) => {
                 let mut balancer = cx.balancer();
                 balancer.apply_loads(&loads);
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -233,11 +233,14 @@
     fn announce(&self, record: TargetRecord) {
         let now = self.cx.clock.now();
         let effect = self.cx.targets().apply_announcement(record, now);
-        if let AnnouncementOutcome::Changed(record) = effect {
-            log::info!(
-                target_name:% = record.name, service:% = record.service, number = record.number,
-                address:% = record.address, draining = record.draining; "target announced");
-            self.broadcast_targets(vec![record]);
+        if let AnnouncementOutcome::Changed(records) = effect {
+            for record in &records {
+                log::info!(
+                    target_name:% = record.name, service:% = record.service, number = record.number,
+                    address:% = record.address, draining = record.draining, left = record.left;
+                    "target announced");
+            }
+            self.broadcast_targets(records);
         }
     }
 
@@ -360,7 +363,12 @@
         let recorded: Vec<_> = self
             .replica
             .read(|state| state.targets().cloned().collect());
-        self.cx.merge_targets(recorded);
+        // Some records name targets that have lost their address since. Recorded again, they no
+        // longer do.
+        let changed = self.cx.merge_targets(recorded);
+        let departed = changed.into_iter().filter(TargetRecord::has_departed);
+        let named = departed.map(|record| (record.name.clone(), record));
+        self.inner().unrecorded.extend(named);
         self.cx.targets().reset_timeouts(now);
         self.inner().leader_since = Some(now);
     }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -273,7 +273,7 @@
                     target: key,
                     slots: record.slots,
                     online: online.get(&key).copied().unwrap_or(0),
-                    accepts: loads_known && !record.draining && !in_cooldown,
+                    accepts: loads_known && record.takes_work() && !in_cooldown,
                 }
             })
             .collect();
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -4,8 +4,10 @@
 //!
 //! - Of two announcements of a target, the one of the later start wins; within one start, the one
 //!   with the higher number.
-//! - A target that is draining or has left takes no new work until it restarts.
-//! - Of two targets with one address, the one that started later owns it.
+//! - A target that is draining or has left takes no new work until it restarts. One that expired
+//!   takes work again once it announces itself.
+//! - Of two targets with one address, the one that started later owns it, in whichever order their
+//!   records arrive. The other one has left.
 
 use std::collections::BTreeMap;
 
@@ -51,7 +53,8 @@
     pub number: u64,
     /// Whether the target takes no new work.
     pub draining: bool,
-    /// Whether the target has left or expired. Later announcements of the same start are stale.
+    /// Whether the target is gone. If it is draining too, it left by itself or lost its address, and
+    /// later announcements of the same start are stale; otherwise it expired.
     pub left: bool,
 }
 
@@ -60,6 +63,33 @@
     pub fn key(&self) -> TargetKey {
         TargetKey::new(&self.name, self.started_at)
     }
+
+    /// Whether the target takes new work.
+    pub fn takes_work(&self) -> bool {
+        !self.draining && !self.left
+    }
+
+    /// Whether this start of the target is gone for good.
+    pub(crate) fn has_departed(&self) -> bool {
+        self.draining && self.left
+    }
+
+    /// Order of the records of one target: the greater one is newer.
+    fn version(&self) -> impl Ord + use<> {
+        let departed = self.has_departed();
+        (
+            self.started_at,
+            departed,
+            self.draining,
+            self.number,
+            self.left,
+        )
+    }
+
+    fn depart(&mut self) {
+        self.left = true;
+        self.draining = true;
+    }
 }
 
 impl From<Announcement> for TargetRecord {
@@ -85,8 +115,9 @@
     Stale,
     /// Only the target's timeout was renewed.
     Renewed,
-    /// The target is new or has changed.
-    Changed(TargetRecord),
+    /// The target is new or has changed. Its record comes first, then those of targets that lost
+    /// their address to it.
+    Changed(Vec<TargetRecord>),
 }
 
 #[derive(Debug)]
@@ -117,55 +148,40 @@
         }
         if let Some(tracked) = self.by_name.get_mut(&record.name) {
             let old = &tracked.record;
-            let version = |record: &TargetRecord| (record.started_at, record.number);
-            if version(&record) <= version(old) {
+            if (record.started_at, record.number) <= (old.started_at, old.number) {
                 return AnnouncementOutcome::Stale;
             }
             if record.started_at == old.started_at {
-                if old.left {
+                if old.has_departed() {
                     return AnnouncementOutcome::Stale;
                 }
                 record.draining |= old.draining;
-                tracked.last_seen = now;
-                let changed = has_changed(old, &record);
-                tracked.record = record.clone();
-                return if changed {
-                    AnnouncementOutcome::Changed(record)
-                } else {
-                    AnnouncementOutcome::Renewed
-                };
+                if !has_changed(old, &record) {
+                    tracked.last_seen = now;
+                    tracked.record = record;
+                    return AnnouncementOutcome::Renewed;
+                }
             }
         }
-        self.insert(record.clone(), now);
-        AnnouncementOutcome::Changed(record)
+        AnnouncementOutcome::Changed(self.insert(record, now))
     }
 
     /// Marks a target as departed, at its own request.
     pub fn mark_left(&mut self, name: &TargetName, now: Millis) -> Option<TargetRecord> {
         let tracked = self.by_name.get_mut(name)?;
         tracked.last_seen = now;
-        tracked.record.draining = true;
-        tracked.record.left = true;
+        tracked.record.depart();
         Some(tracked.record.clone())
     }
 
-    /// Merges a record of another instance. Returns whether it was newer than the known one.
-    pub fn merge(&mut self, record: TargetRecord, now: Millis) -> bool {
-        let newer = self.by_name.get(&record.name).is_none_or(|tracked| {
-            let version = |record: &TargetRecord| {
-                (
-                    record.started_at,
-                    record.left,
-                    record.draining,
-                    record.number,
-                )
-            };
-            version(&record) > version(&tracked.record)
-        });
-        if newer {
-            self.insert(record, now);
+    /// Merges a record of another instance. Returns the records that changed: none if the known one
+    /// is as new.
+    pub fn merge(&mut self, record: TargetRecord, now: Millis) -> Vec<TargetRecord> {
+        let known = self.by_name.get(&record.name);
+        if known.is_some_and(|tracked| tracked.record.version() >= record.version()) {
+            return Vec::new();
         }
-        newer
+        self.insert(record, now)
     }
 
     fn is_address_taken(&self, record: &TargetRecord) -> bool {
@@ -177,12 +193,22 @@
         })
     }
 
-    fn insert(&mut self, record: TargetRecord, now: Millis) {
-        for tracked in self.by_name.values_mut() {
-            let other = &mut tracked.record;
-            if other.address == record.address && other.name != record.name {
-                other.left = true;
-                other.draining = true;
+    /// Inserts a record, and returns it and the records of targets that lose their address to it. If
+    /// the address belongs to a target that started later, the record is marked as departed.
+    fn insert(&mut self, mut record: TargetRecord, now: Millis) -> Vec<TargetRecord> {
+        if self.is_address_taken(&record) {
+            record.depart();
+        }
+        let mut changed = vec![record.clone()];
+        if !record.left {
+            for tracked in self.by_name.values_mut() {
+                let other = &mut tracked.record;
+                let same_address = other.address == record.address;
+                if same_address && other.name != record.name && !other.has_departed() {
+                    other.depart();
+                    tracked.last_seen = now;
+                    changed.push(other.clone());
+                }
             }
         }
         let tracked = TrackedTarget {
@@ -190,6 +216,7 @@
             last_seen: now,
         };
         self.by_name.insert(tracked.record.name.clone(), tracked);
+        changed
     }
 
     /// Restarts the timeout of every target, because this instance did not receive announcements
@@ -200,13 +227,12 @@
         }
     }
 
-    /// Marks targets that sent no announcement within `timeout` as departed, and returns them.
+    /// Marks targets that sent no announcement within `timeout` as expired, and returns them.
     pub fn expire(&mut self, timeout: Millis, now: Millis) -> Vec<TargetRecord> {
         let mut expired = Vec::new();
         for tracked in self.by_name.values_mut() {
             if !tracked.record.left && now > tracked.last_seen + timeout {
                 tracked.record.left = true;
-                tracked.record.draining = true;
                 expired.push(tracked.record.clone());
             }
         }
--- a/crates/serving/tests/all/targets.rs
+++ b/crates/serving/tests/all/targets.rs
@@ -73,7 +73,10 @@
         started_at: 2,
         ..numbered(1)
     };
-    assert_matches!(targets.apply_announcement(restarted, NOW), AnnouncementOutcome::Changed(record) if !record.draining);
+    assert_matches!(
+        targets.apply_announcement(restarted, NOW),
+        AnnouncementOutcome::Changed(records) if records[0].takes_work()
+    );
 }
 
 #[test]
@@ -87,9 +90,10 @@
         started_at: 2,
         ..old.clone()
     };
+    // Followers and the log must be told that the old target is gone.
     assert_matches!(
         targets.apply_announcement(new, NOW),
-        AnnouncementOutcome::Changed(_)
+        AnnouncementOutcome::Changed(records) if records.len() == 2 && !records[1].takes_work()
     );
     let late = TargetRecord { number: 7, ..old };
     assert_eq!(
@@ -120,13 +124,62 @@
     let mut targets = Targets::default();
     let mut draining = numbered(2);
     draining.draining = true;
-    assert!(targets.merge(draining, NOW));
-    assert!(!targets.merge(numbered(5), NOW), "a drain is not undone");
+    assert_eq!(targets.merge(draining, NOW).len(), 1);
+    assert!(
+        targets.merge(numbered(5), NOW).is_empty(),
+        "a drain is not undone"
+    );
     let other: SocketAddr = "10.9.9.9:1".parse().expect("an address");
     let restarted = TargetRecord {
         started_at: 3,
         address: other,
         ..numbered(1)
     };
-    assert!(targets.merge(restarted, NOW));
+    assert_eq!(targets.merge(restarted, NOW).len(), 1);
+}
+
+/// A leader that starts after a power loss merges the recorded targets in the order of their names,
+/// and some records are of targets whose address has been taken over since.
+#[test]
+fn records_merged_in_any_order_leave_the_address_to_the_later_start() {
+    let old = target(1, "a1");
+    let new = TargetRecord {
+        name: TargetName::from("engine-0"),
+        started_at: 2,
+        ..old.clone()
+    };
+    for records in [[old.clone(), new.clone()], [new.clone(), old]] {
+        let mut targets = Targets::default();
+        for record in records {
+            targets.merge(record, NOW);
+        }
+        let live: Vec<_> = targets.records().filter(|record| !record.left).collect();
+        assert_matches!(live.as_slice(), [record] if record.name == new.name);
+        let renewed = TargetRecord {
+            number: 9,
+            ..new.clone()
+        };
+        assert_eq!(
+            targets.apply_announcement(renewed, NOW),
+            AnnouncementOutcome::Renewed
+        );
+    }
+}
+
+/// The announcements of a sound target are lost for longer than its timeout, as when it is cut off.
+#[test]
+fn expired_target_that_announces_itself_again_takes_work() {
+    let mut targets = Targets::default();
+    targets.apply_announcement(numbered(1), NOW);
+    let expired_at = NOW + Millis(7_000);
+    assert_eq!(targets.expire(Millis(6_000), expired_at).len(), 1);
+    assert_matches!(
+        targets.apply_announcement(numbered(2), expired_at),
+        AnnouncementOutcome::Changed(_)
+    );
+    assert!(
+        targets
+            .records()
+            .all(|record| !record.left && !record.draining)
+    );
 }
