serving: requests queue only where they are on time; items of a vanished leader count

Change: a request joins a queue only if its response is expected within three quarters of its objective, from measured service times, and only for a request of its entry that has ended; waiting requests look again one at a time; late retries take free slots only where several are free; loads of other failure domains count one more; items count as not preemptible while the leader is silent, and as callers' load for 4 s after it vanished; connections within the region have 70 ms; a target on probation gets one request at a time; items that cannot be on time come after those that can. Of the tests of admission, those of the two old depths of queues were replaced: the depth now follows from the expected response.

--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -1,10 +1,11 @@
 //! Admission control: sends a request to a target, lets it wait for a slot, or refuses it.
 //!
-//! A stream occupies its slot for most of a second, so a full fleet frees a slot every few
-//! milliseconds and a short wait usually finds one. Beyond that, an early refusal with a retry time
-//! is better: a response after the objective is worth little, and a request that is refused early
-//! can still be served on time at its second attempt. A retry has no further attempt and waits
-//! longer.
+//! A response after the objective is worth little, and queues at targets make every later response
+//! late. A request therefore joins the queue of a full target only if its response is expected within
+//! the objective, from the time that a slot at that target takes to become free. The others wait a
+//! short time for a free slot and are then refused: early, so that a second attempt can be on time.
+//! A retry has no further attempt and waits longer. Once it can no longer be on time it gets free slots
+//! only, so that it makes no other request late.
 
 use std::collections::HashMap;
 
@@ -18,16 +19,29 @@
     Choice, //
 };
 
-/// Requests of first attempts that may queue at a target beyond its slots. One slot in eight frees
-/// within a tenth of a second.
-const MAX_QUEUED_FIRST_ATTEMPT: u32 = 2;
-/// Requests of retries, which have no further attempt, that may queue at a target beyond its slots.
-const MAX_QUEUED_RETRY: u32 = 6;
+/// Most requests that may queue at a target beyond its slots. A target rejects requests beyond some
+/// two dozen.
+const MAX_QUEUED: u32 = 12;
+/// Most credits that an instance keeps for later requests.
+const MAX_QUEUE_CREDITS: u32 = 2;
+/// Free slots that a target must have before it gets a request that is late in any case. Fewer are
+/// taken by requests that can be on time.
+const LATE_REQUEST_FREE_SLOTS: u32 = 2;
+/// Share of the objective within which a response must be expected, in percent. The rest covers the
+/// variance of the time until a slot is free, and loads that are known late.
+const TARGET_RESPONSE_PERCENT: u64 = 75;
+/// Shortest delay between two decisions on a first attempt.
+const FIRST_ATTEMPT_RECHECK_DELAY: Millis = Millis(20);
+/// Shortest delay between two decisions on a retry. Many of them wait at the same time, and long.
+const RETRY_RECHECK_DELAY: Millis = Millis(100);
+/// Weight of one sample in a moving average, as a divisor.
+const SAMPLE_DIVISOR: u64 = 8;
 /// Longest wait of a first attempt, in percent of its objective. A refusal counts as early within a
 /// quarter.
 const FIRST_ATTEMPT_WAIT_PERCENT: u64 = 20;
-/// Longest wait of a retry, in percent of its objective.
-const RETRY_WAIT_PERCENT: u64 = 150;
+/// Longest wait of a retry, in percent of its objective. Callers abandon a stream that does not begin
+/// within some four objectives.
+const RETRY_WAIT_PERCENT: u64 = 300;
 /// Share of a route's timeout, or of the largest known caller timeout, below which the caller
 /// timeout of a request marks it as a retry, in percent.
 const RETRY_TIMEOUT_PERCENT: u64 = 97;
@@ -68,6 +82,12 @@
         self.caller_timeout.0 * 100 < self.timeout.0 * RETRY_TIMEOUT_PERCENT
     }
 
+    /// Time since its arrival within which the response must be expected to begin, if the request is
+    /// to queue at a target.
+    fn target_response(&self) -> Millis {
+        Millis(self.objective.0 * TARGET_RESPONSE_PERCENT / 100)
+    }
+
     /// Longest time that the request may wait for a slot.
     pub fn max_wait(&self) -> Millis {
         let percent = if self.is_retry() {
@@ -77,6 +97,18 @@
         };
         Millis(self.objective.0 * percent / 100).min(Millis(self.caller_timeout.0 / 2))
     }
+
+    /// Delay until a waiting request is decided on again, unless a slot that its instance held becomes
+    /// free. `draw` is uniform over all values. Without jitter, the requests that wait at all instances
+    /// would take a slot that becomes free at the same moment.
+    pub fn recheck_delay(&self, draw: u64) -> Millis {
+        let min = if self.is_retry() {
+            RETRY_RECHECK_DELAY
+        } else {
+            FIRST_ATTEMPT_RECHECK_DELAY
+        };
+        min + Millis(draw % (min.0 * 2))
+    }
 }
 
 /// Admission decision for a request.
@@ -90,18 +122,55 @@
     Refuse,
 }
 
-/// Decides on a request, given its best target.
-pub fn decide(request: &SlotRequest, best: Option<&Choice>) -> Decision {
-    if let Some(best) = best {
-        let max_queued = if request.is_retry() {
-            MAX_QUEUED_RETRY
-        } else {
-            MAX_QUEUED_FIRST_ATTEMPT
-        };
-        if best.availability != Availability::Full || best.load.online < best.slots + max_queued {
-            return Decision::Send;
+/// How long a service takes, as moving averages over requests that found a free slot.
+#[value]
+#[derive(Copy)]
+pub struct ServiceTimes {
+    /// Time from sending a request until its response begins.
+    response: Millis,
+    /// Time for which a request occupies its slot.
+    occupancy: Millis,
+}
+
+impl ServiceTimes {
+    /// Assumes that a request occupies its slot for three objectives, until samples say otherwise.
+    pub fn assumed(objective: Millis) -> Self {
+        Self {
+            response: Millis(objective.0 / 4),
+            occupancy: objective * 3,
         }
     }
+
+    /// Records a request that found a free slot.
+    pub fn record(&mut self, response: Millis, occupancy: Millis) {
+        let average = |old: Millis, sample: Millis| {
+            Millis((old.0 * (SAMPLE_DIVISOR - 1) + sample.0).div_ceil(SAMPLE_DIVISOR))
+        };
+        self.response = average(self.response, response);
+        self.occupancy = average(self.occupancy, occupancy);
+    }
+
+    /// Expected time until the response begins if the request is sent to a full target at which
+    /// `queued` others wait.
+    fn expected_response(&self, queued: u32, slots: u32) -> Millis {
+        let position = u64::from(queued) + 1;
+        self.response + Millis(self.occupancy.0 * position / u64::from(slots.max(1)))
+    }
+}
+
+/// Decides on a request, given its best target. `has_credit` tells whether a request of this instance
+/// has ended whose place in a queue no other request has taken; see [`QueueCredits`].
+pub fn decide(
+    request: &SlotRequest,
+    best: Option<&Choice>,
+    times: &ServiceTimes,
+    has_credit: bool,
+) -> Decision {
+    if let Some(best) = best
+        && can_send(request, best, times, has_credit)
+    {
+        return Decision::Send;
+    }
     if request.waited < request.max_wait() {
         Decision::Wait
     } else {
@@ -109,6 +178,41 @@
     }
 }
 
+fn can_send(request: &SlotRequest, best: &Choice, times: &ServiceTimes, has_credit: bool) -> bool {
+    if best.availability != Availability::Full {
+        let is_late = request.waited + times.response > request.objective;
+        return !is_late || best.free_slots >= LATE_REQUEST_FREE_SLOTS;
+    }
+    let expected = request.waited + times.expected_response(best.queued, best.slots);
+    has_credit && best.queued < MAX_QUEUED && expected <= request.target_response()
+}
+
+/// Right to queue at full targets.
+///
+/// While all targets are full, every instance sees each place in a queue that becomes free, and more
+/// requests arrive for it than it can take before the instances have told each other. An instance
+/// therefore queues only as many requests as have ended there. All instances together then keep as many
+/// requests in progress as before.
+#[derive(Debug, Default)]
+pub struct QueueCredits(u32);
+
+impl QueueCredits {
+    /// Records that a request of this instance has ended.
+    pub fn add(&mut self) {
+        self.0 = (self.0 + 1).min(MAX_QUEUE_CREDITS);
+    }
+
+    /// Records that a request of this instance was sent.
+    pub fn spend(&mut self) {
+        self.0 = self.0.saturating_sub(1);
+    }
+
+    /// Whether a request may queue.
+    pub fn is_available(&self) -> bool {
+        self.0 > 0
+    }
+}
+
 /// Retry delay of a refused caller. `draw` is uniform over all values.
 pub fn retry_after(draw: u64) -> Millis {
     RETRY_AFTER_MIN + Millis(draw % RETRY_AFTER_JITTER.0)
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -62,6 +62,14 @@
 /// the load or the network rather than the targets, and avoiding them would overload the rest.
 const MAX_AVOIDED_PERCENT: usize = 50;
 
+/// Requests that entries outside the neighbourhood may have sent to a target since the leader last
+/// sent its load. During overload, entries of all failure domains would fill the last slots of each
+/// other's targets.
+const STALE_LOAD_MARGIN: u32 = 1;
+/// Time without loads from the leader after which batch items count as not preemptible: nobody is there
+/// to preempt them. The leader sends loads every 200 ms at least.
+pub const MAX_LOADS_AGE: Millis = Millis(300);
+
 /// Slot availability of a target, as estimated by an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Availability {
@@ -88,10 +96,25 @@
     pub availability: Availability,
     /// Estimated load at the time of the choice.
     pub load: Load,
+    /// Slots that nothing holds.
+    pub free_slots: u32,
+    /// Requests that must end before one more gets a slot, beyond those that hold the slots.
+    pub queued: u32,
+    /// Whether the target is in the region of this instance.
+    pub same_region: bool,
     /// Time since the leader last sent loads.
     pub loads_age: Millis,
 }
 
+/// How far the known load of a target can be relied on.
+#[derive(Clone, Copy)]
+struct Accuracy {
+    /// Whether the leader preempts batch items for callers.
+    preemptible: bool,
+    /// Requests that others may have sent to the target in the meantime.
+    margin: u32,
+}
+
 #[derive(Debug)]
 struct View {
     record: TargetRecord,
@@ -111,11 +134,23 @@
         }
     }
 
-    fn availability(&self) -> Availability {
+    /// Requests that hold or wait for slots and cannot be preempted.
+    fn fixed_load(&self, accuracy: Accuracy) -> u32 {
+        let load = self.load();
+        let batch = if accuracy.preemptible { 0 } else { load.batch };
+        load.online + batch + accuracy.margin
+    }
+
+    fn free_slots(&self, accuracy: Accuracy) -> u32 {
         let load = self.load();
-        if load.online + load.batch < self.record.slots {
+        let taken = load.online + load.batch + accuracy.margin;
+        self.record.slots.saturating_sub(taken)
+    }
+
+    fn availability(&self, accuracy: Accuracy) -> Availability {
+        if self.free_slots(accuracy) > 0 {
             Availability::Free
-        } else if load.online < self.record.slots {
+        } else if self.fixed_load(accuracy) < self.record.slots {
             Availability::AfterPreemption
         } else {
             Availability::Full
@@ -147,8 +182,9 @@
 }
 
 /// Cost of a target's load.
-fn load_cost(load: Load, slots: u32) -> u64 {
-    let used = u64::from(load.online) * 100 + u64::from(load.batch) * BATCH_COST_PERCENT;
+fn load_cost(load: Load, slots: u32, preemptible: bool) -> u64 {
+    let batch_percent = if preemptible { BATCH_COST_PERCENT } else { 100 };
+    let used = u64::from(load.online) * 100 + u64::from(load.batch) * batch_percent;
     let capacity = u64::from(slots) * 100;
     if used >= capacity {
         return LAST_SLOT_COST * 2 * (1 + (used - capacity) / 100);
@@ -253,6 +289,19 @@
         }
     }
 
+    /// Records that the leader's batch items have ended with its process or its leadership.
+    pub fn reset_batch_loads(&mut self) {
+        for view in self.views.values_mut() {
+            view.remote.batch = 0;
+        }
+    }
+
+    /// Batch items at each target, as last sent by the leader.
+    pub fn batch_loads(&self) -> impl Iterator<Item = (TargetKey, u32)> {
+        let busy = self.views.iter().filter(|(_, view)| view.remote.batch > 0);
+        busy.map(|(key, view)| (*key, view.remote.batch))
+    }
+
     /// Requests of this instance, sorted by target, for the leader. Also removes departed targets
     /// without requests.
     pub fn load_report(&mut self) -> Vec<(TargetKey, u32)> {
@@ -281,11 +330,21 @@
             .filter(is_usable)
             .filter(|view| is_unhealthy(view));
         let can_avoid = avoided.count() * 100 <= count * MAX_AVOIDED_PERCENT;
+        let preemptible = self.loads_age(now) <= MAX_LOADS_AGE;
+        let accuracy = |view: &View| Accuracy {
+            preemptible,
+            margin: if self.is_exact(self.location.distance(&view.record.domain)) {
+                0
+            } else {
+                STALE_LOAD_MARGIN
+            },
+        };
         let rank = |view: &View| {
             let load = view.load();
             let key = view.record.key();
-            let full = view.availability() == Availability::Full;
-            let avoided = can_avoid && is_unhealthy(view);
+            let full = view.availability(accuracy(view)) == Availability::Full;
+            let has_trial = load.online > 0 && self.health.is_on_probation(&view.record.name, now);
+            let avoided = can_avoid && (has_trial || is_unhealthy(view));
             let jitter = key
                 .0
                 .wrapping_add(draw)
@@ -293,7 +352,7 @@
                 >> 32;
             let distance = self.location.distance(&view.record.domain);
             let jitter = jitter % self.max_jitter(distance);
-            let cost = load_cost(load, view.record.slots) + distance + jitter;
+            let cost = load_cost(load, view.record.slots, preemptible) + distance + jitter;
             (avoided, full, cost)
         };
         let best = self
@@ -307,8 +366,13 @@
             name: best.record.name.clone(),
             address: best.record.address,
             slots: best.record.slots,
-            availability: best.availability(),
+            availability: best.availability(accuracy(best)),
             load: best.load(),
+            free_slots: best.free_slots(accuracy(best)),
+            queued: best
+                .fixed_load(accuracy(best))
+                .saturating_sub(best.record.slots),
+            same_region: self.location.distance(&best.record.domain) < OTHER_REGION_COST,
             loads_age: self.loads_age(now),
         })
     }
@@ -318,13 +382,17 @@
         self.whole_region = whole_region;
     }
 
-    fn max_jitter(&self, distance: u64) -> u64 {
-        let is_exact = match distance {
+    /// Whether the load of targets at a distance is known exactly.
+    fn is_exact(&self, distance: u64) -> bool {
+        match distance {
             0 => true,
             OTHER_DOMAIN_COST => self.whole_region,
             _ => false,
-        };
-        if is_exact {
+        }
+    }
+
+    fn max_jitter(&self, distance: u64) -> u64 {
+        if self.is_exact(distance) {
             MAX_JITTER_EXACT
         } else {
             MAX_JITTER_STALE
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -1,6 +1,7 @@
 //! State shared by all components of a process.
 
 use std::{
+    collections::HashMap,
     net::IpAddr,
     sync::{
         Arc,
@@ -32,7 +33,11 @@
 };
 
 use crate::{
-    admission::RetryDetector,
+    admission::{
+        QueueCredits,
+        RetryDetector,
+        ServiceTimes, //
+    },
     balance::{
         Balancer,
         Location, //
@@ -73,8 +78,10 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) neighbours: Neighbours,
     pub(crate) relay: Relay,
-    /// Wakes requests that wait for a slot or for the manifest.
-    pub(crate) availability_changed: Notify,
+    /// Wakes requests that wait for the manifest.
+    pub(crate) manifest_changed: Notify,
+    /// Wakes one request that waits for a slot, when a request of this instance has ended.
+    pub(crate) slot_released: Notify,
     /// Set when a planned stop begins.
     pub(crate) stopping: AtomicBool,
     seeds: Mutex<Vec<IpAddr>>,
@@ -84,6 +91,8 @@
     targets: Mutex<Targets>,
     balancer: Mutex<Balancer>,
     retry_detector: Mutex<RetryDetector>,
+    service_times: Mutex<HashMap<String, ServiceTimes>>,
+    queue_credits: Mutex<HashMap<String, QueueCredits>>,
     leader: Mutex<Option<IpAddr>>,
     leader_sender: Mutex<Option<mpsc::Sender<FollowerMessage>>>,
     started_at: Millis,
@@ -118,7 +127,8 @@
             upstream: Arc::new(Upstream::new(clock)),
             relay: Relay::default(),
             neighbours: Neighbours::new(settings.first_port, started_at),
-            availability_changed: Notify::new(),
+            manifest_changed: Notify::new(),
+            slot_released: Notify::new(),
             stopping: AtomicBool::new(false),
             seeds: Mutex::new(seed_ips(&settings)),
             address_book: Mutex::default(),
@@ -127,6 +137,8 @@
             targets: Mutex::default(),
             balancer: Mutex::new(Balancer::new(location)),
             retry_detector: Mutex::default(),
+            service_times: Mutex::default(),
+            queue_credits: Mutex::default(),
             leader: Mutex::default(),
             leader_sender: Mutex::default(),
             started_at,
@@ -166,6 +178,46 @@
         lock(&self.retry_detector)
     }
 
+    /// How long a service takes. `objective` is that of the route, from which the times are assumed
+    /// while no request has been recorded.
+    pub(crate) fn service_times(&self, service: &str, objective: Millis) -> ServiceTimes {
+        let known = lock(&self.service_times).get(service).copied();
+        known.unwrap_or_else(|| ServiceTimes::assumed(objective))
+    }
+
+    /// Whether a request of this instance may queue at a full target of a service.
+    pub(crate) fn has_queue_credit(&self, service: &str) -> bool {
+        let credits = lock(&self.queue_credits);
+        credits.get(service).is_some_and(QueueCredits::is_available)
+    }
+
+    /// Records that a request to a service was sent.
+    pub(crate) fn spend_queue_credit(&self, service: &str) {
+        if let Some(credits) = lock(&self.queue_credits).get_mut(service) {
+            credits.spend();
+        }
+    }
+
+    /// Records that a request to a service has ended.
+    pub(crate) fn add_queue_credit(&self, service: &str) {
+        let mut credits = lock(&self.queue_credits);
+        credits.entry(service.to_owned()).or_default().add();
+    }
+
+    /// Records a request that found a free slot.
+    pub(crate) fn record_service_times(
+        &self,
+        service: &str,
+        objective: Millis,
+        response: Millis,
+        occupancy: Millis,
+    ) {
+        let mut times = lock(&self.service_times);
+        let times = times.entry(service.to_owned());
+        let times = times.or_insert_with(|| ServiceTimes::assumed(objective));
+        times.record(response, occupancy);
+    }
+
     /// Route table of the manifest in force, if any.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         lock(&self.table).clone()
@@ -189,7 +241,7 @@
                 *table = Some(Arc::new(new));
                 *lock(&self.manifest) = Some(stored.clone());
                 drop(table);
-                self.availability_changed.notify_waiters();
+                self.manifest_changed.notify_waiters();
             }
             // Unexpected: a manifest is validated before it is stored.
             Err(error) => {
@@ -214,7 +266,6 @@
                 draining = record.draining, left = record.left; "target changed");
         }
         drop(balancer);
-        self.availability_changed.notify_waiters();
         changed
     }
 
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -174,7 +174,7 @@
     }
     let deadline = arrived_at + (time_left - MIN_SERVE_TIME).min(MAX_MANIFEST_WAIT);
     loop {
-        let wake = cx.availability_changed.notified();
+        let wake = cx.manifest_changed.notified();
         let remaining = deadline - cx.clock.now();
         if let Some(table) = cx.table() {
             return Some(table);
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -52,6 +52,7 @@
     routes::choose_destination,
     targets::TargetKey,
     upstream::{
+        CallLimits,
         Failure,
         UpstreamError,
         UpstreamResponse, //
@@ -109,15 +110,20 @@
 /// Slot at a target, counted as in use in the balancer and at the neighbours until it is dropped.
 pub(super) struct Slot {
     cx: Arc<Cx>,
+    service: String,
     pub(super) choice: Choice,
 }
 
 impl Slot {
-    fn new(cx: &Arc<Cx>, choice: Choice) -> Self {
+    fn new(cx: &Arc<Cx>, service: &str, choice: Choice) -> Self {
+        cx.spend_queue_credit(service);
         cx.balancer().begin_request(choice.key);
         cx.neighbours.publish_count(cx, choice.key);
-        let cx = Arc::clone(cx);
-        Self { cx, choice }
+        Self {
+            cx: Arc::clone(cx),
+            service: service.to_owned(),
+            choice,
+        }
     }
 
     /// Records a failure of the target here and reports it to the neighbours.
@@ -145,7 +151,8 @@
     fn drop(&mut self) {
         self.cx.balancer().end_request(self.choice.key);
         self.cx.neighbours.publish_count(&self.cx, self.choice.key);
-        self.cx.availability_changed.notify_waiters();
+        self.cx.add_queue_credit(&self.service);
+        self.cx.slot_released.notify_one();
     }
 }
 
@@ -260,11 +267,12 @@
     async fn acquire_slot(&self) -> Result<Slot, RequestFailure> {
         let queued_at = self.now();
         loop {
-            let wake = self.cx.availability_changed.notified();
+            let wake = self.cx.slot_released.notified();
             let now = self.now();
             if now >= self.deadline {
                 return Err(self.fail("deadline_passed"));
             }
+            let times = self.cx.service_times(&self.service, self.route.objective);
             let slot_request = SlotRequest {
                 waited: now - queued_at,
                 objective: self.route.objective,
@@ -275,10 +283,11 @@
                 let balancer = self.cx.balancer();
                 balancer.choose(&self.service, &self.tried, rand::random(), now)
             };
-            match decide(&slot_request, best.as_ref()) {
+            let has_credit = self.cx.has_queue_credit(&self.service);
+            match decide(&slot_request, best.as_ref(), &times, has_credit) {
                 Decision::Send => {
                     if let Some(choice) = best {
-                        return Ok(Slot::new(&self.cx, choice));
+                        return Ok(Slot::new(&self.cx, &self.service, choice));
                     }
                 }
                 Decision::Wait => {}
@@ -286,8 +295,9 @@
                 Decision::Refuse => return Err(self.fail("queue_full")),
             }
             let remaining = slot_request.max_wait() - slot_request.waited;
+            let delay = slot_request.recheck_delay(rand::random()).min(remaining);
             // On wake-up and on time-out alike, the loop decides again.
-            let _ = timeout(remaining.duration(), wake).await;
+            let _ = timeout(delay.duration(), wake).await;
         }
     }
 
@@ -325,14 +335,18 @@
             let slot = self.acquire_slot().await?;
             let req = self.build_request(&slot.choice, last_event);
             self.sent_at = self.now();
-            let max_idle = if self.route.repeatability.can_repeat() {
-                MAX_IDLE_REPEATABLE
-            } else {
-                MAX_IDLE_NON_REPEATABLE
+            let limits = CallLimits {
+                max_idle: if self.route.repeatability.can_repeat() {
+                    MAX_IDLE_REPEATABLE
+                } else {
+                    MAX_IDLE_NON_REPEATABLE
+                },
+                max_wait: self.attempt_timeout(),
+                same_region: slot.choice.same_region,
             };
             let address = slot.choice.address;
             let upstream = Arc::clone(&self.cx.upstream);
-            let call = upstream.call(address, req, max_idle, self.attempt_timeout());
+            let call = upstream.call(address, req, limits);
             match self.with_suspicion_timeout(&slot, call).await {
                 Ok(response) if is_rejection(&response) => {
                     self.handle_rejection(&slot, response)?
@@ -439,6 +453,7 @@
                 }
             } else {
                 self.cx.balancer().record_success(slot.choice.key);
+                self.record_service_times(&slot);
             }
             response.conn.release();
             self.log_response(&slot, status, "answered");
@@ -449,6 +464,21 @@
         }
     }
 
+    /// Records how long the service took, if the target had a free slot when the request was sent.
+    pub(super) fn record_service_times(&self, slot: &Slot) {
+        if self.runs > 0 || slot.choice.availability == Availability::Full {
+            return;
+        }
+        let now = self.now();
+        let response_at = self.first_event_at.unwrap_or(now);
+        self.cx.record_service_times(
+            &self.service,
+            self.route.objective,
+            response_at - self.sent_at,
+            now - self.sent_at,
+        );
+    }
+
     pub(super) fn log_response(&self, slot: &Slot, status: StatusCode, outcome: &'static str) {
         let took = self.now() - self.arrived_at;
         metrics::counter!("yuccaseam_answers_total", "outcome" => outcome).increment(1);
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -190,6 +190,7 @@
             metrics::histogram!("yuccaseam_longest_pause_seconds")
                 .record(self.longest_pause.duration().as_secs_f64());
             request.cx.balancer().record_success(source.slot.choice.key);
+            request.record_service_times(&source.slot);
             request.log_response(&source.slot, http::StatusCode::OK, "streamed");
             source.conn.release();
         }
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -77,6 +77,9 @@
 /// leaving target.
 const CONFIRM_TIMEOUT: Millis = Millis(800);
 
+/// Why a connection is dropped on which the leader sends nothing any more.
+const NO_MESSAGE: &str = "no message within the time limit";
+
 /// Notifications to the leader that await its confirmation.
 #[derive(Default)]
 pub(crate) struct PendingNotifications {
@@ -284,6 +287,10 @@
         () = wait_for_direct(cx, connection) => "a direct connection is available",
     };
     log::warn!(leader:% = ip, why; "leader connection lost");
+    if why != NO_MESSAGE {
+        // Its items ended with its process or its leadership.
+        cx.balancer().reset_batch_loads();
+    }
     cx.relay.set_direct(false);
     cx.set_leader(None);
     cx.set_leader_sender(None);
@@ -301,7 +308,7 @@
             Ok(Ok(Some(parcel))) => parcel,
             Ok(Ok(None)) => return "the leader ended the stream",
             Ok(Err(_)) => return "the stream failed",
-            Err(_) => return "no message within the time limit",
+            Err(_) => return NO_MESSAGE,
         };
         let message = decode(&parcel.message);
         if let Ok(message) = &message {
@@ -314,8 +321,6 @@
                 let mut balancer = cx.balancer();
                 balancer.apply_loads(&loads);
                 balancer.record_loads_received(cx.clock.now());
-                drop(balancer);
-                cx.availability_changed.notify_waiters();
             }
             Ok(LeaderMessage::Neighbours(neighbourhood)) => {
                 cx.balancer().set_whole_region(neighbourhood.whole_region);
--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -3,7 +3,8 @@
 //! A health probe may pass at a target that fails its requests, and a target that fails
 //! occasionally still serves most of them. A single failure therefore causes only a short cool-down
 //! at this entry. Several failures within a short time, here or at neighbours, open the circuit
-//! breaker for the whole neighbourhood, for longer each time.
+//! breaker for the whole neighbourhood, for longer each time. When it closes, the target is tried with
+//! one request at a time first.
 //!
 //! Health is tracked by name and not by start, so that a target in a crash loop is avoided for
 //! longer each time.
@@ -29,6 +30,9 @@
 const BREAKER_OPEN_SCORE: u32 = 4;
 /// Half-life of the score. Neighbours report failures without successes, so the score must decay.
 const SCORE_HALF_LIFE: Millis = Millis(1_000);
+/// Time after the breaker closes in which a target gets one request at a time. Long enough for a
+/// request without a response to be noticed.
+const PROBATION: Millis = Millis(1_000);
 /// Time without avoidance after which the breaker starts again with the shortest time.
 const FAILURE_RETENTION: Millis = Millis(15_000);
 
@@ -111,6 +115,16 @@
         health.is_some_and(|health| now < health.avoided_until)
     }
 
+    /// Whether the breaker has closed so recently that the target should get one request at a time.
+    pub fn is_on_probation(&self, name: &TargetName, now: Millis) -> bool {
+        let health = self.targets.get(name);
+        health.is_some_and(|health| {
+            health.open_count > 0
+                && health.avoided_until <= now
+                && now < health.avoided_until + PROBATION
+        })
+    }
+
     /// Removes targets that have not been avoided recently.
     pub fn expire(&mut self, now: Millis) {
         self.targets
--- a/crates/serving/src/neighbours.rs
+++ b/crates/serving/src/neighbours.rs
@@ -144,7 +144,6 @@
                 let now = cx.clock.now();
                 cx.balancer()
                     .receive_neighbour_report(from.ip(), report, now);
-                cx.availability_changed.notify_waiters();
             }
             Err(error) => log::warn!(peer:% = from, error:% = error; "malformed load report"),
         }
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -30,6 +30,11 @@
 /// An item is urgent if its job is due within this time: about twice its run.
 const URGENT_WINDOW: Millis = Millis(9_000);
 
+/// Run of an item assumed until one is complete.
+const ASSUMED_RUN: Millis = Millis(4_500);
+/// Weight of one item in the average run, as a divisor.
+const RUN_SAMPLE_DIVISOR: u64 = 8;
+
 /// An item of a job, by position.
 #[key]
 pub struct ItemKey {
@@ -49,6 +54,8 @@
     pub due_at: Millis,
     /// Whether it has partial output. It needs less time then than one that has none.
     pub started: bool,
+    /// Time that it is expected to run still.
+    pub remaining: Millis,
 }
 
 /// An item that is running.
@@ -61,6 +68,8 @@
     pub target: TargetKey,
     /// Time at which the results of its job are due.
     pub due_at: Millis,
+    /// Time that it is expected to run still.
+    pub remaining: Millis,
 }
 
 /// Capacity of a target for items.
@@ -77,6 +86,31 @@
     pub accepts: bool,
 }
 
+/// How long items run, as a moving average.
+#[derive(Debug)]
+pub struct ItemTimes {
+    mean: Millis,
+}
+
+impl Default for ItemTimes {
+    fn default() -> Self {
+        Self { mean: ASSUMED_RUN }
+    }
+}
+
+impl ItemTimes {
+    /// Records an item that is complete, with the time that its runs took together.
+    pub fn record(&mut self, ran: Millis) {
+        let sum = self.mean.0 * (RUN_SAMPLE_DIVISOR - 1) + ran.0;
+        self.mean = Millis(sum.div_ceil(RUN_SAMPLE_DIVISOR));
+    }
+
+    /// Expected time that an item still runs after `ran`.
+    pub fn remaining(&self, ran: Millis) -> Millis {
+        self.mean - ran
+    }
+}
+
 /// Scheduling decisions for the runner.
 #[value]
 #[derive(Default)]
@@ -126,29 +160,42 @@
     pause: &mut Vec<ItemKey>,
 ) -> u32 {
     let free = capacity.slots.saturating_sub(capacity.online);
-    let urgent = runs.iter().filter(|run| is_urgent(run.due_at, now)).count();
+    let urgent = runs
+        .iter()
+        .filter(|run| is_urgent(run.due_at, run.remaining, now))
+        .count();
     let max_runs = free.saturating_sub(PREEMPTION_RESERVED_SLOTS) as usize;
     let max_runs = max_runs.max(urgent.min(free as usize));
-    runs.sort_by_key(|run| (run.due_at <= now, run.due_at, run.key));
+    runs.sort_by_key(|run| {
+        let is_late = !can_be_on_time(run.due_at, run.remaining, now);
+        (is_late, run.due_at, run.key)
+    });
     let kept = runs.len().min(max_runs);
     pause.extend(runs.drain(kept..).map(|run| run.key));
     u32::try_from(kept).unwrap_or(u32::MAX)
 }
 
 /// Slots that an item leaves free at its target when it starts: the sooner it is due, the fewer.
-fn reserved_slots(due_at: Millis, now: Millis) -> u32 {
-    if is_urgent(due_at, now) {
+fn reserved_slots(item: &WaitingItem, now: Millis) -> u32 {
+    if !can_be_on_time(item.due_at, item.remaining, now) {
+        RESERVED_SLOTS
+    } else if is_urgent(item.due_at, item.remaining, now) {
         0
-    } else if now < due_at && due_at <= now + PRESSING_WINDOW {
+    } else if item.due_at <= now + PRESSING_WINDOW {
         PRESSING_RESERVED_SLOTS
     } else {
         RESERVED_SLOTS
     }
 }
 
-/// Whether an item is due soon but can still be on time if it runs now.
-fn is_urgent(due_at: Millis, now: Millis) -> bool {
-    now < due_at && due_at <= now + URGENT_WINDOW
+/// Whether an item can be complete when it is due if it runs from now on.
+fn can_be_on_time(due_at: Millis, remaining: Millis, now: Millis) -> bool {
+    now < due_at && now + remaining <= due_at
+}
+
+/// Whether an item is due soon but can still be on time.
+fn is_urgent(due_at: Millis, remaining: Millis, now: Millis) -> bool {
+    can_be_on_time(due_at, remaining, now) && due_at <= now + URGENT_WINDOW
 }
 
 /// Assigns free slots to items, the first due first, on the target with the most free slots.
@@ -159,11 +206,14 @@
     starts: &mut Vec<(ItemKey, TargetKey)>,
 ) {
     let mut queue: Vec<_> = waiting.iter().collect();
-    // Late items lose little by waiting longer, so they come after those that can still be on
-    // time.
-    queue.sort_by_key(|item| (item.due_at <= now, item.due_at, !item.started, item.key));
+    // Items that will be late in any case lose little by waiting longer, so they come after those that
+    // can still be on time. If the items due first came first during overload, all would be late.
+    queue.sort_by_key(|item| {
+        let is_late = !can_be_on_time(item.due_at, item.remaining, now);
+        (is_late, item.due_at, !item.started, item.key)
+    });
     for item in queue {
-        let reserved = reserved_slots(item.due_at, now);
+        let reserved = reserved_slots(item, now);
         free.sort_unstable_by(|a, b| b.cmp(a));
         let Some((slots, target)) = free.first_mut() else {
             return;
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -23,7 +23,10 @@
 };
 
 use crate::{
-    balance::Load,
+    balance::{
+        Load,
+        MAX_LOADS_AGE, //
+    },
     cx::Cx,
     link::{
         FollowerMessage,
@@ -31,6 +34,7 @@
         pause, //
     },
     neighbourhood::Neighbourhoods,
+    orphans::OrphanedItems,
     state::Command,
     targets::{
         AnnouncementOutcome,
@@ -90,6 +94,8 @@
     neighbours_changed: bool,
     /// Batch items running at each target.
     batch: BTreeMap<TargetKey, u32>,
+    /// Items of the leader before this one, if it vanished.
+    orphans: OrphanedItems,
     /// Version of the manifest last sent to followers.
     sent_version: u64,
     /// When this instance became leader and loaded the recorded targets. `None` if it does not
@@ -275,10 +281,12 @@
             .retain(|_, follower| follower.tx.try_send(message.clone()).is_ok());
     }
 
-    /// Requests of callers in flight at each target, as reported by followers.
-    pub(super) fn online(&self) -> BTreeMap<TargetKey, u32> {
-        let mut online = BTreeMap::new();
-        for follower in self.inner().followers.values() {
+    /// Requests at each target that items must leave room for: those of callers, as reported by
+    /// followers, and items of a former leader.
+    pub(super) fn online(&self, now: Millis) -> BTreeMap<TargetKey, u32> {
+        let inner = self.inner();
+        let mut online: BTreeMap<_, _> = inner.orphans.running(now).collect();
+        for follower in inner.followers.values() {
             for (key, count) in &follower.loads {
                 *online.entry(*key).or_default() += count;
             }
@@ -314,6 +322,9 @@
         for (key, count) in &inner.batch {
             all.entry(*key).or_default().batch = *count;
         }
+        for (key, count) in inner.orphans.running(now) {
+            all.entry(key).or_default().online += count;
+        }
         inner.followers.retain(|_, follower| {
             let mut loads = all.clone();
             for (key, count) in follower.loads_known_locally(&by_entry) {
@@ -343,6 +354,7 @@
         }
         let now = self.cx.clock.now();
         if !was_leader {
+            self.take_over_items(now);
             self.load_recorded_targets(now);
         }
         self.record_changes(now);
@@ -357,6 +369,22 @@
         self.send_loads(now);
     }
 
+    /// Takes note of the items that a leader which vanished has left running.
+    fn take_over_items(&self, now: Millis) {
+        let balancer = self.cx.balancer();
+        let loads_age = balancer.loads_age(now);
+        let vanished = loads_age > MAX_LOADS_AGE;
+        let counts: Vec<_> = if vanished {
+            balancer.batch_loads().collect()
+        } else {
+            Vec::new()
+        };
+        drop(balancer);
+        let items: u32 = counts.iter().map(|(_, count)| count).sum();
+        log::info!(items, loads_age_ms = loads_age.0; "items of the former leader may still run");
+        self.inner().orphans = OrphanedItems::new(counts, now - loads_age);
+    }
+
     /// Loads the targets recorded in the log. Targets that no longer exist expire after the usual
     /// time.
     fn load_recorded_targets(&self, now: Millis) {
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -30,6 +30,7 @@
     routes::choose_destination,
     schedule::{
         ItemKey,
+        ItemTimes,
         RunningItem,
         TargetCapacity,
         WaitingItem,
@@ -82,6 +83,7 @@
 struct Run {
     key: ItemKey,
     target: TargetKey,
+    started_at: Millis,
     task: AbortHandle,
 }
 
@@ -99,6 +101,7 @@
     reports: mpsc::UnboundedSender<Report>,
     jobs: JobViews,
     progress: HashMap<ItemKey, Progress>,
+    times: ItemTimes,
     runs: HashMap<u64, Run>,
     next_run: u64,
     cooldowns: HashMap<TargetKey, Millis>,
@@ -116,6 +119,7 @@
         reports: tx,
         jobs: JobViews::default(),
         progress: HashMap::new(),
+        times: ItemTimes::default(),
         runs: HashMap::new(),
         next_run: 0,
         cooldowns: HashMap::new(),
@@ -210,6 +214,9 @@
                         due_at: view.due_at(route.completion_objective),
                         started: item.last_id.is_some()
                             || progress.is_some_and(|progress| progress.last_id.is_some()),
+                        remaining: self
+                            .times
+                            .remaining(progress.map_or(Millis::ZERO, |progress| progress.ran)),
                     });
                 }
             }
@@ -239,14 +246,16 @@
     }
 
     fn schedule(&mut self, service: &str, waiting: &[WaitingItem], now: Millis) {
-        let due: HashMap<_, _> = waiting.iter().map(|item| (item.key, item.due_at)).collect();
-        let running = self.runs.values().map(|run| RunningItem {
-            key: run.key,
-            target: run.target,
-            due_at: due
-                .get(&run.key)
-                .copied()
-                .unwrap_or(now + DEFAULT_COMPLETION_OBJECTIVE),
+        let items: HashMap<_, _> = waiting.iter().map(|item| (item.key, item)).collect();
+        let running = self.runs.values().map(|run| {
+            let item = items.get(&run.key);
+            RunningItem {
+                key: run.key,
+                target: run.target,
+                due_at: item.map_or(now + DEFAULT_COMPLETION_OBJECTIVE, |item| item.due_at),
+                remaining: item
+                    .map_or(Millis::ZERO, |item| item.remaining - (now - run.started_at)),
+            }
         });
         let running: Vec<_> = running.collect();
         let is_running = |key| running.iter().any(|run| run.key == key);
@@ -255,7 +264,7 @@
             .copied()
             .filter(|item| !is_running(item.key))
             .collect();
-        let online = self.hub.online();
+        let online = self.hub.online(now);
         let loads_known = are_loads_known(self.hub.leader_for(now));
         let records: HashMap<TargetKey, TargetRecord> = {
             let targets = self.cx.targets();
@@ -281,7 +290,7 @@
         for key in plan.pause {
             let job = self.jobs.job_id(key.job);
             log::info!(job, item = key.item; "batch item preempted");
-            self.runs.retain(|_, run| run.key != key);
+            self.preempt(key, now);
             metrics::counter!("yuccaseam_batch_runs_total", "outcome" => "paused").increment(1);
         }
         for (key, target) in plan.start {
@@ -291,6 +300,14 @@
         }
     }
 
+    /// Ends the run of an item, which resumes later.
+    fn preempt(&mut self, key: ItemKey, now: Millis) {
+        for (_, run) in self.runs.extract_if(|_, run| run.key == key) {
+            let progress = self.progress.entry(key).or_default();
+            progress.ran += now - run.started_at;
+        }
+    }
+
     fn start(&mut self, key: ItemKey, target: &TargetRecord) {
         let Some(job_id) = self.jobs.job_id(key.job) else {
             return;
@@ -328,6 +345,7 @@
         let run = Run {
             key,
             target: target.key(),
+            started_at: self.cx.clock.now(),
             task: task.abort_handle(),
         };
         self.runs.insert(run_id, run);
@@ -395,6 +413,10 @@
         };
         let item = run.key.item;
         let progress = self.progress.entry(run.key).or_default();
+        progress.ran += now - run.started_at;
+        if matches!(end, RunEnd::Completed) {
+            self.times.record(progress.ran);
+        }
         let outcome = match end {
             RunEnd::Completed => "done",
             RunEnd::Unprocessable => "impossible",
--- a/crates/serving/src/store/runner/progress.rs
+++ b/crates/serving/src/store/runner/progress.rs
@@ -19,6 +19,8 @@
     pub(super) retry_at: Millis,
     /// Number of runs that a target reported as failed.
     pub(super) failures: u32,
+    /// Time that the runs of this leader took together.
+    pub(super) ran: Millis,
 }
 
 impl From<&Item> for Progress {
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -27,7 +27,10 @@
     schedule::ItemKey,
     state::Item,
     targets::TargetRecord,
-    upstream::Failure, //
+    upstream::{
+        CallLimits,
+        Failure, //
+    },
 };
 
 /// Time limit for the response head and between frames, after which the item resumes elsewhere.
@@ -110,10 +113,12 @@
     run: u64,
     reports: &mpsc::UnboundedSender<Report>,
 ) -> RunEnd {
-    let call = cx
-        .upstream
-        .call(target.address, req, STALL_TIMEOUT, STALL_TIMEOUT)
-        .await;
+    let limits = CallLimits {
+        max_idle: STALL_TIMEOUT,
+        max_wait: STALL_TIMEOUT,
+        same_region: false,
+    };
+    let call = cx.upstream.call(target.address, req, limits).await;
     let mut call = match call {
         Ok(call) => call,
         Err(error) => return RunEnd::Interrupted(error.failure),
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -43,7 +43,10 @@
 };
 use yuccaseam_platform::headers;
 
-/// Time-out for opening a connection: several round trips between regions.
+/// Time-out for opening a connection to a target of the same region: many round trips. Another target
+/// can be tried while the response can still be on time.
+const REGION_CONNECT_TIMEOUT: Millis = Millis(70);
+/// Time-out for opening a connection to a target of another region: several round trips.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 /// How long an idle connection is kept if the target sends no keep-alive time-out.
 const DEFAULT_KEEP_ALIVE: Millis = Millis(4_000);
@@ -110,6 +113,28 @@
     idle_since: Millis,
 }
 
+/// Limits of one call.
+#[derive(Clone, Copy)]
+pub(crate) struct CallLimits {
+    /// Longest idle time of a connection that is reused.
+    pub(crate) max_idle: Millis,
+    /// Time-out for the head of the response.
+    pub(crate) max_wait: Millis,
+    /// Whether the target is in the region of this instance.
+    pub(crate) same_region: bool,
+}
+
+impl CallLimits {
+    fn connect_timeout(self) -> Millis {
+        let timeout = if self.same_region {
+            REGION_CONNECT_TIMEOUT
+        } else {
+            CONNECT_TIMEOUT
+        };
+        timeout.min(self.max_wait)
+    }
+}
+
 /// Response whose head has arrived.
 pub(crate) struct UpstreamResponse {
     pub(crate) head: Parts,
@@ -206,14 +231,10 @@
     async fn connect(
         self: &Arc<Self>,
         address: SocketAddr,
-        max_wait: Millis,
+        connect_timeout: Millis,
     ) -> Result<Connection, UpstreamError> {
         let unreachable = || UpstreamError::not_run(Failure::Unreachable);
-        let stream = timeout(
-            CONNECT_TIMEOUT.min(max_wait).duration(),
-            TcpStream::connect(address),
-        )
-        .await;
+        let stream = timeout(connect_timeout.duration(), TcpStream::connect(address)).await;
         let stream = stream
             .map_err(|_| unreachable())?
             .map_err(|_| unreachable())?;
@@ -232,21 +253,19 @@
         })
     }
 
-    /// Sends a request and waits for the head of its response. A connection that has been idle for
-    /// longer than `max_idle` is not reused.
+    /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
     ///
-    /// Fails if the target is unreachable, does not respond within `max_wait`, or sends a response
-    /// to another request. The error states whether the target may have run the request.
+    /// Fails if the target is unreachable, does not respond in time, or sends a response to another
+    /// request. The error states whether the target may have run the request.
     pub(crate) async fn call(
         self: &Arc<Self>,
         address: SocketAddr,
         req: Request<Full<Bytes>>,
-        max_idle: Millis,
-        max_wait: Millis,
+        limits: CallLimits,
     ) -> Result<UpstreamResponse, UpstreamError> {
-        let mut conn = match self.take_idle(address, max_idle) {
+        let mut conn = match self.take_idle(address, limits.max_idle) {
             Some(idle) => Connection {
                 sender: Some(idle.sender),
                 task: idle.task,
@@ -254,13 +273,13 @@
                 upstream: Arc::clone(self),
                 keep_alive: DEFAULT_KEEP_ALIVE,
             },
-            None => self.connect(address, max_wait).await?,
+            None => self.connect(address, limits.connect_timeout()).await?,
         };
         let id = req.headers().get(headers::REQUEST_ID).cloned();
         let Some(sender) = conn.sender.as_mut() else {
             return Err(UpstreamError::not_run(Failure::Unreachable));
         };
-        let response = match timeout(max_wait.duration(), sender.send_request(req)).await {
+        let response = match timeout(limits.max_wait.duration(), sender.send_request(req)).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.is_canceled() => {
                 return Err(UpstreamError::not_run(Failure::Broken));
--- a/crates/serving/tests/all/herd.rs
+++ b/crates/serving/tests/all/herd.rs
@@ -185,10 +185,59 @@
         batch: 6,
     };
     entry.apply_loads(&[(record.key(), load)]);
+    entry.record_loads_received(NOW);
     let choice = entry.choose("llm", &[], 1, NOW).expect("a target");
     assert_eq!(choice.availability, Availability::AfterPreemption);
 }
 
+/// While there is no leader, nobody preempts items: a request that is sent to a target full of items
+/// waits until one of them ends, and is late.
+#[test]
+fn target_full_of_items_is_full_while_the_leader_is_silent() {
+    let mut entry = balancer("a1");
+    let (full, busy) = (target(1, "a1"), target(2, "a1"));
+    entry.set_target(&full);
+    let items = Load {
+        online: 2,
+        batch: 7,
+    };
+    entry.apply_loads(&[(full.key(), items)]);
+    entry.record_loads_received(NOW);
+    let choose = |entry: &Balancer, at| entry.choose("llm", &[], 1, at).expect("a target");
+    assert_eq!(
+        choose(&entry, NOW).availability,
+        Availability::AfterPreemption
+    );
+    let silent = NOW + Millis(500);
+    assert_eq!(choose(&entry, silent).availability, Availability::Full);
+    assert_eq!(choose(&entry, silent).queued, 1);
+    entry.set_target(&busy);
+    for _ in 0..7 {
+        entry.begin_request(busy.key());
+    }
+    assert_eq!(choose(&entry, silent).key, busy.key());
+}
+
+/// A target that hung is tried again with one request, not with those of all entries at once.
+#[test]
+fn target_on_probation_gets_one_request_at_a_time() {
+    let mut entry = balancer("a1");
+    let (hung, sound) = (target(1, "a1"), target(2, "a2"));
+    entry.set_target(&hung);
+    entry.set_target(&sound);
+    entry.record_failure(hung.key(), NOW);
+    entry.record_failure(hung.key(), NOW);
+    let closed = NOW + Millis(850);
+    let choice = entry.choose("llm", &[], 1, closed).expect("a target");
+    assert_eq!(choice.key, hung.key());
+    entry.receive_neighbour_report(ip(1), report(1, &[(hung.key(), 1)]), closed);
+    let choice = entry.choose("llm", &[], 1, closed).expect("a target");
+    assert_eq!(choice.key, sound.key());
+    let later = closed + Millis(1_000);
+    let choice = entry.choose("llm", &[], 1, later).expect("a target");
+    assert_eq!(choice.key, hung.key());
+}
+
 /// A report that is late or lost must not leave requests counted for ever.
 #[test]
 fn complete_report_corrects_counts_after_a_lost_datagram() {
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -6,6 +6,8 @@
 mod health;
 mod herd;
 mod neighbourhood;
+mod orphans;
+mod overload;
 mod routes;
 mod schedule;
 mod state;
--- a/crates/serving/tests/all/schedule.rs
+++ b/crates/serving/tests/all/schedule.rs
@@ -7,6 +7,7 @@
 use yuccaseam_serving::{
     schedule::{
         ItemKey,
+        ItemTimes,
         RunningItem,
         TargetCapacity,
         WaitingItem,
@@ -17,6 +18,8 @@
 };
 
 const NOW: Millis = Millis(100_000);
+/// Time that an item runs. One that is due in less is late in any case.
+const RUN: Millis = Millis(3_000);
 const DUE_LATE: Millis = Millis(118_000);
 const DUE_PRESSING: Millis = Millis(112_000);
 const DUE_URGENT: Millis = Millis(104_000);
@@ -30,6 +33,7 @@
         key: item(number),
         due_at,
         started: false,
+        remaining: RUN,
     }
 }
 
@@ -38,6 +42,7 @@
         key: item(number),
         target: TargetKey(1),
         due_at,
+        remaining: Millis(1_000),
     }
 }
 
@@ -97,6 +102,37 @@
     assert_eq!(plan.start, [(item(2), TargetKey(1))]);
 }
 
+/// More items wait than can be complete in time. Those that are due first and can no longer be on time
+/// must not make the others late too.
+#[test]
+fn items_that_are_sure_to_be_late_yield_to_others() {
+    let hopeless = waiting(1, NOW + Millis(2_000));
+    let feasible = waiting(2, NOW + Millis(6_000));
+    let plan_of = |queue: &[WaitingItem]| plan(queue, &[], &[engine(5)], NOW);
+    assert_eq!(
+        plan_of(&[hopeless, feasible]).start[0],
+        (item(2), TargetKey(1))
+    );
+    // Nearly complete, the first one still can be.
+    let nearly_complete = WaitingItem {
+        remaining: Millis(500),
+        ..hopeless
+    };
+    assert_eq!(
+        plan_of(&[nearly_complete, feasible]).start[0],
+        (item(1), TargetKey(1))
+    );
+}
+
+#[test]
+fn expected_run_follows_the_items_that_are_complete() {
+    let mut times = ItemTimes::default();
+    (0..100).for_each(|_| times.record(Millis(8_000)));
+    assert_eq!(times.remaining(Millis::ZERO), Millis(8_000));
+    assert_eq!(times.remaining(Millis(3_000)), Millis(5_000));
+    assert_eq!(times.remaining(Millis(9_000)), Millis::ZERO);
+}
+
 #[test]
 fn emptiest_engine_gets_the_next_item() {
     let other = TargetCapacity {
