--- a/crates/daemon/tests/all/platform/control.rs
+++ b/crates/daemon/tests/all/platform/control.rs
@@ -20,7 +20,7 @@
 
 #[test]
 fn manifests_never_go_back_and_invalid_ones_are_refused() {
-    with_world(8, 1, async |world| {
+    with_world(1, async |world| {
         let put = async |body: &str| {
             let to = world.system.entries[1].control();
             let headers = [("host", "control")];
@@ -67,7 +67,7 @@
 
 #[test]
 fn a_target_that_drains_gets_nothing_new() {
-    with_world(9, 2, async |world| {
+    with_world(2, async |world| {
         world.targets[0].drain();
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         let before = world.targets[0].runs().len();
@@ -85,7 +85,7 @@
 
 #[test]
 fn metrics_are_served() {
-    with_world(15, 1, async |world| {
+    with_world(1, async |world| {
         let to = world.system.entries[0].metrics();
         let reply = send(to, Method::GET, "/metrics", &[("host", "m")], "", PATIENCE).await;
         let text = reply.expect("an answer comes").body;
@@ -96,7 +96,7 @@
 /// A target that says that it leaves, without having said before that it drains, gets nothing new.
 #[test]
 fn a_target_that_leaves_gets_nothing_new() {
-    with_world(20, 2, async |world| {
+    with_world(2, async |world| {
         let to = world.system.entries[1].control();
         let path = "/Instances.Deregister/engine-0";
         let sent = send(to, Method::POST, path, &[("host", "control")], "", PATIENCE).await;
@@ -116,8 +116,8 @@
 fn a_store_is_emptied_unless_too_few_would_remain() {
     let runtime = Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
-        for (number, stores, expected) in [(21, 3, 409), (22, 4, 200)] {
-            let system = PlatformSystem::start(number, 3, stores);
+        for (stores, expected) in [(3, 409), (4, 200)] {
+            let system = PlatformSystem::start(3, stores);
             assert!(system.put_manifest(1).await, "a manifest is accepted");
             let to = system.entries[0].control();
             let call = async |method, path: &str| {
--- a/crates/daemon/tests/all/platform/jobs.rs
+++ b/crates/daemon/tests/all/platform/jobs.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn a_job_is_accepted_once_and_outlives_its_leader() {
-    with_world(6, 3, async |mut world| {
+    with_world(3, async |mut world| {
         world.system.end_first_start();
         let path = format!("{BATCH}j1");
         let reply = world
@@ -49,7 +49,7 @@
 
 #[test]
 fn a_poisoned_item_ends_and_an_ended_job_stops() {
-    with_world(7, 2, async |world| {
+    with_world(2, async |world| {
         world.behave(&Behaviour {
             poisoned: Some("/1"),
             events: 20,
--- a/crates/daemon/tests/all/platform/lifecycle.rs
+++ b/crates/daemon/tests/all/platform/lifecycle.rs
@@ -50,7 +50,7 @@
 /// The leader does not see the load of an entry that follows it through another one.
 #[test]
 fn an_entry_that_starts_again_follows_the_leader_itself() {
-    with_world(17, 1, async |mut world| {
+    with_world(1, async |mut world| {
         for entry in &mut world.system.entries {
             entry.kill();
             entry.start();
@@ -69,7 +69,7 @@
 
 #[test]
 fn a_planned_stop_of_an_entry_cuts_off_no_stream() {
-    with_world(10, 2, async |mut world| {
+    with_world(2, async |mut world| {
         world.behave(&Behaviour {
             events: 100,
             ..Behaviour::default()
@@ -93,7 +93,7 @@
 /// begun, not only of those that announce something new.
 #[test]
 fn after_all_processes_were_killed_every_target_takes_work_again() {
-    with_world(16, 3, async |mut world| {
+    with_world(3, async |mut world| {
         world.system.end_first_start();
         tokio::time::sleep(Duration::from_millis(800)).await;
         let system = &mut world.system;
@@ -150,7 +150,7 @@
 /// What an entry accepts late in a planned stop it could only cut off.
 #[test]
 fn an_entry_that_stops_takes_nothing_that_it_cannot_finish() {
-    with_world(12, 2, async |mut world| {
+    with_world(2, async |mut world| {
         world.behave(&Behaviour {
             events: 105,
             pause: Duration::from_millis(40),
@@ -174,7 +174,7 @@
 
 #[test]
 fn a_store_that_lost_its_disk_joins_again_and_nothing_is_lost() {
-    with_world(11, 2, async |mut world| {
+    with_world(2, async |mut world| {
         world.system.end_first_start();
         let path = format!("{BATCH}j1");
         let reply = world
@@ -207,7 +207,7 @@
 fn an_entry_that_is_cut_off_from_the_stores_hears_of_manifests_through_another() {
     let runtime = Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
-        let system = PlatformSystem::start_behind_relays(23, 3, 3);
+        let system = PlatformSystem::start_behind_relays(3, 3);
         assert!(system.put_manifest(1).await, "a manifest is accepted");
         let cut = Shape {
             cut: true,
--- a/crates/daemon/tests/all/platform/limits.rs
+++ b/crates/daemon/tests/all/platform/limits.rs
@@ -25,7 +25,7 @@
 /// Callers that send half a head must not be held for ever, and idle ones not be closed.
 #[test]
 fn half_a_head_is_given_up_and_an_idle_connection_is_kept() {
-    with_world(13, 1, async |world| {
+    with_world(1, async |world| {
         let entry = world.system.entries[0].callers();
         let connect = || tokio::net::TcpStream::connect(entry);
         let mut half = connect().await.expect("a connection opens");
@@ -51,7 +51,7 @@
 /// How long clients may take is the operator's to say.
 #[test]
 fn the_limits_of_the_manifest_hold_on_new_connections() {
-    with_world(18, 1, async |world| {
+    with_world(1, async |world| {
         let body = PlatformSystem::manifest(2);
         let body = body.replace(r#""header_timeout_ms":3000"#, r#""header_timeout_ms":400"#);
         let to = world.system.entries[0].control();
@@ -89,7 +89,7 @@
 /// A body that stops halfway must not hold its connection for ever.
 #[test]
 fn a_body_that_does_not_come_in_the_callers_time_is_refused() {
-    with_world(19, 1, async |world| {
+    with_world(1, async |world| {
         let entry = world.system.entries[0].callers();
         let mut caller = tokio::net::TcpStream::connect(entry)
             .await
@@ -114,7 +114,7 @@
 
 #[test]
 fn a_head_that_is_too_large_is_refused() {
-    with_world(14, 1, async |world| {
+    with_world(1, async |world| {
         let entry = world.system.entries[0].callers();
         let large = "x".repeat(100_000);
         let headers = [("host", HOST), ("x-large", large.as_str())];
--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -35,14 +35,14 @@
 }
 
 /// Runs a test against a system of three entries and three stores that serves.
-fn with_world<F, T>(number: u8, targets: usize, test: F)
+fn with_world<F, T>(targets: usize, test: F)
 where
     F: FnOnce(World) -> T,
     T: Future<Output = ()>,
 {
     let runtime = Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
-        let system = PlatformSystem::start(number, 3, 3);
+        let system = PlatformSystem::start(3, 3);
         let mut started = Vec::new();
         for at in 0..targets {
             let domain = ["a1", "a2", "b1"][at % 3];
--- a/crates/daemon/tests/all/platform/online.rs
+++ b/crates/daemon/tests/all/platform/online.rs
@@ -20,7 +20,7 @@
 
 #[test]
 fn requests_streams_and_unknown_routes_are_answered() {
-    with_world(1, 3, async |world| {
+    with_world(3, async |world| {
         let reply = world.system.call(0, "q1", &format!("{SAFE}1")).await;
         let reply = reply.expect("an answer comes");
         assert_eq!(reply.body, "answer to q1");
@@ -41,7 +41,7 @@
 
 #[test]
 fn a_stream_that_may_not_be_resumed_runs_once_and_never_looks_complete() {
-    with_world(2, 3, async |world| {
+    with_world(3, async |world| {
         world.behave(&Behaviour {
             breaks_after: Some(2),
             ..Behaviour::default()
@@ -56,7 +56,7 @@
 
 #[test]
 fn a_stream_that_may_be_resumed_goes_on_elsewhere() {
-    with_world(3, 3, async |world| {
+    with_world(3, async |world| {
         world.behave(&Behaviour {
             breaks_after: Some(2),
             ..Behaviour::default()
@@ -71,7 +71,7 @@
 
 #[test]
 fn a_refusal_is_true_and_says_when_to_come_back() {
-    with_world(4, 2, async |world| {
+    with_world(2, async |world| {
         world.behave(&Behaviour {
             rejects: true,
             ..Behaviour::default()
@@ -90,7 +90,7 @@
 
 #[test]
 fn a_caller_that_leaves_frees_its_target() {
-    with_world(5, 1, async |world| {
+    with_world(1, async |world| {
         world.behave(&Behaviour {
             events: 500,
             ..Behaviour::default()
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod failures;
 mod membership;
 mod net;
+mod owner_watch;
 mod owners;
 mod targets;
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -62,8 +62,8 @@
 /// the load or the network rather than the targets, and avoiding them would overload the rest.
 const MAX_AVOIDED_PERCENT: usize = 50;
 
-/// Requests that entries outside the neighbourhood may have sent to a target since the leader last
-/// sent its load. During overload, entries of all failure domains would fill the last slots of each
+/// Requests that entries outside the neighbourhood may have sent to a target that they use since the
+/// leader last sent its load. During overload, entries of all failure domains would fill the last slots of each
 /// other's targets.
 const STALE_LOAD_MARGIN: u32 = 1;
 /// Time without loads from the leader after which batch items count as not preemptible: nobody is there
@@ -333,7 +333,9 @@
         let preemptible = self.loads_age(now) <= MAX_LOADS_AGE;
         let accuracy = |view: &View| Accuracy {
             preemptible,
-            margin: if self.is_exact(self.location.distance(&view.record.domain)) {
+            margin: if view.remote.online == 0
+                || self.is_exact(self.location.distance(&view.record.domain))
+            {
                 0
             } else {
                 STALE_LOAD_MARGIN
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -71,12 +71,11 @@
 
 impl Cluster {
     pub(crate) async fn start(
-        number: u8,
         entries: usize,
         targets: usize,
         ledger: Arc<Ledger>,
     ) -> anyhow::Result<Self> {
-        let system = PlatformSystem::start_behind_relays(number, entries, 3);
+        let system = PlatformSystem::start_behind_relays(entries, 3);
         let callers = system.entries.iter().map(|entry| entry.callers()).collect();
         let control = system.control();
         let cluster = Self {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,8 +24,6 @@
             optional --entries count: usize
             /// Number of targets. Default: 6.
             optional --targets count: usize
-            /// Loopback network, 100 to 250, distinct for each parallel soak. Default: 100.
-            optional --network number: u8
         }
     }
 }
@@ -41,7 +39,6 @@
             length: Duration::from_secs(flags.seconds.unwrap_or(20)),
             entries: flags.entries.unwrap_or(4),
             targets: flags.targets.unwrap_or(6),
-            network: flags.network.unwrap_or(100),
         })
         .await;
         match report {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -40,8 +40,6 @@
     pub entries: usize,
     /// Number of targets.
     pub targets: usize,
-    /// Loopback network of the run; differs between parallel runs on one machine.
-    pub network: u8,
 }
 
 /// Result of a run.
@@ -76,7 +74,7 @@
 /// Fails if the system does not start, or does not serve again after the faults have ended.
 pub async fn run(cfg: Config) -> anyhow::Result<Report> {
     let ledger = Arc::new(Ledger::default());
-    let cluster = Cluster::start(cfg.network, cfg.entries, cfg.targets, Arc::clone(&ledger));
+    let cluster = Cluster::start(cfg.entries, cfg.targets, Arc::clone(&ledger));
     let cluster = Arc::new(cluster.await?);
     let stop = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
--- a/crates/soak/tests/all/main.rs
+++ b/crates/soak/tests/all/main.rs
@@ -8,14 +8,13 @@
     schedule, //
 };
 
-fn soak(seed: u64, seconds: u64, network: u8) {
+fn soak(seed: u64, seconds: u64) {
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
     let report = runtime.block_on(run(Config {
         seed,
         length: Duration::from_secs(seconds),
         entries: 3,
         targets: 4,
-        network,
     }));
     let report = report.expect("the system serves before and after the faults");
     assert!(report.violations.is_empty(), "{report}");
@@ -24,7 +23,7 @@
 
 #[test]
 fn short_run_violates_no_guarantee() {
-    soak(7, 12, 51);
+    soak(7, 12);
 }
 
 #[test]
--- a/crates/testing/src/cluster/layout.rs
+++ b/crates/testing/src/cluster/layout.rs
@@ -8,10 +8,9 @@
     },
 };
 
-use super::{
-    ports::free_address,
-    process::Process, //
-};
+use crate::network::Network;
+
+use super::process::Process;
 
 /// Where an instance or a target is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,7 +76,7 @@
 }
 
 /// One daemon for each place, not yet running.
-pub(crate) fn daemons(places: &[Place], dir: &Path) -> Vec<Daemon> {
+pub(crate) fn daemons(places: &[Place], dir: &Path, network: &Network) -> Vec<Daemon> {
     let mut daemons = Vec::new();
     for (index, place) in places.iter().enumerate() {
         let name = format!("{}-{}", place.failure_domain, index + 1);
@@ -85,8 +84,8 @@
             data: place.disk.then(|| dir.join(format!("{name}.data"))),
             name,
             place: place.clone(),
-            http: free_address(),
-            peer: free_address(),
+            http: network.next_address(),
+            peer: network.next_address(),
             detours: Vec::new(),
             process: None,
         });
--- a/crates/testing/src/cluster/mod.rs
+++ b/crates/testing/src/cluster/mod.rs
@@ -2,7 +2,6 @@
 
 mod layout;
 mod link;
-mod ports;
 mod process;
 
 use std::{
@@ -18,6 +17,7 @@
 
 use crate::{
     caller::Caller,
+    network::Network,
     record::{
         Entry,
         Record, //
@@ -51,6 +51,8 @@
     pub targets: BTreeMap<String, Target>,
     flags: Vec<String>,
     dir: TempDir,
+    /// Holds the addresses of the daemons, whether they run or not.
+    _network: Network,
 }
 
 impl Cluster {
@@ -73,11 +75,13 @@
     /// Panics if there can be no temporary folder.
     pub fn new(places: &[Place], flags: &[&str]) -> Self {
         let dir = TempDir::new().expect("a temporary folder");
+        let network = Network::reserve();
         Self {
-            daemons: layout::daemons(places, dir.path()),
+            daemons: layout::daemons(places, dir.path(), &network),
             targets: BTreeMap::new(),
             flags: flags.iter().map(|&flag| flag.to_owned()).collect(),
             dir,
+            _network: network,
         }
     }
 
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -10,6 +10,7 @@
 mod http;
 mod jobs;
 mod load;
+mod network;
 pub mod platform;
 mod record;
 mod relay;
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -5,7 +5,6 @@
     fs,
     net::{
         IpAddr,
-        Ipv4Addr,
         SocketAddr, //
     },
     path::{
@@ -25,6 +24,7 @@
 use crate::{
     Process, Relay, Signal,
     cluster::program,
+    network::Network,
     platform::{
         BATCH,
         HOST,
@@ -160,17 +160,18 @@
     /// The relays from one instance to another, by their numbers: stores come after entries.
     relays: HashMap<(usize, usize), Relay>,
     folder: TempDir,
+    network: Network,
     wiped_at: Option<Instant>,
 }
 
 impl PlatformSystem {
-    /// Starts a system. `number` tells it from other systems of this machine.
+    /// Starts a system on a loopback network of its own.
     ///
     /// # Panics
     ///
     /// If files cannot be written or processes not started.
-    pub fn start(number: u8, entries: usize, stores: usize) -> Self {
-        Self::start_as(number, entries, stores, false)
+    pub fn start(entries: usize, stores: usize) -> Self {
+        Self::start_as(entries, stores, false)
     }
 
     /// Starts a system whose instances reach each other through relays, and whose clocks and disks can
@@ -179,13 +180,14 @@
     /// # Panics
     ///
     /// As [`PlatformSystem::start`].
-    pub fn start_behind_relays(number: u8, entries: usize, stores: usize) -> Self {
-        Self::start_as(number, entries, stores, true)
+    pub fn start_behind_relays(entries: usize, stores: usize) -> Self {
+        Self::start_as(entries, stores, true)
     }
 
-    fn start_as(number: u8, entries: usize, stores: usize, with_relays: bool) -> Self {
+    fn start_as(entries: usize, stores: usize, with_relays: bool) -> Self {
         let folder = tempfile::tempdir().expect("a folder can be made");
-        let ip = |at: usize| IpAddr::V4(Ipv4Addr::new(127, 77, number, 1 + at as u8));
+        let network = Network::reserve();
+        let ip = |at: usize| IpAddr::V4(network.ip(1 + at as u8));
         let seeds: Vec<_> = (0..entries.min(3))
             .map(|at| SocketAddr::new(ip(at), CONTROL_PORT))
             .collect();
@@ -209,10 +211,11 @@
             stores: (0..stores).map(|at| instance(entries + at, true)).collect(),
             relays: HashMap::new(),
             folder,
+            network,
             wiped_at: None,
         };
         if with_relays {
-            system.start_relays(entries + stores, ip);
+            system.start_relays(entries + stores);
         }
         for (at, instance) in system
             .stores
@@ -226,10 +229,8 @@
         system
     }
 
-    fn start_relays<F>(&mut self, instances: usize, ip: F)
-    where
-        F: Fn(usize) -> IpAddr,
-    {
+    fn start_relays(&mut self, instances: usize) {
+        let ip = |at: usize| IpAddr::V4(self.network.ip(1 + at as u8));
         for from in 0..instances {
             for to in (0..instances).filter(|to| *to != from) {
                 let listen = SocketAddr::new(ip(to), RELAY_PORT + from as u16);
