serving: bytes without end are bounded in memory and time, and hold up no other request

Found by tests over real sockets (platform::floods, nine floods by a target and five by a caller): - A chunk size without end kept the only thread of the process busy: another request got its 404 after 9.2 s. Connections now let other tasks run after 32 KB read, and the read buffer of a connection to a target is 64 KB (another request: under 1 s beside 13 other floods, debug build). Found in reading and mended with tests of their own or by the same floods: - An event without end was buffered without a limit (256 KB now; events::event_without_end_is_an_error). - A target that sent a byte now and then was never taken for stalled, and one that sent without a pause outlasted the deadline: only complete events count as progress, and the deadline ends a stream. - Failure bodies of streams had no limit; buffered bodies had 16 MB each (2 MB now); the output of a batch run had none (4 MB); bodies of control calls had no time-out (8 s).

--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -15,6 +15,7 @@
     Limited, //
 };
 use hyper::body::Incoming;
+use tokio::time::timeout;
 use yuccaseam_base::{
     InstanceName,
     Millis,
@@ -56,6 +57,8 @@
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Time-out for the body of a call. Those of targets are small, and manifests come within a second.
+const BODY_TIMEOUT: Millis = Millis(8_000);
 /// Time-out of an operator's call to the leader.
 const CALL_TIMEOUT: Millis = Millis(4_000);
 
@@ -89,12 +92,16 @@
     let Some(call) = ControlCall::parse(req.method(), req.uri().path()) else {
         return text(StatusCode::NOT_FOUND, "no such call");
     };
-    let body = match Limited::new(req.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
+    let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect();
+    let body = match timeout(BODY_TIMEOUT.duration(), body).await {
+        Ok(Ok(body)) => body.to_bytes(),
         Err(_) => {
+            return text(
+                StatusCode::REQUEST_TIMEOUT,
+                "request body not received in time",
+            );
+        }
+        Ok(Err(_)) => {
             return text(
                 StatusCode::BAD_REQUEST,
                 "request body is malformed or too large",
--- a/crates/serving/src/entry/head_timeout.rs
+++ b/crates/serving/src/entry/head_timeout.rs
@@ -35,6 +35,8 @@
 };
 use yuccaseam_base::Millis;
 
+use crate::fair_stream::FairStream;
+
 /// Tracks whether a connection is processing a request or between two requests.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadState {
@@ -56,7 +58,7 @@
 
 /// TCP stream whose reads fail if the head of a request takes too long.
 pub(super) struct HeadTimeout {
-    stream: TcpStream,
+    stream: FairStream<TcpStream>,
     state: HeadState,
     timeout: Millis,
     /// Set from the first byte of a head until the head has been read.
@@ -66,7 +68,7 @@
 impl HeadTimeout {
     pub(super) fn new(stream: TcpStream, state: HeadState, timeout: Millis) -> Self {
         Self {
-            stream,
+            stream: FairStream::new(stream),
             state,
             timeout,
             timer: None,
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -80,8 +80,9 @@
 /// Shortest time without a response after which a target is suspected: an engine with free slots
 /// sends a first event within about 100 ms.
 const MIN_SUSPICION_TIMEOUT: Millis = Millis(800);
-/// Largest buffered (not streamed) response, in bytes.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Largest buffered (not streamed) response, in bytes. Some forty responses of this size fit into the
+/// memory of a small instance.
+pub(super) const MAX_BUFFERED_BYTES: usize = 2 << 20;
 /// Rejections by targets after which the caller is refused.
 const MAX_REJECTIONS: usize = 4;
 
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -10,6 +10,7 @@
 use futures_util::stream;
 use http_body_util::{
     BodyExt as _,
+    Limited,
     StreamBody, //
 };
 use hyper::body::{
@@ -20,7 +21,10 @@
 use yuccaseam_base::Millis;
 
 use crate::{
-    events::EventSplitter,
+    events::{
+        EventSplitter,
+        OversizedEvent, //
+    },
     upstream::{
         Connection,
         Failure,
@@ -31,6 +35,7 @@
 use super::{
     online::{
         ActiveRequest,
+        MAX_BUFFERED_BYTES,
         RequestFailure,
         Slot,
         response_with_body, //
@@ -53,6 +58,9 @@
     splitter: EventSplitter,
     /// When the last events arrived.
     last_event_at: Option<Millis>,
+    /// When the current target last completed an event, or its response began. Bytes that complete no
+    /// event do not count as progress.
+    progress_at: Millis,
     /// Longest time between two events.
     longest_pause: Millis,
 }
@@ -81,6 +89,7 @@
         conn: response.conn,
     });
     let forwarded = ForwardedStream {
+        progress_at: request.cx.clock.now(),
         request,
         source,
         splitter: EventSplitter::default(),
@@ -114,7 +123,8 @@
             source.slot.record_failure();
         }
         let remaining = self.request.deadline - self.request.cx.clock.now();
-        let body = timeout(remaining.duration(), source.body.collect()).await;
+        let body = Limited::new(source.body, MAX_BUFFERED_BYTES).collect();
+        let body = timeout(remaining.duration(), body).await;
         let Ok(Ok(body)) = body else {
             return Err(self.request.fail_after_run("broken"));
         };
@@ -134,18 +144,27 @@
     async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
             let source = self.source.as_mut()?;
-            let wait = self.request.event_timeout();
-            let suspicion = self.request.suspicion_timeout().min(wait);
-            let mut frame = timeout(suspicion.duration(), source.body.frame()).await;
-            if frame.is_err() && suspicion < wait {
+            let stalled_for = self.request.cx.clock.now() - self.progress_at;
+            let remaining = self.request.deadline - self.request.cx.clock.now();
+            let wait = (self.request.event_timeout() - stalled_for).min(remaining);
+            let suspicion = self.request.suspicion_timeout() - stalled_for;
+            // Zero once the target was recorded as unresponsive.
+            let is_suspicion_due = suspicion > Millis::ZERO && suspicion < wait;
+            let first_wait = if is_suspicion_due { suspicion } else { wait };
+            let mut frame = timeout(first_wait.duration(), source.body.frame()).await;
+            if frame.is_err() && is_suspicion_due {
                 source.slot.record_unresponsive(&self.request.id);
                 frame = timeout((wait - suspicion).duration(), source.body.frame()).await;
             }
+            let is_over = self.request.cx.clock.now() >= self.request.deadline;
             let outcome = match frame {
+                // A target that sends without a pause must not outlast the deadline.
+                Ok(Some(Ok(_))) if is_over => ReadOutcome::Failed(Failure::TimedOut),
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => match self.splitter.push(&data) {
-                        Some(events) => ReadOutcome::Events(events),
-                        None => continue,
+                        Ok(Some(events)) => ReadOutcome::Events(events),
+                        Ok(None) => continue,
+                        Err(OversizedEvent) => ReadOutcome::Failed(Failure::InvalidResponse),
                     },
                     // Trailers are hop-by-hop.
                     Err(_) => continue,
@@ -175,6 +194,7 @@
 
     fn record_event(&mut self) {
         let now = self.request.cx.clock.now();
+        self.progress_at = now;
         match self.last_event_at {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
             None => self.request.first_event_at = Some(now),
@@ -215,6 +235,7 @@
         log::info!(
             request:% = self.request.id, target_name:% = slot.choice.name, after = last_id.as_deref();
             "stream resumed at another target");
+        self.progress_at = self.request.cx.clock.now();
         self.source = Some(Source {
             slot,
             body: response.body,
@@ -225,13 +246,12 @@
 }
 
 impl ActiveRequest {
-    /// Time-out for the next event.
+    /// Time-out between two events.
     fn event_timeout(&self) -> Millis {
-        let remaining = self.deadline - self.cx.clock.now();
         if self.can_resume() {
-            remaining.min(STALL_TIMEOUT)
+            STALL_TIMEOUT
         } else {
-            remaining
+            Millis::MAX
         }
     }
 }
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -5,6 +5,13 @@
     BytesMut, //
 };
 
+/// Largest event, in bytes. A target that sends more without an end of the event sends no events.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// An event exceeds [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OversizedEvent;
+
 /// Buffers the bytes of an incomplete event.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -16,18 +23,30 @@
 
 impl EventSplitter {
     /// Appends bytes and returns all complete events, if any.
-    pub fn push(&mut self, data: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event does not end within the largest size of an event. At most that size and
+    /// `data` are buffered.
+    pub fn push(&mut self, data: &[u8]) -> Result<Option<Bytes>, OversizedEvent> {
         let searched = self.buf.len().saturating_sub(EVENT_TERMINATOR.len() - 1);
         self.buf.extend_from_slice(data);
         let last_end = self.buf[searched..]
             .windows(EVENT_TERMINATOR.len())
-            .rposition(|window| window == EVENT_TERMINATOR)?;
+            .rposition(|window| window == EVENT_TERMINATOR);
+        let Some(last_end) = last_end else {
+            return if self.buf.len() > MAX_EVENT_BYTES {
+                Err(OversizedEvent)
+            } else {
+                Ok(None)
+            };
+        };
         let complete = self
             .buf
             .split_to(searched + last_end + EVENT_TERMINATOR.len())
             .freeze();
         self.record_last_id(&complete);
-        Some(complete)
+        Ok(Some(complete))
     }
 
     fn record_last_id(&mut self, events: &[u8]) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 mod cx;
 mod entry;
 pub mod events;
+mod fair_stream;
 mod follow;
 pub mod health;
 mod link;
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -36,6 +36,9 @@
 /// Time limit for the response head and between frames, after which the item resumes elsewhere.
 const STALL_TIMEOUT: Millis = Millis(2_000);
 
+/// Largest output of one run, in bytes: many times that of the largest items.
+const MAX_OUTPUT_BYTES: usize = 4 << 20;
+
 /// How a run ended.
 #[derive(Debug)]
 pub(super) enum RunEnd {
@@ -135,8 +138,12 @@
         _ => return RunEnd::Interrupted(Failure::InvalidResponse),
     }
     let mut splitter = EventSplitter::default();
+    let mut output_bytes = 0;
+    let mut last_event_at = cx.clock.now();
     loop {
-        match tokio::time::timeout(STALL_TIMEOUT.duration(), call.body.frame()).await {
+        // Bytes that complete no event do not count as progress.
+        let wait = last_event_at + STALL_TIMEOUT - cx.clock.now();
+        match tokio::time::timeout(wait.duration(), call.body.frame()).await {
             Err(_) => return RunEnd::Interrupted(Failure::TimedOut),
             Ok(None) if splitter.is_mid_event() => return RunEnd::Interrupted(Failure::Broken),
             Ok(None) => {
@@ -148,7 +155,15 @@
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
-                if let Some(events) = splitter.push(&data) {
+                let Ok(events) = splitter.push(&data) else {
+                    return RunEnd::Interrupted(Failure::InvalidResponse);
+                };
+                if let Some(events) = events {
+                    output_bytes += events.len();
+                    if output_bytes > MAX_OUTPUT_BYTES {
+                        return RunEnd::Interrupted(Failure::InvalidResponse);
+                    }
+                    last_event_at = cx.clock.now();
                     let lines = event_data(&events);
                     let lines = lines.map(|line| String::from_utf8_lossy(line).into_owned());
                     // The runner runs until the process exits.
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -43,6 +43,8 @@
 };
 use yuccaseam_platform::headers;
 
+use crate::fair_stream::FairStream;
+
 /// Time-out for opening a connection to a target of the same region: many round trips. Another target
 /// can be tried while the response can still be on time.
 const REGION_CONNECT_TIMEOUT: Millis = Millis(70);
@@ -55,6 +57,9 @@
 /// Largest number of idle connections kept to one target.
 const MAX_IDLE_PER_TARGET: usize = 8;
 
+/// Largest read buffer of a connection, and so the largest head of a response, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Cause of a failed call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -240,7 +245,10 @@
             .map_err(|_| unreachable())?;
         // If this fails, small writes are only slower.
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(FairStream::new(stream)))
+            .await;
         let (sender, conn) = handshake.map_err(|_| unreachable())?;
         // `sender` reports the end of the connection.
         let task = tokio::spawn(async move { drop(conn.await) });
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -85,6 +85,14 @@
         self.process.as_mut().is_some_and(Process::is_running)
     }
 
+    /// Resident memory of the process, in KB; `None` if it does not run.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let process = self.process.as_ref()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Starts the process.
     pub fn start(&mut self) {
         let (clock, disk) = (self.seam("clock"), self.seam("disk"));
