serving: loads are sent by group of followers, and far ones less often in large fleets

Change: entries that report to each other get the same differences, computed and encoded once; with 64 followers or more, loads of other failure domains go every 200 ms and in steps of two; entries with many neighbours report less often; a renewal looks at its own record only; the batch schedule clones only the targets it uses. load_fanout decides without I/O.

--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -58,8 +58,11 @@
 const MAX_STORES_QUERIED: usize = 3;
 /// Pause before the next search for the leader.
 const RETRY_BACKOFF: Millis = Millis(80);
-/// How often a changing load is reported to the leader.
+/// How often a changing load is reported to the leader by an entry with few neighbours.
 const LOAD_REPORT_INTERVAL: Millis = Millis(30);
+/// Number of neighbours for each further [`LOAD_REPORT_INTERVAL`]. In large fleets, the reports of all
+/// entries would keep the leader busy, and neighbours know each other's requests without it.
+const NEIGHBOURS_PER_INTERVAL: u64 = 16;
 /// How often a direct connection is probed for while the leader is followed through another entry.
 /// The leader does not receive the load of this entry over a relayed connection.
 const DIRECT_PROBE_INTERVAL: Millis = Millis(500);
@@ -361,6 +364,7 @@
             }
             last = Some(loads);
         }
-        pause(LOAD_REPORT_INTERVAL).await;
+        let neighbours = cx.neighbours.peers().len() as u64;
+        pause(LOAD_REPORT_INTERVAL * (1 + neighbours / NEIGHBOURS_PER_INTERVAL)).await;
     }
 }
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 
+use bytes::Bytes;
 use serde::{
     Serialize,
     de::DeserializeOwned, //
@@ -149,6 +150,16 @@
     Noted(u64),
 }
 
+/// An encoded [`LeaderMessage`]. Encoded once, also if it goes to many followers.
+#[derive(Clone)]
+pub(crate) struct LeaderFrame(pub(crate) Bytes);
+
+impl From<&LeaderMessage> for LeaderFrame {
+    fn from(message: &LeaderMessage) -> Self {
+        Self(encode(message).into())
+    }
+}
+
 /// Encodes a message.
 pub(crate) fn encode<M>(message: &M) -> Vec<u8>
 where
--- a/crates/serving/src/link/mod.rs
+++ b/crates/serving/src/link/mod.rs
@@ -16,6 +16,7 @@
     FollowerMessage,
     HubReply,
     HubRequest,
+    LeaderFrame,
     LeaderMessage,
     PageRequest,
     StoreEntry,
--- a/crates/serving/src/link/server.rs
+++ b/crates/serving/src/link/server.rs
@@ -46,7 +46,7 @@
 };
 
 use super::{
-    FollowerMessage, HubReply, HubRequest, LeaderMessage,
+    FollowerMessage, HubReply, HubRequest, LeaderFrame,
     client::{
         MAX_MESSAGE_BYTES,
         WINDOW_BYTES, //
@@ -74,7 +74,7 @@
     /// # Errors
     ///
     /// Fails if this instance does not lead, with the leader if it is known.
-    fn follow(&self, tx: mpsc::Sender<LeaderMessage>) -> Result<u64, Option<IpAddr>>;
+    fn follow(&self, tx: mpsc::Sender<LeaderFrame>) -> Result<u64, Option<IpAddr>>;
 
     /// Handles a message of a follower.
     fn on_message(&self, follower: u64, message: FollowerMessage);
@@ -172,9 +172,9 @@
             }
             handler.unfollow(follower);
         });
-        let outgoing = ReceiverStream::new(rx).map(|message| {
+        let outgoing = ReceiverStream::new(rx).map(|frame: LeaderFrame| {
             Ok(Parcel {
-                message: encode(&message),
+                message: frame.0.to_vec(),
             })
         });
         Ok(Response::new(Box::pin(outgoing)))
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -23,6 +23,7 @@
         Handler,
         HubReply,
         HubRequest,
+        LeaderFrame,
         LeaderMessage, //
     },
 };
@@ -35,7 +36,7 @@
     /// Whether this instance has a direct connection to the leader.
     direct: bool,
     next_id: u64,
-    followers: HashMap<u64, mpsc::Sender<LeaderMessage>>,
+    followers: HashMap<u64, mpsc::Sender<LeaderFrame>>,
 }
 
 /// Instances that follow the leader through this entry.
@@ -68,18 +69,22 @@
         ) {
             return;
         }
+        if inner.followers.is_empty() {
+            return;
+        }
+        let frame = LeaderFrame::from(message);
         inner
             .followers
-            .retain(|_, tx| tx.try_send(message.clone()).is_ok());
+            .retain(|_, tx| tx.try_send(frame.clone()).is_ok());
     }
 
-    fn add(&self, tx: mpsc::Sender<LeaderMessage>, initial: Vec<LeaderMessage>) -> Option<u64> {
+    fn add(&self, tx: mpsc::Sender<LeaderFrame>, initial: Vec<LeaderMessage>) -> Option<u64> {
         let mut inner = self.inner();
         if !inner.direct {
             return None;
         }
         for message in initial {
-            tx.try_send(message).ok()?;
+            tx.try_send(LeaderFrame::from(&message)).ok()?;
         }
         inner.next_id += 1;
         let id = inner.next_id;
@@ -87,7 +92,7 @@
         Some(id)
     }
 
-    fn get(&self, follower: u64) -> Option<mpsc::Sender<LeaderMessage>> {
+    fn get(&self, follower: u64) -> Option<mpsc::Sender<LeaderFrame>> {
         self.inner().followers.get(&follower).cloned()
     }
 
@@ -116,7 +121,7 @@
         }
     }
 
-    fn follow(&self, tx: mpsc::Sender<LeaderMessage>) -> Result<u64, Option<IpAddr>> {
+    fn follow(&self, tx: mpsc::Sender<LeaderFrame>) -> Result<u64, Option<IpAddr>> {
         let records: Vec<_> = self.cx.targets().records().cloned().collect();
         let manifest = self.cx.manifest().map(LeaderMessage::Manifest);
         let initial = manifest
@@ -148,7 +153,8 @@
             };
             if confirmed {
                 // The follower may have disconnected.
-                let _ = tx.send(LeaderMessage::Noted(notice)).await;
+                let frame = LeaderFrame::from(&LeaderMessage::Noted(notice));
+                let _ = tx.send(frame).await;
             }
         });
     }
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -30,9 +30,15 @@
     cx::Cx,
     link::{
         FollowerMessage,
+        LeaderFrame,
         LeaderMessage,
         pause, //
     },
+    load_fanout::{
+        Group,
+        LoadFanout,
+        Snapshot, //
+    },
     neighbourhood::Neighbourhoods,
     orphans::OrphanedItems,
     state::Command,
@@ -65,24 +71,27 @@
 
 /// An instance that follows this one.
 struct Follower {
-    tx: mpsc::Sender<LeaderMessage>,
+    tx: mpsc::Sender<LeaderFrame>,
     entry: Option<EntryInfo>,
     loads: Vec<(TargetKey, u32)>,
-    /// Loads of the others as last sent to the follower.
-    sent_loads: BTreeMap<TargetKey, Load>,
+    /// Group whose loads the follower was sent.
+    group: Option<Group>,
     sent_at: Millis,
 }
 
 impl Follower {
-    /// Loads that an entry knows without the leader: its own and those of its neighbours.
-    fn loads_known_locally<'a>(
-        &self,
-        by_entry: &'a HashMap<IpAddr, Vec<(TargetKey, u32)>>,
-    ) -> impl Iterator<Item = &'a (TargetKey, u32)> {
+    /// Entries that know each other's requests without the leader: this one and its neighbours. Empty if
+    /// the follower is no entry.
+    fn loads_group(&self) -> Group {
         let entry = self.entry.as_ref();
         let ips = entry.map(|entry| entry.neighbours.iter().copied().chain([entry.ip]));
-        let ips: Vec<_> = ips.into_iter().flatten().collect();
-        ips.into_iter().filter_map(|ip| by_entry.get(&ip)).flatten()
+        let mut ips: Group = ips.into_iter().flatten().collect();
+        ips.sort_unstable();
+        ips
+    }
+
+    fn try_send(&self, message: &LeaderMessage) -> bool {
+        self.tx.try_send(LeaderFrame::from(message)).is_ok()
     }
 }
 
@@ -92,6 +101,10 @@
     followers: HashMap<u64, Follower>,
     /// Whether entries have connected or disconnected since neighbours were last sent.
     neighbours_changed: bool,
+    /// Loads sent to the followers.
+    fanout: LoadFanout,
+    /// Failure domain of each target.
+    domains: HashMap<TargetKey, FailureDomain>,
     /// Batch items running at each target.
     batch: BTreeMap<TargetKey, u32>,
     /// Items of the leader before this one, if it vanished.
@@ -108,6 +121,16 @@
     record_at: Millis,
 }
 
+impl Inner {
+    fn set_domain(&mut self, record: &TargetRecord) {
+        if record.left {
+            self.domains.remove(&record.key());
+        } else {
+            self.domains.insert(record.key(), record.domain.clone());
+        }
+    }
+}
+
 /// The followers of this instance while it leads, and what they reported.
 pub(crate) struct Hub {
     cx: Arc<Cx>,
@@ -130,7 +153,7 @@
 
     /// Adds a follower and queues the current manifest and targets for it. `None` if this instance
     /// does not lead.
-    pub(crate) fn follow(&self, tx: mpsc::Sender<LeaderMessage>) -> Option<u64> {
+    pub(crate) fn follow(&self, tx: mpsc::Sender<LeaderFrame>) -> Option<u64> {
         // Until the hub has loaded the recorded targets, a follower would miss some.
         if self.inner().leader_since.is_none() || !self.replica.holds_lease() {
             return None;
@@ -141,7 +164,7 @@
             initial.insert(0, LeaderMessage::Manifest(manifest));
         }
         for message in initial {
-            tx.try_send(message).ok()?;
+            tx.try_send(LeaderFrame::from(&message)).ok()?;
         }
         let mut inner = self.inner();
         inner.next_id += 1;
@@ -150,7 +173,7 @@
             tx,
             entry: None,
             loads: Vec::new(),
-            sent_loads: BTreeMap::new(),
+            group: None,
             sent_at: Millis::ZERO,
         };
         inner.followers.insert(id, follower);
@@ -188,10 +211,7 @@
                 return true;
             }
             entry.neighbours.clone_from(&neighbourhood.ips);
-            follower
-                .tx
-                .try_send(LeaderMessage::Neighbours(neighbourhood))
-                .is_ok()
+            follower.try_send(&LeaderMessage::Neighbours(neighbourhood))
         });
     }
 
@@ -259,7 +279,12 @@
         let named = records
             .iter()
             .map(|record| (record.name.clone(), record.clone()));
-        self.inner().unrecorded.extend(named);
+        let mut inner = self.inner();
+        inner.unrecorded.extend(named);
+        for record in &records {
+            inner.set_domain(record);
+        }
+        drop(inner);
         self.broadcast(&LeaderMessage::Targets(records));
     }
 
@@ -268,7 +293,7 @@
         let sent = inner
             .followers
             .get(&follower)
-            .is_some_and(|follower| follower.tx.try_send(message).is_ok());
+            .is_some_and(|follower| follower.try_send(&message));
         if !sent {
             inner.followers.remove(&follower);
         }
@@ -276,9 +301,10 @@
 
     /// Sends a message to all followers. One whose queue is full is disconnected and reconnects.
     fn broadcast(&self, message: &LeaderMessage) {
+        let frame = LeaderFrame::from(message);
         self.inner()
             .followers
-            .retain(|_, follower| follower.tx.try_send(message.clone()).is_ok());
+            .retain(|_, follower| follower.tx.try_send(frame.clone()).is_ok());
     }
 
     /// Requests at each target that items must leave room for: those of callers, as reported by
@@ -305,41 +331,76 @@
         self.inner().batch = batch;
     }
 
-    /// Sends each follower the loads of the others that have changed. Excludes neighbours, which
-    /// notify each other.
+    /// Sends the followers the loads of the others that have changed. Excludes neighbours, which notify
+    /// each other.
     fn send_loads(&self, now: Millis) {
         let mut inner = self.inner();
+        let Inner {
+            followers,
+            fanout,
+            domains,
+            batch,
+            orphans,
+            ..
+        } = &mut *inner;
         let mut all = BTreeMap::<TargetKey, Load>::new();
-        let mut by_entry = HashMap::<IpAddr, Vec<(TargetKey, u32)>>::new();
-        for follower in inner.followers.values() {
+        let mut groups = HashMap::<Group, Vec<u64>>::new();
+        for (id, follower) in followers.iter() {
             for (key, count) in &follower.loads {
                 all.entry(*key).or_default().online += count;
             }
-            if let Some(entry) = &follower.entry {
-                by_entry.insert(entry.ip, follower.loads.clone());
-            }
+            groups.entry(follower.loads_group()).or_default().push(*id);
         }
-        for (key, count) in &inner.batch {
+        for (key, count) in batch.iter() {
             all.entry(*key).or_default().batch = *count;
         }
-        for (key, count) in inner.orphans.running(now) {
+        for (key, count) in orphans.running(now) {
             all.entry(key).or_default().online += count;
         }
-        inner.followers.retain(|_, follower| {
-            let mut loads = all.clone();
-            for (key, count) in follower.loads_known_locally(&by_entry) {
-                if let Some(load) = loads.get_mut(key) {
-                    load.online = load.online.saturating_sub(*count);
+        let snapshot = Snapshot {
+            all: &all,
+            domains,
+            followers: followers.len(),
+            now,
+        };
+        let mut frames = Vec::new();
+        for (group, members) in &groups {
+            let entries = members.iter().filter_map(|id| followers.get(id));
+            let entries: Vec<_> = entries.filter(|member| member.entry.is_some()).collect();
+            let domain = entries.iter().find_map(|member| member.entry.as_ref());
+            let domain = domain.map(|entry| &entry.domain);
+            let known = entries.iter().flat_map(|member| &member.loads);
+            let changes = fanout.changes(group, known, domain, &snapshot);
+            let is_empty = changes.is_empty();
+            frames.push((
+                group,
+                is_empty,
+                LeaderFrame::from(&LeaderMessage::Loads(changes)),
+            ));
+        }
+        let mut failed = Vec::new();
+        for (group, is_empty, frame) in frames {
+            for id in &groups[group] {
+                let Some(follower) = followers.get_mut(id) else {
+                    continue;
+                };
+                let sent = if follower.group.as_ref() != Some(group) {
+                    let loads = fanout.joined(group, follower.group.as_ref());
+                    follower.group = Some(group.clone());
+                    follower.try_send(&LeaderMessage::Loads(loads))
+                } else if is_empty && now < follower.sent_at + HEARTBEAT_INTERVAL {
+                    continue;
+                } else {
+                    follower.tx.try_send(frame.clone()).is_ok()
+                };
+                follower.sent_at = now;
+                if !sent {
+                    failed.push(*id);
                 }
             }
-            let changed = changed_loads(&follower.sent_loads, &loads);
-            if changed.is_empty() && now < follower.sent_at + HEARTBEAT_INTERVAL {
-                return true;
-            }
-            follower.sent_loads = loads;
-            follower.sent_at = now;
-            follower.tx.try_send(LeaderMessage::Loads(changed)).is_ok()
-        });
+        }
+        followers.retain(|id, _| !failed.contains(id));
+        fanout.retain(|group| groups.contains_key(group));
     }
 
     fn tick(&self) {
@@ -397,8 +458,15 @@
         let departed = changed.into_iter().filter(TargetRecord::has_departed);
         let named = departed.map(|record| (record.name.clone(), record));
         self.inner().unrecorded.extend(named);
-        self.cx.targets().reset_timeouts(now);
-        self.inner().leader_since = Some(now);
+        let mut targets = self.cx.targets();
+        targets.reset_timeouts(now);
+        let mut inner = self.inner();
+        inner.domains.clear();
+        inner.fanout = LoadFanout::default();
+        for record in targets.records() {
+            inner.set_domain(record);
+        }
+        inner.leader_since = Some(now);
     }
 
     /// Records in the log the stores and targets that the system needs after a power loss.
@@ -444,20 +512,6 @@
     }
 }
 
-/// Loads that differ from those sent. Targets that no longer have a load get the default.
-fn changed_loads(
-    sent: &BTreeMap<TargetKey, Load>,
-    loads: &BTreeMap<TargetKey, Load>,
-) -> Vec<(TargetKey, Load)> {
-    let gone = sent.keys().filter(|key| !loads.contains_key(key));
-    let gone = gone.map(|key| (*key, Load::default()));
-    let updated = loads
-        .iter()
-        .filter(|(key, load)| sent.get(key) != Some(load));
-    gone.chain(updated.map(|(key, load)| (*key, *load)))
-        .collect()
-}
-
 /// Keeps followers up to date, for the life of the process.
 pub(crate) async fn run(hub: Arc<Hub>) {
     let mut tick_at = Millis::ZERO;
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -33,7 +33,7 @@
         Handler,
         HubReply,
         HubRequest,
-        LeaderMessage, //
+        LeaderFrame, //
     },
     state::{
         Command,
@@ -177,7 +177,7 @@
         }
     }
 
-    fn follow(&self, tx: mpsc::Sender<LeaderMessage>) -> Result<u64, Option<IpAddr>> {
+    fn follow(&self, tx: mpsc::Sender<LeaderFrame>) -> Result<u64, Option<IpAddr>> {
         self.hub.follow(tx).ok_or_else(|| self.leader_ip())
     }
 
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -13,7 +13,8 @@
 use std::{
     collections::{
         BTreeMap,
-        HashMap, //
+        HashMap,
+        HashSet, //
     },
     sync::Arc,
 };
@@ -157,8 +158,12 @@
         let replica = Arc::clone(&self.replica);
         let waiting = replica.read(|state| self.waiting(state, now));
         self.abort_stale_runs();
-        for (service, waiting) in waiting {
-            self.schedule(&service, &waiting, now);
+        let has_work = !self.runs.is_empty() || waiting.values().any(|items| !items.is_empty());
+        if has_work {
+            let online = self.hub.online(now);
+            for (service, waiting) in waiting {
+                self.schedule(&service, &waiting, &online, now);
+            }
         }
         let mut batch = BTreeMap::new();
         for run in self.runs.values() {
@@ -245,7 +250,13 @@
         });
     }
 
-    fn schedule(&mut self, service: &str, waiting: &[WaitingItem], now: Millis) {
+    fn schedule(
+        &mut self,
+        service: &str,
+        waiting: &[WaitingItem],
+        online: &BTreeMap<TargetKey, u32>,
+        now: Millis,
+    ) {
         let items: HashMap<_, _> = waiting.iter().map(|item| (item.key, item)).collect();
         let running = self.runs.values().map(|run| {
             let item = items.get(&run.key);
@@ -258,24 +269,17 @@
             }
         });
         let running: Vec<_> = running.collect();
-        let is_running = |key| running.iter().any(|run| run.key == key);
+        let running_keys: HashSet<_> = running.iter().map(|run| run.key).collect();
         let waiting: Vec<_> = waiting
             .iter()
             .copied()
-            .filter(|item| !is_running(item.key))
+            .filter(|item| !running_keys.contains(&item.key))
             .collect();
-        let online = self.hub.online(now);
         let loads_known = are_loads_known(self.hub.leader_for(now));
-        let records: HashMap<TargetKey, TargetRecord> = {
+        let capacities: Vec<_> = {
             let targets = self.cx.targets();
             let of_service = targets.records().filter(|record| record.service == service);
-            of_service
-                .map(|record| (record.key(), record.clone()))
-                .collect()
-        };
-        let capacities: Vec<_> = records
-            .values()
-            .map(|record| {
+            let capacities = of_service.map(|record| {
                 let key = record.key();
                 let in_cooldown = self.cooldowns.get(&key).is_some_and(|until| now < *until);
                 TargetCapacity {
@@ -284,8 +288,9 @@
                     online: online.get(&key).copied().unwrap_or(0),
                     accepts: loads_known && record.takes_work() && !in_cooldown,
                 }
-            })
-            .collect();
+            });
+            capacities.collect()
+        };
         let plan = plan(&waiting, &running, &capacities, now);
         for key in plan.pause {
             let job = self.jobs.job_id(key.job);
@@ -294,8 +299,9 @@
             metrics::counter!("yuccaseam_batch_runs_total", "outcome" => "paused").increment(1);
         }
         for (key, target) in plan.start {
-            if let Some(record) = records.get(&target) {
-                self.start(key, record);
+            let record = self.cx.targets().record(target).cloned();
+            if let Some(record) = record {
+                self.start(key, &record);
             }
         }
     }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -143,9 +143,6 @@
         mut record: TargetRecord,
         now: Millis,
     ) -> AnnouncementOutcome {
-        if self.is_address_taken(&record) {
-            return AnnouncementOutcome::Stale;
-        }
         if let Some(tracked) = self.by_name.get_mut(&record.name) {
             let old = &tracked.record;
             if (record.started_at, record.number) <= (old.started_at, old.number) {
@@ -156,6 +153,7 @@
                     return AnnouncementOutcome::Stale;
                 }
                 record.draining |= old.draining;
+                // The usual case, which must not cost more with the number of targets.
                 if !has_changed(old, &record) {
                     tracked.last_seen = now;
                     tracked.record = record;
@@ -163,6 +161,9 @@
                 }
             }
         }
+        if self.is_address_taken(&record) {
+            return AnnouncementOutcome::Stale;
+        }
         AnnouncementOutcome::Changed(self.insert(record, now))
     }
 
@@ -242,6 +243,11 @@
         expired
     }
 
+    /// Record of one start of a target.
+    pub(crate) fn record(&self, key: TargetKey) -> Option<&TargetRecord> {
+        self.records().find(|record| record.key() == key)
+    }
+
     /// Every known target, including departed ones that are still retained.
     pub fn records(&self) -> impl Iterator<Item = &TargetRecord> {
         self.by_name.values().map(|tracked| &tracked.record)
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod group;
 mod health;
 mod herd;
+mod load_fanout;
 mod neighbourhood;
 mod orphans;
 mod overload;
