--- a/crates/daemon/tests/all/platform/floods.rs
+++ b/crates/daemon/tests/all/platform/floods.rs
@@ -1,10 +1,7 @@
 //! Targets and callers that send bytes without end, until their connection is closed.
 
 use std::{
-    io::{
-        Read as _,
-        Write as _, //
-    },
+    io::Write as _,
     net::{
         SocketAddr,
         TcpListener,
@@ -37,7 +34,10 @@
     send, //
 };
 
-use super::PATIENCE;
+use super::{
+    PATIENCE,
+    read_request_id, //
+};
 
 /// Time that callers allow for a request, in ms.
 const DEADLINE_MS: u64 = 1_500;
@@ -77,21 +77,10 @@
 }
 
 fn send_without_end(mut stream: TcpStream, flood: Flood) -> std::io::Result<()> {
-    let mut head = Vec::new();
-    let mut buf = [0; 4_096];
-    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
-        let len = stream.read(&mut buf)?;
-        if len == 0 {
-            return Ok(());
-        }
-        head.extend_from_slice(&buf[..len]);
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    let id = head
-        .lines()
-        .find_map(|line| line.strip_prefix("request-id: "));
-    let once = flood.once.replace("ID", id.unwrap_or_default());
-    stream.write_all(once.as_bytes())?;
+    let Some(id) = read_request_id(&mut stream)? else {
+        return Ok(());
+    };
+    stream.write_all(flood.once.replace("ID", &id).as_bytes())?;
     let piece = flood.again.repeat(16_384 / flood.again.len());
     loop {
         stream.write_all(piece.as_bytes())?;
--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -6,10 +6,16 @@
 mod jobs;
 mod lifecycle;
 mod limits;
+mod misbehaving;
 mod online;
 
 use std::{
     future::Future,
+    io::{
+        self,
+        Read as _, //
+    },
+    net::TcpStream,
     time::{
         Duration,
         Instant, //
@@ -129,6 +135,24 @@
     }
 }
 
+/// Reads the head of a request, and returns its id; `None` if the connection ends.
+fn read_request_id(stream: &mut TcpStream) -> io::Result<Option<String>> {
+    let mut head = Vec::new();
+    let mut buf = [0; 4_096];
+    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
+        let len = stream.read(&mut buf)?;
+        if len == 0 {
+            return Ok(None);
+        }
+        head.extend_from_slice(&buf[..len]);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let id = head
+        .lines()
+        .find_map(|line| line.strip_prefix("request-id: "));
+    Ok(Some(id.unwrap_or_default().to_owned()))
+}
+
 /// A field of the last line of a log with this message.
 fn field(log: &str, message: &str, name: &str) -> Option<String> {
     let lines = log.lines().rev();
