serving: an entry beside a minority of the stores follows the leader through another entry

Change: LeaderSearch and SearchTally decide without I/O: a named leader that is silent counts, and stores without a leader for 1.2 s too. Their tests name the pattern.

--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -37,6 +37,12 @@
 
 use crate::{
     cx::Cx,
+    leader_search::{
+        LeaderSearch,
+        SearchOutcome,
+        SearchTally,
+        StoreAnswer, //
+    },
     link::{
         FollowerMessage,
         HubRequest,
@@ -164,6 +170,7 @@
 where
     F: Fn() -> bool + Send + 'static,
 {
+    let mut search = LeaderSearch::default();
     loop {
         if is_leader() {
             pause(RETRY_BACKOFF).await;
@@ -174,8 +181,7 @@
             pause(NO_STORE_BACKOFF).await;
             continue;
         }
-        // After `NoLeader` other entries have no leader to follow either.
-        if outcome == SearchOutcome::Unreachable
+        if search.wants_relay(outcome, cx.clock.now())
             && cx.settings.callers.is_some()
             && let Some(ip) = cx.random_other_entry()
         {
@@ -185,19 +191,6 @@
     }
 }
 
-/// Result of a search for the leader.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum SearchOutcome {
-    /// No store is known yet, as at the start of a process.
-    NoStoreKnown,
-    /// No store answered, or the leader that the stores named did not answer.
-    Unreachable,
-    /// A store answered, but knows of no leader.
-    NoLeader,
-    /// The leader was found, and followed until the connection ended.
-    Followed,
-}
-
 /// Tries the last known leader and up to [`MAX_STORES_QUERIED`] stores, and follows the leader that
 /// one of them is or names.
 async fn find_and_follow(cx: &Arc<Cx>, notifications: &PendingNotifications) -> SearchOutcome {
@@ -211,7 +204,7 @@
     }
     stores.shuffle(&mut rand::rng());
     let known_leader = cx.leader();
-    let mut outcome = SearchOutcome::Unreachable;
+    let mut tally = SearchTally::default();
     for ip in known_leader
         .into_iter()
         .chain(stores.into_iter().take(MAX_STORES_QUERIED))
@@ -219,19 +212,22 @@
         let leader = match follow(cx, notifications, ip, Connection::Direct).await {
             FollowOutcome::Ended => return SearchOutcome::Followed,
             FollowOutcome::NotLeader(leader) => leader.filter(|leader| *leader != ip),
-            FollowOutcome::Unreachable => continue,
+            FollowOutcome::Unreachable => {
+                tally.record(StoreAnswer::Silent);
+                continue;
+            }
         };
         let Some(leader) = leader else {
-            outcome = SearchOutcome::NoLeader;
+            tally.record(StoreAnswer::KnowsNoLeader);
             continue;
         };
         match follow(cx, notifications, leader, Connection::Direct).await {
             FollowOutcome::Ended => return SearchOutcome::Followed,
-            FollowOutcome::NotLeader(_) => outcome = SearchOutcome::NoLeader,
-            FollowOutcome::Unreachable => {}
+            FollowOutcome::NotLeader(_) => tally.record(StoreAnswer::KnowsNoLeader),
+            FollowOutcome::Unreachable => tally.record(StoreAnswer::LeaderSilent),
         }
     }
-    outcome
+    tally.outcome()
 }
 
 /// Result of an attempt to follow an instance.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,8 +4,9 @@
 //! persists the durable state. The stores replicate one log. Their leader tracks all targets and
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
-//! The decision modules ([`admission`], [`balance`], [`health`], [`load_fanout`],
-//! [`neighbourhood`], [`orphans`], [`routes`], [`schedule`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
+//! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
+//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`routes`], [`schedule`], [`state`],
+//! [`targets`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -15,6 +16,7 @@
 mod fair_stream;
 mod follow;
 pub mod health;
+pub mod leader_search;
 mod link;
 pub mod load_fanout;
 pub mod neighbourhood;
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod group;
 mod health;
 mod herd;
+mod leader_search;
 mod load_fanout;
 mod neighbourhood;
 mod orphans;
