serving: followers that come at once get one encoded list of targets; retries wait longer for free slots

Change: retries wait five objectives in place of three for free slots, and callers of the first moments are told to return after 0.8 s (1.1 s), as the leader stands earlier now.

--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -40,8 +40,8 @@
 /// quarter.
 const FIRST_ATTEMPT_WAIT_PERCENT: u64 = 20;
 /// Longest wait of a retry, in percent of its objective. Callers abandon a stream that does not begin
-/// within some four objectives.
-const RETRY_WAIT_PERCENT: u64 = 300;
+/// within 2 s or more.
+const RETRY_WAIT_PERCENT: u64 = 500;
 /// Share of a route's timeout, or of the largest known caller timeout, below which the caller
 /// timeout of a request marks it as a retry, in percent.
 const RETRY_TIMEOUT_PERCENT: u64 = 97;
@@ -52,7 +52,7 @@
 
 /// Time from the start of an instance until it has the manifest after a power loss: an election, and
 /// its followers' first messages.
-const STARTUP_TIME: Millis = Millis(1_100);
+const STARTUP_TIME: Millis = Millis(800);
 /// Jitter of retries after a refusal for want of a manifest. All instances serve these retries at
 /// once, so a shorter jitter suffices than after a refusal by full targets.
 const STARTUP_RETRY_JITTER: Millis = Millis(400);
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -58,6 +58,9 @@
 /// Time since the leader's last message after which the connection is dropped. The leader sends
 /// several messages a second.
 const LEADER_TIMEOUT: Millis = Millis(800);
+/// Time limit for the first message, which holds all targets. After a loss of power, the leader sends it to
+/// all followers at the same moment; one that gave up and came back would be sent it once more.
+const FIRST_MESSAGE_TIMEOUT: Millis = Millis(2_500);
 /// Time limit for a leader to accept a follower.
 const ACCEPT_TIMEOUT: Millis = Millis(400);
 /// Stores queried for the leader before a relayed connection through another entry is tried.
@@ -302,8 +305,14 @@
     notifications: &PendingNotifications,
     incoming: &mut Streaming<Parcel>,
 ) -> &'static str {
+    let mut has_targets = false;
     loop {
-        let parcel = match timeout(LEADER_TIMEOUT.duration(), incoming.message()).await {
+        let limit = if has_targets {
+            LEADER_TIMEOUT
+        } else {
+            FIRST_MESSAGE_TIMEOUT
+        };
+        let parcel = match timeout(limit.duration(), incoming.message()).await {
             Ok(Ok(Some(parcel))) => parcel,
             Ok(Ok(None)) => return "the leader ended the stream",
             Ok(Err(_)) => return "the stream failed",
@@ -315,7 +324,10 @@
         }
         match message {
             Ok(LeaderMessage::Manifest(manifest)) => cx.apply_manifest(&manifest),
-            Ok(LeaderMessage::Targets(records)) => drop(cx.merge_targets(records)),
+            Ok(LeaderMessage::Targets(records)) => {
+                has_targets = true;
+                drop(cx.merge_targets(records));
+            }
             Ok(LeaderMessage::Loads(loads)) => {
                 let mut balancer = cx.balancer();
                 balancer.apply_loads(&loads);
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -103,6 +103,8 @@
     neighbours_changed: bool,
     /// Loads sent to the followers.
     fanout: LoadFanout,
+    /// All targets as sent to new followers. `None` once one has changed.
+    all_targets: Option<LeaderFrame>,
     /// Failure domain of each target.
     domains: HashMap<TargetKey, FailureDomain>,
     /// Batch items running at each target.
@@ -158,14 +160,11 @@
         if self.inner().leader_since.is_none() || !self.replica.holds_lease() {
             return None;
         }
-        let records: Vec<_> = self.cx.targets().records().cloned().collect();
-        let mut initial = vec![LeaderMessage::Targets(records)];
         if let Some(manifest) = self.replica.read(|state| state.manifest().cloned()) {
-            initial.insert(0, LeaderMessage::Manifest(manifest));
-        }
-        for message in initial {
-            tx.try_send(LeaderFrame::from(&message)).ok()?;
+            let frame = LeaderFrame::from(&LeaderMessage::Manifest(manifest));
+            tx.try_send(frame).ok()?;
         }
+        tx.try_send(self.all_targets()).ok()?;
         let mut inner = self.inner();
         inner.next_id += 1;
         let id = inner.next_id;
@@ -180,6 +179,18 @@
         Some(id)
     }
 
+    /// All targets, encoded once for all followers that connect until a target changes: after a loss of
+    /// power, all of them connect at the same moment.
+    fn all_targets(&self) -> LeaderFrame {
+        let targets = self.cx.targets();
+        let mut inner = self.inner();
+        let frame = inner.all_targets.get_or_insert_with(|| {
+            let records = targets.records().cloned().collect();
+            LeaderFrame::from(&LeaderMessage::Targets(records))
+        });
+        frame.clone()
+    }
+
     pub(crate) fn unfollow(&self, follower: u64) {
         let removed = self.inner().followers.remove(&follower);
         if removed.is_some_and(|removed| removed.entry.is_some()) {
@@ -280,6 +291,7 @@
             .iter()
             .map(|record| (record.name.clone(), record.clone()));
         let mut inner = self.inner();
+        inner.all_targets = None;
         inner.unrecorded.extend(named);
         for record in &records {
             inner.set_domain(record);
@@ -461,6 +473,7 @@
         let mut targets = self.cx.targets();
         targets.reset_timeouts(now);
         let mut inner = self.inner();
+        inner.all_targets = None;
         inner.domains.clear();
         inner.fanout = LoadFanout::default();
         for record in targets.records() {
