serving: late requests get the free slots of slow services and of targets with one slot, and preempt items

Found in reading before the landing: a request that had waited needed two free slots at one target, also where the service is slower than its objective, the target has one slot only, or items hold all slots. Callers of such a service could have been refused with slots free. Change: only a request that could have been on time counts as late; one slot is enough where there is only one; items yield. Three tests fail before.

--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -178,13 +178,23 @@
     }
 }
 
+/// Whether a request could have been on time, and has waited for too long.
+fn has_become_late(request: &SlotRequest, times: &ServiceTimes) -> bool {
+    times.response <= request.objective && request.waited + times.response > request.objective
+}
+
 fn can_send(request: &SlotRequest, best: &Choice, times: &ServiceTimes, has_credit: bool) -> bool {
-    if best.availability != Availability::Full {
-        let is_late = request.waited + times.response > request.objective;
-        return !is_late || best.free_slots >= LATE_REQUEST_FREE_SLOTS;
+    match best.availability {
+        Availability::Free => {
+            let free_slots = LATE_REQUEST_FREE_SLOTS.min(best.slots);
+            !has_become_late(request, times) || best.free_slots >= free_slots
+        }
+        Availability::AfterPreemption => true,
+        Availability::Full => {
+            let expected = request.waited + times.expected_response(best.queued, best.slots);
+            has_credit && best.queued < MAX_QUEUED && expected <= request.target_response()
+        }
     }
-    let expected = request.waited + times.expected_response(best.queued, best.slots);
-    has_credit && best.queued < MAX_QUEUED && expected <= request.target_response()
 }
 
 /// Right to queue at full targets.
--- a/crates/serving/tests/all/admission.rs
+++ b/crates/serving/tests/all/admission.rs
@@ -15,7 +15,11 @@
         retry_after,
         retry_after_startup, //
     },
-    balance::Choice,
+    balance::{
+        Choice,
+        Load, //
+    },
+    targets::TargetRecord,
 };
 
 use super::support::{
@@ -91,6 +95,57 @@
     );
 }
 
+/// A service that is slower than its objective cannot be on time, and is served all the same.
+#[test]
+fn slow_service_gets_every_free_slot() {
+    let mut times = ServiceTimes::assumed(OBJECTIVE);
+    (0..100).for_each(|_| times.record(Millis(2_000), Millis(2_000)));
+    let last_slot = best_choice(7);
+    for waited in [0, 500] {
+        let retry = request(waited, 3_000);
+        assert_eq!(
+            decide(&retry, last_slot.as_ref(), &times, false),
+            Decision::Send
+        );
+    }
+}
+
+/// The only slot of a target is free: there are never several.
+#[test]
+fn late_retry_takes_the_slot_of_a_target_with_one() {
+    let mut entry = balancer("a1");
+    entry.set_target(&TargetRecord {
+        slots: 1,
+        ..target(1, "a1")
+    });
+    let best = entry.choose("llm", &[], 1, NOW);
+    let times = ServiceTimes::assumed(OBJECTIVE);
+    assert_eq!(
+        decide(&request(500, 3_000), best.as_ref(), &times, false),
+        Decision::Send
+    );
+}
+
+/// Batch items hold every slot: however late a request is, they yield.
+#[test]
+fn late_retry_is_not_held_up_by_items() {
+    let mut entry = balancer("a1");
+    let record = target(1, "a1");
+    entry.set_target(&record);
+    let items = Load {
+        online: 0,
+        batch: 8,
+    };
+    entry.apply_loads(&[(record.key(), items)]);
+    entry.record_loads_received(NOW);
+    let best = entry.choose("llm", &[], 1, NOW);
+    let times = ServiceTimes::assumed(OBJECTIVE);
+    assert_eq!(
+        decide(&request(500, 3_000), best.as_ref(), &times, false),
+        Decision::Send
+    );
+}
+
 /// All instances see the same place in a queue. Each queues only as many requests as have ended there.
 #[test]
 fn request_joins_a_queue_only_with_a_credit() {
