--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -105,9 +105,14 @@
         self.mean = Millis(sum.div_ceil(RUN_SAMPLE_DIVISOR));
     }
 
-    /// Expected time that an item still runs after `ran`.
-    pub fn remaining(&self, ran: Millis) -> Millis {
-        self.mean - ran
+    /// Expected time that an item still runs after `ran` under this leader. An item that has output of an
+    /// earlier leader only may be nearly complete: nothing is known of its time.
+    pub fn remaining(&self, ran: Millis, has_output: bool) -> Millis {
+        if has_output && ran == Millis::ZERO {
+            Millis::ZERO
+        } else {
+            self.mean - ran
+        }
     }
 }
 
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -219,9 +219,10 @@
                         due_at: view.due_at(route.completion_objective),
                         started: item.last_id.is_some()
                             || progress.is_some_and(|progress| progress.last_id.is_some()),
-                        remaining: self
-                            .times
-                            .remaining(progress.map_or(Millis::ZERO, |progress| progress.ran)),
+                        remaining: self.times.remaining(
+                            progress.map_or(Millis::ZERO, |progress| progress.ran),
+                            item.last_id.is_some(),
+                        ),
                     });
                 }
             }
--- a/crates/serving/tests/all/schedule.rs
+++ b/crates/serving/tests/all/schedule.rs
@@ -128,9 +128,16 @@
 fn expected_run_follows_the_items_that_are_complete() {
     let mut times = ItemTimes::default();
     (0..100).for_each(|_| times.record(Millis(8_000)));
-    assert_eq!(times.remaining(Millis::ZERO), Millis(8_000));
-    assert_eq!(times.remaining(Millis(3_000)), Millis(5_000));
-    assert_eq!(times.remaining(Millis(9_000)), Millis::ZERO);
+    assert_eq!(times.remaining(Millis::ZERO, false), Millis(8_000));
+    assert_eq!(times.remaining(Millis(3_000), true), Millis(5_000));
+    assert_eq!(times.remaining(Millis(9_000), true), Millis::ZERO);
+}
+
+/// After a loss of power, the new leader finds items that were nearly complete and are due soon.
+#[test]
+fn items_with_output_of_an_earlier_leader_do_not_yield() {
+    let times = ItemTimes::default();
+    assert_eq!(times.remaining(Millis::ZERO, true), Millis::ZERO);
 }
 
 #[test]
