--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -36,6 +36,9 @@
 /// divisor: longer than a pre-vote and the request of a vote take between regions.
 const RESTART_STAGGER_DIVISOR: u64 = 5;
 
+/// Share of that stagger by which each pre-vote is delayed at random, as a divisor.
+const RESTART_JITTER_DIVISOR: u64 = 5;
+
 /// Configuration of a replica.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -293,7 +296,7 @@
         let stagger = election / RESTART_STAGGER_DIVISOR;
         let membership = self.log.membership();
         let rank = membership.voters().take_while(|&id| id < self.id).count() as u64;
-        let jitter = self.random_duration(0, stagger / RESTART_STAGGER_DIVISOR);
+        let jitter = self.random_duration(0, stagger / RESTART_JITTER_DIVISOR);
         self.election_at = self.now + Millis(election + rank * stagger) + jitter;
     }
 
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -62,9 +62,9 @@
 /// the load or the network rather than the targets, and avoiding them would overload the rest.
 const MAX_AVOIDED_PERCENT: usize = 50;
 
-/// Requests that entries outside the neighbourhood may have sent to a target that they use since the
-/// leader last sent its load. During overload, entries of all failure domains would fill the last slots of each
-/// other's targets.
+/// Requests that entries outside the neighbourhood may have sent to a target that they use, since the
+/// leader last sent its load. Without this margin, entries of all failure domains overfill each
+/// other's targets during overload.
 const STALE_LOAD_MARGIN: u32 = 1;
 /// Time without loads from the leader after which batch items count as not preemptible: nobody is there
 /// to preempt them. The leader sends loads every 200 ms at least.
--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -96,6 +96,7 @@
     let body = match timeout(BODY_TIMEOUT.duration(), body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Err(_) => {
+            log::warn!(limit_ms = BODY_TIMEOUT.0; "body of a control call not received in time");
             return text(
                 StatusCode::REQUEST_TIMEOUT,
                 "request body not received in time",
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -23,6 +23,7 @@
 use crate::{
     events::{
         EventSplitter,
+        MAX_EVENT_BYTES,
         OversizedEvent, //
     },
     upstream::{
@@ -164,7 +165,13 @@
                     Ok(data) => match self.splitter.push(&data) {
                         Ok(Some(events)) => ReadOutcome::Events(events),
                         Ok(None) => continue,
-                        Err(OversizedEvent) => ReadOutcome::Failed(Failure::InvalidResponse),
+                        Err(OversizedEvent) => {
+                            log::warn!(
+                                request:% = self.request.id,
+                                target_name:% = source.slot.choice.name,
+                                max_bytes = MAX_EVENT_BYTES; "event without an end");
+                            ReadOutcome::Failed(Failure::InvalidResponse)
+                        }
                     },
                     // Trailers are hop-by-hop.
                     Err(_) => continue,
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -6,9 +6,9 @@
 };
 
 /// Largest event, in bytes. A target that sends more without an end of the event sends no events.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// An event exceeds the largest size, 256 KiB.
+/// An event exceeds [`MAX_EVENT_BYTES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OversizedEvent;
 
--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -32,7 +32,7 @@
 const SCORE_HALF_LIFE: Millis = Millis(1_000);
 /// Time after the breaker closes in which a target gets one request at a time. Long enough for a
 /// request without a response to be noticed.
-const PROBATION: Millis = Millis(1_000);
+const PROBATION_PERIOD: Millis = Millis(1_000);
 /// Time without avoidance after which the breaker starts again with the shortest time.
 const FAILURE_RETENTION: Millis = Millis(15_000);
 
@@ -121,7 +121,7 @@
         health.is_some_and(|health| {
             health.open_count > 0
                 && health.avoided_until <= now
-                && now < health.avoided_until + PROBATION
+                && now < health.avoided_until + PROBATION_PERIOD
         })
     }
 
--- a/crates/serving/src/leader_search.rs
+++ b/crates/serving/src/leader_search.rs
@@ -2,9 +2,9 @@
 
 use yuccaseam_base::Millis;
 
-/// How long stores may report no leader before a leader behind a partition is assumed. Longer than an
-/// election.
-const ELECTION_PATIENCE: Millis = Millis(1_200);
+/// Longest time that an election takes. If stores report no leader for longer, the leader is taken to be
+/// on the other side of a partition.
+const MAX_ELECTION_TIME: Millis = Millis(1_200);
 
 /// Result of a search for the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +71,6 @@
             return outcome == SearchOutcome::Unreachable;
         }
         // Usually an election, in which other entries have no leader to follow either.
-        now >= *self.leaderless_since.get_or_insert(now) + ELECTION_PATIENCE
+        now >= *self.leaderless_since.get_or_insert(now) + MAX_ELECTION_TIME
     }
 }
--- a/crates/serving/src/load_fanout.rs
+++ b/crates/serving/src/load_fanout.rs
@@ -7,13 +7,14 @@
 //! mostly use the targets of their own failure domain. Those of the others are then sent less often, and
 //! in steps.
 
-use std::collections::{
-    BTreeMap,
-    HashMap, //
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    net::IpAddr,
 };
 
-use std::net::IpAddr;
-
 use yuccaseam_base::{
     FailureDomain,
     Millis, //
@@ -34,7 +35,7 @@
 
 /// Followers that need the same loads: the addresses of the entries that report to each other. Empty
 /// for followers that are no entries.
-pub type Group = Vec<IpAddr>;
+pub type LoadGroup = Vec<IpAddr>;
 
 /// Loads as last sent to a group.
 #[derive(Debug, Default)]
@@ -46,18 +47,18 @@
 /// Loads sent to the followers of a leader.
 #[derive(Debug, Default)]
 pub struct LoadFanout {
-    groups: HashMap<Group, GroupState>,
+    groups: HashMap<LoadGroup, GroupState>,
 }
 
 /// What the leader knows of loads at one moment.
-pub struct Snapshot<'a> {
+pub struct CurrentLoads<'a> {
     /// Load of each target, over all sources.
     pub all: &'a BTreeMap<TargetKey, Load>,
     /// Failure domain of each target.
     pub domains: &'a HashMap<TargetKey, FailureDomain>,
     /// Number of followers.
     pub followers: usize,
-    /// Time of the snapshot.
+    /// Time at which these loads are known.
     pub now: Millis,
 }
 
@@ -65,7 +66,7 @@
     /// Removes groups without followers.
     pub fn retain<F>(&mut self, mut is_in_use: F)
     where
-        F: FnMut(&Group) -> bool,
+        F: FnMut(&LoadGroup) -> bool,
     {
         self.groups.retain(|group, _| is_in_use(group));
     }
@@ -74,15 +75,15 @@
     /// that its members tell each other; `domain` is theirs, if they are entries.
     pub fn changes<'a, K>(
         &mut self,
-        group: &Group,
+        group: &LoadGroup,
         known: K,
         domain: Option<&FailureDomain>,
-        snapshot: &Snapshot<'_>,
+        current: &CurrentLoads<'_>,
     ) -> Vec<(TargetKey, Load)>
     where
         K: IntoIterator<Item = &'a (TargetKey, u32)>,
     {
-        let mut loads = snapshot.all.clone();
+        let mut loads = current.all.clone();
         for (key, count) in known {
             if let Some(load) = loads.get_mut(key) {
                 load.online = load.online.saturating_sub(*count);
@@ -90,12 +91,12 @@
         }
         let state = self.groups.entry(group.clone()).or_default();
         let is_far = |key: &TargetKey| {
-            snapshot.followers >= MANY_FOLLOWERS
-                && (domain.is_none() || snapshot.domains.get(key) != domain)
+            current.followers >= MANY_FOLLOWERS
+                && (domain.is_none() || current.domains.get(key) != domain)
         };
-        let far_due = snapshot.now >= state.far_sent_at + FAR_INTERVAL;
+        let far_due = current.now >= state.far_sent_at + FAR_INTERVAL;
         if far_due {
-            state.far_sent_at = snapshot.now;
+            state.far_sent_at = current.now;
         }
         let mut changes = Vec::new();
         for key in state.sent.keys().filter(|key| !loads.contains_key(key)) {
@@ -129,7 +130,7 @@
 
     /// Returns all loads that the members of a group have been sent, for a follower that joins it.
     /// `left` is the group that it was in before, whose loads it still knows.
-    pub fn joined(&self, group: &Group, left: Option<&Group>) -> Vec<(TargetKey, Load)> {
+    pub fn joined(&self, group: &LoadGroup, left: Option<&LoadGroup>) -> Vec<(TargetKey, Load)> {
         let sent = self.groups.get(group).map(|state| &state.sent);
         let old = left.and_then(|left| self.groups.get(left));
         let mut loads: BTreeMap<_, _> = old
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -35,9 +35,9 @@
         pause, //
     },
     load_fanout::{
-        Group,
+        CurrentLoads, //
         LoadFanout,
-        Snapshot, //
+        LoadGroup,
     },
     neighbourhood::Neighbourhoods,
     orphans::OrphanedItems,
@@ -74,18 +74,18 @@
     tx: mpsc::Sender<LeaderFrame>,
     entry: Option<EntryInfo>,
     loads: Vec<(TargetKey, u32)>,
-    /// Group whose loads the follower was sent.
-    group: Option<Group>,
+    /// LoadGroup whose loads the follower was sent.
+    group: Option<LoadGroup>,
     sent_at: Millis,
 }
 
 impl Follower {
     /// Entries that know each other's requests without the leader: this one and its neighbours. Empty if
     /// the follower is no entry.
-    fn loads_group(&self) -> Group {
+    fn load_group(&self) -> LoadGroup {
         let entry = self.entry.as_ref();
         let ips = entry.map(|entry| entry.neighbours.iter().copied().chain([entry.ip]));
-        let mut ips: Group = ips.into_iter().flatten().collect();
+        let mut ips: LoadGroup = ips.into_iter().flatten().collect();
         ips.sort_unstable();
         ips
     }
@@ -356,12 +356,12 @@
             ..
         } = &mut *inner;
         let mut all = BTreeMap::<TargetKey, Load>::new();
-        let mut groups = HashMap::<Group, Vec<u64>>::new();
+        let mut groups = HashMap::<LoadGroup, Vec<u64>>::new();
         for (id, follower) in followers.iter() {
             for (key, count) in &follower.loads {
                 all.entry(*key).or_default().online += count;
             }
-            groups.entry(follower.loads_group()).or_default().push(*id);
+            groups.entry(follower.load_group()).or_default().push(*id);
         }
         for (key, count) in batch.iter() {
             all.entry(*key).or_default().batch = *count;
@@ -369,7 +369,7 @@
         for (key, count) in orphans.running(now) {
             all.entry(key).or_default().online += count;
         }
-        let snapshot = Snapshot {
+        let current = CurrentLoads {
             all: &all,
             domains,
             followers: followers.len(),
@@ -382,7 +382,7 @@
             let domain = entries.iter().find_map(|member| member.entry.as_ref());
             let domain = domain.map(|entry| &entry.domain);
             let known = entries.iter().flat_map(|member| &member.loads);
-            let changes = fanout.changes(group, known, domain, &snapshot);
+            let changes = fanout.changes(group, known, domain, &current);
             let is_empty = changes.is_empty();
             frames.push((
                 group,
@@ -454,7 +454,10 @@
         };
         drop(balancer);
         let items: u32 = counts.iter().map(|(_, count)| count).sum();
-        log::info!(items, loads_age_ms = loads_age.0; "items of the former leader may still run");
+        if items > 0 {
+            log::info!(
+                items, loads_age_ms = loads_age.0; "items of the former leader may still run");
+        }
         self.inner().orphans = OrphanedItems::new(counts, now - loads_age);
     }
 
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -22,6 +22,7 @@
     cx::Cx,
     events::{
         EventSplitter,
+        MAX_EVENT_BYTES,
         event_data, //
     },
     schedule::ItemKey,
@@ -156,11 +157,17 @@
                     continue;
                 };
                 let Ok(events) = splitter.push(&data) else {
+                    log::warn!(
+                        target_name:% = target.name, max_bytes = MAX_EVENT_BYTES;
+                        "event without an end");
                     return RunEnd::Interrupted(Failure::InvalidResponse);
                 };
                 if let Some(events) = events {
                     output_bytes += events.len();
                     if output_bytes > MAX_OUTPUT_BYTES {
+                        log::warn!(
+                            target_name:% = target.name, bytes = output_bytes,
+                            max_bytes = MAX_OUTPUT_BYTES; "output of a batch item is too large");
                         return RunEnd::Interrupted(Failure::InvalidResponse);
                     }
                     last_event_at = cx.clock.now();
--- a/crates/serving/tests/all/load_fanout.rs
+++ b/crates/serving/tests/all/load_fanout.rs
@@ -19,9 +19,9 @@
 use yuccaseam_serving::{
     balance::Load,
     load_fanout::{
-        Group,
+        CurrentLoads, //
         LoadFanout,
-        Snapshot, //
+        LoadGroup,
     },
     targets::TargetKey,
 };
@@ -33,7 +33,7 @@
     FailureDomain(format!("domain-{}", number % DOMAINS))
 }
 
-fn group(number: usize) -> Group {
+fn group(number: usize) -> LoadGroup {
     vec![IpAddr::V4(Ipv4Addr::new(10, 0, 0, number as u8))]
 }
 
@@ -68,15 +68,14 @@
     }
 
     fn changes(&mut self, of: usize, known: &[(TargetKey, u32)]) -> Vec<(TargetKey, Load)> {
-        let snapshot = Snapshot {
+        let current = CurrentLoads {
             all: &self.all,
             domains: &self.domains,
             followers: self.followers,
             now: self.now,
         };
         let own = domain(of);
-        self.fanout
-            .changes(&group(of), known, Some(&own), &snapshot)
+        self.fanout.changes(&group(of), known, Some(&own), &current)
     }
 }
 
