--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod misbehaving;
 mod online;
+mod tainted;
 
 use std::{
     future::Future,
--- /dev/null
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -0,0 +1,127 @@
+//! Prompts with a part that crashes every target which begins to answer them.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use http::Method;
+use yuccaseam_testing::platform::{
+    Behaviour,
+    HOST,
+    ONCE,
+    PlatformTarget,
+    Reply,
+    send, //
+};
+
+use super::{
+    World,
+    with_world, //
+};
+
+/// Part of a prompt that crashes targets.
+const DEADLY: &str = "d00d";
+/// Crashes after which the rule counts requests with the part.
+const MAX_CRASHES: usize = 5;
+/// Time after the last of these crashes from which requests count.
+const REACTION_TIME: Duration = Duration::from_secs(4);
+/// Requests with the part that may reach targets from then on.
+const MAX_LATE_REQUESTS: usize = 3;
+/// Time between two requests with the part.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+impl World {
+    /// Sends a request whose prompt has these parts, and one of its own at the end.
+    async fn prompt(&self, entry: usize, id: &str, shared: &str) -> Option<Reply> {
+        let parts = format!("{shared},{:x}:20", fingerprint(id));
+        let headers = [
+            ("host", HOST),
+            ("request-id", id),
+            ("deadline-ms", "3000"),
+            ("prompt-prefix", &parts),
+        ];
+        let to = self.system.entries[entry].callers();
+        let path = format!("{ONCE}1");
+        let sent = send(to, Method::POST, &path, &headers, "", PATIENCE).await;
+        sent.ok()
+    }
+
+    async fn deadly_prompt(&self, number: usize) -> Option<Reply> {
+        let shared = format!("f1:100,51:80,{DEADLY}:60");
+        let id = format!("deadly-{number}");
+        self.prompt(number % self.system.entries.len(), &id, &shared)
+            .await
+    }
+
+    /// Runs of requests with the part so far.
+    fn deadly_runs(&self) -> usize {
+        let runs = self.targets.iter().flat_map(PlatformTarget::runs);
+        runs.filter(|run| run.id.starts_with("deadly-")).count()
+    }
+
+    fn crashes(&self) -> Vec<Instant> {
+        let mut crashes: Vec<_> = self
+            .targets
+            .iter()
+            .flat_map(PlatformTarget::crashes)
+            .collect();
+        crashes.sort_unstable();
+        crashes
+    }
+}
+
+/// A number that differs between requests, in place of a digest of the rest of the prompt.
+fn fingerprint(id: &str) -> u64 {
+    id.bytes()
+        .fold(7, |sum, byte| sum * 131 % 0xffff_ffff + u64::from(byte))
+}
+
+/// Guards against requests that crash one target after the other: all have one part of their prompts in
+/// common, and no entry knew what the others had seen.
+#[test]
+fn requests_with_a_part_that_crashes_targets_stop_reaching_them() {
+    with_world(9, async |world| {
+        world.behave(&Behaviour {
+            crashing_part: Some(DEADLY),
+            ..Behaviour::default()
+        });
+        let mut number = 0;
+        let started_at = Instant::now();
+        // Long enough for the crashes and the time to react.
+        while started_at.elapsed() < REACTION_TIME + Duration::from_secs(2) {
+            let _ = tokio::join!(
+                world.deadly_prompt(number),
+                tokio::time::sleep(INTERVAL) //
+            );
+            number += 1;
+        }
+        let crashes = world.crashes();
+        assert!(!crashes.is_empty(), "no request crashed a target");
+        if let Some(last) = crashes.get(MAX_CRASHES - 1) {
+            tokio::time::sleep(REACTION_TIME.saturating_sub(last.elapsed())).await;
+        }
+
+        let runs_before = world.deadly_runs();
+        for late in 0..20 {
+            let reply = world.deadly_prompt(number + late).await;
+            assert!(reply.is_none_or(|reply| !reply.is_whole_success()));
+        }
+        let late_runs = world.deadly_runs() - runs_before;
+        assert!(
+            late_runs <= MAX_LATE_REQUESTS,
+            "{late_runs} of 20 requests reached targets after {} crashes",
+            crashes.len()
+        );
+
+        let mut served = 0;
+        for sound in 0..20 {
+            let id = format!("sound-{sound}");
+            let reply = world.prompt(sound % 3, &id, "f1:100,51:80").await;
+            served += usize::from(reply.is_some_and(|reply| reply.is_whole_success()));
+        }
+        assert!(served >= 19, "{served} of 20 sound requests were served");
+    });
+}
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -415,7 +415,10 @@
         metrics::counter!("yuccaseam_retries_total", "reason" => code).increment(1);
         log::warn!(
             request:% = self.id, target_name:% = slot.choice.name, failure = code,
-            verdict = error.verdict.code(); "request failed at the target");
+            verdict = error.verdict.code(), running_ms = (self.now() - self.sent_at).0,
+            first_event_ms = self.first_event_at.map(|at| (at - self.sent_at).0),
+            prompt_parts = headers::text(&self.head.headers, &headers::PROMPT_PARTS);
+            "request failed at the target");
         slot.record_failure();
         self.tried.push(slot.choice.key);
         if error.verdict != Verdict::NotRun {
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -10,12 +10,14 @@
         Mutex,
         MutexGuard,
         atomic::{
+            AtomicBool,
             AtomicU64,
             Ordering, //
         }, //
     },
     time::{
         Duration,
+        Instant,
         SystemTime,
         UNIX_EPOCH, //
     },
@@ -47,6 +49,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpListener,
+    sync::Notify,
     task::AbortHandle, //
 };
 
@@ -64,6 +67,10 @@
 const ANNOUNCED: Duration = Duration::from_secs(1);
 /// Requests beyond its slots that a target takes.
 const QUEUED: usize = 24;
+/// Time from a request that crashes a target to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// How long a target that crashed is down.
+const DOWNTIME: Duration = Duration::from_millis(1_000);
 
 /// What a target does with requests.
 #[derive(Clone, Debug)]
@@ -78,6 +85,9 @@
     pub breaks_after: Option<usize>,
     /// Answers 500 to items whose path ends like this.
     pub poisoned: Option<&'static str>,
+    /// Crashes as it begins to answer a request whose prompt has this part before its last one, and
+    /// starts again under another name.
+    pub crashing_part: Option<&'static str>,
 }
 
 impl Default for Behaviour {
@@ -88,6 +98,7 @@
             rejects: false,
             breaks_after: None,
             poisoned: None,
+            crashing_part: None,
         }
     }
 }
@@ -105,8 +116,30 @@
     pub time_left: Option<u64>,
 }
 
+/// One start of a target.
+#[derive(Clone)]
+struct Incarnation {
+    name: String,
+    /// Time since the Unix epoch.
+    started_at: Duration,
+}
+
+impl Incarnation {
+    fn new(name: String) -> Self {
+        let started_at = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self {
+            name,
+            started_at: started_at.unwrap_or_default(),
+        }
+    }
+}
+
 struct Shared {
     name: String,
+    incarnation: Mutex<Incarnation>,
+    crashes: Mutex<Vec<Instant>>,
+    crash: Notify,
+    is_down: AtomicBool,
     slots: usize,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
@@ -119,6 +152,15 @@
     fn behaviour(&self) -> Behaviour {
         lock(&self.behaviour).clone()
     }
+
+    fn current_name(&self) -> String {
+        lock(&self.incarnation).name.clone()
+    }
+
+    fn restart(&self) {
+        let starts = lock(&self.crashes).len();
+        *lock(&self.incarnation) = Incarnation::new(format!("{}-{starts}", self.name));
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -184,6 +226,10 @@
         let (announced, proxy) = place(address)?;
         let shared = Arc::new(Shared {
             name: name.to_owned(),
+            incarnation: Mutex::new(Incarnation::new(name.to_owned())),
+            crashes: Mutex::default(),
+            crash: Notify::new(),
+            is_down: AtomicBool::new(false),
             slots,
             behaviour: Mutex::default(),
             runs: Mutex::default(),
@@ -222,6 +268,11 @@
         lock(&self.shared.runs).clone()
     }
 
+    /// When it crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        lock(&self.shared.crashes).clone()
+    }
+
     /// The requests that it works on now.
     pub fn running(&self) -> Vec<String> {
         lock(&self.shared.running).values().cloned().collect()
@@ -237,13 +288,15 @@
 }
 
 async fn announce(shared: Arc<Shared>, place: String, control: Vec<SocketAddr>) {
-    let born = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis();
-    let path = format!("/Instances.Heartbeat/{}", shared.name);
     let mut turn = shared.name.len();
     for number in 1_u64.. {
+        if shared.is_down.load(Ordering::Relaxed) {
+            tokio::time::sleep(ANNOUNCE).await;
+            continue;
+        }
+        let Incarnation { name, started_at } = lock(&shared.incarnation).clone();
+        let path = format!("/Instances.Heartbeat/{name}");
+        let born = started_at.as_millis();
         let state = *lock(&shared.state);
         let body = format!(
             r#"{{{place},"version":"v1","slots":{},"state":"{state}","cold_remaining_ms":0,
@@ -263,10 +316,30 @@
     }
 }
 
-async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+async fn serve(mut listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok(address) = listener.local_addr() else {
+            return;
+        };
+        tokio::select! {
+            () = serve_until_crash(listener, &shared) => return,
+            () = shared.crash.notified() => {}
+        }
+        tokio::time::sleep(DOWNTIME).await;
+        let Ok(again) = TcpListener::bind(address).await else {
+            return;
+        };
+        listener = again;
+        shared.restart();
+        shared.is_down.store(false, Ordering::Relaxed);
+    }
+}
+
+/// Serves connections, which break when this future is dropped.
+async fn serve_until_crash(listener: TcpListener, shared: &Arc<Shared>) {
     let mut connections = tokio::task::JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
+        let shared = Arc::clone(shared);
         connections.spawn(async move {
             let service = service_fn(move |req| {
                 let shared = Arc::clone(&shared);
@@ -315,7 +388,7 @@
         .unwrap_or_default()
         .to_owned();
     let expected = text(&head.headers, "expect-instance");
-    if expected.is_some_and(|expected| expected != shared.name) {
+    if expected.is_some_and(|expected| expected != shared.current_name()) {
         return not_run(StatusCode::MISDIRECTED_REQUEST, &id);
     }
     let behaviour = shared.behaviour();
@@ -337,6 +410,12 @@
     lock(&shared.runs).push(run);
     lock(&shared.running).insert(number, id.clone());
     let running = Running { shared, number };
+    if behaviour
+        .crashing_part
+        .is_some_and(|part| has_shared_part(&head.headers, part))
+    {
+        return crash(running, &id);
+    }
     let path = head.uri.path();
     if behaviour.poisoned.is_some_and(|end| path.ends_with(end)) {
         return signed(plain(StatusCode::INTERNAL_SERVER_ERROR, "poisoned"), &id);
@@ -348,6 +427,29 @@
     signed(events(running, &id, after.unwrap_or(0), behaviour), &id)
 }
 
+/// Whether a part of the prompt before the last one has this id.
+fn has_shared_part(headers: &HeaderMap, id: &str) -> bool {
+    let prompt = text(headers, "prompt-prefix").unwrap_or_default();
+    let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
+    let mut ids = shared.split(',').map(|part| part.split(':').next());
+    ids.any(|part| part == Some(id))
+}
+
+/// Begins a response, and crashes before its first event.
+fn crash(running: Running, id: &str) -> Response<Body> {
+    let shared = Arc::clone(&running.shared);
+    tokio::spawn(async move {
+        tokio::time::sleep(CRASH_DELAY).await;
+        drop(running);
+        if !shared.is_down.swap(true, Ordering::Relaxed) {
+            lock(&shared.crashes).push(Instant::now());
+            shared.crash.notify_one();
+        }
+    });
+    let body = StreamBody::new(stream::pending::<io::Result<Frame<Bytes>>>());
+    signed(Response::new(body.boxed_unsync()), id)
+}
+
 fn events(running: Running, id: &str, after: usize, behaviour: Behaviour) -> Response<Body> {
     let state = (running, id.to_owned(), after + 1);
     let broken_from = behaviour.breaks_after.map(|count| after + count + 1);
