--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -44,6 +44,10 @@
         "queue_full" => format!("every target of its service was full{loads}"),
         "no_target" => format!("no target of its service accepted work{loads}"),
         "targets_full" => format!("the targets {targets} rejected it"),
+        "part_quarantined" => format!(
+            "part {} of its prompt is quarantined: targets crashed under requests with it",
+            own.iter().find_map(|line| line.text("part")).unwrap_or("-")
+        ),
         "deadline_passed" => "its deadline passed".to_owned(),
         "silent" => format!("{targets} sent nothing before the deadline"),
         "broken" => format!("{targets} broke off"),
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -53,6 +53,7 @@
         pause, //
     },
     neighbours::Neighbours,
+    quarantine::PartGuard,
     relay::Relay,
     routes::RouteTable,
     state::StoredManifest,
@@ -93,6 +94,7 @@
     retry_detector: Mutex<RetryDetector>,
     service_times: Mutex<HashMap<String, ServiceTimes>>,
     queue_credits: Mutex<HashMap<String, QueueCredits>>,
+    part_guard: Mutex<PartGuard>,
     leader: Mutex<Option<IpAddr>>,
     leader_sender: Mutex<Option<mpsc::Sender<FollowerMessage>>>,
     started_at: Millis,
@@ -139,6 +141,7 @@
             retry_detector: Mutex::default(),
             service_times: Mutex::default(),
             queue_credits: Mutex::default(),
+            part_guard: Mutex::default(),
             leader: Mutex::default(),
             leader_sender: Mutex::default(),
             started_at,
@@ -178,6 +181,11 @@
         lock(&self.retry_detector)
     }
 
+    /// Prompt parts that are quarantined or suspected.
+    pub(crate) fn part_guard(&self) -> MutexGuard<'_, PartGuard> {
+        lock(&self.part_guard)
+    }
+
     /// How long a service takes. `objective` is that of the route, from which the times are assumed
     /// while no request has been recorded.
     pub(crate) fn service_times(&self, service: &str, objective: Millis) -> ServiceTimes {
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -7,6 +7,8 @@
 //!   request.
 //! - No target gets more time than is left until the caller's deadline.
 
+mod prompt;
+
 use std::{
     pin::pin,
     sync::Arc, //
@@ -33,6 +35,7 @@
     Verdict, //
 };
 use yuccaseam_platform::{
+    PromptPart,
     Route,
     headers, //
 };
@@ -92,6 +95,8 @@
     verdict: Verdict,
     timed_out: bool,
     reason: &'static str,
+    /// When the caller may try again, if the reason decides it.
+    retry_after: Option<Millis>,
 }
 
 impl RequestFailure {
@@ -102,7 +107,9 @@
 
     fn into_response(self) -> HttpResponse {
         if self.verdict == Verdict::NotRun && !self.timed_out {
-            return refusal(self.reason, retry_after(rand::random()));
+            let delay = self.retry_after;
+            let delay = delay.unwrap_or_else(|| retry_after(rand::random()));
+            return refusal(self.reason, delay);
         }
         error_response(self.verdict, self.timed_out, self.reason)
     }
@@ -170,6 +177,10 @@
     pub(super) arrived_at: Millis,
     pub(super) deadline: Millis,
     caller_timeout: Millis,
+    /// Shared parts of the prompt.
+    parts: Vec<PromptPart>,
+    /// Whether the leader granted the next attempt as the trial of a quarantined part.
+    has_trial: bool,
     tried: Vec<TargetKey>,
     rejections: usize,
     /// Number of targets that may have run the request.
@@ -202,6 +213,8 @@
         let mut head = req.head;
         headers::strip_hop_by_hop(&mut head.headers);
         Some(Self {
+            parts: PromptPart::shared_of(&head.headers),
+            has_trial: false,
             cx,
             id,
             manifest: req.manifest,
@@ -244,6 +257,7 @@
             verdict: self.verdict(),
             timed_out: self.now() >= self.deadline,
             reason,
+            retry_after: None,
         };
         metrics::counter!("yuccaseam_given_up_total", "reason" => reason).increment(1);
         log::info!(
@@ -273,6 +287,7 @@
             if now >= self.deadline {
                 return Err(self.fail("deadline_passed"));
             }
+            self.recheck_parts()?;
             let times = self.cx.service_times(&self.service, self.route.objective);
             let slot_request = SlotRequest {
                 waited: now - queued_at,
@@ -333,7 +348,9 @@
         last_event: Option<&str>,
     ) -> Result<(Slot, UpstreamResponse), RequestFailure> {
         loop {
+            self.check_parts().await?;
             let slot = self.acquire_slot().await?;
+            self.has_trial = false;
             let req = self.build_request(&slot.choice, last_event);
             self.sent_at = self.now();
             let limits = CallLimits {
@@ -357,7 +374,10 @@
                     let error = UpstreamError::may_have_run(Failure::InvalidResponse);
                     self.handle_failure(&slot, &error)?;
                 }
-                Err(error) => self.handle_failure(&slot, &error)?,
+                Err(error) => {
+                    self.record_if_crash(&slot, &error);
+                    self.handle_failure(&slot, &error)?;
+                }
             }
         }
     }
@@ -440,7 +460,9 @@
             let body = match timeout(remaining.duration(), body).await {
                 Ok(Ok(body)) => body.to_bytes(),
                 Ok(Err(_)) => {
-                    self.handle_failure(&slot, &UpstreamError::may_have_run(Failure::Broken))?;
+                    let error = UpstreamError::may_have_run(Failure::Broken);
+                    self.record_if_crash(&slot, &error);
+                    self.handle_failure(&slot, &error)?;
                     continue;
                 }
                 Err(_) => {
@@ -458,6 +480,7 @@
             } else {
                 self.cx.balancer().record_success(slot.choice.key);
                 self.record_service_times(&slot);
+                self.prove_parts();
             }
             response.conn.release();
             self.log_response(&slot, status, "answered");
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -62,6 +62,8 @@
     /// When the current target last completed an event, or its response began. Bytes that complete no
     /// event do not count as progress.
     progress_at: Millis,
+    /// Whether the current target has sent an event.
+    has_event: bool,
     /// Longest time between two events.
     longest_pause: Millis,
 }
@@ -95,6 +97,7 @@
         source,
         splitter: EventSplitter::default(),
         last_event_at: None,
+        has_event: false,
         longest_pause: Millis::ZERO,
     };
     let status = head.status;
@@ -202,6 +205,10 @@
     fn record_event(&mut self) {
         let now = self.request.cx.clock.now();
         self.progress_at = now;
+        if !self.has_event {
+            self.has_event = true;
+            self.request.prove_parts();
+        }
         match self.last_event_at {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
             None => self.request.first_event_at = Some(now),
@@ -231,6 +238,9 @@
         let error = UpstreamError::may_have_run(failure);
         // Closed first, so that the first target stops before a second one starts.
         drop(source.conn);
+        if !self.has_event {
+            self.request.record_if_crash(&source.slot, &error);
+        }
         self.request.handle_failure(&source.slot, &error)?;
         drop(source.slot);
         self.splitter.discard_partial();
@@ -243,6 +253,7 @@
             request:% = self.request.id, target_name:% = slot.choice.name, after = last_id.as_deref();
             "stream resumed at another target");
         self.progress_at = self.request.cx.clock.now();
+        self.has_event = false;
         self.source = Some(Source {
             slot,
             body: response.body,
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -52,6 +52,7 @@
         encode,
         pause, //
     },
+    parts,
     targets::TargetRecord,
 };
 
@@ -271,6 +272,7 @@
         Ok(Err(_)) | Err(_) => return FollowOutcome::Unreachable,
     };
     cx.balancer().reset_loads();
+    cx.part_guard().begin_connection();
     let direct = connection == Connection::Direct;
     cx.set_leader(direct.then_some(ip));
     cx.set_leader_sender(Some(tx.clone()));
@@ -301,7 +303,7 @@
 
 /// Receives and applies messages of the leader. Returns why the connection is to be dropped.
 async fn receive(
-    cx: &Cx,
+    cx: &Arc<Cx>,
     notifications: &PendingNotifications,
     incoming: &mut Streaming<Parcel>,
 ) -> &'static str {
@@ -325,8 +327,12 @@
         match message {
             Ok(LeaderMessage::Manifest(manifest)) => cx.apply_manifest(&manifest),
             Ok(LeaderMessage::Targets(records)) => {
-                has_targets = true;
                 drop(cx.merge_targets(records));
+                if !has_targets {
+                    has_targets = true;
+                    cx.part_guard().end_initial_messages();
+                    parts::report_recent_crashes(cx);
+                }
             }
             Ok(LeaderMessage::Loads(loads)) => {
                 let mut balancer = cx.balancer();
@@ -339,6 +345,7 @@
                     .set_peers(neighbourhood.ips.into_iter().collect());
             }
             Ok(LeaderMessage::Noted(notice)) => notifications.confirm(notice),
+            Ok(LeaderMessage::Parts(list)) => cx.part_guard().apply(list),
             Err(_) => return "a message from the leader is malformed",
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,8 +5,8 @@
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
-//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`routes`], [`schedule`], [`state`],
-//! [`targets`], [`GroupManager`]) do no I/O and read no clock.
+//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
+//! [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -22,6 +22,8 @@
 pub mod neighbourhood;
 mod neighbours;
 pub mod orphans;
+mod parts;
+pub mod quarantine;
 mod relay;
 pub mod routes;
 mod run;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -13,10 +13,15 @@
     TargetName,
     record, //
 };
+use yuccaseam_platform::PromptPart;
 
 use crate::{
     balance::Load,
     neighbourhood::Neighbourhood,
+    quarantine::{
+        CrashReport,
+        PartList, //
+    },
     state::{
         NewJob,
         StoredManifest, //
@@ -73,6 +78,12 @@
     Leads,
     /// Forward a request to the leader, for an entry that cannot reach the stores.
     PassOn(Box<HubRequest>),
+    /// Record requests that crashes of their targets cut off before the first event.
+    ReportCrashes(Vec<CrashReport>),
+    /// Record that targets have begun to answer requests with these prompt parts.
+    ProveParts(Vec<PromptPart>),
+    /// Ask for the trial of a quarantined prompt part. [`HubReply::NotFound`] if none is due.
+    TryPart(PromptPart),
 }
 
 /// The reply to a request.
@@ -148,6 +159,9 @@
     Neighbours(Neighbourhood),
     /// All followers were sent the notification with this number.
     Noted(u64),
+    /// Prompt parts that are quarantined or suspected. Sent on connection if there are any, and after each
+    /// change.
+    Parts(PartList),
 }
 
 /// An encoded [`LeaderMessage`]. Encoded once, also if it goes to many followers.
--- /dev/null
+++ b/crates/serving/src/parts.rs
@@ -0,0 +1,70 @@
+//! Reports to the leader about prompt parts, and trials of quarantined ones.
+
+use std::sync::Arc;
+
+use yuccaseam_base::Millis;
+use yuccaseam_platform::PromptPart;
+
+use crate::{
+    cx::Cx,
+    link::{
+        HubReply,
+        HubRequest, //
+    },
+    targets::TargetKey,
+};
+
+/// How long a report to the leader is tried. A new leader is elected within that time.
+const REPORT_TIMEOUT: Millis = Millis(3_000);
+/// How long a request waits for the grant of a trial.
+const TRIAL_TIMEOUT: Millis = Millis(300);
+
+/// Records a request that a crash of its target cut off before its first event, and reports it to the
+/// leader.
+pub(crate) fn record_crash(cx: &Arc<Cx>, target: TargetKey, parts: &[PromptPart], ran_for: Millis) {
+    if parts.is_empty() {
+        return;
+    }
+    let now = cx.clock.now();
+    let (report, culprit) = cx.part_guard().record_crash(target, parts, ran_for, now);
+    if let Some(part) = culprit {
+        log::warn!(part:% = part; "prompt part quarantined at this instance");
+    }
+    report_to_leader(cx, HubRequest::ReportCrashes(vec![report]));
+}
+
+/// Records that a target has begun to answer a request, and tells the leader if it watches a part of the
+/// prompt.
+pub(crate) fn prove(cx: &Arc<Cx>, parts: &[PromptPart]) {
+    let watched = cx.part_guard().prove(parts, cx.clock.now());
+    if !watched.is_empty() {
+        report_to_leader(cx, HubRequest::ProveParts(watched));
+    }
+}
+
+/// Reports recent crashes to a leader that may be new.
+pub(crate) fn report_recent_crashes(cx: &Arc<Cx>) {
+    let reports = cx.part_guard().recent_reports(cx.clock.now());
+    if !reports.is_empty() {
+        report_to_leader(cx, HubRequest::ReportCrashes(reports));
+    }
+}
+
+fn report_to_leader(cx: &Arc<Cx>, request: HubRequest) {
+    let cx = Arc::clone(cx);
+    tokio::spawn(async move {
+        let deadline = cx.clock.now() + REPORT_TIMEOUT;
+        match cx.call_leader(&request, deadline).await {
+            Some(HubReply::Done) => {}
+            // Crashes are reported again to the next leader.
+            reply => log::warn!(reply:? = reply; "leader did not confirm a report on prompt parts"),
+        }
+    });
+}
+
+/// Asks the leader for the trial of a quarantined part. False if it grants none in time.
+pub(crate) async fn take_trial(cx: &Cx, part: PromptPart) -> bool {
+    let deadline = cx.clock.now() + TRIAL_TIMEOUT;
+    let reply = cx.call_leader(&HubRequest::TryPart(part), deadline).await;
+    reply == Some(HubReply::Done)
+}
--- /dev/null
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -0,0 +1,214 @@
+//! Evidence against prompt parts, from crashes of targets.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+use yuccaseam_base::{
+    Millis,
+    record, //
+};
+use yuccaseam_platform::PromptPart;
+
+use crate::targets::TargetKey;
+
+/// Consecutive crashes after which a part is quarantined. Callers lose little by one more crash, and
+/// two in a row can be a coincidence.
+const CRASHES_TO_QUARANTINE: usize = 3;
+/// Time after a crash from which a request counts as sent after it. Reports of one moment arrive at
+/// different times.
+const ORDER_MARGIN: Millis = Millis(100);
+/// How long a crash counts. Requests with a part may be rare.
+const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
+/// Crashes that are kept. The oldest is dropped beyond that.
+const MAX_CRASHES: usize = 256;
+/// Suspected parts that instances watch for.
+const MAX_SUSPECTED: usize = 64;
+/// Requests that are kept of one crash: more than the slots of a target.
+const MAX_REQUESTS_PER_CRASH: usize = 64;
+
+/// A request that was cut off by a crash of its target before its first event.
+#[record]
+pub struct CrashReport {
+    /// Start of the target that crashed.
+    pub target: TargetKey,
+    /// Shared parts of the prompt, in order.
+    pub parts: Vec<PromptPart>,
+    /// Time from when the request was sent to the crash.
+    pub ran_for: Millis,
+    /// Time since the crash.
+    pub age: Millis,
+}
+
+#[derive(Debug)]
+struct CutOffRequest {
+    parts: Vec<PromptPart>,
+    sent_at: Millis,
+}
+
+#[derive(Debug)]
+struct Crash {
+    target: TargetKey,
+    at: Millis,
+    requests: Vec<CutOffRequest>,
+    /// Whether one of the requests has a part that was quarantined. The crash is no evidence against
+    /// the parts of others.
+    explained: bool,
+}
+
+impl Crash {
+    fn parts(&self) -> Vec<PromptPart> {
+        let parts = self.requests.iter().flat_map(|request| &request.parts);
+        parts.copied().collect()
+    }
+
+    /// When the last request with a part was sent.
+    fn sent_at(&self, part: PromptPart) -> Option<Millis> {
+        let requests = self.requests.iter();
+        let with_part = requests.filter(|request| request.parts.contains(&part));
+        with_part.map(|request| request.sent_at).max()
+    }
+}
+
+/// Recent crashes, and the parts that were there.
+#[derive(Debug, Default)]
+pub struct CrashEvidence {
+    /// Ordered by time.
+    crashes: VecDeque<Crash>,
+    /// Consecutive crashes of each part, at least one.
+    counts: BTreeMap<PromptPart, usize>,
+    /// When a target last began to answer a request with a part. Only parts of recent crashes.
+    proved_at: BTreeMap<PromptPart, Millis>,
+}
+
+impl CrashEvidence {
+    /// Records a request that a crash cut off. `is_explained` says whether one of its parts is
+    /// quarantined already.
+    pub fn record(&mut self, report: CrashReport, is_explained: bool, now: Millis) {
+        self.expire(now);
+        let at = now - report.age;
+        let position = self.find_or_insert(report.target, at);
+        let crash = &mut self.crashes[position];
+        let becomes_explained = is_explained && !crash.explained;
+        crash.explained |= is_explained;
+        let parts = report.parts.clone();
+        let mut requests = crash.requests.iter();
+        let is_known = requests.any(|known| known.parts == report.parts);
+        if !is_known && crash.requests.len() < MAX_REQUESTS_PER_CRASH {
+            crash.requests.push(CutOffRequest {
+                parts: report.parts,
+                sent_at: at - report.ran_for,
+            });
+        }
+        if becomes_explained {
+            let affected = crash.parts();
+            self.recount(affected);
+        }
+        self.recount(parts);
+    }
+
+    /// Position of a target's crash.
+    fn find_or_insert(&mut self, target: TargetKey, at: Millis) -> usize {
+        let known = self.crashes.iter().position(|crash| crash.target == target);
+        known.unwrap_or_else(|| {
+            if self.crashes.len() == MAX_CRASHES {
+                self.crashes.pop_front();
+            }
+            let position = self.crashes.partition_point(|crash| crash.at <= at);
+            let crash = Crash {
+                target,
+                at,
+                requests: Vec::new(),
+                explained: false,
+            };
+            self.crashes.insert(position, crash);
+            position
+        })
+    }
+
+    /// Records that a target has begun to answer a request with these parts.
+    pub fn prove(&mut self, parts: &[PromptPart], now: Millis) {
+        for part in parts {
+            if self.counts.remove(part).is_some() {
+                self.proved_at.insert(*part, now);
+            }
+        }
+    }
+
+    /// Parts that the next crash may quarantine, those with most crashes first.
+    pub fn suspected(&self) -> Vec<PromptPart> {
+        let counts = self.counts.iter();
+        let close = counts.filter(|(_, count)| **count + 1 >= CRASHES_TO_QUARANTINE);
+        let mut close: Vec<_> = close.map(|(part, count)| (*count, *part)).collect();
+        close.sort_unstable_by(|a, b| b.cmp(a));
+        close.truncate(MAX_SUSPECTED);
+        close.into_iter().map(|(_, part)| part).collect()
+    }
+
+    /// Returns the part to quarantine next, if any, and takes its crashes as explained.
+    ///
+    /// If the requests of all these crashes have several parts in common, it is the last of them: the
+    /// fewest other requests have it.
+    pub fn take_culprit(&mut self) -> Option<PromptPart> {
+        let counts = self.counts.iter();
+        let enough = counts.filter(|(_, count)| **count >= CRASHES_TO_QUARANTINE);
+        let culprit = enough.max_by_key(|(part, count)| (**count, self.depth(**part), **part));
+        let part = *culprit?.0;
+        let mut affected = Vec::new();
+        for crash in &mut self.crashes {
+            if crash.sent_at(part).is_some() {
+                crash.explained = true;
+                affected.extend(crash.parts());
+            }
+        }
+        self.recount(affected);
+        Some(part)
+    }
+
+    fn recount(&mut self, parts: Vec<PromptPart>) {
+        for part in parts {
+            match self.crashes_in_a_row(part) {
+                0 => self.counts.remove(&part),
+                count => self.counts.insert(part, count),
+            };
+        }
+    }
+
+    /// Number of crashes since a part was last proved, each with a request that was sent after the crash
+    /// before it.
+    fn crashes_in_a_row(&self, part: PromptPart) -> usize {
+        let proved_at = self.proved_at.get(&part);
+        let mut count = 0;
+        let mut last_at = Millis::ZERO;
+        for crash in self.crashes.iter().filter(|crash| !crash.explained) {
+            let Some(sent_at) = crash.sent_at(part) else {
+                continue;
+            };
+            let follows = count == 0 || sent_at >= last_at + ORDER_MARGIN;
+            if follows && proved_at.is_none_or(|proved_at| *proved_at < crash.at) {
+                count += 1;
+                last_at = crash.at;
+            }
+        }
+        count
+    }
+
+    /// Position of a part in prompts.
+    fn depth(&self, part: PromptPart) -> usize {
+        let requests = self.crashes.iter().flat_map(|crash| &crash.requests);
+        let positions =
+            requests.filter_map(|request| request.parts.iter().position(|other| *other == part));
+        positions.max().unwrap_or_default()
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let expired = self
+            .crashes
+            .partition_point(|crash| now > crash.at + EVIDENCE_LIFETIME);
+        let expired: Vec<_> = self.crashes.drain(..expired).collect();
+        self.recount(expired.iter().flat_map(Crash::parts).collect());
+        self.proved_at
+            .retain(|_, proved_at| now <= *proved_at + EVIDENCE_LIFETIME);
+    }
+}
--- /dev/null
+++ b/crates/serving/src/quarantine/guard.rs
@@ -0,0 +1,224 @@
+//! Admission of requests by the parts of their prompts, at each instance.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    VecDeque, //
+};
+
+use yuccaseam_base::{
+    Millis,
+    value, //
+};
+use yuccaseam_platform::PromptPart;
+
+use crate::targets::TargetKey;
+
+use super::{
+    CrashEvidence,
+    CrashReport,
+    PartList, //
+};
+
+/// How long a part stays quarantined at first that this instance alone has decided on. The leader decides
+/// as soon as it can be reached.
+const LOCAL_QUARANTINE_PERIOD: Millis = Millis::from_secs(30);
+/// Longest period of such a quarantine.
+const MAX_LOCAL_QUARANTINE_PERIOD: Millis = Millis::from_secs(3_600);
+/// How long a crash is reported to each new leader, which has no evidence yet.
+const REPORT_LIFETIME: Millis = Millis::from_secs(60);
+/// Crashes that are reported to a new leader.
+const MAX_REPORTS: usize = 64;
+
+/// Whether a request may be sent to a target.
+#[value]
+#[derive(Copy)]
+pub enum Admission {
+    /// No part is quarantined.
+    Allowed,
+    /// A part is quarantined.
+    Refused(PromptPart),
+    /// A part is quarantined, and the leader may grant this request as its trial.
+    TrialDue(PromptPart),
+}
+
+/// Quarantine by this instance alone.
+#[derive(Debug)]
+struct LocalQuarantine {
+    until: Millis,
+    /// Length of the last period. Doubles if a target crashes again afterwards.
+    period: Millis,
+}
+
+impl LocalQuarantine {
+    fn new(now: Millis) -> Self {
+        Self {
+            until: now + LOCAL_QUARANTINE_PERIOD,
+            period: LOCAL_QUARANTINE_PERIOD,
+        }
+    }
+
+    fn is_active(&self, now: Millis) -> bool {
+        now < self.until
+    }
+
+    fn renew(&mut self, now: Millis) {
+        self.period = (self.period * 2).min(MAX_LOCAL_QUARANTINE_PERIOD);
+        self.until = now + self.period;
+    }
+}
+
+#[derive(Debug)]
+struct KeptReport {
+    report: CrashReport,
+    crashed_at: Millis,
+}
+
+/// Parts that this instance watches or refuses, as last sent by the leader and from its own evidence.
+#[derive(Debug, Default)]
+pub struct PartGuard {
+    list: PartList,
+    /// Whether the leader sent its list over the current connection.
+    is_current: bool,
+    evidence: CrashEvidence,
+    /// Parts that this instance has quarantined itself.
+    local: BTreeMap<PromptPart, LocalQuarantine>,
+    reports: VecDeque<KeptReport>,
+}
+
+impl PartGuard {
+    /// Records a new connection to a leader. The list of the last one stays in force until the new
+    /// leader has sent its own, or has sent everything without one.
+    pub fn begin_connection(&mut self) {
+        self.is_current = false;
+    }
+
+    /// Records that the leader has sent everything that it sends on connection.
+    pub fn end_initial_messages(&mut self) {
+        if !self.is_current {
+            self.apply(PartList::default());
+        }
+    }
+
+    /// Applies the list of the leader.
+    pub fn apply(&mut self, list: PartList) {
+        self.is_current = true;
+        let known: BTreeSet<_> = self.known_parts().collect();
+        self.list = list;
+        let now_known: BTreeSet<_> = self.known_parts().collect();
+        // Crashes that do not count any more are no evidence for the next leader either.
+        self.reports.retain(|kept| {
+            let mut parts = kept.report.parts.iter();
+            !parts.any(|part| known.contains(part) && !now_known.contains(part))
+        });
+    }
+
+    /// The list that this instance passes on to those which follow the leader through it.
+    pub fn list(&self) -> &PartList {
+        &self.list
+    }
+
+    fn known_parts(&self) -> impl Iterator<Item = PromptPart> {
+        let quarantined = self.list.quarantined.iter().map(|entry| entry.part);
+        quarantined.chain(self.list.suspected.iter().copied())
+    }
+
+    /// Whether there is a part whose requests are refused.
+    pub fn refuses_any(&self) -> bool {
+        !self.list.quarantined.is_empty() || !self.local.is_empty()
+    }
+
+    /// Decides on a request with these parts.
+    pub fn admit(&self, parts: &[PromptPart], now: Millis) -> Admission {
+        let mut due = None;
+        for part in parts {
+            let local = self.local.get(part);
+            if local.is_some_and(|local| local.is_active(now)) {
+                return Admission::Refused(*part);
+            }
+            let mut quarantined = self.list.quarantined.iter();
+            match quarantined.find(|entry| entry.part == *part) {
+                Some(entry) if !entry.trial_due => return Admission::Refused(*part),
+                Some(_) => due = due.or(Some(*part)),
+                None => {}
+            }
+        }
+        due.map_or(Admission::Allowed, Admission::TrialDue)
+    }
+
+    /// Records a request that a crash cut off before its first event. Returns the report for the leader,
+    /// and the part that is quarantined here from now on, if any.
+    pub fn record_crash(
+        &mut self,
+        target: TargetKey,
+        parts: &[PromptPart],
+        ran_for: Millis,
+        now: Millis,
+    ) -> (CrashReport, Option<PromptPart>) {
+        let report = CrashReport {
+            target,
+            parts: parts.to_vec(),
+            ran_for,
+            age: Millis::ZERO,
+        };
+        self.reports
+            .retain(|kept| now <= kept.crashed_at + REPORT_LIFETIME);
+        if self.reports.len() == MAX_REPORTS {
+            self.reports.pop_front();
+        }
+        self.reports.push_back(KeptReport {
+            report: report.clone(),
+            crashed_at: now,
+        });
+        let is_explained = self.admit(parts, now) != Admission::Allowed;
+        let culprit = self.quarantine_locally(&report, is_explained, now);
+        (report, culprit)
+    }
+
+    /// Quarantines a part by the evidence of this instance, or renews an earlier quarantine.
+    fn quarantine_locally(
+        &mut self,
+        report: &CrashReport,
+        is_explained: bool,
+        now: Millis,
+    ) -> Option<PromptPart> {
+        let mut parts = report.parts.iter();
+        let known = parts.find(|part| self.local.contains_key(part)).copied();
+        let is_explained = is_explained || known.is_some();
+        self.evidence.record(report.clone(), is_explained, now);
+        if let Some(local) = known.and_then(|part| self.local.get_mut(&part)) {
+            // Others were sent before the quarantine.
+            if !local.is_active(now) {
+                local.renew(now);
+                return known;
+            }
+            return None;
+        }
+        let culprit = self.evidence.take_culprit()?;
+        self.local.insert(culprit, LocalQuarantine::new(now));
+        Some(culprit)
+    }
+
+    /// Records that a target has begun to answer a request with these parts. Returns those that the leader
+    /// has to know of.
+    pub fn prove(&mut self, parts: &[PromptPart], now: Millis) -> Vec<PromptPart> {
+        if parts.is_empty() {
+            return Vec::new();
+        }
+        self.evidence.prove(parts, now);
+        self.local.retain(|part, _| !parts.contains(part));
+        let known: BTreeSet<_> = self.known_parts().collect();
+        let parts = parts.iter().copied();
+        parts.filter(|part| known.contains(part)).collect()
+    }
+
+    /// Recent crashes that this instance saw, for a new leader.
+    pub fn recent_reports(&self, now: Millis) -> Vec<CrashReport> {
+        let reports = self.reports.iter().map(|kept| CrashReport {
+            age: now - kept.crashed_at,
+            ..kept.report.clone()
+        });
+        let recent = reports.filter(|report| report.age <= REPORT_LIFETIME);
+        recent.collect()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/quarantine/manager.rs
@@ -0,0 +1,139 @@
+//! The leader's decisions about prompt parts.
+
+use std::collections::BTreeMap;
+
+use yuccaseam_base::{
+    Millis,
+    record, //
+};
+use yuccaseam_platform::PromptPart;
+
+use super::{
+    CrashEvidence,
+    CrashReport, //
+};
+
+/// Time from quarantine to the first trial. A part that was quarantined by coincidence is served again
+/// soon.
+const FIRST_TRIAL_DELAY: Millis = Millis::from_secs(10);
+/// Growth of the time between two trials: each one may cost a target with all its requests.
+const TRIAL_DELAY_FACTOR: u64 = 10;
+/// Longest time between two trials.
+const MAX_TRIAL_DELAY: Millis = Millis::from_secs(24 * 3_600);
+
+/// A quarantined part.
+#[record]
+#[derive(Copy)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Whether the leader grants a trial to the next request with it.
+    pub trial_due: bool,
+}
+
+/// Parts that all instances know of.
+#[record]
+#[derive(Default)]
+pub struct PartList {
+    /// Parts whose requests are refused.
+    pub quarantined: Vec<QuarantinedPart>,
+    /// Parts with some evidence against them. Instances report responses to requests with them.
+    pub suspected: Vec<PromptPart>,
+}
+
+impl PartList {
+    /// Whether it names no part.
+    pub fn is_empty(&self) -> bool {
+        self.quarantined.is_empty() && self.suspected.is_empty()
+    }
+}
+
+#[derive(Debug)]
+struct Quarantine {
+    /// Trials granted so far.
+    trials: u32,
+    next_trial_at: Millis,
+}
+
+impl Quarantine {
+    fn new(trials: u32, now: Millis) -> Self {
+        let factor = TRIAL_DELAY_FACTOR.saturating_pow(trials);
+        let delay = Millis(FIRST_TRIAL_DELAY.0.saturating_mul(factor));
+        Self {
+            trials,
+            next_trial_at: now + delay.min(MAX_TRIAL_DELAY),
+        }
+    }
+}
+
+/// Decides, at the leader, which parts are quarantined, and grants trials.
+#[derive(Debug, Default)]
+pub struct QuarantineManager {
+    evidence: CrashEvidence,
+    quarantined: BTreeMap<PromptPart, Quarantine>,
+}
+
+impl QuarantineManager {
+    /// Continues with the recorded parts and the number of trials of each. The time to the next trial
+    /// starts anew.
+    pub fn restore<I>(recorded: I, now: Millis) -> Self
+    where
+        I: IntoIterator<Item = (PromptPart, u32)>,
+    {
+        let quarantined = recorded
+            .into_iter()
+            .map(|(part, trials)| (part, Quarantine::new(trials, now)));
+        Self {
+            evidence: CrashEvidence::default(),
+            quarantined: quarantined.collect(),
+        }
+    }
+
+    /// Records a request that a crash cut off. Returns the parts that are quarantined from now on.
+    pub fn record_crash(&mut self, report: CrashReport, now: Millis) -> Vec<PromptPart> {
+        let mut parts = report.parts.iter();
+        let is_explained = parts.any(|part| self.quarantined.contains_key(part));
+        self.evidence.record(report, is_explained, now);
+        let mut culprits = Vec::new();
+        while let Some(part) = self.evidence.take_culprit() {
+            self.quarantined.insert(part, Quarantine::new(0, now));
+            culprits.push(part);
+        }
+        culprits
+    }
+
+    /// Records that a target has begun to answer a request with these parts. Returns those that are
+    /// released.
+    pub fn prove(&mut self, parts: &[PromptPart], now: Millis) -> Vec<PromptPart> {
+        self.evidence.prove(parts, now);
+        let parts = parts.iter().copied();
+        let released = parts.filter(|part| self.quarantined.remove(part).is_some());
+        released.collect()
+    }
+
+    /// Grants a trial of a part if one is due. Returns the number of its trials so far.
+    pub fn grant_trial(&mut self, part: PromptPart, now: Millis) -> Option<u32> {
+        let quarantine = self.quarantined.get_mut(&part)?;
+        if now < quarantine.next_trial_at {
+            return None;
+        }
+        let trials = quarantine.trials + 1;
+        *quarantine = Quarantine::new(trials, now);
+        Some(trials)
+    }
+
+    /// What all instances have to know.
+    pub fn list(&self, now: Millis) -> PartList {
+        let quarantined = self.quarantined.iter();
+        let quarantined = quarantined.map(|(part, quarantine)| QuarantinedPart {
+            part: *part,
+            trial_due: now >= quarantine.next_trial_at,
+        });
+        let mut suspected = self.evidence.suspected();
+        suspected.retain(|part| !self.quarantined.contains_key(part));
+        PartList {
+            quarantined: quarantined.collect(),
+            suspected,
+        }
+    }
+}
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -123,9 +123,12 @@
 
     fn follow(&self, tx: mpsc::Sender<LeaderFrame>) -> Result<u64, Option<IpAddr>> {
         let records: Vec<_> = self.cx.targets().records().cloned().collect();
+        let parts = self.cx.part_guard().list().clone();
+        let parts = (!parts.is_empty()).then_some(LeaderMessage::Parts(parts));
         let manifest = self.cx.manifest().map(LeaderMessage::Manifest);
-        let initial = manifest
+        let initial = parts
             .into_iter()
+            .chain(manifest)
             .chain([LeaderMessage::Targets(records)]);
         self.cx.relay.add(tx, initial.collect()).ok_or(None)
     }
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -10,6 +10,7 @@
     Millis,
     record, //
 };
+use yuccaseam_platform::PromptPart;
 
 use crate::targets::TargetRecord;
 
@@ -117,6 +118,15 @@
     /// Replaces the recorded addresses of the stores, so that they find each other after a power
     /// loss.
     NoteStores(BTreeMap<InstanceName, IpAddr>),
+    /// Records that prompt parts are quarantined.
+    Quarantine {
+        /// The parts.
+        parts: Vec<PromptPart>,
+        /// Trials granted to each so far.
+        trials: u32,
+    },
+    /// Releases prompt parts from quarantine.
+    Release(Vec<PromptPart>),
 }
 
 /// Outcome of a command.
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -1,4 +1,5 @@
-//! Replicated state: the manifest, batch jobs, retiring instances, and known targets and stores.
+//! Replicated state: the manifest, batch jobs, retiring instances, known targets and stores, and
+//! quarantined prompt parts.
 //!
 //! # Invariants
 //!
@@ -40,6 +41,7 @@
     TargetName,
     record, //
 };
+use yuccaseam_platform::PromptPart;
 
 use crate::targets::TargetRecord;
 
@@ -52,8 +54,13 @@
     retiring: BTreeSet<InstanceName>,
     targets: BTreeMap<TargetName, TargetRecord>,
     stores: BTreeMap<InstanceName, IpAddr>,
+    /// Quarantined prompt parts, and the trials granted to each so far.
+    quarantined: BTreeMap<PromptPart, u32>,
 }
 
+/// Encoding of an empty map, with which [`State`] ends if no part is quarantined.
+const EMPTY_MAP: u8 = 0;
+
 impl State {
     /// Applies a command.
     pub fn apply(&mut self, command: Command) -> CommandOutcome {
@@ -95,6 +102,17 @@
                 self.stores = stores;
                 CommandOutcome::Done
             }
+            Command::Quarantine { parts, trials } => {
+                let entries = parts.into_iter().map(|part| (part, trials));
+                self.quarantined.extend(entries);
+                CommandOutcome::Done
+            }
+            Command::Release(parts) => {
+                for part in parts {
+                    self.quarantined.remove(&part);
+                }
+                CommandOutcome::Done
+            }
         }
     }
 
@@ -183,6 +201,11 @@
         &self.stores
     }
 
+    /// The quarantined prompt parts, and the trials granted to each so far.
+    pub fn quarantined(&self) -> &BTreeMap<PromptPart, u32> {
+        &self.quarantined
+    }
+
     /// Instances that are being retired.
     pub fn retiring(&self) -> &BTreeSet<InstanceName> {
         &self.retiring
@@ -201,6 +224,10 @@
     }
 
     fn restore(data: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(data)
+        postcard::from_bytes(data).or_else(|error| {
+            // A snapshot of a version that knew no quarantined parts ends before them.
+            let extended = [data, &[EMPTY_MAP]].concat();
+            postcard::from_bytes(&extended).map_err(|_| error)
+        })
     }
 }
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -1,5 +1,7 @@
 //! The leader's followers: collects their loads and announcements, and sends them updates.
 
+mod parts;
+
 use std::{
     collections::{
         BTreeMap,
@@ -41,6 +43,10 @@
     },
     neighbourhood::Neighbourhoods,
     orphans::OrphanedItems,
+    quarantine::{
+        PartList,
+        QuarantineManager, //
+    },
     state::Command,
     targets::{
         AnnouncementOutcome,
@@ -111,6 +117,10 @@
     batch: BTreeMap<TargetKey, u32>,
     /// Items of the leader before this one, if it vanished.
     orphans: OrphanedItems,
+    /// Decisions on prompt parts.
+    quarantine: QuarantineManager,
+    /// Prompt parts as last sent to followers.
+    sent_parts: PartList,
     /// Version of the manifest last sent to followers.
     sent_version: u64,
     /// When this instance became leader and loaded the recorded targets. `None` if it does not
@@ -160,6 +170,10 @@
         if self.inner().leader_since.is_none() || !self.replica.holds_lease() {
             return None;
         }
+        // First, so that a request which is served by the manifest is checked.
+        if let Some(frame) = self.all_parts() {
+            tx.try_send(frame).ok()?;
+        }
         if let Some(manifest) = self.replica.read(|state| state.manifest().cloned()) {
             let frame = LeaderFrame::from(&LeaderMessage::Manifest(manifest));
             tx.try_send(frame).ok()?;
@@ -428,8 +442,10 @@
         let now = self.cx.clock.now();
         if !was_leader {
             self.take_over_items(now);
+            self.load_recorded_parts(now);
             self.load_recorded_targets(now);
         }
+        self.send_parts(now);
         self.record_changes(now);
         let expired = self.cx.targets().expire(TARGET_TIMEOUT, now);
         if !expired.is_empty() {
--- /dev/null
+++ b/crates/serving/src/store/hub/parts.rs
@@ -0,0 +1,102 @@
+//! Quarantine of prompt parts: reports of followers, and the list that all instances have.
+
+use yuccaseam_base::Millis;
+use yuccaseam_platform::PromptPart;
+
+use crate::{
+    link::{
+        LeaderFrame,
+        LeaderMessage, //
+    },
+    quarantine::{
+        CrashReport,
+        QuarantineManager, //
+    },
+    state::Command,
+};
+
+use super::Hub;
+
+impl Hub {
+    /// Records requests that crashes of their targets cut off.
+    pub(in crate::store) fn record_crashes(&self, reports: Vec<CrashReport>) {
+        let now = self.cx.clock.now();
+        let mut culprits = Vec::new();
+        for report in reports {
+            culprits.extend(self.inner().quarantine.record_crash(report, now));
+        }
+        if culprits.is_empty() {
+            return;
+        }
+        for part in &culprits {
+            log::warn!(part:% = part; "prompt part quarantined");
+        }
+        metrics::counter!("yuccaseam_parts_quarantined_total").increment(culprits.len() as u64);
+        self.propose(Command::Quarantine {
+            parts: culprits,
+            trials: 0,
+        });
+        self.send_parts(now);
+    }
+
+    /// Records that targets have begun to answer requests with these parts.
+    pub(in crate::store) fn prove_parts(&self, parts: &[PromptPart]) {
+        let now = self.cx.clock.now();
+        let released = self.inner().quarantine.prove(parts, now);
+        if released.is_empty() {
+            return;
+        }
+        for part in &released {
+            log::info!(part:% = part; "prompt part released");
+        }
+        self.propose(Command::Release(released));
+        self.send_parts(now);
+    }
+
+    /// Grants the trial of a quarantined part if one is due.
+    pub(in crate::store) fn grant_trial(&self, part: PromptPart) -> bool {
+        let now = self.cx.clock.now();
+        let Some(trials) = self.inner().quarantine.grant_trial(part, now) else {
+            return false;
+        };
+        log::info!(part:% = part, trials; "trial of a quarantined prompt part granted");
+        self.propose(Command::Quarantine {
+            parts: vec![part],
+            trials,
+        });
+        self.send_parts(now);
+        true
+    }
+
+    /// The list of parts for a new follower; `None` if there are none.
+    pub(super) fn all_parts(&self) -> Option<LeaderFrame> {
+        let list = self.inner().sent_parts.clone();
+        (!list.is_empty()).then(|| LeaderFrame::from(&LeaderMessage::Parts(list)))
+    }
+
+    /// Applies the list of parts and sends it to the followers, if it has changed.
+    pub(super) fn send_parts(&self, now: Millis) {
+        let mut inner = self.inner();
+        let list = inner.quarantine.list(now);
+        if list == inner.sent_parts {
+            return;
+        }
+        inner.sent_parts.clone_from(&list);
+        drop(inner);
+        metrics::gauge!("yuccaseam_quarantined_parts").set(list.quarantined.len() as f64);
+        self.cx.part_guard().apply(list.clone());
+        self.broadcast(&LeaderMessage::Parts(list));
+    }
+
+    /// Loads the quarantined parts recorded in the log.
+    pub(super) fn load_recorded_parts(&self, now: Millis) {
+        let recorded = self.replica.read(|state| state.quarantined().clone());
+        let quarantine = QuarantineManager::restore(recorded, now);
+        let list = quarantine.list(now);
+        let mut inner = self.inner();
+        inner.quarantine = quarantine;
+        inner.sent_parts.clone_from(&list);
+        drop(inner);
+        self.cx.part_guard().apply(list);
+    }
+}
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -172,6 +172,21 @@
             HubRequest::EndJob(job) => self.propose(Command::End { job }).await,
             HubRequest::StartRetiring(instance) => self.start_retiring(instance).await,
             HubRequest::GetRetiring(instance) => self.get_retiring(&instance).await,
+            HubRequest::ReportCrashes(_) | HubRequest::ProveParts(_) | HubRequest::TryPart(_)
+                if !self.is_leader() =>
+            {
+                self.not_leader()
+            }
+            HubRequest::ReportCrashes(reports) => {
+                self.hub.record_crashes(reports);
+                HubReply::Done
+            }
+            HubRequest::ProveParts(parts) => {
+                self.hub.prove_parts(&parts);
+                HubReply::Done
+            }
+            HubRequest::TryPart(part) if self.hub.grant_trial(part) => HubReply::Done,
+            HubRequest::TryPart(_) => HubReply::NotFound,
             HubRequest::Leads if self.is_leader() => HubReply::Done,
             HubRequest::Leads | HubRequest::PassOn(_) => self.not_leader(),
         }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -24,10 +24,12 @@
     task::AbortHandle, //
 };
 use yuccaseam_base::Millis;
+use yuccaseam_platform::PromptPart;
 
 use crate::{
     cx::Cx,
     link::pause,
+    quarantine::Admission,
     routes::choose_destination,
     schedule::{
         ItemKey,
@@ -43,6 +45,7 @@
         Command,
         CommandOutcome,
         FinishedItem,
+        Item,
         Output, //
     },
     targets::{
@@ -85,6 +88,9 @@
     key: ItemKey,
     target: TargetKey,
     started_at: Millis,
+    /// Shared parts of the prompt.
+    parts: Vec<PromptPart>,
+    has_output: bool,
     task: AbortHandle,
 }
 
@@ -180,8 +186,8 @@
         }
     }
 
-    /// Items without a listed result that may run now, by service. Items without a route are
-    /// finished as errored.
+    /// Items without a listed result that may run now, by service. Items without a route, and those with
+    /// a quarantined prompt part whose lifetime is over, are finished as errored.
     fn waiting(
         &mut self,
         state: &crate::state::State,
@@ -191,7 +197,7 @@
         let Some(table) = self.cx.table() else {
             return by_service;
         };
-        let mut unroutable = Vec::new();
+        let mut abandoned = Vec::new();
         for job in state.jobs().filter(|job| !job.is_settled()) {
             let view = self
                 .jobs
@@ -202,7 +208,7 @@
                     item: index,
                 };
                 let Some(route) = table.find(&job.host, &item.path) else {
-                    unroutable.push((job.id.clone(), index));
+                    abandoned.push((key, job.id.clone()));
                     continue;
                 };
                 // Deterministic, so that an item that resumes stays with the same service.
@@ -210,6 +216,12 @@
                 let Some(service) = choose_destination(route, hash) else {
                     continue;
                 };
+                if is_quarantined(&self.cx, item, now) {
+                    if route.item_lifetime.is_some_and(|most| view.age(now) > most) {
+                        abandoned.push((key, job.id.clone()));
+                    }
+                    continue;
+                }
                 let progress = self.progress.get(&key);
                 let backs_off = progress.is_some_and(|progress| now < progress.retry_at);
                 let entry = by_service.entry(service.to_owned()).or_default();
@@ -227,8 +239,12 @@
                 }
             }
         }
-        for (job, item) in unroutable {
-            self.propose(finished(job, item, None), Vec::new());
+        for (key, job) in abandoned {
+            let progress = self.progress.entry(key).or_default();
+            if progress.retry_at != Millis::MAX {
+                progress.retry_at = Millis::MAX;
+                self.propose(finished(job, key.item, None), vec![key]);
+            }
         }
         by_service
     }
@@ -328,14 +344,18 @@
             })
         });
         let last_id = progress.last_id.clone();
-        let req = self.replica.read(|state| {
+        let prepared = self.replica.read(|state| {
             let job = state.job(job_id)?;
             let item = job.items().get(key.item as usize)?;
-            build_request(&job.host, item, target, last_id.as_deref())
+            let req = build_request(&job.host, item, target, last_id.as_deref())?;
+            Some((req, PromptPart::shared_of_item(&item.headers)))
         });
-        let Some(req) = req else {
+        let Some((req, parts)) = prepared else {
             return;
         };
+        if !self.take_part_admission(&parts) {
+            return;
+        }
         self.next_run += 1;
         let run_id = self.next_run;
         let task = tokio::spawn(stream::stream(
@@ -353,11 +373,37 @@
             key,
             target: target.key(),
             started_at: self.cx.clock.now(),
+            parts,
+            has_output: false,
             task: task.abort_handle(),
         };
         self.runs.insert(run_id, run);
     }
 
+    /// Whether an item with these prompt parts may run now. Takes the trial of a quarantined part if one is
+    /// due.
+    fn take_part_admission(&self, parts: &[PromptPart]) -> bool {
+        let now = self.cx.clock.now();
+        let admission = self.cx.part_guard().admit(parts, now);
+        match admission {
+            Admission::Allowed => true,
+            Admission::TrialDue(part) => self.hub.grant_trial(part),
+            Admission::Refused(_) => false,
+        }
+    }
+
+    /// Records a possible crash of a target, as evidence against the prompt of the item.
+    fn record_crash(&self, run: &Run, now: Millis) {
+        if run.parts.is_empty() {
+            return;
+        }
+        let ran_for = now - run.started_at;
+        let mut guard = self.cx.part_guard();
+        let (report, _) = guard.record_crash(run.target, &run.parts, ran_for, now);
+        drop(guard);
+        self.hub.record_crashes(vec![report]);
+    }
+
     /// Proposes the output received so far, so that another leader can resume from there.
     fn persist_output(&mut self) {
         let mut advances = Vec::new();
@@ -390,7 +436,10 @@
             } => {
                 // Events of a run that was preempted meanwhile are dropped: the item's next run
                 // repeats them.
-                if let Some(run) = self.runs.get(&run) {
+                if let Some(run) = self.runs.get_mut(&run) {
+                    if !std::mem::replace(&mut run.has_output, true) && !run.parts.is_empty() {
+                        self.hub.prove_parts(&run.parts);
+                    }
                     let progress = self.progress.entry(run.key).or_default();
                     progress.lines.extend(lines);
                     progress.last_id = last_id.or(progress.last_id.take());
@@ -430,9 +479,14 @@
             RunEnd::FailedByTarget => "failed",
             RunEnd::Rejected => "rejected",
             RunEnd::Interrupted(failure) => failure.code(),
+            RunEnd::BrokenBeforeOutput => "broken",
         };
         metrics::counter!("yuccaseam_batch_runs_total", "outcome" => outcome).increment(1);
         log::info!(job:%, item, outcome, failures = progress.failures; "batch run ended");
+        if matches!(end, RunEnd::BrokenBeforeOutput) {
+            self.record_crash(run, now);
+        }
+        let progress = self.progress.entry(run.key).or_default();
         match end {
             RunEnd::Completed => {
                 progress.retry_at = Millis::MAX;
@@ -446,7 +500,7 @@
             RunEnd::FailedByTarget => {
                 self.record_failure(job, run.key);
             }
-            RunEnd::Rejected | RunEnd::Interrupted(_) => {
+            RunEnd::Rejected | RunEnd::Interrupted(_) | RunEnd::BrokenBeforeOutput => {
                 progress.retry_at = now + RETRY_BACKOFF;
                 self.cooldowns.insert(run.target, now + TARGET_COOLDOWN);
             }
@@ -509,6 +563,16 @@
     }
 }
 
+/// Whether a prompt part of an item is quarantined and no trial is due.
+fn is_quarantined(cx: &Cx, item: &Item, now: Millis) -> bool {
+    let guard = cx.part_guard();
+    if !guard.refuses_any() {
+        return false;
+    }
+    let parts = PromptPart::shared_of_item(&item.headers);
+    matches!(guard.admit(&parts, now), Admission::Refused(_))
+}
+
 fn finished(job: String, item: u32, output: Option<Output>) -> Command {
     Command::Finish(FinishedItem { job, item, output })
 }
--- a/crates/serving/src/store/runner/job_views.rs
+++ b/crates/serving/src/store/runner/job_views.rs
@@ -21,6 +21,11 @@
 }
 
 impl JobView {
+    /// Age of the job.
+    pub(super) fn age(&self, now: Millis) -> Millis {
+        now - self.first_seen_at + self.age_when_seen
+    }
+
     /// When the results of the job are due.
     pub(super) fn due_at(&self, objective: Option<Millis>) -> Millis {
         self.first_seen_at + objective.unwrap_or(DEFAULT_COMPLETION_OBJECTIVE) - self.age_when_seen
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -53,6 +53,8 @@
     Rejected,
     /// The connection or the stream failed.
     Interrupted(Failure),
+    /// The connection broke before the first event, as in a crash of the target.
+    BrokenBeforeOutput,
 }
 
 /// A message to the runner.
@@ -125,6 +127,7 @@
     let call = cx.upstream.call(target.address, req, limits).await;
     let mut call = match call {
         Ok(call) => call,
+        Err(error) if error.is_possible_crash() => return RunEnd::BrokenBeforeOutput,
         Err(error) => return RunEnd::Interrupted(error.failure),
     };
     let head = &call.head;
@@ -151,6 +154,7 @@
                 call.conn.release();
                 return RunEnd::Completed;
             }
+            Ok(Some(Err(_))) if output_bytes == 0 => return RunEnd::BrokenBeforeOutput,
             Ok(Some(Err(_))) => return RunEnd::Interrupted(Failure::Broken),
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else {
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -109,6 +109,11 @@
         let verdict = Verdict::MayHaveRun;
         Self { verdict, failure }
     }
+
+    /// Whether the target may have crashed while it had the request.
+    pub(crate) fn is_possible_crash(&self) -> bool {
+        self.failure == Failure::Broken && self.verdict == Verdict::MayHaveRun
+    }
 }
 
 struct IdleConnection {
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod neighbourhood;
 mod orphans;
 mod overload;
+mod quarantine;
 mod routes;
 mod schedule;
 mod state;
--- /dev/null
+++ b/crates/serving/tests/all/quarantine.rs
@@ -0,0 +1,316 @@
+//! Prompt parts that crash targets are told from those of bystanders, quarantined and tried again.
+
+use assert_matches::assert_matches;
+use yuccaseam_base::{
+    Millis,
+    cases, //
+};
+use yuccaseam_platform::PromptPart;
+use yuccaseam_serving::{
+    quarantine::{
+        Admission,
+        CrashReport,
+        PartGuard,
+        PartList,
+        QuarantineManager,
+        QuarantinedPart, //
+    },
+    targets::TargetKey,
+};
+
+const FIRST: PromptPart = PromptPart(0xf1);
+const SESSION: PromptPart = PromptPart(0x51);
+const DEADLY: PromptPart = PromptPart(0xd00d);
+const OTHER: PromptPart = PromptPart(0x77);
+/// Parts of a request that crashes its target.
+const PROMPT: [PromptPart; 3] = [FIRST, SESSION, DEADLY];
+/// Time from a request to the crash that it causes.
+const RUN: Millis = Millis(80);
+/// Time between two crashes.
+const GAP: Millis = Millis(300);
+
+/// The leader's manager, with crashes that happen one after the other.
+struct Leader {
+    manager: QuarantineManager,
+    now: Millis,
+    crashes: u64,
+}
+
+impl Leader {
+    fn new() -> Self {
+        Self {
+            manager: QuarantineManager::default(),
+            now: Millis(100_000),
+            crashes: 0,
+        }
+    }
+
+    fn report(&self, target: u64, parts: &[PromptPart], ran_for: Millis) -> CrashReport {
+        CrashReport {
+            target: TargetKey(target),
+            parts: parts.to_vec(),
+            ran_for,
+            age: Millis::ZERO,
+        }
+    }
+
+    /// One more target crashes under a request with these parts.
+    fn crash(&mut self, parts: &[PromptPart]) -> Vec<PromptPart> {
+        self.now += GAP;
+        self.crashes += 1;
+        let report = self.report(self.crashes, parts, RUN);
+        self.manager.record_crash(report, self.now)
+    }
+
+    /// A target answers a request with these parts.
+    fn answer(&mut self, parts: &[PromptPart]) -> Vec<PromptPart> {
+        self.now += Millis(10);
+        self.manager.prove(parts, self.now)
+    }
+
+    fn quarantined(&self) -> Vec<PromptPart> {
+        let list = self.manager.list(self.now);
+        list.quarantined.iter().map(|entry| entry.part).collect()
+    }
+}
+
+/// Guards against requests that crash one target after the other.
+#[test]
+fn part_of_three_crashes_in_a_row_is_quarantined() {
+    let mut leader = Leader::new();
+    assert!(leader.crash(&PROMPT).is_empty());
+    assert!(leader.crash(&PROMPT).is_empty());
+    assert_eq!(leader.crash(&PROMPT), [DEADLY]);
+    assert_eq!(leader.quarantined(), [DEADLY]);
+}
+
+/// Guards against a quarantine of parts that sound requests share with those that crash targets.
+#[test]
+fn parts_in_common_with_answered_requests_stay_in_use() {
+    let mut leader = Leader::new();
+    leader.crash(&PROMPT);
+    leader.crash(&PROMPT);
+    leader.answer(&[FIRST, SESSION]);
+    leader.crash(&PROMPT);
+    for _ in 0..5 {
+        leader.crash(&[FIRST, OTHER]);
+        leader.answer(&[FIRST, OTHER]);
+    }
+    assert_eq!(leader.quarantined(), [DEADLY]);
+}
+
+/// Guards against a second quarantine by requests that were cut off beside the culprit.
+#[test]
+fn bystanders_of_explained_crashes_are_not_suspected() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+        let bystander = leader.report(leader.crashes, &[FIRST, OTHER], Millis(20));
+        leader.manager.record_crash(bystander, leader.now);
+    }
+    assert_eq!(leader.quarantined(), [DEADLY]);
+    for late in 1..=3 {
+        let bystander = leader.report(late, &[OTHER, SESSION], Millis(20));
+        let culprits = leader.manager.record_crash(bystander, leader.now);
+        assert!(culprits.is_empty());
+    }
+    assert!(leader.manager.list(leader.now).suspected.is_empty());
+}
+
+/// Guards against a quarantine of what everybody sends, as many targets crash at the same moment.
+#[test]
+fn simultaneous_crashes_count_once() {
+    let mut leader = Leader::new();
+    for target in 1..=9 {
+        let report = leader.report(target, &[FIRST], Millis(30));
+        leader.now += Millis(5);
+        assert!(leader.manager.record_crash(report, leader.now).is_empty());
+    }
+}
+
+#[test]
+fn reports_of_one_crash_count_once() {
+    let mut leader = Leader::new();
+    for ran_for in [30, 20, 10, 5] {
+        leader.now += GAP;
+        let report = leader.report(1, &[FIRST], Millis(ran_for));
+        assert!(leader.manager.record_crash(report, leader.now).is_empty());
+    }
+}
+
+/// Guards against one part that hides another.
+#[test]
+fn two_parts_are_quarantined_each_by_its_own_crashes() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+        leader.answer(&[FIRST]);
+        leader.crash(&[FIRST, OTHER]);
+        leader.answer(&[FIRST]);
+    }
+    assert_eq!(leader.quarantined(), [OTHER, DEADLY]);
+}
+
+#[test]
+fn part_that_was_served_before_is_quarantined_once_it_crashes_targets() {
+    let mut leader = Leader::new();
+    leader.answer(&PROMPT);
+    leader.crash(&PROMPT);
+    leader.answer(&PROMPT);
+    assert!(leader.crash(&PROMPT).is_empty());
+    assert!(leader.crash(&PROMPT).is_empty());
+    assert_eq!(leader.crash(&PROMPT), [DEADLY]);
+}
+
+/// Guards against a sound part that is refused for ever after a coincidence.
+#[test]
+fn successful_trial_releases_a_part() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+    }
+    assert_eq!(leader.manager.grant_trial(DEADLY, leader.now), None);
+    leader.now += Millis::from_secs(10);
+    let list = leader.manager.list(leader.now);
+    assert_matches!(
+        &list.quarantined[..],
+        [QuarantinedPart {
+            trial_due: true,
+            ..
+        }]
+    );
+    assert_eq!(leader.manager.grant_trial(DEADLY, leader.now), Some(1));
+    assert_eq!(leader.manager.grant_trial(DEADLY, leader.now), None);
+    assert_eq!(leader.answer(&PROMPT), [DEADLY]);
+    assert!(leader.quarantined().is_empty());
+}
+
+/// Guards against trials that crash target after target: at most three reach one within an hour, also if
+/// the leader changes after each.
+#[test]
+fn failed_trials_become_rare() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+    }
+    let ends_at = leader.now + Millis::from_secs(3_600);
+    let mut trials = 0;
+    while leader.now < ends_at {
+        leader.now += Millis(500);
+        if let Some(granted) = leader.manager.grant_trial(DEADLY, leader.now) {
+            trials += 1;
+            leader.crash(&PROMPT);
+            leader.manager = QuarantineManager::restore([(DEADLY, granted)], leader.now);
+        }
+    }
+    assert_eq!(trials, 3);
+}
+
+#[test]
+fn new_leader_has_the_recorded_parts() {
+    let mut manager = QuarantineManager::restore([(DEADLY, 0)], Millis::ZERO);
+    let list = manager.list(Millis(1));
+    assert_eq!(list.quarantined[0].part, DEADLY);
+    assert!(!list.quarantined[0].trial_due);
+    let report = Leader::new().report(1, &PROMPT, RUN);
+    assert!(manager.record_crash(report, Millis(2_000)).is_empty());
+}
+
+fn list(trial_due: bool) -> PartList {
+    PartList {
+        quarantined: vec![QuarantinedPart {
+            part: DEADLY,
+            trial_due,
+        }],
+        suspected: vec![OTHER],
+    }
+}
+
+fn check_admission(parts: &[PromptPart], trial_due: bool, expected: Admission) {
+    let mut guard = PartGuard::default();
+    guard.apply(list(trial_due));
+    assert_eq!(guard.admit(parts, Millis(1)), expected);
+}
+
+cases! { check_admission:
+    request_with_a_quarantined_part_is_refused(&PROMPT, false, Admission::Refused(DEADLY));
+    request_with_its_other_parts_is_served(&[FIRST, SESSION], false, Admission::Allowed);
+    suspected_part_is_served(&[OTHER], false, Admission::Allowed);
+    due_trial_is_left_to_the_leader(&PROMPT, true, Admission::TrialDue(DEADLY));
+    request_without_parts_is_served(&[], false, Admission::Allowed);
+}
+
+#[test]
+fn answers_are_reported_only_for_parts_that_the_leader_watches() {
+    let mut guard = PartGuard::default();
+    guard.apply(list(false));
+    assert_eq!(guard.prove(&[FIRST, OTHER], Millis(1)), [OTHER]);
+    assert!(guard.prove(&[FIRST], Millis(1)).is_empty());
+}
+
+/// Guards against a list that is lost while an entry connects to the next leader, and against one that the
+/// next leader does not have.
+#[test]
+fn list_is_in_force_until_the_next_leader_has_sent_its_own() {
+    let mut guard = PartGuard::default();
+    guard.apply(list(false));
+    guard.begin_connection();
+    assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
+    guard.apply(list(false));
+    guard.end_initial_messages();
+    assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
+    guard.begin_connection();
+    guard.end_initial_messages();
+    assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Allowed);
+}
+
+/// Guards against an entry cut off from the leader that crashes target after target.
+#[test]
+fn entry_without_a_leader_quarantines_for_a_time_by_its_own_evidence() {
+    let mut guard = PartGuard::default();
+    let mut now = Millis(1_000);
+    for target in 1..=3 {
+        now += GAP;
+        assert_eq!(guard.admit(&PROMPT, now), Admission::Allowed);
+        guard.record_crash(TargetKey(target), &PROMPT, RUN, now);
+    }
+    assert_eq!(guard.admit(&PROMPT, now), Admission::Refused(DEADLY));
+    assert_eq!(guard.admit(&[FIRST], now), Admission::Allowed);
+    let later = now + Millis::from_secs(31);
+    assert_eq!(guard.admit(&PROMPT, later), Admission::Allowed);
+    guard.record_crash(TargetKey(4), &PROMPT, RUN, later);
+    let again = later + Millis::from_secs(59);
+    assert_eq!(guard.admit(&PROMPT, again), Admission::Refused(DEADLY));
+    guard.prove(&PROMPT, again);
+    assert_eq!(guard.admit(&PROMPT, again), Admission::Allowed);
+}
+
+/// Guards against evidence that is lost with its leader.
+#[test]
+fn next_leader_quarantines_by_the_crashes_that_entries_report_again() {
+    let mut guard = PartGuard::default();
+    let mut now = Millis(1_000);
+    for target in 1..=3 {
+        now += GAP;
+        guard.record_crash(TargetKey(target), &PROMPT, RUN, now);
+    }
+    let mut manager = QuarantineManager::default();
+    let received_at = Millis(900_000);
+    let reports = guard.recent_reports(now + Millis(2_000));
+    let culprits: Vec<_> = reports
+        .into_iter()
+        .flat_map(|report| manager.record_crash(report, received_at))
+        .collect();
+    assert_eq!(culprits, [DEADLY]);
+}
+
+/// Guards against a part that is quarantined again by evidence from before its release.
+#[test]
+fn crashes_with_a_released_part_are_not_reported_again() {
+    let mut guard = PartGuard::default();
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
+    guard.record_crash(TargetKey(2), &[OTHER], RUN, Millis(1_000));
+    guard.apply(list(false));
+    guard.apply(PartList::default());
+    assert!(guard.recent_reports(Millis(2_000)).is_empty());
+}
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -10,6 +10,7 @@
     Machine as _,
     Millis, //
 };
+use yuccaseam_platform::PromptPart;
 use yuccaseam_serving::state::{
     Advance,
     Command,
@@ -203,3 +204,34 @@
     let restored = State::restore(&state.snapshot()).expect("a snapshot");
     assert_eq!(restored, state);
 }
+
+#[test]
+fn quarantined_parts_are_recorded_until_their_release() {
+    let mut state = State::default();
+    let (released, kept) = (PromptPart(1), PromptPart(2));
+    state.apply(Command::Quarantine {
+        parts: vec![released, kept],
+        trials: 0,
+    });
+    state.apply(Command::Quarantine {
+        parts: vec![kept],
+        trials: 2,
+    });
+    state.apply(Command::Release(vec![released]));
+    let restored = State::restore(&state.snapshot()).expect("a snapshot");
+    let recorded: Vec<_> = restored.quarantined().iter().collect();
+    assert_eq!(recorded, [(&kept, &2)]);
+}
+
+/// Guards against a store that cannot read the snapshot of the version before it.
+#[test]
+fn snapshot_without_quarantined_parts_is_restored() {
+    let mut state = State::default();
+    state.apply(manifest(4, "four"));
+    state.apply(Command::Submit(job("j", &[1, 2])));
+    let mut snapshot = state.snapshot();
+    assert_eq!(snapshot.pop(), Some(0), "an empty map at the end");
+    let restored = State::restore(&snapshot).expect("a snapshot of the earlier version");
+    assert_eq!(restored, state);
+    assert!(State::restore(&snapshot[..snapshot.len() - 1]).is_err());
+}
