serving: a sound part in one more crash hides the part that crashes targets no longer

Cause: a part that sound requests share with those that crash targets had been in three crashes, once as a bystander, and the culprit in two of these; the higher count decided. Change: of parts of the same requests, a later one is preferred if it was in as many crashes but for one. A crash that is dropped for want of space is counted no more.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -112,8 +112,10 @@
     fn find_or_insert(&mut self, target: TargetKey, at: Millis) -> usize {
         let known = self.crashes.iter().position(|crash| crash.target == target);
         known.unwrap_or_else(|| {
-            if self.crashes.len() == MAX_CRASHES {
-                self.crashes.pop_front();
+            if self.crashes.len() == MAX_CRASHES
+                && let Some(dropped) = self.crashes.pop_front()
+            {
+                self.recount(dropped.parts());
             }
             let position = self.crashes.partition_point(|crash| crash.at <= at);
             let crash = Crash {
@@ -148,12 +150,21 @@
 
     /// Returns the part to quarantine next, if any, and takes its crashes as explained.
     ///
-    /// If the requests of all these crashes have several parts in common, it is the last of them: the
-    /// fewest other requests have it.
+    /// Parts that come earlier in prompts are in more requests, so they are in more crashes by coincidence,
+    /// and their quarantine refuses more. A later part of the same requests is therefore preferred if it
+    /// was in as many crashes but for one.
     pub fn take_culprit(&mut self) -> Option<PromptPart> {
         let counts = self.counts.iter();
-        let enough = counts.filter(|(_, count)| **count >= CRASHES_TO_QUARANTINE);
-        let culprit = enough.max_by_key(|(part, count)| (**count, self.depth(**part), **part));
+        let (first, most) = counts.max_by_key(|(part, count)| (**count, **part))?;
+        if *most < CRASHES_TO_QUARANTINE {
+            return None;
+        }
+        let candidates = self
+            .requests_with(*first)
+            .flat_map(|request| &request.parts)
+            .filter_map(|part| self.counts.get_key_value(part));
+        let close = candidates.filter(|(_, count)| **count + 1 >= *most);
+        let culprit = close.max_by_key(|(part, count)| (self.depth(**part), **count, **part));
         let part = *culprit?.0;
         let mut affected = Vec::new();
         for crash in &mut self.crashes {
@@ -194,11 +205,18 @@
         count
     }
 
+    /// Requests with a part in crashes that are not explained.
+    fn requests_with(&self, part: PromptPart) -> impl Iterator<Item = &CutOffRequest> {
+        let crashes = self.crashes.iter().filter(|crash| !crash.explained);
+        let requests = crashes.flat_map(|crash| &crash.requests);
+        requests.filter(move |request| request.parts.contains(&part))
+    }
+
     /// Position of a part in prompts.
     fn depth(&self, part: PromptPart) -> usize {
-        let requests = self.crashes.iter().flat_map(|crash| &crash.requests);
-        let positions =
-            requests.filter_map(|request| request.parts.iter().position(|other| *other == part));
+        let positions = self
+            .requests_with(part)
+            .filter_map(|request| request.parts.iter().position(|other| *other == part));
         positions.max().unwrap_or_default()
     }
 
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -128,6 +128,40 @@
     }
 }
 
+/// Guards against a part of many sound requests that is blamed in place of a later one, because a sound
+/// request with it was cut off in one more crash.
+#[test]
+fn later_part_is_blamed_if_an_earlier_one_was_in_one_more_crash() {
+    let mut leader = Leader::new();
+    leader.crash(&[FIRST, SESSION]);
+    leader.crash(&PROMPT);
+    assert_eq!(leader.crash(&PROMPT), [DEADLY]);
+}
+
+/// Guards against a rare part that hides an earlier one: a request that is sent again after a crash.
+#[test]
+fn earlier_part_is_blamed_once_later_ones_differ() {
+    let mut leader = Leader::new();
+    let mut culprits = Vec::new();
+    for last in [1, 1, 2, 3, 4] {
+        culprits = leader.crash(&[FIRST, SESSION, PromptPart(last)]);
+        leader.answer(&[FIRST]);
+    }
+    assert_eq!(culprits, [SESSION]);
+}
+
+/// Guards against a part that is blamed for crashes of requests without it.
+#[test]
+fn part_of_other_requests_is_not_blamed() {
+    let mut leader = Leader::new();
+    let bystander = [PromptPart(1), PromptPart(2), PromptPart(3), OTHER];
+    leader.crash(&bystander);
+    leader.crash(&bystander);
+    leader.crash(&PROMPT);
+    leader.crash(&PROMPT);
+    assert_eq!(leader.crash(&PROMPT), [DEADLY]);
+}
+
 #[test]
 fn reports_of_one_crash_count_once() {
     let mut leader = Leader::new();
