tests: answers that come with neither a length nor chunks

No test covered this.

Ten tests over real sockets, against targets that write their answers as bytes: buffered answers, error answers, streams and batch items, closed or reset, whole or cut between or inside events, with HTTP/1.1 and HTTP/1.0 status lines; the caller's connection after a whole answer, and the connection to the target after an answer that ended by a close.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -3,11 +3,13 @@
 
 mod control;
 mod floods;
+mod framing;
 mod jobs;
 mod lifecycle;
 mod limits;
 mod misbehaving;
 mod online;
+mod raw_target;
 
 use std::{
     future::Future,
