tests: raw targets are known to every entry before a test begins

Seen: buffered_answer_that_is_reset_midway_is_not_whole got 502 "no_target" in place of the answer of another target, in one of four runs beside other work (load 19). It did not come again in 38 runs. Cause, as far as traced: the entries served, but not each knew a second target yet. In 24 starts with three tests at a time, entry 0 knew one target of three at that moment in one start and two in another. Change: the tests wait until each entry's log names all three targets, and print that log on failure.

--- a/crates/daemon/tests/all/platform/framing.rs
+++ b/crates/daemon/tests/all/platform/framing.rs
@@ -152,7 +152,8 @@
 fn buffered_answer_that_is_reset_midway_is_not_whole() {
     with_raw_targets(answer, async |raw| {
         let reply = raw.call("r1", &format!("{SAFE}reset")).await;
-        assert!(reply.is_whole_success(), "{reply:?}");
+        let log = raw.world.system.entries[0].log();
+        assert!(reply.is_whole_success(), "{reply:?}\n{log}");
         assert_eq!(reply.body, "answer to r1");
 
         let reply = raw.call("r2", &format!("{SAFE}reset-always")).await;
@@ -243,7 +244,8 @@
     with_raw_targets(answer, async |raw| {
         for (kind, last) in CUT_SHORT {
             let reply = raw.call(kind, &format!("{RESUMABLE}{kind}")).await;
-            assert!(reply.is_whole_success(), "{kind}: {reply:?}");
+            let log = raw.world.system.entries[0].log();
+            assert!(reply.is_whole_success(), "{kind}: {reply:?}\n{log}");
             assert_eq!(reply.body, expected_events(kind, EVENTS), "{kind}");
             assert_eq!(raw.resumed_after(kind), [last], "{kind}");
         }
--- a/crates/daemon/tests/all/platform/raw_target.rs
+++ b/crates/daemon/tests/all/platform/raw_target.rs
@@ -20,7 +20,10 @@
         MutexGuard, //
     },
     thread,
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use tokio::runtime::{
@@ -32,12 +35,18 @@
     PlatformTarget, //
 };
 
-use super::World;
+use super::{
+    PATIENCE,
+    World, //
+};
 
 /// Time between the last bytes of an answer and the reset of its connection, so that the entry reads
 /// them first.
 const BEFORE_RESET: Duration = Duration::from_millis(30);
 
+/// Failure domains, each with one target.
+const DOMAINS: [&str; 3] = ["a1", "a2", "b1"];
+
 /// How a target ends an answer.
 #[derive(Clone, Copy)]
 pub(super) enum End {
@@ -110,9 +119,9 @@
         let system = PlatformSystem::start(3, 3);
         let log = Arc::new(Mutex::new(Log::default()));
         let mut targets = Vec::new();
-        for domain in ["a1", "a2", "b1"] {
+        for domain in DOMAINS {
             let place = |_| Ok((serve(answer, &log)?, ()));
-            let name = format!("raw-{domain}");
+            let name = target_name(domain);
             let control = system.control();
             let target = PlatformTarget::start_behind(&name, "llm", domain, 8, control, place);
             let (target, ()) = target.await.expect("a target starts");
@@ -120,11 +129,37 @@
         }
         assert!(system.put_manifest(1).await, "a manifest is accepted");
         assert!(system.wait_until_serving().await, "every entry serves");
+        wait_until_known(&system).await;
         let world = World { system, targets };
         test(RawWorld { world, log }).await;
     });
 }
 
+fn target_name(domain: &str) -> String {
+    format!("raw-{domain}")
+}
+
+/// Waits until every entry knows every target, so that a request can be repeated elsewhere.
+async fn wait_until_known(system: &PlatformSystem) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let unknown = system.entries.iter().find_map(|entry| {
+            let log = entry.log();
+            let names = DOMAINS.map(target_name);
+            let unknown = names.into_iter().find(|name| {
+                let mut lines = log.lines();
+                !lines.any(|line| line.contains("target changed") && line.contains(name.as_str()))
+            });
+            unknown.map(|name| format!("{} does not know {name}", entry.name))
+        });
+        let Some(unknown) = unknown else {
+            return;
+        };
+        assert!(Instant::now() < until, "{unknown}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Serves every connection on a thread of its own.
 fn serve(answer: fn(&RawRun) -> Answer, log: &Arc<Mutex<Log>>) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
