daemon: a response without a length is not complete after a reset

What callers saw: the part of a target's response before a reset, as a 200 that ends as complete, for calls to plain services and buffered generations; batch items of services could be listed with it. Cause: ureq takes a reset or aborted connection for the end of a body that has neither a length nor chunks (its BodyHandler), and the daemon relies on ureq for the end of a body. Streams were not affected: they end with an end marker. Evidence: on the code before, response_without_length_is_whole_unless_its_connection_is_reset got { status: 200, text: "{\"entry\"" } in place of an error. Change: a connector around that of ureq gives resets another kind of error, which ureq does not take for an end. The call fails as "may have run", as with a response that is shorter than its length.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,5 +1,7 @@
 //! HTTP client for calls to targets.
 
+mod transport;
+
 use std::{
     io::{
         self,
@@ -9,8 +11,14 @@
 };
 
 use ureq::{
-    Agent,
-    Timeout, //
+    Agent, Timeout,
+    unversioned::{
+        resolver::DefaultResolver,
+        transport::{
+            Connector as _,
+            DefaultConnector, //
+        },
+    },
 };
 use yuccaseam_base::{
     Millis,
@@ -18,6 +26,8 @@
     Refusal, //
 };
 
+use transport::ResetDetector;
+
 /// Time-out of opening a connection to a target.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 /// How long a target may send nothing before its call fails.
@@ -59,8 +69,9 @@
             // would fail as "may have run". Each call therefore opens a connection of its own.
             .max_idle_connections(0)
             .build();
+        let connector = DefaultConnector::default().chain(ResetDetector);
         Self {
-            agent: config.new_agent(),
+            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
         }
     }
 
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod platform;
 mod replicas;
+mod responses;
 mod session;
 mod settings;
 mod streams;
