tests: a buffered generation whose response is reset

On the code before the fix the test got { status: 200, text: "{\"entry\"" }; with it, an error with the verdict "may have run".

--- a/crates/daemon/tests/all/responses.rs
+++ b/crates/daemon/tests/all/responses.rs
@@ -24,7 +24,10 @@
     wait_until, //
 };
 
-use crate::support::places;
+use crate::support::{
+    places,
+    question, //
+};
 
 /// Name of the service.
 const SERVICE: &str = "ledger";
@@ -46,13 +49,13 @@
     Ok(address)
 }
 
-/// Responds as the path says. The body of the request `/reset` stays unread, so that closing the
-/// connection resets it.
+/// Responds as the path says. The bodies of generations and of the request `/reset` stay unread, so
+/// that closing the connection resets it.
 fn respond(mut stream: TcpStream) -> io::Result<()> {
     let head = read_until(&mut stream, "\r\n\r\n")?;
     let head_of_response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
     stream.write_all(head_of_response.as_bytes())?;
-    if head.starts_with("POST /reset ") {
+    if head.starts_with("POST /reset ") || head.starts_with("POST /v1/completions ") {
         stream.write_all(&RESPONSE.as_bytes()[..RESPONSE.len() / 2])?;
         thread::sleep(BEFORE_RESET);
         return Ok(());
@@ -72,18 +75,15 @@
     Ok(text)
 }
 
-/// Guards against the part of a response before a reset passed on as the whole.
-#[test]
-fn response_without_length_is_whole_unless_its_connection_is_reset() {
+/// Starts a system with one target.
+fn start(kind: Kind) -> (Cluster, Announcer) {
     let places = places();
     let mut cluster = Cluster::start(&places, &[]);
     cluster.wait_until_ready();
     let announcement = Announcement {
         name: "raw".to_owned(),
         address: serve().expect("a free address").to_string(),
-        kind: Kind::Service {
-            service: SERVICE.to_owned(),
-        },
+        kind,
         region: places[0].region.clone(),
         failure_domain: places[0].failure_domain.clone(),
         slots: 4,
@@ -91,12 +91,22 @@
         incarnation: 1,
     };
     let entries = cluster.daemons.iter().map(|daemon| daemon.http.to_string());
-    let _announcer = Announcer::start(announcement, entries.collect());
+    let announcer = Announcer::start(announcement, entries.collect());
     let caller = cluster.caller(0);
     wait_until("the daemon knows the target", || {
         let status = caller.get("/admin/v1/status");
         status.is_some_and(|status| status["targets"].as_u64() >= Some(1))
     });
+    (cluster, announcer)
+}
+
+/// Guards against the part of a response before a reset passed on as the whole.
+#[test]
+fn response_without_length_is_whole_unless_its_connection_is_reset() {
+    let (cluster, _announcer) = start(Kind::Service {
+        service: SERVICE.to_owned(),
+    });
+    let caller = cluster.caller(0);
     for _ in 0..5 {
         let whole = caller.post(&format!("/services/{SERVICE}/whole"), &json!({}));
         let whole = whole.expect("a response");
@@ -108,3 +118,17 @@
         assert_eq!(cut.verdict().as_deref(), Some("may_have_run"), "{cut:?}");
     }
 }
+
+/// Guards against the same in a generation that is not streamed.
+#[test]
+fn generation_without_length_that_is_reset_is_not_whole() {
+    let (cluster, _announcer) = start(Kind::Engine {
+        model: "lagging-llm".to_owned(),
+    });
+    let mut body = question("pipe", 10);
+    body["stream"] = json!(false);
+    let cut = cluster.caller(0).post("/v1/completions", &body);
+    let cut = cut.expect("a response");
+    assert_ne!(cut.status, 200, "{cut:?}");
+    assert_eq!(cut.verdict().as_deref(), Some("may_have_run"), "{cut:?}");
+}
