--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -141,6 +141,7 @@
         status if status.is_success() && head.headers.contains_key(headers::SIGNATURE) => {}
         _ => return RunEnd::Interrupted(Failure::InvalidResponse),
     }
+    let requires_events = call.requires_events();
     let mut splitter = EventSplitter::default();
     let mut output_bytes = 0;
     let mut last_event_at = cx.clock.now();
@@ -149,6 +150,9 @@
         let wait = last_event_at + STALL_TIMEOUT - cx.clock.now();
         match tokio::time::timeout(wait.duration(), call.body.frame()).await {
             Err(_) => return RunEnd::Interrupted(Failure::TimedOut),
+            Ok(None) if output_bytes == 0 && (requires_events || splitter.is_mid_event()) => {
+                return RunEnd::BrokenBeforeOutput;
+            }
             Ok(None) if splitter.is_mid_event() => return RunEnd::Interrupted(Failure::Broken),
             Ok(None) => {
                 call.conn.release();
