serving: only crashes count as evidence against prompts, not broken connections of live targets

Cause: targets that break off responses within a few ms, and live on, looked like crashes. Change: after a connection that broke before the first event, the instance opens a connection to the target and closes it; only if the target accepts none, the request is reported. The new process test fails before ("part_quarantined") and passes.

--- a/crates/daemon/tests/all/platform/tainted.rs
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -125,3 +125,38 @@
         assert!(served >= 19, "{served} of 20 sound requests were served");
     });
 }
+
+/// Guards against a quarantine of sound parts because of targets that break off responses and live on.
+#[test]
+fn requests_that_live_targets_break_off_are_no_evidence() {
+    with_world(6, async |world| {
+        let shared = "f1:100,51:80";
+        world.behave(&Behaviour {
+            breaks_after: Some(0),
+            ..Behaviour::default()
+        });
+        for number in 0..12 {
+            let reply = world
+                .prompt(number % 3, &format!("broken-{number}"), shared)
+                .await;
+            assert!(reply.is_none_or(|reply| !reply.is_whole_success()));
+            // Longer than the time within which crashes count as one.
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+        world.behave(&Behaviour::default());
+        let until = Instant::now() + PATIENCE;
+        let mut number = 0;
+        while Instant::now() < until {
+            number += 1;
+            let reply = world
+                .prompt(number % 3, &format!("sound-{number}"), shared)
+                .await;
+            let reply = reply.expect("an answer comes");
+            assert_ne!(reply.body, "part_quarantined");
+            if reply.is_whole_success() {
+                return;
+            }
+        }
+        panic!("no request was served");
+    });
+}
--- a/crates/serving/src/entry/online/prompt.rs
+++ b/crates/serving/src/entry/online/prompt.rs
@@ -4,7 +4,10 @@
 use yuccaseam_platform::PromptPart;
 
 use crate::{
-    parts,
+    parts::{
+        self,
+        BrokenRequest, //
+    },
     quarantine::Admission,
     upstream::UpstreamError, //
 };
@@ -62,8 +65,13 @@
     /// Records a possible crash of a target that had not begun to answer, as evidence against the prompt.
     pub(in super::super) fn record_if_crash(&self, slot: &Slot, error: &UpstreamError) {
         if error.is_possible_crash() {
-            let ran_for = self.now() - self.sent_at;
-            parts::record_crash(&self.cx, slot.choice.key, &self.parts, ran_for);
+            let request = BrokenRequest {
+                target: slot.choice.key,
+                address: slot.choice.address,
+                parts: self.parts.clone(),
+                sent_at: self.sent_at,
+            };
+            parts::record_broken(&self.cx, request);
         }
     }
 }
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -1,6 +1,9 @@
 //! Reports to the leader about prompt parts, and trials of quarantined ones.
 
-use std::sync::Arc;
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
 
 use yuccaseam_base::Millis;
 use yuccaseam_platform::PromptPart;
@@ -11,6 +14,7 @@
         HubReply,
         HubRequest, //
     },
+    quarantine::CrashReport,
     targets::TargetKey,
 };
 
@@ -19,18 +23,45 @@
 /// How long a request waits for the grant of a trial.
 const TRIAL_TIMEOUT: Millis = Millis(300);
 
-/// Records a request that a crash of its target cut off before its first event, and reports it to the
-/// leader.
-pub(crate) fn record_crash(cx: &Arc<Cx>, target: TargetKey, parts: &[PromptPart], ran_for: Millis) {
-    if parts.is_empty() {
-        return;
-    }
-    let now = cx.clock.now();
-    let (report, culprit) = cx.part_guard().record_crash(target, parts, ran_for, now);
-    if let Some(part) = culprit {
-        log::warn!(part:% = part; "prompt part quarantined at this instance");
+/// A request whose connection broke before the first event.
+pub(crate) struct BrokenRequest {
+    pub(crate) target: TargetKey,
+    pub(crate) address: SocketAddr,
+    /// Shared parts of the prompt.
+    pub(crate) parts: Vec<PromptPart>,
+    pub(crate) sent_at: Millis,
+}
+
+impl BrokenRequest {
+    /// Records the request if its target crashed, and returns the report for the leader. A target that
+    /// still accepts connections only broke one.
+    pub(crate) async fn into_report(self, cx: &Cx) -> Option<CrashReport> {
+        let crashed_at = cx.clock.now();
+        if self.parts.is_empty() || cx.upstream.accepts_connections(self.address).await {
+            return None;
+        }
+        let ran_for = crashed_at - self.sent_at;
+        let mut guard = cx.part_guard();
+        let (mut report, culprit) =
+            guard.record_crash(self.target, &self.parts, ran_for, crashed_at);
+        drop(guard);
+        if let Some(part) = culprit {
+            log::warn!(part:% = part; "prompt part quarantined at this instance");
+        }
+        report.age = cx.clock.now() - crashed_at;
+        Some(report)
     }
-    report_to_leader(cx, HubRequest::ReportCrashes(vec![report]));
+}
+
+/// Records a request whose connection broke before the first event, and reports it to the leader if its
+/// target crashed.
+pub(crate) fn record_broken(cx: &Arc<Cx>, request: BrokenRequest) {
+    let cx = Arc::clone(cx);
+    tokio::spawn(async move {
+        if let Some(report) = request.into_report(&cx).await {
+            report_to_leader(&cx, HubRequest::ReportCrashes(vec![report]));
+        }
+    });
 }
 
 /// Records that a target has begun to answer a request, and tells the leader if it watches a part of the
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -16,6 +16,7 @@
         HashMap,
         HashSet, //
     },
+    net::SocketAddr,
     sync::Arc,
 };
 
@@ -29,6 +30,7 @@
 use crate::{
     cx::Cx,
     link::pause,
+    parts::BrokenRequest,
     quarantine::Admission,
     routes::choose_destination,
     schedule::{
@@ -87,6 +89,7 @@
 struct Run {
     key: ItemKey,
     target: TargetKey,
+    address: SocketAddr,
     started_at: Millis,
     /// Shared parts of the prompt.
     parts: Vec<PromptPart>,
@@ -372,6 +375,7 @@
         let run = Run {
             key,
             target: target.key(),
+            address: target.address,
             started_at: self.cx.clock.now(),
             parts,
             has_output: false,
@@ -393,15 +397,19 @@
     }
 
     /// Records a possible crash of a target, as evidence against the prompt of the item.
-    fn record_crash(&self, run: &Run, now: Millis) {
-        if run.parts.is_empty() {
-            return;
-        }
-        let ran_for = now - run.started_at;
-        let mut guard = self.cx.part_guard();
-        let (report, _) = guard.record_crash(run.target, &run.parts, ran_for, now);
-        drop(guard);
-        self.hub.record_crashes(vec![report]);
+    fn record_if_crash(&self, run: &Run) {
+        let request = BrokenRequest {
+            target: run.target,
+            address: run.address,
+            parts: run.parts.clone(),
+            sent_at: run.started_at,
+        };
+        let (cx, hub) = (Arc::clone(&self.cx), Arc::clone(&self.hub));
+        tokio::spawn(async move {
+            if let Some(report) = request.into_report(&cx).await {
+                hub.record_crashes(vec![report]);
+            }
+        });
     }
 
     /// Proposes the output received so far, so that another leader can resume from there.
@@ -484,7 +492,7 @@
         metrics::counter!("yuccaseam_batch_runs_total", "outcome" => outcome).increment(1);
         log::info!(job:%, item, outcome, failures = progress.failures; "batch run ended");
         if matches!(end, RunEnd::BrokenBeforeOutput) {
-            self.record_crash(run, now);
+            self.record_if_crash(run);
         }
         let progress = self.progress.entry(run.key).or_default();
         match end {
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -284,6 +284,12 @@
         })
     }
 
+    /// Whether a target accepts a new connection, which is closed at once.
+    pub(crate) async fn accepts_connections(&self, address: SocketAddr) -> bool {
+        let stream = timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(address)).await;
+        matches!(stream, Ok(Ok(_)))
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
