tests: owners are frozen while a call of theirs is under way

Cause: frozen_owners_run_no_call_twice_and_their_late_results_count froze two daemons once ten orders of a job were done anywhere, and took for granted that a call of theirs was under way then. One of the two owned no target, the other one of four (`desk0`). Beside load the log of the voters is slow, chunk leases of 2 s lapse, and that daemon at times has no call under way for seconds, while the others complete the ten orders.

Evidence, from a copy of the test that prints the records of the services around the freeze: 4 of 146 runs failed beside four to eight busy processes and one to five other runs of process tests. Once "the frozen daemons ran nothing": the last call at desk0 had ended 915 ms before the freeze. Three times "gave up waiting until 199 items are done", of which one run printed its records: the last call at desk0 had ended 2318 ms before the freeze, and the two failed orders were only marked as started ahead of their slot. Those are of unknown outcome by design, and no result of them can come late. The records of the other two were not kept.

Change: the two daemons are the only ones in the failure domain of the four services, so they own all of them, and they are frozen at a moment at which a call has begun and not ended at its service; if it ended before the freeze took effect, they go on and the next call is awaited. The checks are those of before: some order is of unknown outcome after the freeze, one more result counts after they go on, and none of the orders runs twice, now 400 in place of 200.

--- a/crates/daemon/tests/all/jobs.rs
+++ b/crates/daemon/tests/all/jobs.rs
@@ -38,9 +38,14 @@
 
 /// Three voters and two daemons without a disk, of which any may own a target.
 fn start(engines: usize) -> Cluster {
+    let more = ["brno-a", "jihlava-b"].map(|domain| Place::new("morava", domain));
+    start_with(more, engines)
+}
+
+/// Three voters and two daemons without a disk at certain places.
+fn start_with(more: [Place; 2], engines: usize) -> Cluster {
     let mut places = support::places();
-    places.push(Place::new("morava", "brno-a"));
-    places.push(Place::new("morava", "jihlava-b"));
+    places.extend(more);
     let mut cluster = Cluster::start(&places, &[]);
     for index in 0..engines {
         cluster.start_engine(&format!("w{index}"), &places[index % places.len()], &[]);
@@ -381,13 +386,17 @@
     assert_eq!(status["status"], "cancelled");
 }
 
-/// Five daemons with copies of `order-desk`, and a job of this many slow orders. `fault` names
-/// what goes wrong with an order.
-fn start_orders(desks: usize, orders: u32, fault: fn(u32) -> &'static str) -> (Cluster, String) {
-    let mut cluster = start(0);
-    let place = Place::new("morava", "brno-a");
+/// Starts copies of `order-desk` at a place, and a job of this many slow orders. `fault` names what
+/// goes wrong with an order.
+fn start_orders(
+    cluster: &mut Cluster,
+    place: &Place,
+    desks: usize,
+    orders: u32,
+    fault: fn(u32) -> &'static str,
+) -> String {
     for desk in 0..desks {
-        cluster.start_service(&format!("desk{desk}"), &place, &["--delay-ms", "200"]);
+        cluster.start_service(&format!("desk{desk}"), place, &["--delay-ms", "200"]);
     }
     cluster.wait_until_ready();
     let line = |number| {
@@ -397,8 +406,7 @@
     let lines: Vec<String> = (0..orders).map(line).collect();
     let caller = cluster.caller(1);
     let answer = caller.call("POST", "/v1/batches?service=order-desk", &lines.join("\n"));
-    let job = id_of(&answer.expect("the daemon answers").json());
-    (cluster, job)
+    id_of(&answer.expect("the daemon answers").json())
 }
 
 fn order(number: u32) -> String {
@@ -440,30 +448,57 @@
         30 => "crash",
         _ => "none",
     };
-    let (cluster, job) = start_orders(2, 60, fault);
+    let mut cluster = start(0);
+    let place = Place::new("morava", "brno-a");
+    let job = start_orders(&mut cluster, &place, 2, 60, fault);
     let status = wait_for_end(&cluster.caller(1), &job);
     assert!(status["failed"].as_u64() >= Some(2), "{status}");
     assert_run_once(&cluster, &job, 60);
 }
 
+/// Calls that have begun and not ended at their targets.
+fn calls_under_way(cluster: &Cluster) -> usize {
+    let records = cluster.records();
+    let count = |phase| records.iter().filter(|entry| entry.phase == phase).count();
+    count(Phase::Start) - count(Phase::Finish)
+}
+
+/// Freezes daemons that own every target at a moment at which a call is under way. No result of it
+/// arrives before they go on.
+fn freeze_during_a_call(cluster: &mut Cluster, daemons: [usize; 2]) {
+    loop {
+        wait_until("a call is under way", || calls_under_way(cluster) > 0);
+        signal(cluster, daemons, Signal::Stop);
+        if calls_under_way(cluster) > 0 {
+            return;
+        }
+        signal(cluster, daemons, Signal::Cont);
+    }
+}
+
+fn signal(cluster: &mut Cluster, daemons: [usize; 2], signal: Signal) {
+    for index in daemons {
+        let process = cluster.daemons[index].process.as_mut();
+        process.expect("the daemon runs").signal(signal);
+    }
+}
+
 #[test]
 fn frozen_owners_run_no_call_twice_and_their_late_results_count() {
-    let (mut cluster, job) = start_orders(4, 200, |_| "none");
+    let owners = [3, 4];
+    // Only these daemons are in this failure domain, so they own the targets there.
+    let place = Place::new("morava", "ostrava-a");
+    let mut cluster = start_with([place.clone(), place.clone()], 0);
+    let job = start_orders(&mut cluster, &place, 4, 400, |_| "none");
     let caller = cluster.caller(1);
     wait_for_done(&caller, &job, 10);
-    let mut signal = |signal| {
-        for index in [3, 4] {
-            let process = cluster.daemons[index].process.as_mut();
-            process.expect("the daemon runs").signal(signal);
-        }
-    };
-    signal(Signal::Stop);
+    freeze_during_a_call(&mut cluster, owners);
     let before = wait_for_end(&caller, &job);
     assert!(
         before["failed"].as_u64() > Some(0),
         "the frozen daemons ran nothing"
     );
-    signal(Signal::Cont);
+    signal(&mut cluster, owners, Signal::Cont);
     wait_for_done(&caller, &job, before["completed"].as_u64().unwrap_or(0) + 1);
-    assert_run_once(&cluster, &job, 200);
+    assert_run_once(&cluster, &job, 400);
 }
