quorum: a replacement ends if its learner is lost

Cause: a replacement removes the lost voter, then waits for its learner to be synced and active. The learner had lost its disk, the wait had no end, and every other change was refused as in progress (246 lines `group change refused` in 13 s). Change: the second step is given up after an election timeout; then any learner can be promoted. Result: the new test fails before ("another membership change is in progress") and passes; all tests of yuccaseam-quorum pass.

--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -119,33 +119,50 @@
     fn start_replacement(&mut self, token: Token, next: Membership, new: DiskId) {
         self.append_own(Payload::Members(next));
         self.refresh_peers();
+        let expires_at = self.now + self.timing.election_timeout;
         if let Role::Leader(state) = &mut self.role {
-            state.replacement = Some(Replacement { new, token });
+            state.replacement = Some(Replacement {
+                new,
+                token,
+                expires_at,
+            });
         }
     }
 
     /// Promotes the learner of a replacement once the removal is committed and the learner has
-    /// synced all committed entries.
+    /// synced all committed entries. Gives up if the learner does not respond in time, so that
+    /// another one can take its place.
     pub(crate) fn continue_replacement(&mut self) {
         let Role::Leader(state) = &self.role else {
             return;
         };
-        let Some(Replacement { new, token }) = state.replacement else {
+        let Some(Replacement {
+            new,
+            token,
+            expires_at,
+        }) = state.replacement
+        else {
             return;
         };
         if self.log.membership_index() > self.commit {
             return;
         }
         let next = match self.membership_after(&Change::Promote(new)) {
-            Ok(next) if self.is_active(new) => next,
-            Ok(_) | Err(ChangeError::NotSynced { .. }) => return,
-            Err(error) => {
-                self.end_replacement();
-                return self.actions.push(Action::ChangeRefused { token, error });
-            }
+            Ok(_) if !self.is_active(new) => Err(ChangeError::Unresponsive(new)),
+            next => next,
         };
+        let may_recover = matches!(
+            next,
+            Err(ChangeError::NotSynced { .. } | ChangeError::Unresponsive(_))
+        );
+        if may_recover && self.now < expires_at {
+            return;
+        }
         self.end_replacement();
-        self.append_membership(token, next);
+        match next {
+            Ok(next) => self.append_membership(token, next),
+            Err(error) => self.actions.push(Action::ChangeRefused { token, error }),
+        }
     }
 
     fn end_replacement(&mut self) {
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -194,6 +194,9 @@
         /// Commit index of the leader.
         commit: Index,
     },
+    /// The learner did not respond within the election timeout after the voter that it replaces was
+    /// removed.
+    Unresponsive(DiskId),
     /// The instance already votes with this other disk, which must be replaced.
     InstanceHasVoter(DiskId),
     /// The leader cannot remove itself; leadership must be transferred first.
@@ -225,6 +228,10 @@
                 "the learner has synced up to entry {}, but entries up to {} are committed",
                 matched.0, commit.0
             ),
+            Self::Unresponsive(id) => write!(
+                f,
+                "the voter is removed, but learner {id}, which replaces it, does not respond"
+            ),
             Self::InstanceHasVoter(id) => {
                 write!(f, "the instance already votes with disk {id}; replace it")
             }
--- a/crates/quorum/src/role.rs
+++ b/crates/quorum/src/role.rs
@@ -95,6 +95,7 @@
 pub(crate) struct Replacement {
     pub(crate) new: DiskId,
     pub(crate) token: Token,
+    pub(crate) expires_at: Millis,
 }
 
 /// State of a leader.
--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -54,6 +54,32 @@
     other_follower_fails_right_after_a_replacement(|leader| others(leader).1);
 }
 
+/// The learner of a replacement loses its disk after the removal of the old voter and before its own
+/// promotion: the group could not be changed any more, and a second lost disk ended the service.
+#[test]
+fn replacement_ends_if_its_learner_is_lost() {
+    let mut group = Group::new(3, 31);
+    group.write();
+    let leader = group.wait_for_leader();
+    let (lost, _) = others(leader);
+    let old = group.replicas[lost].id;
+    group.lose_disk(lost);
+    let new = add_learner(&mut group, lost);
+    group.run(Millis::from_secs(1));
+    group.change(leader, Change::Replace { old, new });
+    group.run_until("the old voter is removed", |group| {
+        let core = group.core(leader).expect("it runs");
+        !core.membership().contains(old)
+    });
+    group.lose_disk(lost);
+    group.run(Millis::from_secs(2));
+    let newest = add_learner(&mut group, lost);
+    group.change_and_wait(Change::Promote(newest));
+    group.crash(leader);
+    group.write();
+    group.check_states();
+}
+
 #[test]
 fn unsynced_learner_is_not_promoted() {
     let mut group = Group::new(3, 22);
