quorum: a learner that keeps up with steady writes is promoted

Cause: a learner was promoted only while it held all committed entries, which one in another region does only in a pause of the writes, and this was checked at four moments in a row. Change: a learner is promoted if it syncs within an election timeout what the log held at the start of that time. Committed entries do not depend on it: the voters before the change hold them. Result: the new test fails before ("the lost voter is not replaced") and passes; all tests of yuccaseam-quorum pass.

--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -129,8 +129,8 @@
         }
     }
 
-    /// Promotes the learner of a replacement once the removal is committed and the learner has
-    /// synced all committed entries. Gives up if the learner does not respond in time, so that
+    /// Promotes the learner of a replacement once the removal is committed and the learner keeps up
+    /// with the log. Gives up if the learner does not respond in time, so that
     /// another one can take its place.
     pub(crate) fn continue_replacement(&mut self) {
         let Role::Leader(state) = &self.role else {
@@ -234,14 +234,9 @@
         if group.is_voter(id) {
             return Err(ChangeError::NotLearner(id));
         }
-        let matched = match &self.role {
-            Role::Leader(state) => state.progress.get(&id).map(|progress| progress.matched),
-            _ => None,
-        };
-        let matched = matched.unwrap_or(Index::ZERO);
-        if matched < self.commit {
+        if !self.keeps_up(id) {
             return Err(ChangeError::NotSynced {
-                matched,
+                matched: self.synced_index_of(id).unwrap_or(Index::ZERO),
                 commit: self.commit,
             });
         }
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -44,11 +44,11 @@
         /// Instance that holds the disk.
         name: InstanceName,
     },
-    /// Makes a learner a voter if it has synced all committed entries.
+    /// Makes a learner a voter if it keeps up with the committed entries.
     Promote(DiskId),
     /// Removes a voter or a learner.
     Remove(DiskId),
-    /// Removes a voter, then makes a synced learner a voter.
+    /// Removes a voter, then makes a learner that keeps up a voter.
     Replace {
         /// Voter whose disk was lost.
         old: DiskId,
@@ -187,7 +187,7 @@
     NotVoter(DiskId),
     /// The disk is not a learner.
     NotLearner(DiskId),
-    /// The learner has not synced all committed entries.
+    /// The learner has not synced all committed entries, and does not keep up with them.
     NotSynced {
         /// Last entry synced at the learner.
         matched: Index,
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -162,6 +162,8 @@
             AppendResult::Matched(index) => progress.on_matched(index, &self.log),
             AppendResult::Rejected { prev, hint } => progress.on_rejected(prev, hint),
         }
+        let limit = self.timing.election_timeout;
+        progress.measure_catch_up(self.log.last_index(), limit, self.now);
         self.continue_leadership_transfer();
     }
 
@@ -313,6 +315,20 @@
         state.progress.get(&id).map(|progress| progress.matched)
     }
 
+    /// Whether a member has synced the committed entries, or follows them within an election timeout;
+    /// false if this replica is not the leader or the disk is not a member. Committed entries do not
+    /// depend on a learner: the voters hold them, also when it is promoted.
+    pub fn keeps_up(&self, id: DiskId) -> bool {
+        if self.synced_index_of(id) >= Some(self.commit) {
+            return true;
+        }
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let progress = state.progress.get(&id);
+        progress.is_some_and(|progress| progress.keeps_up(self.timing.election_timeout, self.now))
+    }
+
     /// Starts a leadership transfer to the active voter with the most synced entries. Proposals are
     /// rejected while it is in progress.
     pub(crate) fn on_transfer_leadership(&mut self) {
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -42,6 +42,16 @@
     pub(crate) retry_at: Millis,
 }
 
+/// Measures whether a follower keeps up with the log. In each period it syncs what the log held at the
+/// start of the period.
+#[derive(Debug)]
+struct CatchUp {
+    target: Index,
+    started_at: Millis,
+    /// Whether the period before ended in time.
+    was_in_time: bool,
+}
+
 /// Replication progress of a follower.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -56,6 +66,8 @@
     pub(crate) contact: Option<Millis>,
     /// Latest acknowledged round.
     pub(crate) round: Round,
+    /// `None` before the first reply.
+    catch_up: Option<CatchUp>,
 }
 
 /// Fields common to the append messages that a leader sends at one time.
@@ -74,6 +86,7 @@
             in_flight: VecDeque::new(),
             contact: None,
             round: Round::default(),
+            catch_up: None,
         }
     }
 
@@ -166,6 +179,28 @@
         }
     }
 
+    /// Starts the next period of the catch-up if the current one is complete.
+    pub(crate) fn measure_catch_up(&mut self, last: Index, limit: Millis, now: Millis) {
+        let was_in_time = match &self.catch_up {
+            Some(period) if self.matched < period.target => return,
+            Some(period) => now < period.started_at + limit,
+            None => false,
+        };
+        self.catch_up = Some(CatchUp {
+            target: last,
+            started_at: now,
+            was_in_time,
+        });
+    }
+
+    /// Whether the follower syncs entries within `limit`. While the leader writes without a pause, a
+    /// distant follower never holds all of them.
+    pub(crate) fn keeps_up(&self, limit: Millis, now: Millis) -> bool {
+        self.catch_up
+            .as_ref()
+            .is_some_and(|period| period.was_in_time && now < period.started_at + limit)
+    }
+
     /// Records that the follower lacks the entry that precedes a message's first, and resumes
     /// probing.
     pub(crate) fn on_rejected(&mut self, prev: Index, hint: Index) {
--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -61,18 +61,22 @@
     let mut group = Group::new(3, 31);
     group.write();
     let leader = group.wait_for_leader();
-    let (lost, _) = others(leader);
+    let (lost, other) = others(leader);
     let old = group.replicas[lost].id;
     group.lose_disk(lost);
     let new = add_learner(&mut group, lost);
     group.run(Millis::from_secs(1));
+    group.replicas[other].sync_blocked = true;
     group.change(leader, Change::Replace { old, new });
     group.run_until("the old voter is removed", |group| {
         let core = group.core(leader).expect("it runs");
         !core.membership().contains(old)
     });
     group.lose_disk(lost);
+    group.run(Millis::from_secs(1));
+    group.replicas[other].sync_blocked = false;
     group.run(Millis::from_secs(2));
+    assert_eq!(group.leader(), Some(leader));
     let newest = add_learner(&mut group, lost);
     group.change_and_wait(Change::Promote(newest));
     group.crash(leader);
@@ -80,6 +84,34 @@
     group.check_states();
 }
 
+/// While a leader writes without a pause, a learner in another region never holds all committed entries
+/// when it is looked at: a lost voter was replaced seconds late, and a second lost disk ended the service.
+#[test]
+fn learner_that_keeps_up_with_steady_writes_replaces_a_lost_voter() {
+    let mut group = Group::new(3, 32);
+    group.write();
+    let leader = group.wait_for_leader();
+    let (lost, _) = others(leader);
+    let old = group.replicas[lost].id;
+    group.lose_disk(lost);
+    group.remote.insert(lost);
+    let new = add_learner(&mut group, lost);
+    let end = group.now + Millis::from_secs(2);
+    let replace = Change::Replace { old, new };
+    let mut token = group.change(leader, replace.clone());
+    while !group.committed_tokens.contains(&token) {
+        assert!(group.now < end, "the lost voter is not replaced");
+        group.propose(leader, 1);
+        group.advance();
+        match group.refused.get(&token) {
+            None => {}
+            Some(ChangeError::NotSynced { .. }) => token = group.change(leader, replace.clone()),
+            Some(error) => panic!("refused: {error}"),
+        }
+    }
+    group.check_states();
+}
+
 #[test]
 fn unsynced_learner_is_not_promoted() {
     let mut group = Group::new(3, 22);
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -125,7 +125,7 @@
     }
 
     /// Returns the next change by the leader, if any. All future voters become learners first, at
-    /// the same time; then those that hold the log according to `is_synced` are made voters one by
+    /// the same time; then those that keep up with the log according to `is_synced` are made voters one by
     /// one.
     pub fn next_change<F>(
         &self,
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -31,8 +31,7 @@
 const JOINING_HELLO_INTERVAL: Millis = Millis(200);
 /// How often a member of a group sends its hello.
 const HELLO_INTERVAL: Millis = Millis(1_000);
-/// How often the leader checks for a group change. Short, because a learner in another region holds
-/// the whole log only between two writes.
+/// How often the leader checks for a group change.
 const MAINTENANCE_INTERVAL: Millis = Millis(50);
 /// Minimum growth of the log before the state is written to a snapshot.
 const MIN_SNAPSHOT_BYTES: u64 = 4 << 20;
@@ -105,7 +104,7 @@
             return;
         };
         let retiring = self.lock().state.retiring().clone();
-        let is_synced = |id| core.synced_index_of(id) >= Some(core.commit_index());
+        let is_synced = |id| core.keeps_up(id);
         let change = self
             .manager()
             .next_change(core.membership(), &retiring, is_synced, now);
