serving: a retiring store that is a learner leaves the group

Cause, found while reading: only voters were replaced when they retire. A store that had become a learner while a voter was silent stayed in the group after that voter's return, so that its retirement never ended. Change: the leader removes a learner that retires, as it does an unresponsive one. Result: the new test fails before (no change) and passes.

--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -160,7 +160,8 @@
         {
             return Some(join(group, new, Change::Promote(new.1)));
         }
-        self.unresponsive_learner(group, now).map(Change::Remove)
+        self.unneeded_learner(group, retiring, now)
+            .map(Change::Remove)
     }
 
     /// Finds a store that returned with an empty disk while its lost disk is still a voter.
@@ -233,17 +234,25 @@
             .map(|(name, status)| (name, status.disk))
     }
 
-    /// Finds a learner that is unresponsive.
-    fn unresponsive_learner(&self, group: &Membership, now: Millis) -> Option<DiskId> {
+    /// Finds a learner that is unresponsive or retiring.
+    fn unneeded_learner(
+        &self,
+        group: &Membership,
+        retiring: &BTreeSet<InstanceName>,
+        now: Millis,
+    ) -> Option<DiskId> {
         let mut learners = group
             .iter()
             .filter(|(_, member)| member.role == MemberRole::Learner);
+        let grace_elapsed = now > self.started_at + STORE_LOSS_TIMEOUT;
         let is_unresponsive = |disk| {
             let status = self.stores.values().find(|status| status.disk == disk);
             status.is_none_or(|status| now > status.received_at + STORE_LOSS_TIMEOUT)
         };
-        let (disk, _) = learners.find(|(disk, _)| is_unresponsive(*disk))?;
-        (now > self.started_at + STORE_LOSS_TIMEOUT).then_some(disk)
+        let unneeded = learners.find(|(disk, member)| {
+            retiring.contains(&member.name) || (grace_elapsed && is_unresponsive(*disk))
+        });
+        unneeded.map(|(disk, _)| disk)
     }
 
     /// Whether a store can be retired without leaving too few; `None` if it is unknown.
--- a/crates/serving/tests/all/group.rs
+++ b/crates/serving/tests/all/group.rs
@@ -11,6 +11,7 @@
 use yuccaseam_quorum::{
     Change,
     DiskId,
+    MemberRole,
     Membership, //
 };
 use yuccaseam_serving::{
@@ -117,6 +118,22 @@
     assert_matches!(change, Some(Change::AddLearner { id: DiskId(4), .. }));
 }
 
+/// A learner is no voter that another store must replace first: a store that had become one while a
+/// voter was silent could not be retired.
+#[test]
+fn retiring_learner_is_removed() {
+    let mut manager = manager(false);
+    let stores = [("a", 1), ("b", 2), ("c", 3), ("d", 4)];
+    receive_hellos(&mut manager, &stores, "a", NOW);
+    let mut group = group();
+    group.insert(DiskId(4), name("d"), MemberRole::Learner);
+    let none = BTreeSet::new();
+    assert_eq!(manager.next_change(&group, &none, |_| true, NOW), None);
+    let retiring = BTreeSet::from([name("d")]);
+    let change = manager.next_change(&group, &retiring, |_| true, NOW);
+    assert_eq!(change, Some(Change::Remove(DiskId(4))));
+}
+
 #[test]
 fn unresponsive_voter_stays_without_a_replacement() {
     let mut manager = manager(false);
@@ -137,7 +154,7 @@
         NOW,
     );
     let mut group = group();
-    group.insert(DiskId(4), name("d"), yuccaseam_quorum::MemberRole::Learner);
+    group.insert(DiskId(4), name("d"), MemberRole::Learner);
     let retiring = BTreeSet::from([name("c")]);
     let change = manager.next_change(&group, &retiring, |_| true, NOW);
     let expected = Change::Replace {
@@ -166,10 +183,10 @@
     receive_hellos(&mut manager, &[("a", 1), ("b", 22), ("c", 33)], "a", NOW);
     let none = BTreeSet::new();
     let mut group = group();
-    group.insert(DiskId(22), name("b"), yuccaseam_quorum::MemberRole::Learner);
+    group.insert(DiskId(22), name("b"), MemberRole::Learner);
     let change = manager.next_change(&group, &none, |_| false, NOW);
     assert_matches!(change, Some(Change::AddLearner { id: DiskId(33), .. }));
-    group.insert(DiskId(33), name("c"), yuccaseam_quorum::MemberRole::Learner);
+    group.insert(DiskId(33), name("c"), MemberRole::Learner);
     assert_eq!(manager.next_change(&group, &none, |_| false, NOW), None);
     let change = manager.next_change(&group, &none, |disk| disk == DiskId(33), NOW);
     let expected = Change::Replace {
