--- a/crates/quorum/tests/all/group.rs
+++ b/crates/quorum/tests/all/group.rs
@@ -347,7 +347,7 @@
             let mut delay = Millis(self.net.min_delay_ms + self.rng.random_range(1..=slowest));
             let ends = [envelope.from, envelope.to].map(|id| self.position_of(id));
             if ends.iter().flatten().any(|at| self.remote.contains(at)) {
-                delay = delay + REGION_DELAY;
+                delay += REGION_DELAY;
             }
             self.in_transit.push((self.now + delay, envelope.clone()));
         }
