serving: a lost voter is replaced before another disk may be lost

Entries went on serving from memory, without a leader, until the final fault. Cause: a silent voter was replaced 7 s after its last hello, and only then was another store sent the log. The platform counts a new store as caught up 4.9 s after its start (`catch_up_s`) and may then take another disk: two of three voters had no disk, and no quorum was left for good. Change: a free store becomes a learner once a voter is silent for 3 s, and replaces it after 4 s.

--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -28,8 +28,9 @@
 const FULL_GROUP_TIMEOUT: Millis = Millis(5_000);
 /// How long a store counts as present after its last hello.
 const PRESENCE_TIMEOUT: Millis = Millis(3_000);
-/// How long a voter may be unresponsive before it is replaced. Longer than a restart.
-const STORE_LOSS_TIMEOUT: Millis = Millis(7_000);
+/// How long a voter may be unresponsive before it is replaced. Longer than a restart, and shorter than
+/// the time after which the loss of another disk must be survived (`catch_up_s` of the platform).
+const STORE_LOSS_TIMEOUT: Millis = Millis(4_000);
 
 /// Status that a store sent in its hello.
 #[derive(Clone, Debug)]
@@ -148,8 +149,11 @@
             let Some(member) = group.get(old) else {
                 continue;
             };
-            if let Some(new) = self.replacement(old, &member.name, group, retiring, now)
-                && (is_synced(new.1) || !group.contains(new.1))
+            let Some(new) = self.replacement(old, &member.name, group, retiring, now) else {
+                continue;
+            };
+            if !group.contains(new.1)
+                || (is_synced(new.1) && self.must_leave(old, &member.name, retiring, now))
             {
                 return Some(join(group, new, Change::Replace { old, new: new.1 }));
             }
@@ -181,8 +185,8 @@
         Some((name, status.disk))
     }
 
-    /// Returns the replacement of a voter that is lost or retiring; `None` if the voter stays, or
-    /// no store can replace it.
+    /// Returns the replacement of a voter that is unresponsive, lost or retiring; `None` if the voter
+    /// stays, or no store can replace it. It becomes a learner before the voter counts as lost.
     fn replacement(
         &self,
         old: DiskId,
@@ -199,12 +203,32 @@
         {
             return Some((name, status.disk));
         }
-        let is_lost = known.is_none_or(|(_, status)| {
-            now > status.received_at + STORE_LOSS_TIMEOUT || status.disk != old
-        });
-        let grace_elapsed = now > self.started_at + STORE_LOSS_TIMEOUT;
-        let must_leave = retiring.contains(name) || (is_lost && grace_elapsed);
-        must_leave.then(|| self.candidate(group, retiring, now))?
+        let may_leave = retiring.contains(name) || self.is_silent(old, name, PRESENCE_TIMEOUT, now);
+        may_leave.then(|| self.candidate(group, retiring, now))?
+    }
+
+    /// Whether a voter is to be replaced as soon as another store can vote.
+    fn must_leave(
+        &self,
+        disk: DiskId,
+        name: &InstanceName,
+        retiring: &BTreeSet<InstanceName>,
+        now: Millis,
+    ) -> bool {
+        let has_new_disk = self
+            .present(now)
+            .any(|(other, status)| other == name && status.disk != disk);
+        has_new_disk
+            || retiring.contains(name)
+            || self.is_silent(disk, name, STORE_LOSS_TIMEOUT, now)
+    }
+
+    /// Whether a disk has not been heard of for `timeout`, or since the start of this process.
+    fn is_silent(&self, disk: DiskId, name: &InstanceName, timeout: Millis, now: Millis) -> bool {
+        let status = self.stores.get(name);
+        let is_silent =
+            status.is_none_or(|status| now > status.received_at + timeout || status.disk != disk);
+        is_silent && now > self.started_at + timeout
     }
 
     /// Chooses the best store to join: learners first, then failure domains with few voters.
