--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -291,7 +291,7 @@
     }
 
     /// Whether a member acknowledged a message sent within the election timeout.
-    pub(crate) fn is_active(&self, id: DiskId) -> bool {
+    pub fn is_active(&self, id: DiskId) -> bool {
         let Role::Leader(state) = &self.role else {
             return false;
         };
--- a/crates/serving/src/store/replica/driver.rs
+++ b/crates/serving/src/store/replica/driver.rs
@@ -89,6 +89,9 @@
     refuse_until: Millis,
     hello_at: Millis,
     maintain_at: Millis,
+    report_lag_at: Millis,
+    /// When a leader was last known, or its absence reported.
+    leader_known_at: Millis,
     /// Read barrier of a new leader: its state is current once this completes.
     barrier: Option<Token>,
     was_leader: bool,
@@ -120,6 +123,8 @@
             refuse_until: Millis::ZERO,
             hello_at: Millis::ZERO,
             maintain_at: Millis::ZERO,
+            report_lag_at: Millis::ZERO,
+            leader_known_at: Millis::ZERO,
             barrier: None,
             was_leader: false,
         }
@@ -264,6 +269,7 @@
                 self.step(event);
             }
             DiskReply::Installed { id, state } => {
+                log::info!(index = id.index.0, bytes = id.size; "snapshot of the leader installed");
                 self.publish_state(*state);
                 self.applied = id.index;
                 self.log_bytes = 0;
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -11,6 +11,7 @@
     Core,
     Event,
     Index,
+    MemberRole,
     Membership,
     Token, //
 };
@@ -33,6 +34,10 @@
 const HELLO_INTERVAL: Millis = Millis(1_000);
 /// How often the leader checks for a group change.
 const MAINTENANCE_INTERVAL: Millis = Millis(50);
+/// How often the leader reports learners that do not keep up with the log.
+const LAG_REPORT_INTERVAL: Millis = Millis(1_000);
+/// Time without a known leader, longer than an election, after which each such time is reported.
+const NO_LEADER_REPORT_INTERVAL: Millis = Millis(2_000);
 /// Minimum growth of the log before the state is written to a snapshot.
 const MIN_SNAPSHOT_BYTES: u64 = 4 << 20;
 
@@ -47,6 +52,27 @@
             self.maintain_at = now + MAINTENANCE_INTERVAL;
             self.maintain_group(now);
         }
+        self.report_missing_leader(now);
+    }
+
+    /// Logs that this member of a group knows of no leader, as while most voters are lost.
+    fn report_missing_leader(&mut self, now: Millis) {
+        let core = self.core.as_ref();
+        let Some(core) =
+            core.filter(|core| core.leader().is_none() && !core.membership().is_empty())
+        else {
+            self.leader_known_at = now;
+            return;
+        };
+        if now < self.leader_known_at + NO_LEADER_REPORT_INTERVAL {
+            return;
+        }
+        self.leader_known_at = now;
+        let group = core.membership();
+        let voters: Vec<_> = group.voters().map(|id| id.to_string()).collect();
+        log::warn!(
+            voters:% = voters.join(","), votes = group.is_voter(self.id), term = core.term().0,
+            last = core.last_index().0; "no leader known");
     }
 
     fn has_group(&self) -> bool {
@@ -104,6 +130,10 @@
             return;
         };
         let retiring = self.lock().state.retiring().clone();
+        if now >= self.report_lag_at {
+            self.report_lag_at = now + LAG_REPORT_INTERVAL;
+            report_lagging_learners(core);
+        }
         let is_synced = |id| core.keeps_up(id);
         let change = self
             .manager()
@@ -174,3 +204,16 @@
         }
     }
 }
+
+/// Logs the learners that cannot become voters yet.
+fn report_lagging_learners(core: &Core) {
+    for (id, member) in core.membership().iter() {
+        if member.role == MemberRole::Learner && !core.keeps_up(id) {
+            log::info!(
+                store:% = member.name, disk:% = id, committed = core.commit_index().0,
+                synced = core.synced_index_of(id).map(|index| index.0),
+                snapshot = core.snapshot_index().0, responds = core.is_active(id);
+                "learner lags behind");
+        }
+    }
+}
