--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -315,6 +315,14 @@
         state.progress.get(&id).map(|progress| progress.matched)
     }
 
+    /// Replication progress of a member, for log lines; `None` as for [`Core::synced_index_of`].
+    pub fn progress_of(&self, id: DiskId) -> Option<String> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        state.progress.get(&id).map(Progress::to_string)
+    }
+
     /// Whether a member has synced the committed entries, or follows them within an election timeout;
     /// false if this replica is not the leader or the disk is not a member. Committed entries do not
     /// depend on a learner: the voters hold them, also when it is promoted.
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -1,6 +1,9 @@
 //! Replication progress of a follower, as tracked by the leader.
 
-use std::collections::VecDeque;
+use std::{
+    collections::VecDeque,
+    fmt, //
+};
 
 use yuccaseam_base::Millis;
 
@@ -77,6 +80,18 @@
     pub(crate) echo: Echo,
 }
 
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mode = match self.mode {
+            Mode::Probe { .. } => "probe",
+            Mode::Replicate => "replicate",
+            Mode::Snapshot(_) => "snapshot",
+        };
+        let (next, in_flight) = (self.next.0, self.in_flight.len());
+        write!(f, "{mode}, next {next}, {in_flight} in flight")
+    }
+}
+
 impl Progress {
     pub(crate) fn new(next: Index) -> Self {
         Self {
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -212,7 +212,8 @@
             log::info!(
                 store:% = member.name, disk:% = id, committed = core.commit_index().0,
                 synced = core.synced_index_of(id).map(|index| index.0),
-                snapshot = core.snapshot_index().0, responds = core.is_active(id);
+                snapshot = core.snapshot_index().0, responds = core.is_active(id),
+                progress = core.progress_of(id).as_deref();
                 "learner lags behind");
         }
     }
