--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -44,11 +44,11 @@
         /// Instance that holds the disk.
         name: InstanceName,
     },
-    /// Makes a learner a voter if it has synced all committed entries.
+    /// Makes a learner a voter if it keeps up with the committed entries.
     Promote(DiskId),
     /// Removes a voter or a learner.
     Remove(DiskId),
-    /// Removes a voter, then makes a synced learner a voter.
+    /// Removes a voter, then makes a learner that keeps up a voter.
     Replace {
         /// Voter whose disk was lost.
         old: DiskId,
@@ -187,13 +187,16 @@
     NotVoter(DiskId),
     /// The disk is not a learner.
     NotLearner(DiskId),
-    /// The learner has not synced all committed entries.
+    /// The learner has not synced all committed entries, and does not keep up with them.
     NotSynced {
         /// Last entry synced at the learner.
         matched: Index,
         /// Commit index of the leader.
         commit: Index,
     },
+    /// The learner did not respond within the election timeout after the voter that it replaces was
+    /// removed.
+    Unresponsive(DiskId),
     /// The instance already votes with this other disk, which must be replaced.
     InstanceHasVoter(DiskId),
     /// The leader cannot remove itself; leadership must be transferred first.
@@ -225,6 +228,10 @@
                 "the learner has synced up to entry {}, but entries up to {} are committed",
                 matched.0, commit.0
             ),
+            Self::Unresponsive(id) => write!(
+                f,
+                "the voter is removed, but learner {id}, which replaces it, does not respond"
+            ),
             Self::InstanceHasVoter(id) => {
                 write!(f, "the instance already votes with disk {id}; replace it")
             }
