tests: an earlier part that crashes targets stays hidden behind parts of retried requests

Each request has a part of its own behind the deadly one and is sent twice (a client's retry, or max_attempts above 1). The rule that prefers a later part in as many crashes but for one blames the part of the request each time, and its crashes are then explained. Seen: 12 crashes, quarantined [1, 2, 3, 4, 5], never the deadly part. Fails: quarantine::earlier_part_is_blamed_if_each_request_is_sent_twice.

--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -348,3 +348,16 @@
     guard.apply(PartList::default());
     assert!(guard.recent_reports(Millis(2_000)).is_empty());
 }
+
+/// Guards against an earlier part that stays hidden for ever: each request has a part of its own behind it
+/// and is sent twice.
+#[test]
+fn earlier_part_is_blamed_if_each_request_is_sent_twice() {
+    let mut leader = Leader::new();
+    for own in [1, 1, 2, 2, 3, 3, 4, 4, 5, 5, 6, 6] {
+        leader.crash(&[FIRST, DEADLY, PromptPart(own)]);
+        leader.answer(&[FIRST]);
+    }
+    let quarantined = leader.quarantined();
+    assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
+}
