tests: an entry drops its reports as it connects to a new leader

Suspected parts are not in the log, so the new leader sends no list. end_initial_messages applies an empty one, which drops each report with a part that was known, just before report_recent_crashes (follow.rs). Seen: 0 of 2 reports are left. Fails: quarantine::crashes_with_suspected_parts_are_reported_to_the_next_leader.

--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -361,3 +361,18 @@
     let quarantined = leader.quarantined();
     assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
 }
+
+/// Guards against evidence that an entry drops as it connects to a new leader, which has no list yet.
+#[test]
+fn crashes_with_suspected_parts_are_reported_to_the_next_leader() {
+    let mut guard = PartGuard::default();
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
+    guard.record_crash(TargetKey(2), &PROMPT, RUN, Millis(1_300));
+    guard.apply(PartList {
+        quarantined: Vec::new(),
+        suspected: vec![DEADLY],
+    });
+    guard.begin_connection();
+    guard.end_initial_messages();
+    assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
+}
