tests: an older request with the same parts hides a crash

record() drops a report whose parts are known for that crash, with its later sent_at, so that the crash does not follow the one before it. Seen: no part is quarantined after the third crash. Fails: quarantine::last_of_several_requests_with_the_same_parts_decides_the_order.

--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -376,3 +376,16 @@
     guard.end_initial_messages();
     assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
 }
+
+/// Guards against a crash that is not counted because an older request with the same parts was there too.
+#[test]
+fn last_of_several_requests_with_the_same_parts_decides_the_order() {
+    let mut leader = Leader::new();
+    leader.crash(&PROMPT);
+    leader.crash(&PROMPT);
+    leader.now += GAP;
+    let older = leader.report(3, &PROMPT, Millis(500));
+    assert!(leader.manager.record_crash(older, leader.now).is_empty());
+    let newer = leader.report(3, &PROMPT, RUN);
+    assert_eq!(leader.manager.record_crash(newer, leader.now), [DEADLY]);
+}
