tests: evidence is lost if all stores restart

The clock counts from the start of the process, and now - age saturates at zero: reports of earlier crashes all get the time 0 and count once. Seen: no part is quarantined after three crashes. Fails: quarantine::crashes_before_the_start_of_the_leader_keep_their_order.

--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -389,3 +389,18 @@
     let newer = leader.report(3, &PROMPT, RUN);
     assert_eq!(leader.manager.record_crash(newer, leader.now), [DEADLY]);
 }
+
+/// Guards against evidence that is lost as all stores restart: crashes from before the start of the leader's
+/// clock.
+#[test]
+fn crashes_before_the_start_of_the_leader_keep_their_order() {
+    let mut leader = Leader::new();
+    leader.now = Millis(2_000);
+    let mut culprits = Vec::new();
+    for target in 1..=3 {
+        let mut report = leader.report(target, &PROMPT, RUN);
+        report.age = Millis(10_000) - Millis(GAP.0 * target);
+        culprits.extend(leader.manager.record_crash(report, leader.now));
+    }
+    assert_eq!(culprits, [DEADLY]);
+}
