tests: an answer to a sound part drops the reports against another one

apply() drops a report as soon as one of its parts is known no longer, also if another is still suspected. Seen: 0 of 2 reports are left for the next leader. Fails: quarantine::crashes_with_a_part_that_is_still_suspected_are_reported_again.

--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -404,3 +404,21 @@
     }
     assert_eq!(culprits, [DEADLY]);
 }
+
+/// Guards against evidence that is lost at the next change of leader, because a sound part of the same
+/// requests was answered.
+#[test]
+fn crashes_with_a_part_that_is_still_suspected_are_reported_again() {
+    let mut guard = PartGuard::default();
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
+    guard.record_crash(TargetKey(2), &PROMPT, RUN, Millis(1_300));
+    guard.apply(PartList {
+        quarantined: Vec::new(),
+        suspected: PROMPT.to_vec(),
+    });
+    guard.apply(PartList {
+        quarantined: Vec::new(),
+        suspected: vec![DEADLY],
+    });
+    assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
+}
