tests: an entry's own quarantine outlives the leader's

An entry that saw three crashes itself refuses for 30 s, also while connected: no trial by its requests after 10 s, and no service after the release. Seen: Refused in place of TrialDue. Fails: quarantine::release_by_the_leader_ends_the_quarantine_at_each_entry.

--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -422,3 +422,19 @@
     });
     assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
 }
+
+/// Guards against an entry that refuses a part which the leader has released.
+#[test]
+fn release_by_the_leader_ends_the_quarantine_at_each_entry() {
+    let mut guard = PartGuard::default();
+    let mut now = Millis(1_000);
+    for target in 1..=3 {
+        now += GAP;
+        guard.record_crash(TargetKey(target), &PROMPT, RUN, now);
+    }
+    guard.apply(list(false));
+    guard.apply(list(true));
+    assert_eq!(guard.admit(&PROMPT, now), Admission::TrialDue(DEADLY));
+    guard.apply(PartList::default());
+    assert_eq!(guard.admit(&PROMPT, now), Admission::Allowed);
+}
