serving: an older request with the same parts hides a crash no longer

Cause: of requests with the same parts in one crash, the first that was reported decided when they were sent. Change: the last one decides. After: quarantine::last_of_several_requests_with_the_same_parts_decides_the_order passes.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -93,12 +93,14 @@
         let becomes_explained = is_explained && !crash.explained;
         crash.explained |= is_explained;
         let parts = report.parts.clone();
-        let mut requests = crash.requests.iter();
-        let is_known = requests.any(|known| known.parts == report.parts);
-        if !is_known && crash.requests.len() < MAX_REQUESTS_PER_CRASH {
+        let sent_at = at - report.ran_for;
+        let mut requests = crash.requests.iter_mut();
+        if let Some(known) = requests.find(|known| known.parts == report.parts) {
+            known.sent_at = known.sent_at.max(sent_at);
+        } else if crash.requests.len() < MAX_REQUESTS_PER_CRASH {
             crash.requests.push(CutOffRequest {
                 parts: report.parts,
-                sent_at: at - report.ran_for,
+                sent_at,
             });
         }
         if becomes_explained {
