serving: crashes from before the start of the leader keep their order

Cause: the clock counts from the start of the process, and the time of an earlier crash was cut to zero. Change: evidence counts time from its lifetime before the start of the clock. After: quarantine::crashes_before_the_start_of_the_leader_keep_their_order passes.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -28,6 +28,12 @@
 /// Requests that are kept of one crash: more than the slots of a target.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
 
+/// Time that also orders crashes from before the start of the clock, as instances report them to a leader
+/// that has just started.
+fn evidence_time(now: Millis) -> Millis {
+    now + EVIDENCE_LIFETIME
+}
+
 /// A request that was cut off by a crash of its target before its first event.
 #[record]
 pub struct CrashReport {
@@ -86,6 +92,7 @@
     /// Records a request that a crash cut off. `is_explained` says whether one of its parts is
     /// quarantined already.
     pub fn record(&mut self, report: CrashReport, is_explained: bool, now: Millis) {
+        let now = evidence_time(now);
         self.expire(now);
         let at = now - report.age;
         let position = self.find_or_insert(report.target, at);
@@ -133,6 +140,7 @@
 
     /// Records that a target has begun to answer a request with these parts.
     pub fn prove(&mut self, parts: &[PromptPart], now: Millis) {
+        let now = evidence_time(now);
         for part in parts {
             if self.counts.remove(part).is_some() {
                 self.proved_at.insert(*part, now);
