serving: reports of crashes survive the list of a new leader

Cause: what a new leader does not list was taken as cleared, though it knows only the parts in the log. Change: only later lists over the same connection clear parts. After: quarantine::crashes_with_suspected_parts_are_reported_to_the_next_leader passes. Open: a part that was released while the entry was not connected may be reported again.

--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -102,9 +102,13 @@
 
     /// Applies the list of the leader.
     pub fn apply(&mut self, list: PartList) {
-        self.is_current = true;
+        let is_update = std::mem::replace(&mut self.is_current, true);
         let known: BTreeSet<_> = self.known_parts().collect();
         self.list = list;
+        // A new leader lists what it knows of, which are no suspected parts yet.
+        if !is_update {
+            return;
+        }
         let now_known: BTreeSet<_> = self.known_parts().collect();
         // Crashes that do not count any more are no evidence for the next leader either.
         self.reports.retain(|kept| {
