serving: an answer to a sound part keeps the reports against others

Cause: one part that is suspected no longer dropped all reports of requests with it. Change: the part is taken out of the reports. Reports of a part that was quarantined and released are dropped as before. After: quarantine::crashes_with_a_part_that_is_still_suspected_are_reported_again passes.

--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -104,16 +104,24 @@
     pub fn apply(&mut self, list: PartList) {
         let is_update = std::mem::replace(&mut self.is_current, true);
         let known: BTreeSet<_> = self.known_parts().collect();
+        let quarantined = self.list.quarantined.iter();
+        let quarantined: BTreeSet<_> = quarantined.map(|entry| entry.part).collect();
         self.list = list;
         // A new leader lists what it knows of, which are no suspected parts yet.
         if !is_update {
             return;
         }
         let now_known: BTreeSet<_> = self.known_parts().collect();
-        // Crashes that do not count any more are no evidence for the next leader either.
-        self.reports.retain(|kept| {
-            let mut parts = kept.report.parts.iter();
-            !parts.any(|part| known.contains(part) && !now_known.contains(part))
+        // Crashes that do not count any more are no evidence for the next leader either. Those of a
+        // released part count against none of its requests' parts.
+        let cleared: BTreeSet<_> = known.difference(&now_known).copied().collect();
+        self.reports.retain_mut(|kept| {
+            let parts = &mut kept.report.parts;
+            let was_released = parts
+                .iter()
+                .any(|part| cleared.contains(part) && quarantined.contains(part));
+            parts.retain(|part| !cleared.contains(part));
+            !was_released && !parts.is_empty()
         });
     }
 
