serving: a release by the leader holds at entries that quarantined the part themselves

Cause: an entry's own quarantine was asked first, and nothing but its own answers ended it. Change: the leader's list decides on the parts that it names, and a part that is cleared by it is cleared here. After: quarantine::release_by_the_leader_ends_the_quarantine_at_each_entry passes.

--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -115,6 +115,7 @@
         // Crashes that do not count any more are no evidence for the next leader either. Those of a
         // released part count against none of its requests' parts.
         let cleared: BTreeSet<_> = known.difference(&now_known).copied().collect();
+        self.local.retain(|part, _| !cleared.contains(part));
         self.reports.retain_mut(|kept| {
             let parts = &mut kept.report.parts;
             let was_released = parts
@@ -144,14 +145,16 @@
     pub fn admit(&self, parts: &[PromptPart], now: Millis) -> Admission {
         let mut due = None;
         for part in parts {
-            let local = self.local.get(part);
-            if local.is_some_and(|local| local.is_active(now)) {
-                return Admission::Refused(*part);
-            }
             let mut quarantined = self.list.quarantined.iter();
-            match quarantined.find(|entry| entry.part == *part) {
-                Some(entry) if !entry.trial_due => return Admission::Refused(*part),
-                Some(_) => due = due.or(Some(*part)),
+            let listed = quarantined.find(|entry| entry.part == *part);
+            let local = self.local.get(part);
+            match listed {
+                // The leader grants trials also of parts that this instance has quarantined itself.
+                Some(entry) if entry.trial_due => due = due.or(Some(*part)),
+                Some(_) => return Admission::Refused(*part),
+                None if local.is_some_and(|local| local.is_active(now)) => {
+                    return Admission::Refused(*part);
+                }
                 None => {}
             }
         }
