serving: a part that crashes targets is found behind parts of retried requests

Callers would see: requests with one part of the prompt crash target after target for as long as they come, if each has a further shared part of its own and is sent twice. Cause: the part of the retried request was in two of three crashes, which is as many but for one, and came later. Its quarantine explained the crashes, so that the same went on with the next request. Change: a part that was in the crashes of a culprit before it in the prompts, and was not answered since, is blamed the next time if it was in more crashes than the later one. After: earlier_part_is_blamed_if_each_request_is_sent_twice passes (fifth crash), and so do the 148 tests of the crate. Open: requests that are sent three times or more.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -86,6 +86,9 @@
     counts: BTreeMap<PromptPart, usize>,
     /// When a target last began to answer a request with a part. Only parts of recent crashes.
     proved_at: BTreeMap<PromptPart, Millis>,
+    /// Parts that were in the crashes of a culprit, before it in the prompts, and when the last of these
+    /// crashes was. No target has begun to answer a request with them since.
+    passed_over: BTreeMap<PromptPart, Millis>,
 }
 
 impl CrashEvidence {
@@ -142,16 +145,19 @@
     pub fn prove(&mut self, parts: &[PromptPart], now: Millis) {
         let now = evidence_time(now);
         for part in parts {
+            self.passed_over.remove(part);
             if self.counts.remove(part).is_some() {
                 self.proved_at.insert(*part, now);
             }
         }
     }
 
-    /// Parts that the next crash may quarantine, those with most crashes first.
+    /// Parts that the next crashes may quarantine, those with most crashes first.
     pub fn suspected(&self) -> Vec<PromptPart> {
         let counts = self.counts.iter();
-        let close = counts.filter(|(_, count)| **count + 1 >= CRASHES_TO_QUARANTINE);
+        let close = counts.filter(|(part, count)| {
+            **count + 1 >= CRASHES_TO_QUARANTINE || self.passed_over.contains_key(part)
+        });
         let mut close: Vec<_> = close.map(|(part, count)| (*count, *part)).collect();
         close.sort_unstable_by(|a, b| b.cmp(a));
         close.truncate(MAX_SUSPECTED);
@@ -162,7 +168,8 @@
     ///
     /// Parts that come earlier in prompts are in more requests, so they are in more crashes by coincidence,
     /// and their quarantine refuses more. A later part of the same requests is therefore preferred if it
-    /// was in as many crashes but for one.
+    /// was in as many crashes but for one. If that has hidden an earlier part before, the higher count
+    /// decides: the later parts may belong to requests that were sent again.
     pub fn take_culprit(&mut self) -> Option<PromptPart> {
         let counts = self.counts.iter();
         let (first, most) = counts.max_by_key(|(part, count)| (**count, **part))?;
@@ -174,8 +181,15 @@
             .flat_map(|request| &request.parts)
             .filter_map(|part| self.counts.get_key_value(part));
         let close = candidates.filter(|(_, count)| **count + 1 >= *most);
-        let culprit = close.max_by_key(|(part, count)| (self.depth(**part), **count, **part));
-        let part = *culprit?.0;
+        let close: BTreeMap<_, _> = close.collect();
+        let rank = |part: &PromptPart| (self.depth(*part), close[part], *part);
+        let last = close.keys().copied().max_by_key(|part| rank(part))?;
+        let hidden = close
+            .keys()
+            .copied()
+            .filter(|part| close[*part] > close[last] && self.passed_over.contains_key(*part));
+        let part = *hidden.max_by_key(|part| rank(part)).unwrap_or(last);
+        self.pass_over_parts_before(part);
         let mut affected = Vec::new();
         for crash in &mut self.crashes {
             if crash.sent_at(part).is_some() {
@@ -187,6 +201,22 @@
         Some(part)
     }
 
+    /// Remembers parts that were in the crashes of a culprit, before it in the prompts.
+    fn pass_over_parts_before(&mut self, culprit: PromptPart) {
+        for crash in self.crashes.iter().filter(|crash| !crash.explained) {
+            for request in &crash.requests {
+                let mut parts = request.parts.iter();
+                let Some(position) = parts.position(|part| *part == culprit) else {
+                    continue;
+                };
+                let earlier = request.parts[..position].iter();
+                let counted = earlier.filter(|part| self.counts.contains_key(part));
+                self.passed_over
+                    .extend(counted.map(|part| (*part, crash.at)));
+            }
+        }
+    }
+
     fn recount(&mut self, parts: Vec<PromptPart>) {
         for part in parts {
             match self.crashes_in_a_row(part) {
@@ -236,6 +266,8 @@
             .partition_point(|crash| now > crash.at + EVIDENCE_LIFETIME);
         let expired: Vec<_> = self.crashes.drain(..expired).collect();
         self.recount(expired.iter().flat_map(Crash::parts).collect());
+        self.passed_over
+            .retain(|_, crashed_at| now <= *crashed_at + EVIDENCE_LIFETIME);
         self.proved_at
             .retain(|_, proved_at| now <= *proved_at + EVIDENCE_LIFETIME);
     }
