tests: a reset of a connection hides later crashes of its target

Crashes are told apart by the start of the target alone. A reset of a connection is reported as a crash, though the target goes on; for the 600 s after, real crashes of it take that one's time, and count for nothing if a request in the reset had a quarantined part. Seen: six crashes, the part not quarantined. Fails: quarantine::crash_counts_after_a_reset_of_a_connection_to_the_same_target.

--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -438,3 +438,26 @@
     guard.apply(PartList::default());
     assert_eq!(guard.admit(&PROMPT, now), Admission::Allowed);
 }
+
+/// Guards against targets that crash unnoticed, because a connection to them was reset while they had a
+/// request with another part that is quarantined.
+#[test]
+fn crash_counts_after_a_reset_of_a_connection_to_the_same_target() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&[FIRST, OTHER]);
+    }
+    assert_eq!(leader.quarantined(), [OTHER]);
+    leader.answer(&[FIRST]);
+    for target in 4..=9 {
+        let reset = leader.report(target, &[FIRST, OTHER], Millis(40));
+        assert!(leader.manager.record_crash(reset, leader.now).is_empty());
+    }
+    leader.now += Millis::from_secs(30);
+    for _ in 4..=9 {
+        leader.crash(&PROMPT);
+        leader.answer(&[FIRST]);
+    }
+    let quarantined = leader.quarantined();
+    assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
+}
