serving: a reset of a connection hides later crashes of its target no longer

Cause: crashes were told apart by the start of their target alone, though a reset of a connection looks like one and its target goes on. Change: a report from more than 5 s after a known crash of the target is of another one. After: quarantine::crash_counts_after_a_reset_of_a_connection_to_the_same_target passes, and the 149 tests of the crate. Open: a crash within 5 s of the reset.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -21,6 +21,9 @@
 const ORDER_MARGIN: Millis = Millis(100);
 /// How long a crash counts. Requests with a part may be rare.
 const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
+/// Longest time between two reports of one crash. A later one is of another crash: a target whose
+/// connections were reset goes on.
+const MAX_REPORT_SPREAD: Millis = Millis::from_secs(5);
 /// Crashes that are kept. The oldest is dropped beyond that.
 const MAX_CRASHES: usize = 256;
 /// Suspected parts that instances watch for.
@@ -120,9 +123,12 @@
         self.recount(parts);
     }
 
-    /// Position of a target's crash.
+    /// Position of a target's crash at a time.
     fn find_or_insert(&mut self, target: TargetKey, at: Millis) -> usize {
-        let known = self.crashes.iter().position(|crash| crash.target == target);
+        let known = self
+            .crashes
+            .iter()
+            .rposition(|crash| crash.target == target && at <= crash.at + MAX_REPORT_SPREAD);
         known.unwrap_or_else(|| {
             if self.crashes.len() == MAX_CRASHES
                 && let Some(dropped) = self.crashes.pop_front()
