--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -461,3 +461,20 @@
     let quarantined = leader.quarantined();
     assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
 }
+
+/// Guards against a sound part that is blamed for crashes by requests with a part that is quarantined already:
+/// those in flight at that moment, and trials.
+#[test]
+fn crashes_under_a_quarantined_part_are_no_evidence_against_others() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+    }
+    for _ in 0..5 {
+        leader.crash(&PROMPT);
+        let bystander = leader.report(leader.crashes, &[FIRST, OTHER], Millis(20));
+        leader.manager.record_crash(bystander, leader.now);
+    }
+    assert_eq!(leader.quarantined(), [DEADLY]);
+    assert!(leader.manager.list(leader.now).suspected.is_empty());
+}
