--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -21,6 +21,9 @@
 const ORDER_MARGIN: Millis = Millis(100);
 /// How long a crash counts. Requests with a part may be rare.
 const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
+/// Longest time between two reports of one crash. A later one is of another crash: a target whose
+/// connections were reset goes on.
+const MAX_REPORT_SPREAD: Millis = Millis::from_secs(5);
 /// Crashes that are kept. The oldest is dropped beyond that.
 const MAX_CRASHES: usize = 256;
 /// Suspected parts that instances watch for.
@@ -28,6 +31,12 @@
 /// Requests that are kept of one crash: more than the slots of a target.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
 
+/// Time that also orders crashes from before the start of the clock, as instances report them to a leader
+/// that has just started.
+fn evidence_time(now: Millis) -> Millis {
+    now + EVIDENCE_LIFETIME
+}
+
 /// A request that was cut off by a crash of its target before its first event.
 #[record]
 pub struct CrashReport {
@@ -80,12 +89,16 @@
     counts: BTreeMap<PromptPart, usize>,
     /// When a target last began to answer a request with a part. Only parts of recent crashes.
     proved_at: BTreeMap<PromptPart, Millis>,
+    /// Parts that were in the crashes of a culprit, before it in the prompts, and when the last of these
+    /// crashes was. No target has begun to answer a request with them since.
+    passed_over: BTreeMap<PromptPart, Millis>,
 }
 
 impl CrashEvidence {
     /// Records a request that a crash cut off. `is_explained` says whether one of its parts is
     /// quarantined already.
     pub fn record(&mut self, report: CrashReport, is_explained: bool, now: Millis) {
+        let now = evidence_time(now);
         self.expire(now);
         let at = now - report.age;
         let position = self.find_or_insert(report.target, at);
@@ -93,12 +106,14 @@
         let becomes_explained = is_explained && !crash.explained;
         crash.explained |= is_explained;
         let parts = report.parts.clone();
-        let mut requests = crash.requests.iter();
-        let is_known = requests.any(|known| known.parts == report.parts);
-        if !is_known && crash.requests.len() < MAX_REQUESTS_PER_CRASH {
+        let sent_at = at - report.ran_for;
+        let mut requests = crash.requests.iter_mut();
+        if let Some(known) = requests.find(|known| known.parts == report.parts) {
+            known.sent_at = known.sent_at.max(sent_at);
+        } else if crash.requests.len() < MAX_REQUESTS_PER_CRASH {
             crash.requests.push(CutOffRequest {
                 parts: report.parts,
-                sent_at: at - report.ran_for,
+                sent_at,
             });
         }
         if becomes_explained {
@@ -108,9 +123,12 @@
         self.recount(parts);
     }
 
-    /// Position of a target's crash.
+    /// Position of a target's crash at a time.
     fn find_or_insert(&mut self, target: TargetKey, at: Millis) -> usize {
-        let known = self.crashes.iter().position(|crash| crash.target == target);
+        let known = self
+            .crashes
+            .iter()
+            .rposition(|crash| crash.target == target && at <= crash.at + MAX_REPORT_SPREAD);
         known.unwrap_or_else(|| {
             if self.crashes.len() == MAX_CRASHES
                 && let Some(dropped) = self.crashes.pop_front()
@@ -131,17 +149,21 @@
 
     /// Records that a target has begun to answer a request with these parts.
     pub fn prove(&mut self, parts: &[PromptPart], now: Millis) {
+        let now = evidence_time(now);
         for part in parts {
+            self.passed_over.remove(part);
             if self.counts.remove(part).is_some() {
                 self.proved_at.insert(*part, now);
             }
         }
     }
 
-    /// Parts that the next crash may quarantine, those with most crashes first.
+    /// Parts that the next crashes may quarantine, those with most crashes first.
     pub fn suspected(&self) -> Vec<PromptPart> {
         let counts = self.counts.iter();
-        let close = counts.filter(|(_, count)| **count + 1 >= CRASHES_TO_QUARANTINE);
+        let close = counts.filter(|(part, count)| {
+            **count + 1 >= CRASHES_TO_QUARANTINE || self.passed_over.contains_key(part)
+        });
         let mut close: Vec<_> = close.map(|(part, count)| (*count, *part)).collect();
         close.sort_unstable_by(|a, b| b.cmp(a));
         close.truncate(MAX_SUSPECTED);
@@ -152,7 +174,8 @@
     ///
     /// Parts that come earlier in prompts are in more requests, so they are in more crashes by coincidence,
     /// and their quarantine refuses more. A later part of the same requests is therefore preferred if it
-    /// was in as many crashes but for one.
+    /// was in as many crashes but for one. If that has hidden an earlier part before, the higher count
+    /// decides: the later parts may belong to requests that were sent again.
     pub fn take_culprit(&mut self) -> Option<PromptPart> {
         let counts = self.counts.iter();
         let (first, most) = counts.max_by_key(|(part, count)| (**count, **part))?;
@@ -164,8 +187,15 @@
             .flat_map(|request| &request.parts)
             .filter_map(|part| self.counts.get_key_value(part));
         let close = candidates.filter(|(_, count)| **count + 1 >= *most);
-        let culprit = close.max_by_key(|(part, count)| (self.depth(**part), **count, **part));
-        let part = *culprit?.0;
+        let close: BTreeMap<_, _> = close.collect();
+        let rank = |part: &PromptPart| (self.depth(*part), close[part], *part);
+        let last = close.keys().copied().max_by_key(|part| rank(part))?;
+        let hidden = close
+            .keys()
+            .copied()
+            .filter(|part| close[*part] > close[last] && self.passed_over.contains_key(*part));
+        let part = *hidden.max_by_key(|part| rank(part)).unwrap_or(last);
+        self.pass_over_parts_before(part);
         let mut affected = Vec::new();
         for crash in &mut self.crashes {
             if crash.sent_at(part).is_some() {
@@ -177,6 +207,22 @@
         Some(part)
     }
 
+    /// Remembers parts that were in the crashes of a culprit, before it in the prompts.
+    fn pass_over_parts_before(&mut self, culprit: PromptPart) {
+        for crash in self.crashes.iter().filter(|crash| !crash.explained) {
+            for request in &crash.requests {
+                let mut parts = request.parts.iter();
+                let Some(position) = parts.position(|part| *part == culprit) else {
+                    continue;
+                };
+                let earlier = request.parts[..position].iter();
+                let counted = earlier.filter(|part| self.counts.contains_key(part));
+                self.passed_over
+                    .extend(counted.map(|part| (*part, crash.at)));
+            }
+        }
+    }
+
     fn recount(&mut self, parts: Vec<PromptPart>) {
         for part in parts {
             match self.crashes_in_a_row(part) {
@@ -226,6 +272,8 @@
             .partition_point(|crash| now > crash.at + EVIDENCE_LIFETIME);
         let expired: Vec<_> = self.crashes.drain(..expired).collect();
         self.recount(expired.iter().flat_map(Crash::parts).collect());
+        self.passed_over
+            .retain(|_, crashed_at| now <= *crashed_at + EVIDENCE_LIFETIME);
         self.proved_at
             .retain(|_, proved_at| now <= *proved_at + EVIDENCE_LIFETIME);
     }
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -102,14 +102,27 @@
 
     /// Applies the list of the leader.
     pub fn apply(&mut self, list: PartList) {
-        self.is_current = true;
+        let is_update = std::mem::replace(&mut self.is_current, true);
         let known: BTreeSet<_> = self.known_parts().collect();
+        let quarantined = self.list.quarantined.iter();
+        let quarantined: BTreeSet<_> = quarantined.map(|entry| entry.part).collect();
         self.list = list;
+        // A new leader lists what it knows of, which are no suspected parts yet.
+        if !is_update {
+            return;
+        }
         let now_known: BTreeSet<_> = self.known_parts().collect();
-        // Crashes that do not count any more are no evidence for the next leader either.
-        self.reports.retain(|kept| {
-            let mut parts = kept.report.parts.iter();
-            !parts.any(|part| known.contains(part) && !now_known.contains(part))
+        // Crashes that do not count any more are no evidence for the next leader either. Those of a
+        // released part count against none of its requests' parts.
+        let cleared: BTreeSet<_> = known.difference(&now_known).copied().collect();
+        self.local.retain(|part, _| !cleared.contains(part));
+        self.reports.retain_mut(|kept| {
+            let parts = &mut kept.report.parts;
+            let was_released = parts
+                .iter()
+                .any(|part| cleared.contains(part) && quarantined.contains(part));
+            parts.retain(|part| !cleared.contains(part));
+            !was_released && !parts.is_empty()
         });
     }
 
@@ -132,14 +145,16 @@
     pub fn admit(&self, parts: &[PromptPart], now: Millis) -> Admission {
         let mut due = None;
         for part in parts {
-            let local = self.local.get(part);
-            if local.is_some_and(|local| local.is_active(now)) {
-                return Admission::Refused(*part);
-            }
             let mut quarantined = self.list.quarantined.iter();
-            match quarantined.find(|entry| entry.part == *part) {
-                Some(entry) if !entry.trial_due => return Admission::Refused(*part),
-                Some(_) => due = due.or(Some(*part)),
+            let listed = quarantined.find(|entry| entry.part == *part);
+            let local = self.local.get(part);
+            match listed {
+                // The leader grants trials also of parts that this instance has quarantined itself.
+                Some(entry) if entry.trial_due => due = due.or(Some(*part)),
+                Some(_) => return Admission::Refused(*part),
+                None if local.is_some_and(|local| local.is_active(now)) => {
+                    return Admission::Refused(*part);
+                }
                 None => {}
             }
         }
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -348,3 +348,133 @@
     guard.apply(PartList::default());
     assert!(guard.recent_reports(Millis(2_000)).is_empty());
 }
+
+/// Guards against an earlier part that stays hidden for ever: each request has a part of its own behind it
+/// and is sent twice.
+#[test]
+fn earlier_part_is_blamed_if_each_request_is_sent_twice() {
+    let mut leader = Leader::new();
+    for own in [1, 1, 2, 2, 3, 3, 4, 4, 5, 5, 6, 6] {
+        leader.crash(&[FIRST, DEADLY, PromptPart(own)]);
+        leader.answer(&[FIRST]);
+    }
+    let quarantined = leader.quarantined();
+    assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
+}
+
+/// Guards against evidence that an entry drops as it connects to a new leader, which has no list yet.
+#[test]
+fn crashes_with_suspected_parts_are_reported_to_the_next_leader() {
+    let mut guard = PartGuard::default();
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
+    guard.record_crash(TargetKey(2), &PROMPT, RUN, Millis(1_300));
+    guard.apply(PartList {
+        quarantined: Vec::new(),
+        suspected: vec![DEADLY],
+    });
+    guard.begin_connection();
+    guard.end_initial_messages();
+    assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
+}
+
+/// Guards against a crash that is not counted because an older request with the same parts was there too.
+#[test]
+fn last_of_several_requests_with_the_same_parts_decides_the_order() {
+    let mut leader = Leader::new();
+    leader.crash(&PROMPT);
+    leader.crash(&PROMPT);
+    leader.now += GAP;
+    let older = leader.report(3, &PROMPT, Millis(500));
+    assert!(leader.manager.record_crash(older, leader.now).is_empty());
+    let newer = leader.report(3, &PROMPT, RUN);
+    assert_eq!(leader.manager.record_crash(newer, leader.now), [DEADLY]);
+}
+
+/// Guards against evidence that is lost as all stores restart: crashes from before the start of the leader's
+/// clock.
+#[test]
+fn crashes_before_the_start_of_the_leader_keep_their_order() {
+    let mut leader = Leader::new();
+    leader.now = Millis(2_000);
+    let mut culprits = Vec::new();
+    for target in 1..=3 {
+        let mut report = leader.report(target, &PROMPT, RUN);
+        report.age = Millis(10_000) - Millis(GAP.0 * target);
+        culprits.extend(leader.manager.record_crash(report, leader.now));
+    }
+    assert_eq!(culprits, [DEADLY]);
+}
+
+/// Guards against evidence that is lost at the next change of leader, because a sound part of the same
+/// requests was answered.
+#[test]
+fn crashes_with_a_part_that_is_still_suspected_are_reported_again() {
+    let mut guard = PartGuard::default();
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
+    guard.record_crash(TargetKey(2), &PROMPT, RUN, Millis(1_300));
+    guard.apply(PartList {
+        quarantined: Vec::new(),
+        suspected: PROMPT.to_vec(),
+    });
+    guard.apply(PartList {
+        quarantined: Vec::new(),
+        suspected: vec![DEADLY],
+    });
+    assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
+}
+
+/// Guards against an entry that refuses a part which the leader has released.
+#[test]
+fn release_by_the_leader_ends_the_quarantine_at_each_entry() {
+    let mut guard = PartGuard::default();
+    let mut now = Millis(1_000);
+    for target in 1..=3 {
+        now += GAP;
+        guard.record_crash(TargetKey(target), &PROMPT, RUN, now);
+    }
+    guard.apply(list(false));
+    guard.apply(list(true));
+    assert_eq!(guard.admit(&PROMPT, now), Admission::TrialDue(DEADLY));
+    guard.apply(PartList::default());
+    assert_eq!(guard.admit(&PROMPT, now), Admission::Allowed);
+}
+
+/// Guards against targets that crash unnoticed, because a connection to them was reset while they had a
+/// request with another part that is quarantined.
+#[test]
+fn crash_counts_after_a_reset_of_a_connection_to_the_same_target() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&[FIRST, OTHER]);
+    }
+    assert_eq!(leader.quarantined(), [OTHER]);
+    leader.answer(&[FIRST]);
+    for target in 4..=9 {
+        let reset = leader.report(target, &[FIRST, OTHER], Millis(40));
+        assert!(leader.manager.record_crash(reset, leader.now).is_empty());
+    }
+    leader.now += Millis::from_secs(30);
+    for _ in 4..=9 {
+        leader.crash(&PROMPT);
+        leader.answer(&[FIRST]);
+    }
+    let quarantined = leader.quarantined();
+    assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
+}
+
+/// Guards against a sound part that is blamed for crashes by requests with a part that is quarantined already:
+/// those in flight at that moment, and trials.
+#[test]
+fn crashes_under_a_quarantined_part_are_no_evidence_against_others() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+    }
+    for _ in 0..5 {
+        leader.crash(&PROMPT);
+        let bystander = leader.report(leader.crashes, &[FIRST, OTHER], Millis(20));
+        leader.manager.record_crash(bystander, leader.now);
+    }
+    assert_eq!(leader.quarantined(), [DEADLY]);
+    assert!(leader.manager.list(leader.now).suspected.is_empty());
+}
