testing: targets tell which prompt part crashed them, and when a request reached them

Cause: a target had one crashing part, and its runs had no time, so that a check could not tell the crashes of two parts apart, nor which requests came late. Change: `Behaviour::crashing_parts` takes several parts, `crashes()` returns the part and the time of each crash, and `Run` has the time at which it reached the target. The daemon's test of tainted prompts uses the new names; its checks and bounds are the same.

--- a/crates/daemon/tests/all/platform/tainted.rs
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -67,6 +67,7 @@
             .targets
             .iter()
             .flat_map(PlatformTarget::crashes)
+            .map(|crash| crash.at)
             .collect();
         crashes.sort_unstable();
         crashes
@@ -85,7 +86,7 @@
 fn requests_with_a_part_that_crashes_targets_stop_reaching_them() {
     with_world(9, async |world| {
         world.behave(&Behaviour {
-            crashing_part: Some(DEADLY),
+            crashing_parts: &[DEADLY],
             ..Behaviour::default()
         });
         let mut number = 0;
--- a/crates/testing/src/platform/mod.rs
+++ b/crates/testing/src/platform/mod.rs
@@ -15,6 +15,7 @@
 };
 pub use target::{
     Behaviour,
+    Crash,
     PlatformTarget,
     Run, //
 };
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -85,9 +85,9 @@
     pub breaks_after: Option<usize>,
     /// Answers 500 to items whose path ends like this.
     pub poisoned: Option<&'static str>,
-    /// Crashes as it begins to answer a request whose prompt has this part before its last one, and
-    /// starts again under another name.
-    pub crashing_part: Option<&'static str>,
+    /// Crashes as it begins to answer a request whose prompt has one of these parts before its last one,
+    /// and starts again under another name.
+    pub crashing_parts: &'static [&'static str],
 }
 
 impl Default for Behaviour {
@@ -98,7 +98,7 @@
             rejects: false,
             breaks_after: None,
             poisoned: None,
-            crashing_part: None,
+            crashing_parts: &[],
         }
     }
 }
@@ -114,6 +114,17 @@
     pub after: Option<usize>,
     /// The time that its sender gave it, in ms.
     pub time_left: Option<u64>,
+    /// When it reached the target.
+    pub at: Instant,
+}
+
+/// One crash of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// When the target went down.
+    pub at: Instant,
+    /// The part of a prompt that caused it.
+    pub part: &'static str,
 }
 
 /// One start of a target.
@@ -137,7 +148,7 @@
 struct Shared {
     name: String,
     incarnation: Mutex<Incarnation>,
-    crashes: Mutex<Vec<Instant>>,
+    crashes: Mutex<Vec<Crash>>,
     crash: Notify,
     is_down: AtomicBool,
     slots: usize,
@@ -268,8 +279,8 @@
         lock(&self.shared.runs).clone()
     }
 
-    /// When it crashed.
-    pub fn crashes(&self) -> Vec<Instant> {
+    /// Every crash so far.
+    pub fn crashes(&self) -> Vec<Crash> {
         lock(&self.shared.crashes).clone()
     }
 
@@ -405,16 +416,15 @@
         path: head.uri.path().to_owned(),
         after,
         time_left: text(&head.headers, "deadline-ms").and_then(|text| text.parse().ok()),
+        at: Instant::now(),
     };
     let number = shared.next.fetch_add(1, Ordering::Relaxed);
     lock(&shared.runs).push(run);
     lock(&shared.running).insert(number, id.clone());
     let running = Running { shared, number };
-    if behaviour
-        .crashing_part
-        .is_some_and(|part| has_shared_part(&head.headers, part))
-    {
-        return crash(running, &id);
+    let mut crashing_parts = behaviour.crashing_parts.iter();
+    if let Some(part) = crashing_parts.find(|part| has_shared_part(&head.headers, part)) {
+        return crash(running, &id, part);
     }
     let path = head.uri.path();
     if behaviour.poisoned.is_some_and(|end| path.ends_with(end)) {
@@ -436,13 +446,14 @@
 }
 
 /// Begins a response, and crashes before its first event.
-fn crash(running: Running, id: &str) -> Response<Body> {
+fn crash(running: Running, id: &str, part: &'static str) -> Response<Body> {
     let shared = Arc::clone(&running.shared);
     tokio::spawn(async move {
         tokio::time::sleep(CRASH_DELAY).await;
         drop(running);
         if !shared.is_down.swap(true, Ordering::Relaxed) {
-            lock(&shared.crashes).push(Instant::now());
+            let at = Instant::now();
+            lock(&shared.crashes).push(Crash { at, part });
             shared.crash.notify_one();
         }
     });
