soak: prompts with parts that crash targets

Change: three of the six callers send Prompt-Prefix (three first parts, four sessions of each, one part of the request). In every schedule, from a seeded time on, one in four of these prompts carries one of one or two parts that crash targets, beside all other faults. The faults of known seeds are the same as before, because this one is drawn from a second stream of the generator. After the faults, tainted prompts go on until the system must have reacted (4 s after the last fault of an instance and after the fifth crash, or the last one), and 20 sound requests that share parts with tainted ones are sent once each. Checks, with the bounds of the rule: at most three requests with a part run at targets later than 4 s after its fifth crash and without a fault of an instance in the last 4 s; half of the sound requests are served at the first attempt.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -38,6 +38,7 @@
         Ledger,
         Outcome, //
     },
+    prompts::Prompt,
 };
 
 /// Number of events in each stream, as configured for the targets.
@@ -48,6 +49,10 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(40);
 /// Number of items in each job.
 const JOB_ITEMS: usize = 6;
+/// Number of sound requests that share parts with tainted ones, sent after the faults.
+const SOUND_REQUESTS: usize = 20;
+/// How many of them must be served at the first attempt.
+const MIN_SOUND_SERVED: usize = SOUND_REQUESTS / 2;
 /// Time allowed after the faults for accepted jobs to complete.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(25);
 
@@ -67,32 +72,64 @@
             1 => (RESUMABLE, AllowedRuns::Unlimited),
             _ => (SAFE, AllowedRuns::Unlimited),
         };
-        let id = format!("c{caller}-{number}");
-        let address = cluster.callers[(caller + number) % cluster.callers.len()];
-        let headers = [
-            ("host", HOST),
-            ("request-id", id.as_str()),
-            ("deadline-ms", "5000"),
-        ];
+        let has_prompt = caller.is_multiple_of(2);
+        let prompt = has_prompt.then(|| Prompt::next(caller, number, cluster.deadly_parts()));
+        let deadly = prompt.as_ref().and_then(Prompt::deadly);
+        if deadly.is_some() {
+            ledger.count_event("tainted requests");
+        }
+        // The id shows the part to the check of the targets' runs.
+        let id = format!("{}-{caller}-{number}", deadly.unwrap_or("c"));
+        let entry = caller + number;
         let path = format!("{prefix}{number}");
-        let reply = send(
-            address,
-            Method::POST,
-            &path,
-            &headers,
-            "body",
-            REQUEST_TIMEOUT,
-        )
-        .await;
-        let outcome = match reply {
-            Ok(reply) => check_response(&ledger, &id, prefix, &reply),
-            Err(_) => Outcome::Unknown,
-        };
+        let reply = send_request(&cluster, entry, &path, &id, prompt).await;
+        let outcome = reply.map_or(Outcome::Unknown, |reply| {
+            check_response(&ledger, &id, prefix, &reply)
+        });
         ledger.record_outcome(&id, allowed, outcome);
         sleep(REQUEST_PAUSE).await;
     }
 }
 
+/// Checks that requests are served whose prompts have all parts of tainted ones but the deadly part.
+pub(crate) async fn check_sound_prompts(cluster: &Cluster, ledger: &Ledger) {
+    let mut served = 0;
+    for number in 0..SOUND_REQUESTS {
+        let prompt = Some(Prompt::sound(number, number));
+        let id = format!("sound-{number}");
+        let reply = send_request(cluster, number, &format!("{ONCE}{number}"), &id, prompt).await;
+        served += usize::from(reply.is_some_and(|reply| reply.is_whole_success()));
+        sleep(REQUEST_PAUSE).await;
+    }
+    if served < MIN_SOUND_SERVED {
+        ledger.record_violation(format!(
+            "{served} of {SOUND_REQUESTS} sound requests that share parts with tainted ones were served"
+        ));
+    }
+}
+
+async fn send_request(
+    cluster: &Cluster,
+    entry: usize,
+    path: &str,
+    id: &str,
+    prompt: Option<Prompt>,
+) -> Option<Reply> {
+    let address = cluster.callers[entry % cluster.callers.len()];
+    let prompt = prompt.map(|prompt| prompt.header());
+    let mut headers = vec![("host", HOST), ("request-id", id), ("deadline-ms", "5000")];
+    headers.extend(prompt.iter().map(|parts| ("prompt-prefix", parts.as_str())));
+    let sent = send(
+        address,
+        Method::POST,
+        path,
+        &headers,
+        "body",
+        REQUEST_TIMEOUT,
+    );
+    sent.await.ok()
+}
+
 /// Checks a response and returns the outcome that it reports.
 fn check_response(ledger: &Ledger, id: &str, prefix: &str, reply: &Reply) -> Outcome {
     match reply.status {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -6,10 +6,14 @@
         Arc, Mutex,
         atomic::{
             AtomicU64,
+            AtomicUsize,
             Ordering, //
         },
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use anyhow::Context as _;
@@ -22,6 +26,7 @@
     Relay, Shape, Shapes, Signal,
     platform::{
         Behaviour,
+        Crash,
         PlatformSystem,
         PlatformTarget,
         Run, //
@@ -30,6 +35,8 @@
 
 use crate::{
     ledger::Ledger,
+    prompts::DEADLY_PARTS,
+    quarantine::InstanceFault,
     schedule::Fault, //
 };
 
@@ -63,6 +70,10 @@
     targets: AsyncMutex<Vec<ProxiedTarget>>,
     /// Runs recorded by targets that have ended.
     past_runs: Mutex<Vec<Run>>,
+    /// Crashes of targets that have ended.
+    past_crashes: Mutex<Vec<Crash>>,
+    /// Number of deadly parts that callers add to prompts.
+    deadly_parts: AtomicUsize,
     next_target: AtomicU64,
     version: AtomicU64,
     ledger: Arc<Ledger>,
@@ -84,12 +95,15 @@
             control,
             targets: AsyncMutex::default(),
             past_runs: Mutex::default(),
+            past_crashes: Mutex::default(),
+            deadly_parts: AtomicUsize::new(0),
             next_target: AtomicU64::new(0),
             version: AtomicU64::new(1),
             ledger,
             behaviour: Behaviour {
                 events: 20,
                 pause: Duration::from_millis(8),
+                crashing_parts: DEADLY_PARTS,
                 ..Behaviour::default()
             },
         };
@@ -137,8 +151,27 @@
         runs
     }
 
+    /// Returns the crashes of all targets, including those that have ended.
+    pub(crate) async fn crashes(&self) -> Vec<Crash> {
+        let mut crashes = self
+            .past_crashes
+            .lock()
+            .expect("no thread panics while holding the lock")
+            .clone();
+        for proxied in self.targets.lock().await.iter() {
+            crashes.extend(proxied.target.crashes());
+        }
+        crashes
+    }
+
+    /// Number of deadly parts that callers add to prompts at the moment.
+    pub(crate) fn deadly_parts(&self) -> usize {
+        self.deadly_parts.load(Ordering::Relaxed)
+    }
+
     /// Injects a fault for `duration`, then reverts it.
     pub(crate) async fn inject(&self, fault: Fault, duration: Duration) -> anyhow::Result<()> {
+        let from = Instant::now();
         match fault {
             Fault::KillEntry(selector) => self.kill_entry(selector, duration).await,
             Fault::StopEntry(selector) => self.stop_entry(selector).await,
@@ -203,6 +236,12 @@
                 self.set_disk_condition(selector, "stall", duration).await?
             }
             Fault::ChangeManifest => self.change_manifest().await,
+            Fault::TaintPrompts(count) => self.deadly_parts.store(count, Ordering::Relaxed),
+        }
+        if fault.affects_instances() {
+            let until = Instant::now();
+            self.ledger
+                .record_instance_fault(InstanceFault { from, until });
         }
         Ok(())
     }
@@ -273,12 +312,16 @@
             let at = selector % targets.len();
             targets.swap_remove(at)
         };
-        let runs = removed.target.runs();
+        let (runs, crashes) = (removed.target.runs(), removed.target.crashes());
         drop(removed);
         self.past_runs
             .lock()
             .expect("no thread panics while holding the lock")
             .extend(runs);
+        self.past_crashes
+            .lock()
+            .expect("no thread panics while holding the lock")
+            .extend(crashes);
         sleep(duration).await;
         let replacement = self.start_target(selector).await?;
         self.targets.lock().await.push(replacement);
@@ -394,6 +437,11 @@
             instance.signal(Signal::Cont);
             instance.start_if_down();
         }
+        let now = Instant::now();
+        self.ledger.record_instance_fault(InstanceFault {
+            from: now,
+            until: now,
+        });
         anyhow::ensure!(
             system.wait_until_serving().await,
             "an entry did not resume serving after the faults ended"
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -8,7 +8,18 @@
     sync::Mutex,
 };
 
-use yuccaseam_testing::platform::Run;
+use yuccaseam_testing::platform::{
+    Crash,
+    Run, //
+};
+
+use crate::{
+    prompts::DEADLY_PARTS,
+    quarantine::{
+        InstanceFault,
+        late_requests, //
+    },
+};
 
 /// Outcome of a request as observed by its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +45,7 @@
     violations: Vec<String>,
     counts: BTreeMap<&'static str, usize>,
     highest_acknowledged: u64,
+    instance_faults: Vec<InstanceFault>,
 }
 
 /// Outcomes observed by callers and operators, and the guarantees found violated.
@@ -68,6 +80,10 @@
             .insert(id.to_owned(), (allowed, outcome));
     }
 
+    pub(crate) fn record_instance_fault(&self, fault: InstanceFault) {
+        self.inner().instance_faults.push(fault);
+    }
+
     /// Records that an operator received the acknowledgement of a manifest version.
     pub(crate) fn record_acknowledged(&self, version: u64) {
         let mut inner = self.inner();
@@ -102,6 +118,19 @@
         inner.violations.extend(violations);
     }
 
+    /// Checks that requests with parts that crash targets stopped reaching them.
+    pub(crate) fn check_quarantine(&self, runs: &[Run], crashes: &[Crash]) {
+        let mut inner = self.inner();
+        inner.counts.insert("crashes", crashes.len());
+        for part in DEADLY_PARTS {
+            let prefix = format!("{part}-");
+            let tainted = runs.iter().filter(|run| run.id.starts_with(&prefix));
+            let tainted: Vec<_> = tainted.collect();
+            let violation = late_requests(part, crashes, &tainted, &inner.instance_faults);
+            inner.violations.extend(violation);
+        }
+    }
+
     pub(crate) fn violations_and_counts(&self) -> (Vec<String>, BTreeMap<&'static str, usize>) {
         let inner = self.inner();
         (inner.violations.clone(), inner.counts.clone())
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,8 @@
 mod callers;
 mod cluster;
 mod ledger;
+mod prompts;
+mod quarantine;
 mod run;
 mod schedule;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,6 +16,7 @@
 
 use tokio::time::{
     Instant,
+    sleep,
     sleep_until, //
 };
 
@@ -23,6 +24,11 @@
     callers,
     cluster::Cluster,
     ledger::Ledger,
+    prompts::DEADLY_PARTS,
+    quarantine::{
+        REACTION_TIME,
+        reaction_deadline, //
+    },
     schedule::schedule, //
 };
 
@@ -105,13 +111,17 @@
         fault.await??;
     }
     cluster.heal().await?;
+    wait_for_quarantine(&cluster).await;
+    callers::check_sound_prompts(&cluster, &ledger).await;
     stop.store(true, Ordering::Relaxed);
     for client in clients {
         client.await?;
     }
     let jobs = jobs.await?;
     callers::check_jobs(&cluster, &ledger, jobs).await;
-    ledger.check_runs(&cluster.runs().await);
+    let runs = cluster.runs().await;
+    ledger.check_runs(&runs);
+    ledger.check_quarantine(&runs, &cluster.crashes().await);
     let (violations, counts) = ledger.violations_and_counts();
     if !violations.is_empty() {
         cluster.keep_logs(cfg.seed).await;
@@ -122,3 +132,17 @@
         counts,
     })
 }
+
+/// Waits until the system must have reacted to each part that crashes targets, without a fault of an
+/// instance. Prompts remain tainted.
+async fn wait_for_quarantine(cluster: &Cluster) {
+    sleep(REACTION_TIME).await;
+    for part in DEADLY_PARTS {
+        // Ends, because only the first few crashes under a part count.
+        while let Some(deadline) = reaction_deadline(&cluster.crashes().await, part)
+            && deadline > std::time::Instant::now()
+        {
+            sleep_until(deadline.into()).await;
+        }
+    }
+}
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -8,6 +8,8 @@
 };
 use rand_chacha::ChaCha8Rng;
 
+use crate::prompts::DEADLY_PARTS;
+
 /// Minimum time between the starts of two faults.
 const MIN_FAULT_INTERVAL_MS: u64 = 150;
 /// Upper bound of the time between the starts of two faults.
@@ -15,6 +17,11 @@
 /// Upper bound of a fault's duration.
 const MAX_FAULT_DURATION_MS: u64 = 2_500;
 
+/// Upper bound of the time from the start of the run until prompts are tainted.
+const MAX_TAINT_START_MS: u64 = 4_000;
+/// Stream of the generator for tainted prompts. The other faults of a seed do not depend on them.
+const TAINT_STREAM: u64 = 1;
+
 /// A fault. Numbers select an instance or target, modulo the number of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -60,6 +67,25 @@
     FillDisk(usize),
     /// Operations on the disk of a store do not complete.
     StallDisk(usize),
+    /// From now on, a share of the prompts has one of this many parts that crash targets.
+    TaintPrompts(usize),
+}
+
+impl Fault {
+    /// Whether the fault affects an entry or a store, rather than targets or what callers send.
+    pub(crate) fn affects_instances(self) -> bool {
+        !matches!(
+            self,
+            Self::ReplaceTarget(_)
+                | Self::DrainTarget(_)
+                | Self::BreakStreams(_)
+                | Self::RejectAll(_)
+                | Self::DelayTarget(_)
+                | Self::SilenceTarget(_)
+                | Self::ChangeManifest
+                | Self::TaintPrompts(_)
+        )
+    }
 }
 
 /// A scheduled fault.
@@ -111,5 +137,17 @@
         });
         at += Duration::from_millis(rng.random_range(MIN_FAULT_INTERVAL_MS..MAX_FAULT_INTERVAL_MS));
     }
+    steps.push(taint(seed));
+    steps.sort_by_key(|step| step.at);
     steps
 }
+
+fn taint(seed: u64) -> Step {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(TAINT_STREAM);
+    Step {
+        at: Duration::from_millis(rng.random_range(500..MAX_TAINT_START_MS)),
+        duration: Duration::ZERO,
+        fault: Fault::TaintPrompts(rng.random_range(1..=DEADLY_PARTS.len())),
+    }
+}
