soak: tests of the check of requests with a part that crashes targets

Cause: the check of late requests passes in a run in which there were none. Change: a topic file tests what counts: the fourth late request, the reaction time, crashes under another part, and faults of instances. What it calls is public.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,10 @@
 mod run;
 mod schedule;
 
+pub use quarantine::{
+    InstanceFault,
+    late_requests, //
+};
 pub use run::{
     Config,
     Report,
--- a/crates/soak/src/quarantine.rs
+++ b/crates/soak/src/quarantine.rs
@@ -19,9 +19,11 @@
 
 /// Period in which an instance was killed, stopped, suspended or impaired.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct InstanceFault {
-    pub(crate) from: Instant,
-    pub(crate) until: Instant,
+pub struct InstanceFault {
+    /// When it began.
+    pub from: Instant,
+    /// When it was reverted.
+    pub until: Instant,
 }
 
 impl InstanceFault {
@@ -41,7 +43,7 @@
 
 /// Describes the violation by requests with a part, if there were too many. `runs` are those of requests
 /// with the part.
-pub(crate) fn late_requests(
+pub fn late_requests(
     part: &str,
     crashes: &[Crash],
     runs: &[&Run],
--- a/crates/soak/tests/all/main.rs
+++ b/crates/soak/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Short soak for CI, and the place for regression tests of seeds that failed.
 
+mod quarantine;
+
 use std::time::Duration;
 
 use yuccaseam_soak::{
