--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,9 +7,15 @@
 mod callers;
 mod cluster;
 mod ledger;
+mod prompts;
+mod quarantine;
 mod run;
 mod schedule;
 
+pub use quarantine::{
+    InstanceFault,
+    late_requests, //
+};
 pub use run::{
     Config,
     Report,
