serving: requests to targets that are down already are no evidence against prompts

Cause: a proxy in front of a crashed target accepts connections and closes them, so that sound requests sent there broke at once and counted as cut off by the crash. Change: a request that was sent after the known crash of its target is no evidence. The connection that is opened to find out whether a target runs must stay open for 100 ms.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -101,12 +101,16 @@
         let now = evidence_time(now);
         self.expire(now);
         let at = now - report.age;
+        let sent_at = at - report.ran_for;
         let position = self.find_or_insert(report.target, at);
         let crash = &mut self.crashes[position];
+        if sent_at > crash.at {
+            // The target was down already when the request was sent.
+            return;
+        }
         let becomes_explained = is_explained && !crash.explained;
         crash.explained |= is_explained;
         let parts = report.parts.clone();
-        let sent_at = at - report.ran_for;
         let mut requests = crash.requests.iter_mut();
         if let Some(known) = requests.find(|known| known.parts == report.parts) {
             known.sent_at = known.sent_at.max(sent_at);
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -54,6 +54,9 @@
 const REGION_CONNECT_TIMEOUT: Millis = Millis(70);
 /// Time-out for opening a connection to a target of another region: several round trips.
 const CONNECT_TIMEOUT: Millis = Millis(250);
+/// How long a connection that is opened to find out whether a target runs must stay open: more than a
+/// round trip between regions.
+const PROBE_TIME: Millis = Millis(100);
 /// How long an idle connection is kept if the target sends no keep-alive time-out.
 const DEFAULT_KEEP_ALIVE: Millis = Millis(4_000);
 /// How long before the target's own idle time-out a connection is closed.
@@ -284,10 +287,16 @@
         })
     }
 
-    /// Whether a target accepts a new connection, which is closed at once.
+    /// Whether a target accepts a new connection and keeps it open. Something in front of a target that is
+    /// down may accept connections and close them.
     pub(crate) async fn accepts_connections(&self, address: SocketAddr) -> bool {
         let stream = timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(address)).await;
-        matches!(stream, Ok(Ok(_)))
+        let Ok(Ok(stream)) = stream else {
+            return false;
+        };
+        // A target sends nothing on a connection without a request, so this ends only if it is closed.
+        let closed = timeout(PROBE_TIME.duration(), stream.readable()).await;
+        closed.is_err()
     }
 
     /// Sends a request and waits for the head of its response.
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -162,6 +162,20 @@
     assert_eq!(leader.crash(&PROMPT), [DEADLY]);
 }
 
+/// Guards against a quarantine of sound parts because of requests that were sent to targets which were
+/// down already.
+#[test]
+fn requests_sent_after_the_crash_of_their_target_are_no_evidence() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.crash(&[]);
+        leader.now += Millis(200);
+        let late = leader.report(leader.crashes, &[FIRST, OTHER], Millis(50));
+        leader.manager.record_crash(late, leader.now);
+    }
+    assert!(leader.quarantined().is_empty());
+}
+
 #[test]
 fn reports_of_one_crash_count_once() {
     let mut leader = Leader::new();
