serving: lists of prompt parts go only to instances that accept them

Found in review, by reading: an instance of the version before drops the connection on a message that it does not know, and the list came first, so that during a rolling upgrade with a quarantined part it would have got neither manifest nor targets. Change: a follower says that it accepts the list and is sent it then, and after each change. The list of the last leader stays in force until the new one has sent its own, also an empty one.

--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -285,6 +285,7 @@
     };
     // A failure also ends the stream of the leader.
     let _ = tx.send(hello).await;
+    let _ = tx.send(FollowerMessage::AcceptsParts).await;
     let why = tokio::select! {
         why = receive(cx, notifications, &mut incoming) => why,
         () = report_loads(cx, &tx) => "the stream to the leader closed",
@@ -308,6 +309,7 @@
     incoming: &mut Streaming<Parcel>,
 ) -> &'static str {
     let mut has_targets = false;
+    let mut has_parts = false;
     loop {
         let limit = if has_targets {
             LEADER_TIMEOUT
@@ -327,12 +329,8 @@
         match message {
             Ok(LeaderMessage::Manifest(manifest)) => cx.apply_manifest(&manifest),
             Ok(LeaderMessage::Targets(records)) => {
+                has_targets = true;
                 drop(cx.merge_targets(records));
-                if !has_targets {
-                    has_targets = true;
-                    cx.part_guard().end_initial_messages();
-                    parts::report_recent_crashes(cx);
-                }
             }
             Ok(LeaderMessage::Loads(loads)) => {
                 let mut balancer = cx.balancer();
@@ -346,7 +344,13 @@
                     .set_peers(neighbourhood.ips.into_iter().collect());
             }
             Ok(LeaderMessage::Noted(notice)) => notifications.confirm(notice),
-            Ok(LeaderMessage::Parts(list)) => cx.part_guard().apply(list),
+            Ok(LeaderMessage::Parts(list)) => {
+                cx.part_guard().apply(list);
+                if !has_parts {
+                    has_parts = true;
+                    parts::report_recent_crashes(cx);
+                }
+            }
             Err(_) => return "a message from the leader is malformed",
         }
     }
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -143,6 +143,9 @@
     },
     /// Number of requests that the follower has in flight at each target.
     Loads(Vec<(TargetKey, u32)>),
+    /// The follower understands [`LeaderMessage::Parts`]. One of the version before would drop the
+    /// connection.
+    AcceptsParts,
 }
 
 /// A message of the leader to its followers.
@@ -159,8 +162,8 @@
     Neighbours(Neighbourhood),
     /// All followers were sent the notification with this number.
     Noted(u64),
-    /// Prompt parts that are quarantined or suspected. Sent on connection if there are any, and after each
-    /// change.
+    /// Prompt parts that are quarantined or suspected. Sent to followers that accept it, on connection and
+    /// after each change.
     Parts(PartList),
 }
 
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -88,18 +88,11 @@
 
 impl PartGuard {
     /// Records a new connection to a leader. The list of the last one stays in force until the new
-    /// leader has sent its own, or has sent everything without one.
+    /// leader has sent its own.
     pub fn begin_connection(&mut self) {
         self.is_current = false;
     }
 
-    /// Records that the leader has sent everything that it sends on connection.
-    pub fn end_initial_messages(&mut self) {
-        if !self.is_current {
-            self.apply(PartList::default());
-        }
-    }
-
     /// Applies the list of the leader.
     pub fn apply(&mut self, list: PartList) {
         let is_update = std::mem::replace(&mut self.is_current, true);
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -4,7 +4,10 @@
 //! entry forwards the leader's messages to it, and its target announcements to the leader.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::IpAddr,
     sync::{
         Arc,
@@ -26,6 +29,7 @@
         LeaderFrame,
         LeaderMessage, //
     },
+    quarantine::PartList,
 };
 
 /// Time limit for the leader to answer a forwarded request.
@@ -37,6 +41,8 @@
     direct: bool,
     next_id: u64,
     followers: HashMap<u64, mpsc::Sender<LeaderFrame>>,
+    /// Followers that understand lists of prompt parts.
+    accept_parts: HashSet<u64>,
 }
 
 /// Instances that follow the leader through this entry.
@@ -73,9 +79,16 @@
             return;
         }
         let frame = LeaderFrame::from(message);
-        inner
-            .followers
-            .retain(|_, tx| tx.try_send(frame.clone()).is_ok());
+        let is_parts = matches!(message, LeaderMessage::Parts(_));
+        let Inner {
+            followers,
+            accept_parts,
+            ..
+        } = &mut *inner;
+        followers.retain(|id, tx| {
+            (is_parts && !accept_parts.contains(id)) || tx.try_send(frame.clone()).is_ok()
+        });
+        accept_parts.retain(|id| followers.contains_key(id));
     }
 
     fn add(&self, tx: mpsc::Sender<LeaderFrame>, initial: Vec<LeaderMessage>) -> Option<u64> {
@@ -92,6 +105,16 @@
         Some(id)
     }
 
+    /// Sends the list of parts to a follower that accepts it, now and after each change.
+    fn accept_parts(&self, follower: u64, list: PartList) {
+        let mut inner = self.inner();
+        let frame = LeaderFrame::from(&LeaderMessage::Parts(list));
+        let tx = inner.followers.get(&follower);
+        if tx.is_some_and(|tx| tx.try_send(frame).is_ok()) {
+            inner.accept_parts.insert(follower);
+        }
+    }
+
     fn get(&self, follower: u64) -> Option<mpsc::Sender<LeaderFrame>> {
         self.inner().followers.get(&follower).cloned()
     }
@@ -123,12 +146,9 @@
 
     fn follow(&self, tx: mpsc::Sender<LeaderFrame>) -> Result<u64, Option<IpAddr>> {
         let records: Vec<_> = self.cx.targets().records().cloned().collect();
-        let parts = self.cx.part_guard().list().clone();
-        let parts = (!parts.is_empty()).then_some(LeaderMessage::Parts(parts));
         let manifest = self.cx.manifest().map(LeaderMessage::Manifest);
-        let initial = parts
+        let initial = manifest
             .into_iter()
-            .chain(manifest)
             .chain([LeaderMessage::Targets(records)]);
         self.cx.relay.add(tx, initial.collect()).ok_or(None)
     }
@@ -140,6 +160,10 @@
                 let _ = self.cx.send_to_leader(FollowerMessage::Announced(record));
                 return;
             }
+            FollowerMessage::AcceptsParts => {
+                let list = self.cx.part_guard().list().clone();
+                return self.cx.relay.accept_parts(follower, list);
+            }
             // The leader counts only the loads of its direct followers.
             FollowerMessage::Hello { .. } | FollowerMessage::Loads(_) => return,
             FollowerMessage::Draining { record, notice } => (notice, Departure::Draining(record)),
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -83,6 +83,8 @@
     /// LoadGroup whose loads the follower was sent.
     group: Option<LoadGroup>,
     sent_at: Millis,
+    /// Whether it understands lists of prompt parts.
+    accepts_parts: bool,
 }
 
 impl Follower {
@@ -170,10 +172,6 @@
         if self.inner().leader_since.is_none() || !self.replica.holds_lease() {
             return None;
         }
-        // First, so that a request which is served by the manifest is checked.
-        if let Some(frame) = self.all_parts() {
-            tx.try_send(frame).ok()?;
-        }
         if let Some(manifest) = self.replica.read(|state| state.manifest().cloned()) {
             let frame = LeaderFrame::from(&LeaderMessage::Manifest(manifest));
             tx.try_send(frame).ok()?;
@@ -188,6 +186,7 @@
             loads: Vec::new(),
             group: None,
             sent_at: Millis::ZERO,
+            accepts_parts: false,
         };
         inner.followers.insert(id, follower);
         Some(id)
@@ -273,6 +272,7 @@
                 }
                 self.inner().neighbours_changed = true;
             }
+            FollowerMessage::AcceptsParts => self.send_parts_to(follower),
             FollowerMessage::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
                     follower.loads = loads;
--- a/crates/serving/src/store/hub/parts.rs
+++ b/crates/serving/src/store/hub/parts.rs
@@ -18,6 +18,11 @@
 use super::Hub;
 
 impl Hub {
+    /// Whether this instance leads and has loaded the recorded parts.
+    pub(in crate::store) fn decides_on_parts(&self) -> bool {
+        self.inner().leader_since.is_some() && self.replica.holds_lease()
+    }
+
     /// Records requests that crashes of their targets cut off.
     pub(in crate::store) fn record_crashes(&self, reports: Vec<CrashReport>) {
         let now = self.cx.clock.now();
@@ -68,10 +73,15 @@
         true
     }
 
-    /// The list of parts for a new follower; `None` if there are none.
-    pub(super) fn all_parts(&self) -> Option<LeaderFrame> {
-        let list = self.inner().sent_parts.clone();
-        (!list.is_empty()).then(|| LeaderFrame::from(&LeaderMessage::Parts(list)))
+    /// Sends the list of parts to a follower that accepts it, now and after each change.
+    pub(super) fn send_parts_to(&self, follower: u64) {
+        let mut inner = self.inner();
+        let message = LeaderMessage::Parts(inner.sent_parts.clone());
+        if let Some(follower) = inner.followers.get_mut(&follower) {
+            follower.accepts_parts = true;
+        }
+        drop(inner);
+        self.send(follower, message);
     }
 
     /// Applies the list of parts and sends it to the followers, if it has changed.
@@ -85,7 +95,10 @@
         drop(inner);
         metrics::gauge!("yuccaseam_quarantined_parts").set(list.quarantined.len() as f64);
         self.cx.part_guard().apply(list.clone());
-        self.broadcast(&LeaderMessage::Parts(list));
+        let frame = LeaderFrame::from(&LeaderMessage::Parts(list));
+        self.inner().followers.retain(|_, follower| {
+            !follower.accepts_parts || follower.tx.try_send(frame.clone()).is_ok()
+        });
     }
 
     /// Loads the quarantined parts recorded in the log.
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -305,10 +305,9 @@
     guard.begin_connection();
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
     guard.apply(list(false));
-    guard.end_initial_messages();
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
     guard.begin_connection();
-    guard.end_initial_messages();
+    guard.apply(PartList::default());
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Allowed);
 }
 
@@ -387,7 +386,7 @@
         suspected: vec![DEADLY],
     });
     guard.begin_connection();
-    guard.end_initial_messages();
+    guard.apply(PartList::default());
     assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
 }
 
