serving: the trial of a quarantined part is taken only with a slot

Found in review, by reading: a request could use the trial up and then be refused for want of a slot, so that a sound part stayed refused until the next trial, ten times as late. Change: the request waits for a slot first. Unit and process tests pass; no test of its own.

--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -179,8 +179,6 @@
     caller_timeout: Millis,
     /// Shared parts of the prompt.
     parts: Vec<PromptPart>,
-    /// Whether the leader granted the next attempt as the trial of a quarantined part.
-    has_trial: bool,
     tried: Vec<TargetKey>,
     rejections: usize,
     /// Number of targets that may have run the request.
@@ -214,7 +212,6 @@
         headers::strip_hop_by_hop(&mut head.headers);
         Some(Self {
             parts: PromptPart::shared_of(&head.headers),
-            has_trial: false,
             cx,
             id,
             manifest: req.manifest,
@@ -287,7 +284,7 @@
             if now >= self.deadline {
                 return Err(self.fail("deadline_passed"));
             }
-            self.recheck_parts()?;
+            self.check_parts()?;
             let times = self.cx.service_times(&self.service, self.route.objective);
             let slot_request = SlotRequest {
                 waited: now - queued_at,
@@ -348,9 +345,8 @@
         last_event: Option<&str>,
     ) -> Result<(Slot, UpstreamResponse), RequestFailure> {
         loop {
-            self.check_parts().await?;
             let slot = self.acquire_slot().await?;
-            self.has_trial = false;
+            self.take_part_admission().await?;
             let req = self.build_request(&slot.choice, last_event);
             self.sent_at = self.now();
             let limits = CallLimits {
--- a/crates/serving/src/entry/online/prompt.rs
+++ b/crates/serving/src/entry/online/prompt.rs
@@ -22,33 +22,29 @@
 const QUARANTINE_RETRY_AFTER: Millis = Millis::from_secs(30);
 
 impl ActiveRequest {
-    /// Fails the request if a part of its prompt is quarantined, unless the leader grants a trial.
-    pub(super) async fn check_parts(&mut self) -> Result<(), RequestFailure> {
-        let admission = self.admission();
-        if let Admission::TrialDue(part) = admission {
-            self.has_trial = parts::take_trial(&self.cx, part).await;
+    /// Fails the request if a part of its prompt is quarantined. If a trial of the part is due, the
+    /// request may wait for a slot.
+    pub(super) fn check_parts(&self) -> Result<(), RequestFailure> {
+        match self.admission() {
+            Admission::Refused(part) => Err(self.refuse_part(part)),
+            Admission::Allowed | Admission::TrialDue(_) => Ok(()),
         }
-        self.check_admission(admission)
     }
 
-    /// Checks the parts again after a wait, in which one may have been quarantined.
-    pub(super) fn recheck_parts(&self) -> Result<(), RequestFailure> {
-        self.check_admission(self.admission())
+    /// Fails the request, for which there is a slot, if a part of its prompt is quarantined and the leader
+    /// grants no trial.
+    pub(super) async fn take_part_admission(&self) -> Result<(), RequestFailure> {
+        match self.admission() {
+            Admission::Allowed => Ok(()),
+            Admission::TrialDue(part) if parts::take_trial(&self.cx, part).await => Ok(()),
+            Admission::Refused(part) | Admission::TrialDue(part) => Err(self.refuse_part(part)),
+        }
     }
 
     fn admission(&self) -> Admission {
         self.cx.part_guard().admit(&self.parts, self.now())
     }
 
-    fn check_admission(&self, admission: Admission) -> Result<(), RequestFailure> {
-        match admission {
-            Admission::Refused(part) | Admission::TrialDue(part) if !self.has_trial => {
-                Err(self.refuse_part(part))
-            }
-            _ => Ok(()),
-        }
-    }
-
     fn refuse_part(&self, part: PromptPart) -> RequestFailure {
         log::info!(request:% = self.id, part:% = part; "prompt part is quarantined");
         RequestFailure {
