serving: reports on prompt parts have the right age, and reach a leader that has loaded the parts

Found in review, by reading: a report that was tried again carried the age of its first attempt, so that reports of simultaneous crashes during a change of leader looked like crashes in a row; and a new leader took reports before it had loaded the recorded parts, and lost them. Change: each attempt states the age anew; a leader takes reports once it has loaded the parts. Measured: unit and process tests pass.

--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -12,7 +12,8 @@
     cx::Cx,
     link::{
         HubReply,
-        HubRequest, //
+        HubRequest,
+        pause, //
     },
     quarantine::CrashReport,
     targets::TargetKey,
@@ -20,6 +21,10 @@
 
 /// How long a report to the leader is tried. A new leader is elected within that time.
 const REPORT_TIMEOUT: Millis = Millis(3_000);
+/// Time limit of one attempt. Short, since a report holds the age of a crash.
+const ATTEMPT_TIMEOUT: Millis = Millis(500);
+/// Pause between two attempts.
+const ATTEMPT_BACKOFF: Millis = Millis(60);
 /// How long a request waits for the grant of a trial.
 const TRIAL_TIMEOUT: Millis = Millis(300);
 
@@ -59,7 +64,7 @@
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
         if let Some(report) = request.into_report(&cx).await {
-            report_to_leader(&cx, HubRequest::ReportCrashes(vec![report]));
+            report_crashes(&cx, vec![report]);
         }
     });
 }
@@ -69,7 +74,7 @@
 pub(crate) fn prove(cx: &Arc<Cx>, parts: &[PromptPart]) {
     let watched = cx.part_guard().prove(parts, cx.clock.now());
     if !watched.is_empty() {
-        report_to_leader(cx, HubRequest::ProveParts(watched));
+        report_to_leader(cx, move |_| HubRequest::ProveParts(watched.clone()));
     }
 }
 
@@ -77,18 +82,42 @@
 pub(crate) fn report_recent_crashes(cx: &Arc<Cx>) {
     let reports = cx.part_guard().recent_reports(cx.clock.now());
     if !reports.is_empty() {
-        report_to_leader(cx, HubRequest::ReportCrashes(reports));
+        report_crashes(cx, reports);
     }
 }
 
-fn report_to_leader(cx: &Arc<Cx>, request: HubRequest) {
+/// Reports crashes to the leader, with their ages at the time of each attempt.
+fn report_crashes(cx: &Arc<Cx>, reports: Vec<CrashReport>) {
+    let created_at = cx.clock.now();
+    report_to_leader(cx, move |now| {
+        let reports = reports.iter().map(|report| CrashReport {
+            age: report.age + (now - created_at),
+            ..report.clone()
+        });
+        HubRequest::ReportCrashes(reports.collect())
+    });
+}
+
+/// Calls the leader until it confirms, with a request that is built anew for each attempt.
+fn report_to_leader<F>(cx: &Arc<Cx>, build: F)
+where
+    F: Fn(Millis) -> HubRequest + Send + 'static,
+{
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
         let deadline = cx.clock.now() + REPORT_TIMEOUT;
-        match cx.call_leader(&request, deadline).await {
-            Some(HubReply::Done) => {}
-            // Crashes are reported again to the next leader.
-            reply => log::warn!(reply:? = reply; "leader did not confirm a report on prompt parts"),
+        loop {
+            let now = cx.clock.now();
+            let reply = cx.call_leader(&build(now), now + ATTEMPT_TIMEOUT).await;
+            if reply == Some(HubReply::Done) {
+                return;
+            }
+            if cx.clock.now() >= deadline {
+                // Crashes are reported again to the next leader.
+                log::warn!(reply:? = reply; "leader did not confirm a report on prompt parts");
+                return;
+            }
+            pause(ATTEMPT_BACKOFF).await;
         }
     });
 }
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -173,7 +173,7 @@
             HubRequest::StartRetiring(instance) => self.start_retiring(instance).await,
             HubRequest::GetRetiring(instance) => self.get_retiring(&instance).await,
             HubRequest::ReportCrashes(_) | HubRequest::ProveParts(_) | HubRequest::TryPart(_)
-                if !self.is_leader() =>
+                if !self.hub.decides_on_parts() =>
             {
                 self.not_leader()
             }
