tests: the first entry has the manifest and the target before targets misbehave

Cause: a manifest that one instance has accepted is in force at the others some ms later; the test sent all of its 200 calls within 40 ms and got 503, "no manifest available yet" (log of the entry). Change: the test waits for both. Its checks are the same.

--- a/crates/daemon/tests/all/platform/misbehaving.rs
+++ b/crates/daemon/tests/all/platform/misbehaving.rs
@@ -58,9 +58,28 @@
     let target = PlatformTarget::start_behind("odd", "llm", "a1", 8, system.control(), place).await;
     let (target, ()) = target.expect("a target starts");
     assert!(system.put_manifest(1).await, "a manifest is accepted");
+    wait_until_ready(&system).await;
     (system, target)
 }
 
+/// Waits until the first entry has the manifest, which another instance may have accepted, and knows the
+/// target. Before that it refuses every request at once.
+async fn wait_until_ready(system: &PlatformSystem) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let log = system.entries[0].log();
+        let is_known = |line: &str| line.contains("target changed") && line.contains("odd");
+        if log.contains("manifest in force") && log.lines().any(is_known) {
+            return;
+        }
+        assert!(
+            Instant::now() < until,
+            "the first entry is not ready:\n{log}"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Answers each request, and sends a second copy of the answer while the connection is idle or in use
 /// again.
 fn answer_twice(mut stream: TcpStream) -> io::Result<()> {
