--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -13,16 +13,15 @@
 
 use crate::targets::TargetKey;
 
-/// Consecutive crashes after which a part is quarantined. Callers lose little by one more crash, and
-/// two in a row can be a coincidence.
+/// Consecutive crashes after which a part is quarantined. Two in a row can be a coincidence.
 const CRASHES_TO_QUARANTINE: usize = 3;
 /// Time after a crash from which a request counts as sent after it. Reports of one moment arrive at
 /// different times.
 const ORDER_MARGIN: Millis = Millis(100);
 /// How long a crash counts. Requests with a part may be rare.
 const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
-/// Longest time between two reports of one crash. A later one is of another crash: a target whose
-/// connections were reset goes on.
+/// Longest time between two reports of one crash of a target. A later report is of another crash: the
+/// first one may have been a reset of connections, after which the same start of the target goes on.
 const MAX_REPORT_SPREAD: Millis = Millis::from_secs(5);
 /// Crashes that are kept. The oldest is dropped beyond that.
 const MAX_CRASHES: usize = 256;
@@ -31,8 +30,8 @@
 /// Requests that are kept of one crash: more than the slots of a target.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
 
-/// Time that also orders crashes from before the start of the clock, as instances report them to a leader
-/// that has just started.
+/// Shifts the time so that crashes from before the start of the clock keep their order. Instances report
+/// such crashes to a leader that has just started.
 fn evidence_time(now: Millis) -> Millis {
     now + EVIDENCE_LIFETIME
 }
--- a/crates/serving/src/quarantine/mod.rs
+++ b/crates/serving/src/quarantine/mod.rs
@@ -11,9 +11,9 @@
 //!
 //! # Invariants
 //!
-//! - A request that a target has begun to answer is no evidence against its parts, but for them.
-//! - Simultaneous crashes count once for a part: a request that was sent before a crash shows nothing
-//!   about the part that the crash does not.
+//! - A request that a target has begun to answer clears its parts of the crashes before.
+//! - A crash counts against a part only if the request was sent after the last crash that counts, so
+//!   that simultaneous crashes count once.
 //! - One request with a quarantined part reaches a target in each trial period, and none besides, once
 //!   all instances know of the quarantine.
 
