serving: the line of a failed request tells repeats of one request from others

Crashes of targets could not be traced to the request behind them: each attempt of a caller has an id of its own, and plain requests declare no prompt parts. The line has a digest of method, host, path and body now, which is the same for each repeat. No decision changes.

--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -52,6 +52,7 @@
         Choice, //
     },
     cx::Cx,
+    quarantine::Feature,
     routes::choose_destination,
     targets::TargetKey,
     upstream::{
@@ -179,6 +180,8 @@
     caller_timeout: Millis,
     /// Shared parts of the prompt.
     parts: Vec<PromptPart>,
+    /// The same for each repeat of the request.
+    whole_request: Feature,
     tried: Vec<TargetKey>,
     rejections: usize,
     /// Number of targets that may have run the request.
@@ -212,6 +215,7 @@
         headers::strip_hop_by_hop(&mut head.headers);
         Some(Self {
             parts: PromptPart::shared_of(&head.headers),
+            whole_request: Feature::of_whole(&head, &req.body),
             cx,
             id,
             manifest: req.manifest,
@@ -433,6 +437,7 @@
             request:% = self.id, target_name:% = slot.choice.name, failure = code,
             verdict = error.verdict.code(), running_ms = (self.now() - self.sent_at).0,
             first_event_ms = self.first_event_at.map(|at| (at - self.sent_at).0),
+            whole_request:% = self.whole_request,
             prompt_parts = headers::text(&self.head.headers, &headers::PROMPT_PARTS);
             "request failed at the target");
         slot.record_failure();
--- a/crates/serving/src/quarantine/mod.rs
+++ b/crates/serving/src/quarantine/mod.rs
@@ -18,6 +18,7 @@
 //!   all instances know of the quarantine.
 
 mod evidence;
+mod feature;
 mod guard;
 mod manager;
 
@@ -25,6 +26,7 @@
     CrashEvidence,
     CrashReport, //
 };
+pub use feature::Feature;
 pub use guard::{
     Admission,
     PartGuard, //
