serving: a request that crashes targets when callers repeat it is quarantined

Cause: evidence was kept by prompt parts only. A request without a prompt left none, and each attempt has a new id, so every repeat was a request like any other.

Change: a request has the features that its prompt declares and itself as a whole, a digest of method, host, path and body, as the last one. Quarantine, reports, trials, the list and the log work on features; both kinds fit the 128 bits of a part on the wire and in the log, so earlier logs stay readable. A whole request is quarantined by three crashes of its own, also if its entry sent it again at once. Crashes of one whole request count once against its prompt parts, so that one request takes no part away from others; a part is blamed by three of its requests. Batch items are owed and are no whole request.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -2,6 +2,7 @@
 //! protocol. Each system has a loopback network of its own.
 
 mod control;
+mod deadly;
 mod floods;
 mod framing;
 mod jobs;
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -35,7 +35,6 @@
     Verdict, //
 };
 use yuccaseam_platform::{
-    PromptPart,
     Route,
     headers, //
 };
@@ -178,10 +177,10 @@
     pub(super) arrived_at: Millis,
     pub(super) deadline: Millis,
     caller_timeout: Millis,
-    /// Shared parts of the prompt.
-    parts: Vec<PromptPart>,
     /// The same for each repeat of the request.
     whole_request: Feature,
+    /// What it may have in common with other requests that crash targets.
+    features: Vec<Feature>,
     tried: Vec<TargetKey>,
     rejections: usize,
     /// Number of targets that may have run the request.
@@ -213,9 +212,10 @@
         let caller_timeout = time_left.unwrap_or(route.timeout);
         let mut head = req.head;
         headers::strip_hop_by_hop(&mut head.headers);
+        let whole_request = Feature::whole_request(&head, &req.body);
         Some(Self {
-            parts: PromptPart::shared_of(&head.headers),
-            whole_request: Feature::of_whole(&head, &req.body),
+            whole_request,
+            features: Feature::of_request(&head.headers, whole_request),
             cx,
             id,
             manifest: req.manifest,
--- a/crates/serving/src/entry/online/prompt.rs
+++ b/crates/serving/src/entry/online/prompt.rs
@@ -1,14 +1,16 @@
 //! What the parts of its prompt mean for a request: refusal, trials and evidence.
 
 use yuccaseam_base::Millis;
-use yuccaseam_platform::PromptPart;
 
 use crate::{
     parts::{
         self,
         BrokenRequest, //
     },
-    quarantine::Admission,
+    quarantine::{
+        Admission,
+        Feature, //
+    },
     upstream::UpstreamError, //
 };
 
@@ -42,10 +44,10 @@
     }
 
     fn admission(&self) -> Admission {
-        self.cx.part_guard().admit(&self.parts, self.now())
+        self.cx.part_guard().admit(&self.features, self.now())
     }
 
-    fn refuse_part(&self, part: PromptPart) -> RequestFailure {
+    fn refuse_part(&self, part: Feature) -> RequestFailure {
         log::info!(request:% = self.id, part:% = part; "prompt part is quarantined");
         RequestFailure {
             retry_after: Some(QUARANTINE_RETRY_AFTER),
@@ -55,7 +57,7 @@
 
     /// Records that a target has begun to answer.
     pub(in super::super) fn prove_parts(&self) {
-        parts::prove(&self.cx, &self.parts);
+        parts::prove(&self.cx, &self.features);
     }
 
     /// Records a possible crash of a target that had not begun to answer, as evidence against the prompt.
@@ -64,7 +66,7 @@
             let request = BrokenRequest {
                 target: slot.choice.key,
                 address: slot.choice.address,
-                parts: self.parts.clone(),
+                parts: self.features.clone(),
                 sent_at: self.sent_at,
             };
             parts::record_broken(&self.cx, request);
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -13,13 +13,13 @@
     TargetName,
     record, //
 };
-use yuccaseam_platform::PromptPart;
 
 use crate::{
     balance::Load,
     neighbourhood::Neighbourhood,
     quarantine::{
         CrashReport,
+        Feature,
         PartList, //
     },
     state::{
@@ -81,9 +81,9 @@
     /// Record requests that crashes of their targets cut off before the first event.
     ReportCrashes(Vec<CrashReport>),
     /// Record that targets have begun to answer requests with these prompt parts.
-    ProveParts(Vec<PromptPart>),
+    ProveParts(Vec<Feature>),
     /// Ask for the trial of a quarantined prompt part. [`HubReply::NotFound`] if none is due.
-    TryPart(PromptPart),
+    TryPart(Feature),
 }
 
 /// The reply to a request.
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -6,7 +6,6 @@
 };
 
 use yuccaseam_base::Millis;
-use yuccaseam_platform::PromptPart;
 
 use crate::{
     cx::Cx,
@@ -15,7 +14,10 @@
         HubRequest,
         pause, //
     },
-    quarantine::CrashReport,
+    quarantine::{
+        CrashReport,
+        Feature, //
+    },
     targets::TargetKey,
 };
 
@@ -33,7 +35,7 @@
     pub(crate) target: TargetKey,
     pub(crate) address: SocketAddr,
     /// Shared parts of the prompt.
-    pub(crate) parts: Vec<PromptPart>,
+    pub(crate) parts: Vec<Feature>,
     pub(crate) sent_at: Millis,
 }
 
@@ -47,10 +49,10 @@
         }
         let ran_for = crashed_at - self.sent_at;
         let mut guard = cx.part_guard();
-        let (mut report, culprit) =
+        let (mut report, culprits) =
             guard.record_crash(self.target, &self.parts, ran_for, crashed_at);
         drop(guard);
-        if let Some(part) = culprit {
+        for part in culprits {
             log::warn!(part:% = part; "prompt part quarantined at this instance");
         }
         report.age = cx.clock.now() - crashed_at;
@@ -71,7 +73,7 @@
 
 /// Records that a target has begun to answer a request, and tells the leader if it watches a part of the
 /// prompt.
-pub(crate) fn prove(cx: &Arc<Cx>, parts: &[PromptPart]) {
+pub(crate) fn prove(cx: &Arc<Cx>, parts: &[Feature]) {
     let watched = cx.part_guard().prove(parts, cx.clock.now());
     if !watched.is_empty() {
         report_to_leader(cx, move |_| HubRequest::ProveParts(watched.clone()));
@@ -123,7 +125,7 @@
 }
 
 /// Asks the leader for the trial of a quarantined part. False if it grants none in time.
-pub(crate) async fn take_trial(cx: &Cx, part: PromptPart) -> bool {
+pub(crate) async fn take_trial(cx: &Cx, part: Feature) -> bool {
     let deadline = cx.clock.now() + TRIAL_TIMEOUT;
     let reply = cx.call_leader(&HubRequest::TryPart(part), deadline).await;
     reply == Some(HubReply::Done)
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{
     BTreeMap,
+    BTreeSet,
     VecDeque, //
 };
 
@@ -9,15 +10,19 @@
     Millis,
     record, //
 };
-use yuccaseam_platform::PromptPart;
 
 use crate::targets::TargetKey;
 
+use super::Feature;
+
 /// Consecutive crashes after which a part is quarantined. Two in a row can be a coincidence.
 const CRASHES_TO_QUARANTINE: usize = 3;
 /// Time after a crash from which a request counts as sent after it. Reports of one moment arrive at
 /// different times.
 const ORDER_MARGIN: Millis = Millis(100);
+/// How long before a crash the next repeat of a whole request may seem to have been sent: an entry sends it
+/// again as soon as its connection breaks, and reports travel for different times.
+const REPEAT_MARGIN: Millis = Millis(50);
 /// How long a crash counts. Requests with a part may be rare.
 const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
 /// Longest time between two reports of one crash of a target. A later report is of another crash: the
@@ -42,7 +47,7 @@
     /// Start of the target that crashed.
     pub target: TargetKey,
     /// Shared parts of the prompt, in order.
-    pub parts: Vec<PromptPart>,
+    pub parts: Vec<Feature>,
     /// Time from when the request was sent to the crash.
     pub ran_for: Millis,
     /// Time since the crash.
@@ -51,31 +56,91 @@
 
 #[derive(Debug)]
 struct CutOffRequest {
-    parts: Vec<PromptPart>,
+    parts: Vec<Feature>,
     sent_at: Millis,
 }
 
+impl CutOffRequest {
+    /// The whole request. `None` for a batch item.
+    fn whole(&self) -> Option<Feature> {
+        self.parts
+            .iter()
+            .copied()
+            .find(|part| part.is_whole_request())
+    }
+}
+
 #[derive(Debug)]
 struct Crash {
     target: TargetKey,
     at: Millis,
     requests: Vec<CutOffRequest>,
-    /// Whether one of the requests has a part that was quarantined. The crash is no evidence against
-    /// the parts of others.
-    explained: bool,
+    cause: Cause,
+}
+
+/// What is known of the cause of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    Unknown,
+    /// A feature that was quarantined because of this crash, among others.
+    Found(Feature),
+    /// A feature that was quarantined before the crash was reported.
+    Known(Feature),
+}
+
+impl Cause {
+    fn feature(self) -> Option<Feature> {
+        match self {
+            Self::Unknown => None,
+            Self::Found(feature) | Self::Known(feature) => Some(feature),
+        }
+    }
 }
 
 impl Crash {
-    fn parts(&self) -> Vec<PromptPart> {
+    fn parts(&self) -> Vec<Feature> {
         let parts = self.requests.iter().flat_map(|request| &request.parts);
         parts.copied().collect()
     }
 
-    /// When the last request with a part was sent.
-    fn sent_at(&self, part: PromptPart) -> Option<Millis> {
+    /// Records a cause. Returns whether that changes what the crash is evidence against.
+    fn explain(&mut self, cause: Cause) -> bool {
+        let is_part = |cause: Cause| {
+            let feature = cause.feature();
+            feature.is_some_and(|feature| !feature.is_whole_request())
+        };
+        let is_new = match self.cause {
+            Cause::Unknown => true,
+            Cause::Found(_) => is_part(cause) || matches!(cause, Cause::Known(_)),
+            Cause::Known(_) => is_part(cause) && !is_part(self.cause),
+        };
+        if is_new {
+            self.cause = cause;
+        }
+        is_new
+    }
+
+    /// Requests with a feature that the crash is evidence against.
+    fn suspects(&self, feature: Feature) -> impl Iterator<Item = &CutOffRequest> {
         let requests = self.requests.iter();
-        let with_part = requests.filter(|request| request.parts.contains(&part));
-        with_part.map(|request| request.sent_at).max()
+        requests.filter(move |request| {
+            request.parts.contains(&feature) && self.is_evidence(request, feature)
+        })
+    }
+
+    fn is_evidence(&self, request: &CutOffRequest, feature: Feature) -> bool {
+        let Some(cause) = self.cause.feature() else {
+            return true;
+        };
+        if !cause.is_whole_request() {
+            return false;
+        }
+        if request.parts.contains(&cause) {
+            // One of its own parts may be what crashes targets.
+            return cause != feature;
+        }
+        // The request that was found first may have been a bystander.
+        matches!(self.cause, Cause::Found(_)) && feature.is_whole_request()
     }
 }
 
@@ -85,18 +150,19 @@
     /// Ordered by time.
     crashes: VecDeque<Crash>,
     /// Consecutive crashes of each part, at least one.
-    counts: BTreeMap<PromptPart, usize>,
+    counts: BTreeMap<Feature, usize>,
     /// When a target last began to answer a request with a part. Only parts of recent crashes.
-    proved_at: BTreeMap<PromptPart, Millis>,
+    proved_at: BTreeMap<Feature, Millis>,
     /// Parts that were in the crashes of a culprit, before it in the prompts, and when the last of these
     /// crashes was. No target has begun to answer a request with them since.
-    passed_over: BTreeMap<PromptPart, Millis>,
+    passed_over: BTreeMap<Feature, Millis>,
+    /// Culprits that no target has begun to answer since. They are not found a second time.
+    taken: BTreeSet<Feature>,
 }
 
 impl CrashEvidence {
-    /// Records a request that a crash cut off. `is_explained` says whether one of its parts is
-    /// quarantined already.
-    pub fn record(&mut self, report: CrashReport, is_explained: bool, now: Millis) {
+    /// Records a request that a crash cut off. `cause` is a feature of it that is quarantined already.
+    pub fn record(&mut self, report: CrashReport, cause: Option<Feature>, now: Millis) {
         let now = evidence_time(now);
         self.expire(now);
         let at = now - report.age;
@@ -107,8 +173,7 @@
             // The target was down already when the request was sent.
             return;
         }
-        let becomes_explained = is_explained && !crash.explained;
-        crash.explained |= is_explained;
+        let becomes_explained = cause.is_some_and(|cause| crash.explain(Cause::Known(cause)));
         let parts = report.parts.clone();
         let mut requests = crash.requests.iter_mut();
         if let Some(known) = requests.find(|known| known.parts == report.parts) {
@@ -143,7 +208,7 @@
                 target,
                 at,
                 requests: Vec::new(),
-                explained: false,
+                cause: Cause::Unknown,
             };
             self.crashes.insert(position, crash);
             position
@@ -151,35 +216,56 @@
     }
 
     /// Records that a target has begun to answer a request with these parts.
-    pub fn prove(&mut self, parts: &[PromptPart], now: Millis) {
+    pub fn prove(&mut self, parts: &[Feature], now: Millis) {
         let now = evidence_time(now);
         for part in parts {
             self.passed_over.remove(part);
+            self.taken.remove(part);
             if self.counts.remove(part).is_some() {
                 self.proved_at.insert(*part, now);
             }
         }
     }
 
-    /// Parts that the next crashes may quarantine, those with most crashes first.
-    pub fn suspected(&self) -> Vec<PromptPart> {
+    /// Features that the next crashes may quarantine, those with most crashes first.
+    pub fn suspected(&self) -> Vec<Feature> {
         let counts = self.counts.iter();
         let close = counts.filter(|(part, count)| {
             **count + 1 >= CRASHES_TO_QUARANTINE || self.passed_over.contains_key(part)
         });
-        let mut close: Vec<_> = close.map(|(part, count)| (*count, *part)).collect();
+        // A part is in more requests than a whole request, and its quarantine refuses more.
+        let rank = |part: Feature, count| (count, !part.is_whole_request(), part);
+        let mut close: Vec<_> = close.map(|(part, count)| rank(*part, *count)).collect();
         close.sort_unstable_by(|a, b| b.cmp(a));
         close.truncate(MAX_SUSPECTED);
-        close.into_iter().map(|(_, part)| part).collect()
+        close.into_iter().map(|(.., part)| part).collect()
+    }
+
+    /// Returns the features to quarantine now, and takes their crashes as explained.
+    pub fn take_culprits(&mut self) -> Vec<Feature> {
+        let counts = self.counts.iter();
+        let whole = counts.filter(|(feature, count)| {
+            feature.is_whole_request() && **count >= CRASHES_TO_QUARANTINE
+        });
+        // Each by its own crashes: the quarantine of a whole request refuses no other one.
+        let mut culprits: Vec<_> = whole.map(|(feature, _)| *feature).collect();
+        for culprit in &culprits {
+            self.take(*culprit);
+        }
+        while let Some(culprit) = self.next_culprit() {
+            self.take(culprit);
+            culprits.push(culprit);
+        }
+        culprits
     }
 
-    /// Returns the part to quarantine next, if any, and takes its crashes as explained.
+    /// Returns the feature to quarantine next, if any.
     ///
     /// Parts that come earlier in prompts are in more requests, so they are in more crashes by coincidence,
-    /// and their quarantine refuses more. A later part of the same requests is therefore preferred if it
+    /// and their quarantine refuses more. A later feature of the same requests is therefore preferred if it
     /// was in as many crashes but for one. If that has hidden an earlier part before, the higher count
-    /// decides: the later parts may belong to requests that were sent again.
-    pub fn take_culprit(&mut self) -> Option<PromptPart> {
+    /// decides: the later ones may belong to requests that were sent again.
+    fn next_culprit(&self) -> Option<Feature> {
         let counts = self.counts.iter();
         let (first, most) = counts.max_by_key(|(part, count)| (**count, **part))?;
         if *most < CRASHES_TO_QUARANTINE {
@@ -191,29 +277,33 @@
             .filter_map(|part| self.counts.get_key_value(part));
         let close = candidates.filter(|(_, count)| **count + 1 >= *most);
         let close: BTreeMap<_, _> = close.collect();
-        let rank = |part: &PromptPart| (self.depth(*part), close[part], *part);
+        let rank = |part: &Feature| (self.depth(*part), close[part], *part);
         let last = close.keys().copied().max_by_key(|part| rank(part))?;
         let hidden = close
             .keys()
             .copied()
             .filter(|part| close[*part] > close[last] && self.passed_over.contains_key(*part));
-        let part = *hidden.max_by_key(|part| rank(part)).unwrap_or(last);
-        self.pass_over_parts_before(part);
-        let mut affected = Vec::new();
+        Some(*hidden.max_by_key(|part| rank(part)).unwrap_or(last))
+    }
+
+    /// Takes the crashes of a culprit as explained.
+    fn take(&mut self, culprit: Feature) {
+        self.pass_over_parts_before(culprit);
+        self.taken.insert(culprit);
+        let mut affected = vec![culprit];
         for crash in &mut self.crashes {
-            if crash.sent_at(part).is_some() {
-                crash.explained = true;
+            if crash.suspects(culprit).next().is_some() {
+                crash.explain(Cause::Found(culprit));
                 affected.extend(crash.parts());
             }
         }
         self.recount(affected);
-        Some(part)
     }
 
     /// Remembers parts that were in the crashes of a culprit, before it in the prompts.
-    fn pass_over_parts_before(&mut self, culprit: PromptPart) {
-        for crash in self.crashes.iter().filter(|crash| !crash.explained) {
-            for request in &crash.requests {
+    fn pass_over_parts_before(&mut self, culprit: Feature) {
+        for crash in &self.crashes {
+            for request in crash.suspects(culprit) {
                 let mut parts = request.parts.iter();
                 let Some(position) = parts.position(|part| *part == culprit) else {
                     continue;
@@ -226,46 +316,62 @@
         }
     }
 
-    fn recount(&mut self, parts: Vec<PromptPart>) {
+    fn recount(&mut self, parts: Vec<Feature>) {
         for part in parts {
-            match self.crashes_in_a_row(part) {
+            let count = if self.taken.contains(&part) {
+                0
+            } else {
+                self.crashes_in_a_row(part)
+            };
+            match count {
                 0 => self.counts.remove(&part),
                 count => self.counts.insert(part, count),
             };
         }
     }
 
-    /// Number of crashes since a part was last proved, each with a request that was sent after the crash
-    /// before it.
-    fn crashes_in_a_row(&self, part: PromptPart) -> usize {
-        let proved_at = self.proved_at.get(&part);
+    /// Number of crashes since a feature was last proved, each with a request that was sent after the crash
+    /// before it. Those of one whole request count once against its parts: it may have crashed its
+    /// targets by itself.
+    fn crashes_in_a_row(&self, feature: Feature) -> usize {
+        let proved_at = self.proved_at.get(&feature);
+        let mut counted = BTreeSet::new();
         let mut count = 0;
-        let mut last_at = Millis::ZERO;
-        for crash in self.crashes.iter().filter(|crash| !crash.explained) {
-            let Some(sent_at) = crash.sent_at(part) else {
+        let mut next_sent_at = Millis::ZERO;
+        for crash in &self.crashes {
+            if proved_at.is_some_and(|proved_at| *proved_at >= crash.at) {
+                continue;
+            }
+            let mut suspects = crash.suspects(feature).filter(|request| {
+                let whole = request.whole();
+                let is_repeat = whole.is_some_and(|whole| counted.contains(&whole));
+                request.sent_at >= next_sent_at && !is_repeat
+            });
+            let Some(request) = suspects.next() else {
                 continue;
             };
-            let follows = count == 0 || sent_at >= last_at + ORDER_MARGIN;
-            if follows && proved_at.is_none_or(|proved_at| *proved_at < crash.at) {
-                count += 1;
-                last_at = crash.at;
+            count += 1;
+            if feature.is_whole_request() {
+                next_sent_at = crash.at - REPEAT_MARGIN;
+            } else {
+                next_sent_at = crash.at + ORDER_MARGIN;
+                counted.extend(request.whole());
             }
         }
         count
     }
 
-    /// Requests with a part in crashes that are not explained.
-    fn requests_with(&self, part: PromptPart) -> impl Iterator<Item = &CutOffRequest> {
-        let crashes = self.crashes.iter().filter(|crash| !crash.explained);
-        let requests = crashes.flat_map(|crash| &crash.requests);
-        requests.filter(move |request| request.parts.contains(&part))
+    /// Requests with a feature that crashes are evidence against.
+    fn requests_with(&self, feature: Feature) -> impl Iterator<Item = &CutOffRequest> {
+        let crashes = self.crashes.iter();
+        crashes.flat_map(move |crash| crash.suspects(feature))
     }
 
-    /// Position of a part in prompts.
-    fn depth(&self, part: PromptPart) -> usize {
+    /// Position of a feature in its requests.
+    fn depth(&self, feature: Feature) -> usize {
         let positions = self
-            .requests_with(part)
-            .filter_map(|request| request.parts.iter().position(|other| *other == part));
+            .requests_with(feature)
+            .filter_map(|request| request.parts.iter().position(|other| *other == feature));
         positions.max().unwrap_or_default()
     }
 
--- a/crates/serving/src/quarantine/feature.rs
+++ b/crates/serving/src/quarantine/feature.rs
@@ -3,8 +3,7 @@
 use std::fmt;
 
 use http::{
-    Method,
-    Uri,
+    HeaderMap,
     header,
     request::Parts, //
 };
@@ -35,10 +34,11 @@
 
     /// Returns the feature of a whole request. Repeats of a request have the same method, host, path and
     /// query, and body; ids, deadlines and other headers differ.
-    pub fn whole_request(method: &Method, host: &str, uri: &Uri, body: &[u8]) -> Self {
-        let path = uri.path_and_query().map_or("", |path| path.as_str());
+    pub fn whole_request(head: &Parts, body: &[u8]) -> Self {
+        let host = headers::text(&head.headers, &header::HOST).unwrap_or_default();
+        let path = head.uri.path_and_query().map_or("", |path| path.as_str());
         let mut hasher = Xxh3::new();
-        for field in [method.as_str(), host, path] {
+        for field in [head.method.as_str(), host, path] {
             hasher.update(field.as_bytes());
             hasher.update(&[FIELD_SEPARATOR]);
         }
@@ -46,10 +46,21 @@
         Self(hasher.digest128() | Self::WHOLE_REQUEST)
     }
 
-    /// Returns the feature of a whole request, from its head and body.
-    pub fn of_whole(head: &Parts, body: &[u8]) -> Self {
-        let host = headers::text(&head.headers, &header::HOST).unwrap_or_default();
-        Self::whole_request(&head.method, host, &head.uri, body)
+    /// Returns the features of a caller's request: the shared parts of its prompt in order, then the whole
+    /// request.
+    pub fn of_request(headers: &HeaderMap, whole_request: Self) -> Vec<Self> {
+        let parts = PromptPart::shared_of(headers).into_iter();
+        parts
+            .map(Self::prompt_part)
+            .chain([whole_request])
+            .collect()
+    }
+
+    /// Returns the features of a batch item: the shared parts of its prompt. An accepted item is owed
+    /// whatever happens to its targets, so the item itself is none.
+    pub fn of_item(item_headers: &[(String, String)]) -> Vec<Self> {
+        let parts = PromptPart::shared_of_item(item_headers).into_iter();
+        parts.map(Self::prompt_part).collect()
     }
 
     /// Whether this is a whole request, and no prompt part.
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -10,13 +10,13 @@
     Millis,
     value, //
 };
-use yuccaseam_platform::PromptPart;
 
 use crate::targets::TargetKey;
 
 use super::{
     CrashEvidence,
     CrashReport,
+    Feature,
     PartList, //
 };
 
@@ -37,9 +37,9 @@
     /// No part is quarantined.
     Allowed,
     /// A part is quarantined.
-    Refused(PromptPart),
+    Refused(Feature),
     /// A part is quarantined, and the leader may grant this request as its trial.
-    TrialDue(PromptPart),
+    TrialDue(Feature),
 }
 
 /// Quarantine by this instance alone.
@@ -82,7 +82,7 @@
     is_current: bool,
     evidence: CrashEvidence,
     /// Parts that this instance has quarantined itself.
-    local: BTreeMap<PromptPart, LocalQuarantine>,
+    local: BTreeMap<Feature, LocalQuarantine>,
     reports: VecDeque<KeptReport>,
 }
 
@@ -124,7 +124,7 @@
         &self.list
     }
 
-    fn known_parts(&self) -> impl Iterator<Item = PromptPart> {
+    fn known_parts(&self) -> impl Iterator<Item = Feature> {
         let quarantined = self.list.quarantined.iter().map(|entry| entry.part);
         quarantined.chain(self.list.suspected.iter().copied())
     }
@@ -135,7 +135,7 @@
     }
 
     /// Decides on a request with these parts.
-    pub fn admit(&self, parts: &[PromptPart], now: Millis) -> Admission {
+    pub fn admit(&self, parts: &[Feature], now: Millis) -> Admission {
         let mut due = None;
         for part in parts {
             let mut quarantined = self.list.quarantined.iter();
@@ -155,14 +155,14 @@
     }
 
     /// Records a request that a crash cut off before its first event. Returns the report for the leader,
-    /// and the part that is quarantined here from now on, if any.
+    /// and the parts that are quarantined here from now on.
     pub fn record_crash(
         &mut self,
         target: TargetKey,
-        parts: &[PromptPart],
+        parts: &[Feature],
         ran_for: Millis,
         now: Millis,
-    ) -> (CrashReport, Option<PromptPart>) {
+    ) -> (CrashReport, Vec<Feature>) {
         let report = CrashReport {
             target,
             parts: parts.to_vec(),
@@ -178,38 +178,40 @@
             report: report.clone(),
             crashed_at: now,
         });
-        let is_explained = self.admit(parts, now) != Admission::Allowed;
-        let culprit = self.quarantine_locally(&report, is_explained, now);
-        (report, culprit)
+        let culprits = self.quarantine_locally(&report, now);
+        (report, culprits)
     }
 
-    /// Quarantines a part by the evidence of this instance, or renews an earlier quarantine.
-    fn quarantine_locally(
-        &mut self,
-        report: &CrashReport,
-        is_explained: bool,
-        now: Millis,
-    ) -> Option<PromptPart> {
-        let mut parts = report.parts.iter();
-        let known = parts.find(|part| self.local.contains_key(part)).copied();
-        let is_explained = is_explained || known.is_some();
-        self.evidence.record(report.clone(), is_explained, now);
-        if let Some(local) = known.and_then(|part| self.local.get_mut(&part)) {
+    /// Quarantines parts by the evidence of this instance, or renews an earlier quarantine.
+    fn quarantine_locally(&mut self, report: &CrashReport, now: Millis) -> Vec<Feature> {
+        let mut parts = report.parts.iter().copied();
+        let known = parts.find(|part| self.local.contains_key(part));
+        let cause = match self.admit(&report.parts, now) {
+            Admission::Refused(part) | Admission::TrialDue(part) => Some(part),
+            Admission::Allowed => known,
+        };
+        self.evidence.record(report.clone(), cause, now);
+        if let Some(part) = known
+            && let Some(local) = self.local.get_mut(&part)
+        {
             // Others were sent before the quarantine.
-            if !local.is_active(now) {
-                local.renew(now);
-                return known;
+            if local.is_active(now) {
+                return Vec::new();
             }
-            return None;
+            local.renew(now);
+            return vec![part];
+        }
+        let culprits = self.evidence.take_culprits();
+        for culprit in &culprits {
+            let quarantine = || LocalQuarantine::new(now);
+            self.local.entry(*culprit).or_insert_with(quarantine);
         }
-        let culprit = self.evidence.take_culprit()?;
-        self.local.insert(culprit, LocalQuarantine::new(now));
-        Some(culprit)
+        culprits
     }
 
     /// Records that a target has begun to answer a request with these parts. Returns those that the leader
     /// has to know of.
-    pub fn prove(&mut self, parts: &[PromptPart], now: Millis) -> Vec<PromptPart> {
+    pub fn prove(&mut self, parts: &[Feature], now: Millis) -> Vec<Feature> {
         if parts.is_empty() {
             return Vec::new();
         }
--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -6,11 +6,11 @@
     Millis,
     record, //
 };
-use yuccaseam_platform::PromptPart;
 
 use super::{
     CrashEvidence,
-    CrashReport, //
+    CrashReport,
+    Feature, //
 };
 
 /// Time from quarantine to the first trial. A part that was quarantined by coincidence is served again
@@ -26,7 +26,7 @@
 #[derive(Copy)]
 pub struct QuarantinedPart {
     /// The part.
-    pub part: PromptPart,
+    pub part: Feature,
     /// Whether the leader grants a trial to the next request with it.
     pub trial_due: bool,
 }
@@ -38,7 +38,7 @@
     /// Parts whose requests are refused.
     pub quarantined: Vec<QuarantinedPart>,
     /// Parts with some evidence against them. Instances report responses to requests with them.
-    pub suspected: Vec<PromptPart>,
+    pub suspected: Vec<Feature>,
 }
 
 impl PartList {
@@ -70,7 +70,7 @@
 #[derive(Debug, Default)]
 pub struct QuarantineManager {
     evidence: CrashEvidence,
-    quarantined: BTreeMap<PromptPart, Quarantine>,
+    quarantined: BTreeMap<Feature, Quarantine>,
 }
 
 impl QuarantineManager {
@@ -78,7 +78,7 @@
     /// starts anew.
     pub fn restore<I>(recorded: I, now: Millis) -> Self
     where
-        I: IntoIterator<Item = (PromptPart, u32)>,
+        I: IntoIterator<Item = (Feature, u32)>,
     {
         let quarantined = recorded
             .into_iter()
@@ -90,21 +90,22 @@
     }
 
     /// Records a request that a crash cut off. Returns the parts that are quarantined from now on.
-    pub fn record_crash(&mut self, report: CrashReport, now: Millis) -> Vec<PromptPart> {
-        let mut parts = report.parts.iter();
-        let is_explained = parts.any(|part| self.quarantined.contains_key(part));
-        self.evidence.record(report, is_explained, now);
-        let mut culprits = Vec::new();
-        while let Some(part) = self.evidence.take_culprit() {
-            self.quarantined.insert(part, Quarantine::new(0, now));
-            culprits.push(part);
+    pub fn record_crash(&mut self, report: CrashReport, now: Millis) -> Vec<Feature> {
+        let mut features = report.parts.iter();
+        let cause = features.find(|feature| self.quarantined.contains_key(feature));
+        let cause = cause.copied();
+        self.evidence.record(report, cause, now);
+        let culprits = self.evidence.take_culprits();
+        for culprit in &culprits {
+            let quarantine = || Quarantine::new(0, now);
+            self.quarantined.entry(*culprit).or_insert_with(quarantine);
         }
         culprits
     }
 
     /// Records that a target has begun to answer a request with these parts. Returns those that are
     /// released.
-    pub fn prove(&mut self, parts: &[PromptPart], now: Millis) -> Vec<PromptPart> {
+    pub fn prove(&mut self, parts: &[Feature], now: Millis) -> Vec<Feature> {
         self.evidence.prove(parts, now);
         let parts = parts.iter().copied();
         let released = parts.filter(|part| self.quarantined.remove(part).is_some());
@@ -112,7 +113,7 @@
     }
 
     /// Grants a trial of a part if one is due. Returns the number of its trials so far.
-    pub fn grant_trial(&mut self, part: PromptPart, now: Millis) -> Option<u32> {
+    pub fn grant_trial(&mut self, part: Feature, now: Millis) -> Option<u32> {
         let quarantine = self.quarantined.get_mut(&part)?;
         if now < quarantine.next_trial_at {
             return None;
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -10,9 +10,11 @@
     Millis,
     record, //
 };
-use yuccaseam_platform::PromptPart;
 
-use crate::targets::TargetRecord;
+use crate::{
+    quarantine::Feature,
+    targets::TargetRecord, //
+};
 
 use super::StoredManifest;
 
@@ -121,12 +123,12 @@
     /// Records that prompt parts are quarantined.
     Quarantine {
         /// The parts.
-        parts: Vec<PromptPart>,
+        parts: Vec<Feature>,
         /// Trials granted to each so far.
         trials: u32,
     },
     /// Releases prompt parts from quarantine.
-    Release(Vec<PromptPart>),
+    Release(Vec<Feature>),
 }
 
 /// Outcome of a command.
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -41,9 +41,11 @@
     TargetName,
     record, //
 };
-use yuccaseam_platform::PromptPart;
 
-use crate::targets::TargetRecord;
+use crate::{
+    quarantine::Feature,
+    targets::TargetRecord, //
+};
 
 /// The replicated state. Applying the same commands in the same order gives the same state.
 #[record]
@@ -55,7 +57,7 @@
     targets: BTreeMap<TargetName, TargetRecord>,
     stores: BTreeMap<InstanceName, IpAddr>,
     /// Quarantined prompt parts, and the trials granted to each so far.
-    quarantined: BTreeMap<PromptPart, u32>,
+    quarantined: BTreeMap<Feature, u32>,
 }
 
 /// Encoding of an empty map, with which [`State`] ends if no part is quarantined.
@@ -202,7 +204,7 @@
     }
 
     /// The quarantined prompt parts, and the trials granted to each so far.
-    pub fn quarantined(&self) -> &BTreeMap<PromptPart, u32> {
+    pub fn quarantined(&self) -> &BTreeMap<Feature, u32> {
         &self.quarantined
     }
 
--- a/crates/serving/src/store/hub/parts.rs
+++ b/crates/serving/src/store/hub/parts.rs
@@ -1,7 +1,6 @@
 //! Quarantine of prompt parts: reports of followers, and the list that all instances have.
 
 use yuccaseam_base::Millis;
-use yuccaseam_platform::PromptPart;
 
 use crate::{
     link::{
@@ -10,6 +9,7 @@
     },
     quarantine::{
         CrashReport,
+        Feature,
         QuarantineManager, //
     },
     state::Command,
@@ -45,7 +45,7 @@
     }
 
     /// Records that targets have begun to answer requests with these parts.
-    pub(in crate::store) fn prove_parts(&self, parts: &[PromptPart]) {
+    pub(in crate::store) fn prove_parts(&self, parts: &[Feature]) {
         let now = self.cx.clock.now();
         let released = self.inner().quarantine.prove(parts, now);
         if released.is_empty() {
@@ -59,7 +59,7 @@
     }
 
     /// Grants the trial of a quarantined part if one is due.
-    pub(in crate::store) fn grant_trial(&self, part: PromptPart) -> bool {
+    pub(in crate::store) fn grant_trial(&self, part: Feature) -> bool {
         let now = self.cx.clock.now();
         let Some(trials) = self.inner().quarantine.grant_trial(part, now) else {
             return false;
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -25,13 +25,15 @@
     task::AbortHandle, //
 };
 use yuccaseam_base::Millis;
-use yuccaseam_platform::PromptPart;
 
 use crate::{
     cx::Cx,
     link::pause,
     parts::BrokenRequest,
-    quarantine::Admission,
+    quarantine::{
+        Admission,
+        Feature, //
+    },
     routes::choose_destination,
     schedule::{
         ItemKey,
@@ -91,8 +93,8 @@
     target: TargetKey,
     address: SocketAddr,
     started_at: Millis,
-    /// Shared parts of the prompt.
-    parts: Vec<PromptPart>,
+    /// What it may have in common with requests that crash targets.
+    features: Vec<Feature>,
     has_output: bool,
     task: AbortHandle,
 }
@@ -351,12 +353,12 @@
             let job = state.job(job_id)?;
             let item = job.items().get(key.item as usize)?;
             let req = build_request(&job.host, item, target, last_id.as_deref())?;
-            Some((req, PromptPart::shared_of_item(&item.headers)))
+            Some((req, Feature::of_item(&item.headers)))
         });
-        let Some((req, parts)) = prepared else {
+        let Some((req, features)) = prepared else {
             return;
         };
-        if !self.take_part_admission(&parts) {
+        if !self.take_part_admission(&features) {
             return;
         }
         self.next_run += 1;
@@ -377,7 +379,7 @@
             target: target.key(),
             address: target.address,
             started_at: self.cx.clock.now(),
-            parts,
+            features,
             has_output: false,
             task: task.abort_handle(),
         };
@@ -386,9 +388,9 @@
 
     /// Whether an item with these prompt parts may run now. Takes the trial of a quarantined part if one is
     /// due.
-    fn take_part_admission(&self, parts: &[PromptPart]) -> bool {
+    fn take_part_admission(&self, features: &[Feature]) -> bool {
         let now = self.cx.clock.now();
-        let admission = self.cx.part_guard().admit(parts, now);
+        let admission = self.cx.part_guard().admit(features, now);
         match admission {
             Admission::Allowed => true,
             Admission::TrialDue(part) => self.hub.grant_trial(part),
@@ -401,7 +403,7 @@
         let request = BrokenRequest {
             target: run.target,
             address: run.address,
-            parts: run.parts.clone(),
+            parts: run.features.clone(),
             sent_at: run.started_at,
         };
         let (cx, hub) = (Arc::clone(&self.cx), Arc::clone(&self.hub));
@@ -445,8 +447,8 @@
                 // Events of a run that was preempted meanwhile are dropped: the item's next run
                 // repeats them.
                 if let Some(run) = self.runs.get_mut(&run) {
-                    if !std::mem::replace(&mut run.has_output, true) && !run.parts.is_empty() {
-                        self.hub.prove_parts(&run.parts);
+                    if !std::mem::replace(&mut run.has_output, true) && !run.features.is_empty() {
+                        self.hub.prove_parts(&run.features);
                     }
                     let progress = self.progress.entry(run.key).or_default();
                     progress.lines.extend(lines);
@@ -577,8 +579,8 @@
     if !guard.refuses_any() {
         return false;
     }
-    let parts = PromptPart::shared_of_item(&item.headers);
-    matches!(guard.admit(&parts, now), Admission::Refused(_))
+    let features = Feature::of_item(&item.headers);
+    matches!(guard.admit(&features, now), Admission::Refused(_))
 }
 
 fn finished(job: String, item: u32, output: Option<Output>) -> Command {
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -10,6 +10,7 @@
     quarantine::{
         Admission,
         CrashReport,
+        Feature,
         PartGuard,
         PartList,
         QuarantineManager,
@@ -18,12 +19,16 @@
     targets::TargetKey,
 };
 
-const FIRST: PromptPart = PromptPart(0xf1);
-const SESSION: PromptPart = PromptPart(0x51);
-const DEADLY: PromptPart = PromptPart(0xd00d);
-const OTHER: PromptPart = PromptPart(0x77);
+const fn part(id: u128) -> Feature {
+    Feature::prompt_part(PromptPart(id))
+}
+
+const FIRST: Feature = part(0xf1);
+const SESSION: Feature = part(0x51);
+const DEADLY: Feature = part(0xd00d);
+const OTHER: Feature = part(0x77);
 /// Parts of a request that crashes its target.
-const PROMPT: [PromptPart; 3] = [FIRST, SESSION, DEADLY];
+const PROMPT: [Feature; 3] = [FIRST, SESSION, DEADLY];
 /// Time from a request to the crash that it causes.
 const RUN: Millis = Millis(80);
 /// Time between two crashes.
@@ -45,7 +50,7 @@
         }
     }
 
-    fn report(&self, target: u64, parts: &[PromptPart], ran_for: Millis) -> CrashReport {
+    fn report(&self, target: u64, parts: &[Feature], ran_for: Millis) -> CrashReport {
         CrashReport {
             target: TargetKey(target),
             parts: parts.to_vec(),
@@ -55,7 +60,7 @@
     }
 
     /// One more target crashes under a request with these parts.
-    fn crash(&mut self, parts: &[PromptPart]) -> Vec<PromptPart> {
+    fn crash(&mut self, parts: &[Feature]) -> Vec<Feature> {
         self.now += GAP;
         self.crashes += 1;
         let report = self.report(self.crashes, parts, RUN);
@@ -63,12 +68,12 @@
     }
 
     /// A target answers a request with these parts.
-    fn answer(&mut self, parts: &[PromptPart]) -> Vec<PromptPart> {
+    fn answer(&mut self, parts: &[Feature]) -> Vec<Feature> {
         self.now += Millis(10);
         self.manager.prove(parts, self.now)
     }
 
-    fn quarantined(&self) -> Vec<PromptPart> {
+    fn quarantined(&self) -> Vec<Feature> {
         let list = self.manager.list(self.now);
         list.quarantined.iter().map(|entry| entry.part).collect()
     }
@@ -144,7 +149,7 @@
     let mut leader = Leader::new();
     let mut culprits = Vec::new();
     for last in [1, 1, 2, 3, 4] {
-        culprits = leader.crash(&[FIRST, SESSION, PromptPart(last)]);
+        culprits = leader.crash(&[FIRST, SESSION, part(last)]);
         leader.answer(&[FIRST]);
     }
     assert_eq!(culprits, [SESSION]);
@@ -154,7 +159,7 @@
 #[test]
 fn part_of_other_requests_is_not_blamed() {
     let mut leader = Leader::new();
-    let bystander = [PromptPart(1), PromptPart(2), PromptPart(3), OTHER];
+    let bystander = [part(1), part(2), part(3), OTHER];
     leader.crash(&bystander);
     leader.crash(&bystander);
     leader.crash(&PROMPT);
@@ -274,7 +279,7 @@
     }
 }
 
-fn check_admission(parts: &[PromptPart], trial_due: bool, expected: Admission) {
+fn check_admission(parts: &[Feature], trial_due: bool, expected: Admission) {
     let mut guard = PartGuard::default();
     guard.apply(list(trial_due));
     assert_eq!(guard.admit(parts, Millis(1)), expected);
@@ -368,7 +373,7 @@
 fn earlier_part_is_blamed_if_each_request_is_sent_twice() {
     let mut leader = Leader::new();
     for own in [1, 1, 2, 2, 3, 3, 4, 4, 5, 5, 6, 6] {
-        leader.crash(&[FIRST, DEADLY, PromptPart(own)]);
+        leader.crash(&[FIRST, DEADLY, part(own)]);
         leader.answer(&[FIRST]);
     }
     let quarantined = leader.quarantined();
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -11,17 +11,20 @@
     Millis, //
 };
 use yuccaseam_platform::PromptPart;
-use yuccaseam_serving::state::{
-    Advance,
-    Command,
-    CommandOutcome,
-    Finish,
-    FinishedItem,
-    NewItem,
-    NewJob,
-    Output,
-    State,
-    StoredManifest, //
+use yuccaseam_serving::{
+    quarantine::Feature,
+    state::{
+        Advance,
+        Command,
+        CommandOutcome,
+        Finish,
+        FinishedItem,
+        NewItem,
+        NewJob,
+        Output,
+        State,
+        StoredManifest, //
+    },
 };
 
 fn job(id: &str, tokens: &[u64]) -> NewJob {
@@ -205,10 +208,14 @@
     assert_eq!(restored, state);
 }
 
+fn part(id: u128) -> Feature {
+    Feature::prompt_part(PromptPart(id))
+}
+
 #[test]
 fn quarantined_parts_are_recorded_until_their_release() {
     let mut state = State::default();
-    let (released, kept) = (PromptPart(1), PromptPart(2));
+    let (released, kept) = (part(1), part(2));
     state.apply(Command::Quarantine {
         parts: vec![released, kept],
         trials: 0,
--- a/crates/soak/src/quarantine.rs
+++ b/crates/soak/src/quarantine.rs
@@ -64,7 +64,7 @@
 
 /// Times of the crashes under a part, in order.
 fn times_under(crashes: &[Crash], part: &str) -> Vec<Instant> {
-    let under_part = crashes.iter().filter(|crash| crash.part == part);
+    let under_part = crashes.iter().filter(|crash| crash.cause == part);
     let mut times: Vec<_> = under_part.map(|crash| crash.at).collect();
     times.sort_unstable();
     times
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -88,6 +88,8 @@
     /// Crashes as it begins to answer a request whose prompt has one of these parts before its last one,
     /// and starts again under another name.
     pub crashing_parts: &'static [&'static str],
+    /// Crashes as it begins to answer a request with one of these bodies, likewise.
+    pub crashing_bodies: &'static [&'static str],
 }
 
 impl Default for Behaviour {
@@ -99,6 +101,7 @@
             breaks_after: None,
             poisoned: None,
             crashing_parts: &[],
+            crashing_bodies: &[],
         }
     }
 }
@@ -123,8 +126,8 @@
 pub struct Crash {
     /// When the target went down.
     pub at: Instant,
-    /// The part of a prompt that caused it.
-    pub part: &'static str,
+    /// The part of a prompt, or the body, that caused it.
+    pub cause: &'static str,
 }
 
 /// One start of a target.
@@ -407,9 +410,10 @@
     if behaviour.rejects || is_full {
         return not_run(StatusCode::SERVICE_UNAVAILABLE, &id);
     }
-    if body.collect().await.is_err() {
+    let Ok(body) = body.collect().await else {
         return not_run(StatusCode::BAD_REQUEST, &id);
-    }
+    };
+    let body = body.to_bytes();
     let after = text(&head.headers, "last-event-id").and_then(|text| text.parse().ok());
     let run = Run {
         id: id.clone(),
@@ -426,6 +430,10 @@
     if let Some(part) = crashing_parts.find(|part| has_shared_part(&head.headers, part)) {
         return crash(running, &id, part);
     }
+    let mut crashing_bodies = behaviour.crashing_bodies.iter();
+    if let Some(deadly) = crashing_bodies.find(|deadly| body == deadly.as_bytes()) {
+        return crash(running, &id, deadly);
+    }
     let path = head.uri.path();
     if behaviour.poisoned.is_some_and(|end| path.ends_with(end)) {
         return signed(plain(StatusCode::INTERNAL_SERVER_ERROR, "poisoned"), &id);
@@ -446,14 +454,14 @@
 }
 
 /// Begins a response, and crashes before its first event.
-fn crash(running: Running, id: &str, part: &'static str) -> Response<Body> {
+fn crash(running: Running, id: &str, cause: &'static str) -> Response<Body> {
     let shared = Arc::clone(&running.shared);
     tokio::spawn(async move {
         tokio::time::sleep(CRASH_DELAY).await;
         drop(running);
         if !shared.is_down.swap(true, Ordering::Relaxed) {
             let at = Instant::now();
-            lock(&shared.crashes).push(Crash { at, part });
+            lock(&shared.crashes).push(Crash { at, cause });
             shared.crash.notify_one();
         }
     });
