serving: the leader logs the evidence against prompt parts

Cause of this commit: the log names the parts that were quarantined, but not the reports that did it, so that the hypotheses (requests sent to a target that is down, a late report, a crash that nobody reported) could not be told apart. Change: one line for each report, with the start of the target, the parts, the time that the request ran and the age of the crash.

--- a/crates/serving/src/store/hub/parts.rs
+++ b/crates/serving/src/store/hub/parts.rs
@@ -28,6 +28,9 @@
         let now = self.cx.clock.now();
         let mut culprits = Vec::new();
         for report in reports {
+            log::info!(
+                target_key = report.target.0, parts:? = report.parts, ran_for_ms = report.ran_for.0,
+                age_ms = report.age.0; "crash of a target reported");
             culprits.extend(self.inner().quarantine.record_crash(report, now));
         }
         if culprits.is_empty() {
