serving: requests sent after a crash are no evidence, in whichever order they are reported

Callers may see: sound requests refused (503 part_quarantined) because targets crashed under others. Cause: an entry that does not know of a crash sends a request to the target, where a proxy accepts the connection and closes it. Such a request is no evidence, as it was sent after the crash; but the first report of a crash set its time. If the report of the late request came first (the others are retried while the leader changes or cannot be reached), it stood as the crash, with a sound prompt under it. Evidence: the new test failed before, at the third late report ("assertion failed: leader.manager.record_crash(late, leader.now).is_empty()"). Change: the earliest report of a crash tells its time. An earlier one moves the crash back, and requests that were sent after it are dropped. Reports more than 5 s apart are of two crashes, also if the earlier one comes later: a reset of connections long before must not move a crash back (second test; it fails without the bound).

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -20,8 +20,8 @@
 const ORDER_MARGIN: Millis = Millis(100);
 /// How long a crash counts. Requests with a part may be rare.
 const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
-/// Longest time between two reports of one crash of a target. A later report is of another crash: the
-/// first one may have been a reset of connections, after which the same start of the target goes on.
+/// Longest time between two reports of one crash of a target. A report of another time is of another crash:
+/// the first one may have been a reset of connections, after which the same start of the target goes on.
 const MAX_REPORT_SPREAD: Millis = Millis::from_secs(5);
 /// Crashes that are kept. The oldest is dropped beyond that.
 const MAX_CRASHES: usize = 256;
@@ -126,28 +126,53 @@
         self.recount(parts);
     }
 
-    /// Position of a target's crash at a time.
+    /// Position of a target's crash at a time. The earliest report of a crash tells its time.
     fn find_or_insert(&mut self, target: TargetKey, at: Millis) -> usize {
-        let known = self
-            .crashes
-            .iter()
-            .rposition(|crash| crash.target == target && at <= crash.at + MAX_REPORT_SPREAD);
-        known.unwrap_or_else(|| {
-            if self.crashes.len() == MAX_CRASHES
-                && let Some(dropped) = self.crashes.pop_front()
-            {
-                self.recount(dropped.parts());
+        let known = self.crashes.iter().rposition(|crash| {
+            crash.target == target
+                && at <= crash.at + MAX_REPORT_SPREAD
+                && crash.at <= at + MAX_REPORT_SPREAD
+        });
+        match known {
+            Some(position) if at < self.crashes[position].at => self.move_back(position, at),
+            Some(position) => position,
+            None => {
+                if self.crashes.len() == MAX_CRASHES
+                    && let Some(dropped) = self.crashes.pop_front()
+                {
+                    self.recount(dropped.parts());
+                }
+                self.insert(Crash {
+                    target,
+                    at,
+                    requests: Vec::new(),
+                    explained: false,
+                })
             }
-            let position = self.crashes.partition_point(|crash| crash.at <= at);
-            let crash = Crash {
-                target,
-                at,
-                requests: Vec::new(),
-                explained: false,
-            };
-            self.crashes.insert(position, crash);
-            position
-        })
+        }
+    }
+
+    /// Inserts a crash in the order of time, and returns its position.
+    fn insert(&mut self, crash: Crash) -> usize {
+        let position = self
+            .crashes
+            .partition_point(|earlier| earlier.at <= crash.at);
+        self.crashes.insert(position, crash);
+        position
+    }
+
+    /// Corrects the time of a crash that was reported late at first, and returns its new position. Requests
+    /// that were sent after it are no evidence.
+    fn move_back(&mut self, position: usize, at: Millis) -> usize {
+        let Some(mut crash) = self.crashes.remove(position) else {
+            return position;
+        };
+        let affected = crash.parts();
+        crash.at = at;
+        crash.requests.retain(|request| request.sent_at <= at);
+        let position = self.insert(crash);
+        self.recount(affected);
+        position
     }
 
     /// Records that a target has begun to answer a request with these parts.
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -176,6 +176,29 @@
     assert!(leader.quarantined().is_empty());
 }
 
+/// Guards against a quarantine of sound parts by requests that were sent to targets which were down already,
+/// if their reports arrive before those of the requests that the crashes cut off.
+#[test]
+fn requests_sent_after_the_crash_are_no_evidence_if_they_are_reported_first() {
+    let mut leader = Leader::new();
+    let other_deadly = PromptPart(0xdead);
+    for (target, deadly) in [(1, DEADLY), (2, other_deadly), (3, DEADLY)] {
+        leader.now += GAP;
+        let crashed_at = leader.now;
+        leader.now += Millis(200);
+        let late = leader.report(target, &[OTHER], Millis(1));
+        assert!(leader.manager.record_crash(late, leader.now).is_empty());
+        let cut_off = CrashReport {
+            age: leader.now - crashed_at,
+            ..leader.report(target, &[FIRST, SESSION, deadly], RUN)
+        };
+        leader.manager.record_crash(cut_off, leader.now);
+        leader.answer(&[FIRST, SESSION]);
+    }
+    assert!(leader.quarantined().is_empty());
+    assert_eq!(leader.manager.list(leader.now).suspected, [DEADLY]);
+}
+
 #[test]
 fn reports_of_one_crash_count_once() {
     let mut leader = Leader::new();
@@ -475,6 +498,24 @@
     assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
 }
 
+/// Guards against evidence that is lost because an earlier reset of connections to the same target is reported
+/// after its crash, as to a new leader.
+#[test]
+fn crash_counts_if_an_earlier_reset_is_reported_after_it() {
+    let mut leader = Leader::new();
+    let reset_at = leader.now;
+    leader.now += Millis::from_secs(20);
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+        let reset = CrashReport {
+            age: leader.now - reset_at,
+            ..leader.report(leader.crashes, &[FIRST, OTHER], Millis(40))
+        };
+        leader.manager.record_crash(reset, leader.now);
+    }
+    assert_eq!(leader.quarantined(), [DEADLY]);
+}
+
 /// Guards against a sound part that is blamed for crashes by requests with a part that is quarantined already:
 /// those in flight at that moment, and trials.
 #[test]
