serving: entries keep only reports that are evidence for the next leader

Cause: while all targets are down, an entry sends one request after the other to proxies that accept and close the connection. Each was kept as a crash report for the next leader, although the entry knew of the crash, and pushed the true reports out of the 64 that are kept. The next leader took the late requests for the crashes. The new test failed before: 64 reports with the sound part, none of the crash. Change: what the evidence of an entry drops, since its target was down when it was sent, is neither kept nor reported.

--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -38,8 +38,8 @@
 }
 
 impl BrokenRequest {
-    /// Records the request if its target crashed, and returns the report for the leader. A target that
-    /// still accepts connections only broke one.
+    /// Records the request if its target crashed, and returns the report for the leader, if it is evidence. A
+    /// target that still accepts connections only broke one.
     pub(crate) async fn into_report(self, cx: &Cx) -> Option<CrashReport> {
         let crashed_at = cx.clock.now();
         if self.parts.is_empty() || cx.upstream.accepts_connections(self.address).await {
@@ -47,14 +47,13 @@
         }
         let ran_for = crashed_at - self.sent_at;
         let mut guard = cx.part_guard();
-        let (mut report, culprit) =
-            guard.record_crash(self.target, &self.parts, ran_for, crashed_at);
+        let (report, culprit) = guard.record_crash(self.target, &self.parts, ran_for, crashed_at);
         drop(guard);
         if let Some(part) = culprit {
             log::warn!(part:% = part; "prompt part quarantined at this instance");
         }
-        report.age = cx.clock.now() - crashed_at;
-        Some(report)
+        let age = cx.clock.now() - crashed_at;
+        report.map(|report| CrashReport { age, ..report })
     }
 }
 
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -95,8 +95,9 @@
 
 impl CrashEvidence {
     /// Records a request that a crash cut off. `is_explained` says whether one of its parts is
-    /// quarantined already.
-    pub fn record(&mut self, report: CrashReport, is_explained: bool, now: Millis) {
+    /// quarantined already. False if it is no evidence, because the target was down already when it was
+    /// sent.
+    pub fn record(&mut self, report: CrashReport, is_explained: bool, now: Millis) -> bool {
         let now = evidence_time(now);
         self.expire(now);
         let at = now - report.age;
@@ -104,8 +105,7 @@
         let position = self.find_or_insert(report.target, at);
         let crash = &mut self.crashes[position];
         if sent_at > crash.at {
-            // The target was down already when the request was sent.
-            return;
+            return false;
         }
         let becomes_explained = is_explained && !crash.explained;
         crash.explained |= is_explained;
@@ -124,6 +124,7 @@
             self.recount(affected);
         }
         self.recount(parts);
+        true
     }
 
     /// Position of a target's crash at a time. The earliest report of a crash tells its time.
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -154,21 +154,27 @@
         due.map_or(Admission::Allowed, Admission::TrialDue)
     }
 
-    /// Records a request that a crash cut off before its first event. Returns the report for the leader,
-    /// and the part that is quarantined here from now on, if any.
+    /// Records a request that a crash cut off before its first event. Returns the report for the leader, if it
+    /// is evidence, and the part that is quarantined here from now on, if any.
     pub fn record_crash(
         &mut self,
         target: TargetKey,
         parts: &[PromptPart],
         ran_for: Millis,
         now: Millis,
-    ) -> (CrashReport, Option<PromptPart>) {
+    ) -> (Option<CrashReport>, Option<PromptPart>) {
         let report = CrashReport {
             target,
             parts: parts.to_vec(),
             ran_for,
             age: Millis::ZERO,
         };
+        let mut parts = report.parts.iter();
+        let known = parts.find(|part| self.local.contains_key(part)).copied();
+        let is_explained = known.is_some() || self.admit(&report.parts, now) != Admission::Allowed;
+        if !self.evidence.record(report.clone(), is_explained, now) {
+            return (None, None);
+        }
         self.reports
             .retain(|kept| now <= kept.crashed_at + REPORT_LIFETIME);
         if self.reports.len() == MAX_REPORTS {
@@ -178,22 +184,12 @@
             report: report.clone(),
             crashed_at: now,
         });
-        let is_explained = self.admit(parts, now) != Admission::Allowed;
-        let culprit = self.quarantine_locally(&report, is_explained, now);
-        (report, culprit)
+        let culprit = self.quarantine_locally(known, now);
+        (Some(report), culprit)
     }
 
-    /// Quarantines a part by the evidence of this instance, or renews an earlier quarantine.
-    fn quarantine_locally(
-        &mut self,
-        report: &CrashReport,
-        is_explained: bool,
-        now: Millis,
-    ) -> Option<PromptPart> {
-        let mut parts = report.parts.iter();
-        let known = parts.find(|part| self.local.contains_key(part)).copied();
-        let is_explained = is_explained || known.is_some();
-        self.evidence.record(report.clone(), is_explained, now);
+    /// Quarantines a part by the evidence of this instance, or renews the earlier quarantine of `known`.
+    fn quarantine_locally(&mut self, known: Option<PromptPart>, now: Millis) -> Option<PromptPart> {
         if let Some(local) = known.and_then(|part| self.local.get_mut(&part)) {
             // Others were sent before the quarantine.
             if !local.is_active(now) {
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -374,6 +374,23 @@
     assert_eq!(culprits, [DEADLY]);
 }
 
+/// Guards against evidence that is pushed out by requests to targets that are down, before the next leader
+/// has it.
+#[test]
+fn requests_sent_after_a_crash_are_not_reported_to_the_next_leader() {
+    let mut guard = PartGuard::default();
+    let crashed_at = Millis(1_000);
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, crashed_at);
+    for number in 1..=200 {
+        let late = crashed_at + Millis(10 * number);
+        let (report, _) = guard.record_crash(TargetKey(1), &[FIRST, OTHER], Millis(1), late);
+        assert_eq!(report, None);
+    }
+    let reports = guard.recent_reports(crashed_at + Millis(2_500));
+    let reported: Vec<_> = reports.iter().map(|report| &report.parts[..]).collect();
+    assert_eq!(reported, [&PROMPT[..]]);
+}
+
 /// Guards against a part that is quarantined again by evidence from before its release.
 #[test]
 fn crashes_with_a_released_part_are_not_reported_again() {
