serving: a new leader decides on prompt parts once all entries have reported

Cause: a new leader decided on the reports of the first entry that followed it. That entry may only have sent requests to targets that were down already, which look like the cause of a crash until the entry that saw the crash has reported it. The new test failed with the decision at once ("assertion failed: leader.manager.record_crash(late, leader.now).is_empty()"). Change: a new leader collects reports for 0.6 s, as long as it waits for the loads of entries, and then decides. Parts recorded in the log stay in force meanwhile.

--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -18,6 +18,10 @@
 const FIRST_TRIAL_DELAY: Millis = Millis::from_secs(10);
 /// Growth of the time between two trials: each one may cost a target with all its requests.
 const TRIAL_DELAY_FACTOR: u64 = 10;
+/// Time for which a new leader only collects reports. Until all entries have reported their crashes again, a
+/// request that one of them sent to a target which was down already may look like the cause of its crash.
+/// Entries follow the new leader by then.
+const COLLECTION_PERIOD: Millis = Millis(600);
 /// Longest time between two trials.
 const MAX_TRIAL_DELAY: Millis = Millis::from_secs(24 * 3_600);
 
@@ -71,11 +75,13 @@
 pub struct QuarantineManager {
     evidence: CrashEvidence,
     quarantined: BTreeMap<PromptPart, Quarantine>,
+    /// When the reports of all entries are there.
+    decides_from: Millis,
 }
 
 impl QuarantineManager {
-    /// Continues with the recorded parts and the number of trials of each. The time to the next trial
-    /// starts anew.
+    /// Continues with the recorded parts and the number of trials of each, as a new leader. The time to the
+    /// next trial starts anew.
     pub fn restore<I>(recorded: I, now: Millis) -> Self
     where
         I: IntoIterator<Item = (PromptPart, u32)>,
@@ -86,6 +92,7 @@
         Self {
             evidence: CrashEvidence::default(),
             quarantined: quarantined.collect(),
+            decides_from: now + COLLECTION_PERIOD,
         }
     }
 
@@ -94,6 +101,14 @@
         let mut parts = report.parts.iter();
         let is_explained = parts.any(|part| self.quarantined.contains_key(part));
         self.evidence.record(report, is_explained, now);
+        self.decide(now)
+    }
+
+    /// Returns the parts that are quarantined from now on.
+    pub fn decide(&mut self, now: Millis) -> Vec<PromptPart> {
+        if now < self.decides_from {
+            return Vec::new();
+        }
         let mut culprits = Vec::new();
         while let Some(part) = self.evidence.take_culprit() {
             self.quarantined.insert(part, Quarantine::new(0, now));
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -445,6 +445,7 @@
             self.load_recorded_parts(now);
             self.load_recorded_targets(now);
         }
+        self.decide_on_parts(now);
         self.send_parts(now);
         self.record_changes(now);
         let expired = self.cx.targets().expire(TARGET_TIMEOUT, now);
--- a/crates/serving/src/store/hub/parts.rs
+++ b/crates/serving/src/store/hub/parts.rs
@@ -33,6 +33,17 @@
                 age_ms = report.age.0; "crash of a target reported");
             culprits.extend(self.inner().quarantine.record_crash(report, now));
         }
+        self.quarantine(culprits, now);
+    }
+
+    /// Decides on the evidence of earlier reports.
+    pub(super) fn decide_on_parts(&self, now: Millis) {
+        let culprits = self.inner().quarantine.decide(now);
+        self.quarantine(culprits, now);
+    }
+
+    /// Records that parts are quarantined, and tells the followers.
+    fn quarantine(&self, culprits: Vec<PromptPart>, now: Millis) {
         if culprits.is_empty() {
             return;
         }
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -374,6 +374,31 @@
     assert_eq!(culprits, [DEADLY]);
 }
 
+/// Guards against a quarantine of sound parts by a new leader that has the reports of one entry only, which sent
+/// requests to targets that were down already.
+#[test]
+fn new_leader_decides_once_all_entries_have_reported() {
+    let mut leader = Leader::new();
+    leader.manager = QuarantineManager::restore([], leader.now);
+    for target in 1..=3 {
+        let late = CrashReport {
+            age: Millis(2_000) - Millis(GAP.0 * target),
+            ..leader.report(target, &[OTHER], Millis(1))
+        };
+        assert!(leader.manager.record_crash(late, leader.now).is_empty());
+    }
+    leader.now += Millis(100);
+    for target in 1..=3 {
+        let cut_off = CrashReport {
+            age: Millis(2_300) - Millis(GAP.0 * target),
+            ..leader.report(target, &PROMPT, RUN)
+        };
+        assert!(leader.manager.record_crash(cut_off, leader.now).is_empty());
+    }
+    leader.now += Millis::from_secs(1);
+    assert_eq!(leader.manager.decide(leader.now), [DEADLY]);
+}
+
 /// Guards against evidence that is pushed out by requests to targets that are down, before the next leader
 /// has it.
 #[test]
