serving: an entry quarantines prompt parts itself only while it has no leader

Cause: each entry decided by its own crashes also while the leader decided. An entry that does not know of a crash sends requests to the target; a proxy accepts the connection and closes it, which looks like a crash under these requests. The leader, which has the reports of all entries, dropped them; the entry could not. The new test failed before: "left: Some(PromptPart(119)), right: None".

--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -272,7 +272,6 @@
         Ok(Err(_)) | Err(_) => return FollowOutcome::Unreachable,
     };
     cx.balancer().reset_loads();
-    cx.part_guard().begin_connection();
     let direct = connection == Connection::Direct;
     cx.set_leader(direct.then_some(ip));
     cx.set_leader_sender(Some(tx.clone()));
@@ -296,6 +295,7 @@
         // Its items ended with its process or its leadership.
         cx.balancer().reset_batch_loads();
     }
+    cx.part_guard().end_connection();
     cx.relay.set_direct(false);
     cx.set_leader(None);
     cx.set_leader_sender(None);
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -78,7 +78,8 @@
 #[derive(Debug, Default)]
 pub struct PartGuard {
     list: PartList,
-    /// Whether the leader sent its list over the current connection.
+    /// Whether the leader sent its list over the current connection. It decides then; this instance does
+    /// not know which targets others saw crash.
     is_current: bool,
     evidence: CrashEvidence,
     /// Parts that this instance has quarantined itself.
@@ -87,9 +88,9 @@
 }
 
 impl PartGuard {
-    /// Records a new connection to a leader. The list of the last one stays in force until the new
-    /// leader has sent its own.
-    pub fn begin_connection(&mut self) {
+    /// Records that the connection to the leader is lost. Its list stays in force until the next leader has
+    /// sent its own.
+    pub fn end_connection(&mut self) {
         self.is_current = false;
     }
 
@@ -131,7 +132,7 @@
 
     /// Whether there is a part whose requests are refused.
     pub fn refuses_any(&self) -> bool {
-        !self.list.quarantined.is_empty() || !self.local.is_empty()
+        !self.list.quarantined.is_empty() || !self.is_current && !self.local.is_empty()
     }
 
     /// Decides on a request with these parts.
@@ -145,7 +146,7 @@
                 // The leader grants trials also of parts that this instance has quarantined itself.
                 Some(entry) if entry.trial_due => due = due.or(Some(*part)),
                 Some(_) => return Admission::Refused(*part),
-                None if local.is_some_and(|local| local.is_active(now)) => {
+                None if !self.is_current && local.is_some_and(|local| local.is_active(now)) => {
                     return Admission::Refused(*part);
                 }
                 None => {}
@@ -184,7 +185,11 @@
             report: report.clone(),
             crashed_at: now,
         });
-        let culprit = self.quarantine_locally(known, now);
+        let culprit = if self.is_current {
+            None
+        } else {
+            self.quarantine_locally(known, now)
+        };
         (Some(report), culprit)
     }
 
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -325,11 +325,11 @@
 fn list_is_in_force_until_the_next_leader_has_sent_its_own() {
     let mut guard = PartGuard::default();
     guard.apply(list(false));
-    guard.begin_connection();
+    guard.end_connection();
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
     guard.apply(list(false));
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
-    guard.begin_connection();
+    guard.end_connection();
     guard.apply(PartList::default());
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Allowed);
 }
@@ -355,6 +355,26 @@
     assert_eq!(guard.admit(&PROMPT, again), Admission::Allowed);
 }
 
+/// Guards against a quarantine of sound parts at a single entry, which does not know of the crashes that others
+/// saw and sends requests to targets that are down.
+#[test]
+fn entry_with_a_leader_leaves_the_decision_to_it() {
+    let mut guard = PartGuard::default();
+    guard.apply(PartList::default());
+    let mut now = Millis(1_000);
+    for target in 1..=3 {
+        now += GAP;
+        let (report, culprit) = guard.record_crash(TargetKey(target), &[FIRST, OTHER], RUN, now);
+        assert!(report.is_some());
+        assert_eq!(culprit, None);
+    }
+    assert_eq!(guard.admit(&[FIRST, OTHER], now), Admission::Allowed);
+    guard.end_connection();
+    guard.record_crash(TargetKey(4), &[FIRST, OTHER], RUN, now + GAP);
+    let admission = guard.admit(&[FIRST, OTHER], now + GAP);
+    assert_eq!(admission, Admission::Refused(OTHER));
+}
+
 /// Guards against evidence that is lost with its leader.
 #[test]
 fn next_leader_quarantines_by_the_crashes_that_entries_report_again() {
@@ -450,7 +470,7 @@
         quarantined: Vec::new(),
         suspected: vec![DEADLY],
     });
-    guard.begin_connection();
+    guard.end_connection();
     guard.apply(PartList::default());
     assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
 }
