--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -78,7 +78,8 @@
 #[derive(Debug, Default)]
 pub struct PartGuard {
     list: PartList,
-    /// Whether the leader sent its list over the current connection.
+    /// Whether the leader sent its list over the current connection. It decides then; this instance does
+    /// not know which targets others saw crash.
     is_current: bool,
     evidence: CrashEvidence,
     /// Parts that this instance has quarantined itself.
@@ -87,9 +88,9 @@
 }
 
 impl PartGuard {
-    /// Records a new connection to a leader. The list of the last one stays in force until the new
-    /// leader has sent its own.
-    pub fn begin_connection(&mut self) {
+    /// Records that the connection to the leader is lost. Its list stays in force until the next leader has
+    /// sent its own.
+    pub fn end_connection(&mut self) {
         self.is_current = false;
     }
 
@@ -131,7 +132,7 @@
 
     /// Whether there is a part whose requests are refused.
     pub fn refuses_any(&self) -> bool {
-        !self.list.quarantined.is_empty() || !self.local.is_empty()
+        !self.list.quarantined.is_empty() || !self.is_current && !self.local.is_empty()
     }
 
     /// Decides on a request with these parts.
@@ -145,7 +146,7 @@
                 // The leader grants trials also of parts that this instance has quarantined itself.
                 Some(entry) if entry.trial_due => due = due.or(Some(*part)),
                 Some(_) => return Admission::Refused(*part),
-                None if local.is_some_and(|local| local.is_active(now)) => {
+                None if !self.is_current && local.is_some_and(|local| local.is_active(now)) => {
                     return Admission::Refused(*part);
                 }
                 None => {}
@@ -154,21 +155,30 @@
         due.map_or(Admission::Allowed, Admission::TrialDue)
     }
 
-    /// Records a request that a crash cut off before its first event. Returns the report for the leader,
-    /// and the parts that are quarantined here from now on.
+    /// Records a request that a crash cut off before its first event. Returns the report for the leader, if it
+    /// is evidence, and the parts that are quarantined here from now on.
     pub fn record_crash(
         &mut self,
         target: TargetKey,
         parts: &[Feature],
         ran_for: Millis,
         now: Millis,
-    ) -> (CrashReport, Vec<Feature>) {
+    ) -> (Option<CrashReport>, Vec<Feature>) {
         let report = CrashReport {
             target,
             parts: parts.to_vec(),
             ran_for,
             age: Millis::ZERO,
         };
+        let mut parts = report.parts.iter().copied();
+        let known = parts.find(|part| self.local.contains_key(part));
+        let cause = match self.admit(&report.parts, now) {
+            Admission::Refused(part) | Admission::TrialDue(part) => Some(part),
+            Admission::Allowed => known,
+        };
+        if !self.evidence.record(report.clone(), cause, now) {
+            return (None, Vec::new());
+        }
         self.reports
             .retain(|kept| now <= kept.crashed_at + REPORT_LIFETIME);
         if self.reports.len() == MAX_REPORTS {
@@ -178,19 +188,16 @@
             report: report.clone(),
             crashed_at: now,
         });
-        let culprits = self.quarantine_locally(&report, now);
-        (report, culprits)
+        let culprits = if self.is_current {
+            Vec::new()
+        } else {
+            self.quarantine_locally(known, now)
+        };
+        (Some(report), culprits)
     }
 
-    /// Quarantines parts by the evidence of this instance, or renews an earlier quarantine.
-    fn quarantine_locally(&mut self, report: &CrashReport, now: Millis) -> Vec<Feature> {
-        let mut parts = report.parts.iter().copied();
-        let known = parts.find(|part| self.local.contains_key(part));
-        let cause = match self.admit(&report.parts, now) {
-            Admission::Refused(part) | Admission::TrialDue(part) => Some(part),
-            Admission::Allowed => known,
-        };
-        self.evidence.record(report.clone(), cause, now);
+    /// Quarantines parts by the evidence of this instance, or renews the earlier quarantine of `known`.
+    fn quarantine_locally(&mut self, known: Option<Feature>, now: Millis) -> Vec<Feature> {
         if let Some(part) = known
             && let Some(local) = self.local.get_mut(&part)
         {
--- a/crates/serving/src/store/hub/parts.rs
+++ b/crates/serving/src/store/hub/parts.rs
@@ -28,8 +28,22 @@
         let now = self.cx.clock.now();
         let mut culprits = Vec::new();
         for report in reports {
+            log::info!(
+                target_key = report.target.0, parts:? = report.parts, ran_for_ms = report.ran_for.0,
+                age_ms = report.age.0; "crash of a target reported");
             culprits.extend(self.inner().quarantine.record_crash(report, now));
         }
+        self.quarantine(culprits, now);
+    }
+
+    /// Decides on the evidence of earlier reports.
+    pub(super) fn decide_on_parts(&self, now: Millis) {
+        let culprits = self.inner().quarantine.decide(now);
+        self.quarantine(culprits, now);
+    }
+
+    /// Records that parts are quarantined, and tells the followers.
+    fn quarantine(&self, culprits: Vec<Feature>, now: Millis) {
         if culprits.is_empty() {
             return;
         }
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -181,6 +181,29 @@
     assert!(leader.quarantined().is_empty());
 }
 
+/// Guards against a quarantine of sound parts by requests that were sent to targets which were down already,
+/// if their reports arrive before those of the requests that the crashes cut off.
+#[test]
+fn requests_sent_after_the_crash_are_no_evidence_if_they_are_reported_first() {
+    let mut leader = Leader::new();
+    let other_deadly = part(0xdead);
+    for (target, deadly) in [(1, DEADLY), (2, other_deadly), (3, DEADLY)] {
+        leader.now += GAP;
+        let crashed_at = leader.now;
+        leader.now += Millis(200);
+        let late = leader.report(target, &[OTHER], Millis(1));
+        assert!(leader.manager.record_crash(late, leader.now).is_empty());
+        let cut_off = CrashReport {
+            age: leader.now - crashed_at,
+            ..leader.report(target, &[FIRST, SESSION, deadly], RUN)
+        };
+        leader.manager.record_crash(cut_off, leader.now);
+        leader.answer(&[FIRST, SESSION]);
+    }
+    assert!(leader.quarantined().is_empty());
+    assert_eq!(leader.manager.list(leader.now).suspected, [DEADLY]);
+}
+
 #[test]
 fn reports_of_one_crash_count_once() {
     let mut leader = Leader::new();
@@ -307,11 +330,11 @@
 fn list_is_in_force_until_the_next_leader_has_sent_its_own() {
     let mut guard = PartGuard::default();
     guard.apply(list(false));
-    guard.begin_connection();
+    guard.end_connection();
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
     guard.apply(list(false));
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
-    guard.begin_connection();
+    guard.end_connection();
     guard.apply(PartList::default());
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Allowed);
 }
@@ -337,6 +360,26 @@
     assert_eq!(guard.admit(&PROMPT, again), Admission::Allowed);
 }
 
+/// Guards against a quarantine of sound parts at a single entry, which does not know of the crashes that others
+/// saw and sends requests to targets that are down.
+#[test]
+fn entry_with_a_leader_leaves_the_decision_to_it() {
+    let mut guard = PartGuard::default();
+    guard.apply(PartList::default());
+    let mut now = Millis(1_000);
+    for target in 1..=3 {
+        now += GAP;
+        let (report, culprit) = guard.record_crash(TargetKey(target), &[FIRST, OTHER], RUN, now);
+        assert!(report.is_some());
+        assert!(culprit.is_empty());
+    }
+    assert_eq!(guard.admit(&[FIRST, OTHER], now), Admission::Allowed);
+    guard.end_connection();
+    guard.record_crash(TargetKey(4), &[FIRST, OTHER], RUN, now + GAP);
+    let admission = guard.admit(&[FIRST, OTHER], now + GAP);
+    assert_eq!(admission, Admission::Refused(OTHER));
+}
+
 /// Guards against evidence that is lost with its leader.
 #[test]
 fn next_leader_quarantines_by_the_crashes_that_entries_report_again() {
@@ -356,6 +399,48 @@
     assert_eq!(culprits, [DEADLY]);
 }
 
+/// Guards against a quarantine of sound parts by a new leader that has the reports of one entry only, which sent
+/// requests to targets that were down already.
+#[test]
+fn new_leader_decides_once_all_entries_have_reported() {
+    let mut leader = Leader::new();
+    leader.manager = QuarantineManager::restore([], leader.now);
+    for target in 1..=3 {
+        let late = CrashReport {
+            age: Millis(2_000) - Millis(GAP.0 * target),
+            ..leader.report(target, &[OTHER], Millis(1))
+        };
+        assert!(leader.manager.record_crash(late, leader.now).is_empty());
+    }
+    leader.now += Millis(100);
+    for target in 1..=3 {
+        let cut_off = CrashReport {
+            age: Millis(2_300) - Millis(GAP.0 * target),
+            ..leader.report(target, &PROMPT, RUN)
+        };
+        assert!(leader.manager.record_crash(cut_off, leader.now).is_empty());
+    }
+    leader.now += Millis::from_secs(1);
+    assert_eq!(leader.manager.decide(leader.now), [DEADLY]);
+}
+
+/// Guards against evidence that is pushed out by requests to targets that are down, before the next leader
+/// has it.
+#[test]
+fn requests_sent_after_a_crash_are_not_reported_to_the_next_leader() {
+    let mut guard = PartGuard::default();
+    let crashed_at = Millis(1_000);
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, crashed_at);
+    for number in 1..=200 {
+        let late = crashed_at + Millis(10 * number);
+        let (report, _) = guard.record_crash(TargetKey(1), &[FIRST, OTHER], Millis(1), late);
+        assert_eq!(report, None);
+    }
+    let reports = guard.recent_reports(crashed_at + Millis(2_500));
+    let reported: Vec<_> = reports.iter().map(|report| &report.parts[..]).collect();
+    assert_eq!(reported, [&PROMPT[..]]);
+}
+
 /// Guards against a part that is quarantined again by evidence from before its release.
 #[test]
 fn crashes_with_a_released_part_are_not_reported_again() {
@@ -390,7 +475,7 @@
         quarantined: Vec::new(),
         suspected: vec![DEADLY],
     });
-    guard.begin_connection();
+    guard.end_connection();
     guard.apply(PartList::default());
     assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
 }
@@ -480,6 +565,24 @@
     assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
 }
 
+/// Guards against evidence that is lost because an earlier reset of connections to the same target is reported
+/// after its crash, as to a new leader.
+#[test]
+fn crash_counts_if_an_earlier_reset_is_reported_after_it() {
+    let mut leader = Leader::new();
+    let reset_at = leader.now;
+    leader.now += Millis::from_secs(20);
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+        let reset = CrashReport {
+            age: leader.now - reset_at,
+            ..leader.report(leader.crashes, &[FIRST, OTHER], Millis(40))
+        };
+        leader.manager.record_crash(reset, leader.now);
+    }
+    assert_eq!(leader.quarantined(), [DEADLY]);
+}
+
 /// Guards against a sound part that is blamed for crashes by requests with a part that is quarantined already:
 /// those in flight at that moment, and trials.
 #[test]
