--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -35,7 +35,6 @@
     Verdict, //
 };
 use yuccaseam_platform::{
-    PromptPart,
     Route,
     headers, //
 };
@@ -52,6 +51,7 @@
         Choice, //
     },
     cx::Cx,
+    quarantine::Feature,
     routes::choose_destination,
     targets::TargetKey,
     upstream::{
@@ -177,8 +177,10 @@
     pub(super) arrived_at: Millis,
     pub(super) deadline: Millis,
     caller_timeout: Millis,
-    /// Shared parts of the prompt.
-    parts: Vec<PromptPart>,
+    /// The same for each repeat of the request.
+    whole_request: Feature,
+    /// What it may have in common with other requests that crash targets.
+    features: Vec<Feature>,
     tried: Vec<TargetKey>,
     rejections: usize,
     /// Number of targets that may have run the request.
@@ -210,8 +212,10 @@
         let caller_timeout = time_left.unwrap_or(route.timeout);
         let mut head = req.head;
         headers::strip_hop_by_hop(&mut head.headers);
+        let whole_request = Feature::whole_request(&head, &req.body);
         Some(Self {
-            parts: PromptPart::shared_of(&head.headers),
+            whole_request,
+            features: Feature::of_request(&head.headers, whole_request),
             cx,
             id,
             manifest: req.manifest,
@@ -433,6 +437,7 @@
             request:% = self.id, target_name:% = slot.choice.name, failure = code,
             verdict = error.verdict.code(), running_ms = (self.now() - self.sent_at).0,
             first_event_ms = self.first_event_at.map(|at| (at - self.sent_at).0),
+            whole_request:% = self.whole_request,
             prompt_parts = headers::text(&self.head.headers, &headers::PROMPT_PARTS);
             "request failed at the target");
         slot.record_failure();
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -10,13 +10,13 @@
     Millis,
     value, //
 };
-use yuccaseam_platform::PromptPart;
 
 use crate::targets::TargetKey;
 
 use super::{
     CrashEvidence,
     CrashReport,
+    Feature,
     PartList, //
 };
 
@@ -37,9 +37,9 @@
     /// No part is quarantined.
     Allowed,
     /// A part is quarantined.
-    Refused(PromptPart),
+    Refused(Feature),
     /// A part is quarantined, and the leader may grant this request as its trial.
-    TrialDue(PromptPart),
+    TrialDue(Feature),
 }
 
 /// Quarantine by this instance alone.
@@ -78,18 +78,19 @@
 #[derive(Debug, Default)]
 pub struct PartGuard {
     list: PartList,
-    /// Whether the leader sent its list over the current connection.
+    /// Whether the leader sent its list over the current connection. It decides then; this instance does
+    /// not know which targets others saw crash.
     is_current: bool,
     evidence: CrashEvidence,
     /// Parts that this instance has quarantined itself.
-    local: BTreeMap<PromptPart, LocalQuarantine>,
+    local: BTreeMap<Feature, LocalQuarantine>,
     reports: VecDeque<KeptReport>,
 }
 
 impl PartGuard {
-    /// Records a new connection to a leader. The list of the last one stays in force until the new
-    /// leader has sent its own.
-    pub fn begin_connection(&mut self) {
+    /// Records that the connection to the leader is lost. Its list stays in force until the next leader has
+    /// sent its own.
+    pub fn end_connection(&mut self) {
         self.is_current = false;
     }
 
@@ -124,18 +125,18 @@
         &self.list
     }
 
-    fn known_parts(&self) -> impl Iterator<Item = PromptPart> {
+    fn known_parts(&self) -> impl Iterator<Item = Feature> {
         let quarantined = self.list.quarantined.iter().map(|entry| entry.part);
         quarantined.chain(self.list.suspected.iter().copied())
     }
 
     /// Whether there is a part whose requests are refused.
     pub fn refuses_any(&self) -> bool {
-        !self.list.quarantined.is_empty() || !self.local.is_empty()
+        !self.list.quarantined.is_empty() || !self.is_current && !self.local.is_empty()
     }
 
     /// Decides on a request with these parts.
-    pub fn admit(&self, parts: &[PromptPart], now: Millis) -> Admission {
+    pub fn admit(&self, parts: &[Feature], now: Millis) -> Admission {
         let mut due = None;
         for part in parts {
             let mut quarantined = self.list.quarantined.iter();
@@ -145,7 +146,7 @@
                 // The leader grants trials also of parts that this instance has quarantined itself.
                 Some(entry) if entry.trial_due => due = due.or(Some(*part)),
                 Some(_) => return Admission::Refused(*part),
-                None if local.is_some_and(|local| local.is_active(now)) => {
+                None if !self.is_current && local.is_some_and(|local| local.is_active(now)) => {
                     return Admission::Refused(*part);
                 }
                 None => {}
@@ -154,21 +155,30 @@
         due.map_or(Admission::Allowed, Admission::TrialDue)
     }
 
-    /// Records a request that a crash cut off before its first event. Returns the report for the leader,
-    /// and the part that is quarantined here from now on, if any.
+    /// Records a request that a crash cut off before its first event. Returns the report for the leader, if it
+    /// is evidence, and the parts that are quarantined here from now on.
     pub fn record_crash(
         &mut self,
         target: TargetKey,
-        parts: &[PromptPart],
+        parts: &[Feature],
         ran_for: Millis,
         now: Millis,
-    ) -> (CrashReport, Option<PromptPart>) {
+    ) -> (Option<CrashReport>, Vec<Feature>) {
         let report = CrashReport {
             target,
             parts: parts.to_vec(),
             ran_for,
             age: Millis::ZERO,
         };
+        let mut parts = report.parts.iter().copied();
+        let known = parts.find(|part| self.local.contains_key(part));
+        let cause = match self.admit(&report.parts, now) {
+            Admission::Refused(part) | Admission::TrialDue(part) => Some(part),
+            Admission::Allowed => known,
+        };
+        if !self.evidence.record(report.clone(), cause, now) {
+            return (None, Vec::new());
+        }
         self.reports
             .retain(|kept| now <= kept.crashed_at + REPORT_LIFETIME);
         if self.reports.len() == MAX_REPORTS {
@@ -178,38 +188,37 @@
             report: report.clone(),
             crashed_at: now,
         });
-        let is_explained = self.admit(parts, now) != Admission::Allowed;
-        let culprit = self.quarantine_locally(&report, is_explained, now);
-        (report, culprit)
+        let culprits = if self.is_current {
+            Vec::new()
+        } else {
+            self.quarantine_locally(known, now)
+        };
+        (Some(report), culprits)
     }
 
-    /// Quarantines a part by the evidence of this instance, or renews an earlier quarantine.
-    fn quarantine_locally(
-        &mut self,
-        report: &CrashReport,
-        is_explained: bool,
-        now: Millis,
-    ) -> Option<PromptPart> {
-        let mut parts = report.parts.iter();
-        let known = parts.find(|part| self.local.contains_key(part)).copied();
-        let is_explained = is_explained || known.is_some();
-        self.evidence.record(report.clone(), is_explained, now);
-        if let Some(local) = known.and_then(|part| self.local.get_mut(&part)) {
+    /// Quarantines parts by the evidence of this instance, or renews the earlier quarantine of `known`.
+    fn quarantine_locally(&mut self, known: Option<Feature>, now: Millis) -> Vec<Feature> {
+        if let Some(part) = known
+            && let Some(local) = self.local.get_mut(&part)
+        {
             // Others were sent before the quarantine.
-            if !local.is_active(now) {
-                local.renew(now);
-                return known;
+            if local.is_active(now) {
+                return Vec::new();
             }
-            return None;
+            local.renew(now);
+            return vec![part];
+        }
+        let culprits = self.evidence.take_culprits();
+        for culprit in &culprits {
+            let quarantine = || LocalQuarantine::new(now);
+            self.local.entry(*culprit).or_insert_with(quarantine);
         }
-        let culprit = self.evidence.take_culprit()?;
-        self.local.insert(culprit, LocalQuarantine::new(now));
-        Some(culprit)
+        culprits
     }
 
     /// Records that a target has begun to answer a request with these parts. Returns those that the leader
     /// has to know of.
-    pub fn prove(&mut self, parts: &[PromptPart], now: Millis) -> Vec<PromptPart> {
+    pub fn prove(&mut self, parts: &[Feature], now: Millis) -> Vec<Feature> {
         if parts.is_empty() {
             return Vec::new();
         }
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -10,6 +10,7 @@
     quarantine::{
         Admission,
         CrashReport,
+        Feature,
         PartGuard,
         PartList,
         QuarantineManager,
@@ -18,12 +19,16 @@
     targets::TargetKey,
 };
 
-const FIRST: PromptPart = PromptPart(0xf1);
-const SESSION: PromptPart = PromptPart(0x51);
-const DEADLY: PromptPart = PromptPart(0xd00d);
-const OTHER: PromptPart = PromptPart(0x77);
+const fn part(id: u128) -> Feature {
+    Feature::prompt_part(PromptPart(id))
+}
+
+const FIRST: Feature = part(0xf1);
+const SESSION: Feature = part(0x51);
+const DEADLY: Feature = part(0xd00d);
+const OTHER: Feature = part(0x77);
 /// Parts of a request that crashes its target.
-const PROMPT: [PromptPart; 3] = [FIRST, SESSION, DEADLY];
+const PROMPT: [Feature; 3] = [FIRST, SESSION, DEADLY];
 /// Time from a request to the crash that it causes.
 const RUN: Millis = Millis(80);
 /// Time between two crashes.
@@ -45,7 +50,7 @@
         }
     }
 
-    fn report(&self, target: u64, parts: &[PromptPart], ran_for: Millis) -> CrashReport {
+    fn report(&self, target: u64, parts: &[Feature], ran_for: Millis) -> CrashReport {
         CrashReport {
             target: TargetKey(target),
             parts: parts.to_vec(),
@@ -55,7 +60,7 @@
     }
 
     /// One more target crashes under a request with these parts.
-    fn crash(&mut self, parts: &[PromptPart]) -> Vec<PromptPart> {
+    fn crash(&mut self, parts: &[Feature]) -> Vec<Feature> {
         self.now += GAP;
         self.crashes += 1;
         let report = self.report(self.crashes, parts, RUN);
@@ -63,12 +68,12 @@
     }
 
     /// A target answers a request with these parts.
-    fn answer(&mut self, parts: &[PromptPart]) -> Vec<PromptPart> {
+    fn answer(&mut self, parts: &[Feature]) -> Vec<Feature> {
         self.now += Millis(10);
         self.manager.prove(parts, self.now)
     }
 
-    fn quarantined(&self) -> Vec<PromptPart> {
+    fn quarantined(&self) -> Vec<Feature> {
         let list = self.manager.list(self.now);
         list.quarantined.iter().map(|entry| entry.part).collect()
     }
@@ -144,7 +149,7 @@
     let mut leader = Leader::new();
     let mut culprits = Vec::new();
     for last in [1, 1, 2, 3, 4] {
-        culprits = leader.crash(&[FIRST, SESSION, PromptPart(last)]);
+        culprits = leader.crash(&[FIRST, SESSION, part(last)]);
         leader.answer(&[FIRST]);
     }
     assert_eq!(culprits, [SESSION]);
@@ -154,7 +159,7 @@
 #[test]
 fn part_of_other_requests_is_not_blamed() {
     let mut leader = Leader::new();
-    let bystander = [PromptPart(1), PromptPart(2), PromptPart(3), OTHER];
+    let bystander = [part(1), part(2), part(3), OTHER];
     leader.crash(&bystander);
     leader.crash(&bystander);
     leader.crash(&PROMPT);
@@ -176,6 +181,29 @@
     assert!(leader.quarantined().is_empty());
 }
 
+/// Guards against a quarantine of sound parts by requests that were sent to targets which were down already,
+/// if their reports arrive before those of the requests that the crashes cut off.
+#[test]
+fn requests_sent_after_the_crash_are_no_evidence_if_they_are_reported_first() {
+    let mut leader = Leader::new();
+    let other_deadly = part(0xdead);
+    for (target, deadly) in [(1, DEADLY), (2, other_deadly), (3, DEADLY)] {
+        leader.now += GAP;
+        let crashed_at = leader.now;
+        leader.now += Millis(200);
+        let late = leader.report(target, &[OTHER], Millis(1));
+        assert!(leader.manager.record_crash(late, leader.now).is_empty());
+        let cut_off = CrashReport {
+            age: leader.now - crashed_at,
+            ..leader.report(target, &[FIRST, SESSION, deadly], RUN)
+        };
+        leader.manager.record_crash(cut_off, leader.now);
+        leader.answer(&[FIRST, SESSION]);
+    }
+    assert!(leader.quarantined().is_empty());
+    assert_eq!(leader.manager.list(leader.now).suspected, [DEADLY]);
+}
+
 #[test]
 fn reports_of_one_crash_count_once() {
     let mut leader = Leader::new();
@@ -274,7 +302,7 @@
     }
 }
 
-fn check_admission(parts: &[PromptPart], trial_due: bool, expected: Admission) {
+fn check_admission(parts: &[Feature], trial_due: bool, expected: Admission) {
     let mut guard = PartGuard::default();
     guard.apply(list(trial_due));
     assert_eq!(guard.admit(parts, Millis(1)), expected);
@@ -302,11 +330,11 @@
 fn list_is_in_force_until_the_next_leader_has_sent_its_own() {
     let mut guard = PartGuard::default();
     guard.apply(list(false));
-    guard.begin_connection();
+    guard.end_connection();
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
     guard.apply(list(false));
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
-    guard.begin_connection();
+    guard.end_connection();
     guard.apply(PartList::default());
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Allowed);
 }
@@ -332,6 +360,26 @@
     assert_eq!(guard.admit(&PROMPT, again), Admission::Allowed);
 }
 
+/// Guards against a quarantine of sound parts at a single entry, which does not know of the crashes that others
+/// saw and sends requests to targets that are down.
+#[test]
+fn entry_with_a_leader_leaves_the_decision_to_it() {
+    let mut guard = PartGuard::default();
+    guard.apply(PartList::default());
+    let mut now = Millis(1_000);
+    for target in 1..=3 {
+        now += GAP;
+        let (report, culprit) = guard.record_crash(TargetKey(target), &[FIRST, OTHER], RUN, now);
+        assert!(report.is_some());
+        assert!(culprit.is_empty());
+    }
+    assert_eq!(guard.admit(&[FIRST, OTHER], now), Admission::Allowed);
+    guard.end_connection();
+    guard.record_crash(TargetKey(4), &[FIRST, OTHER], RUN, now + GAP);
+    let admission = guard.admit(&[FIRST, OTHER], now + GAP);
+    assert_eq!(admission, Admission::Refused(OTHER));
+}
+
 /// Guards against evidence that is lost with its leader.
 #[test]
 fn next_leader_quarantines_by_the_crashes_that_entries_report_again() {
@@ -351,6 +399,48 @@
     assert_eq!(culprits, [DEADLY]);
 }
 
+/// Guards against a quarantine of sound parts by a new leader that has the reports of one entry only, which sent
+/// requests to targets that were down already.
+#[test]
+fn new_leader_decides_once_all_entries_have_reported() {
+    let mut leader = Leader::new();
+    leader.manager = QuarantineManager::restore([], leader.now);
+    for target in 1..=3 {
+        let late = CrashReport {
+            age: Millis(2_000) - Millis(GAP.0 * target),
+            ..leader.report(target, &[OTHER], Millis(1))
+        };
+        assert!(leader.manager.record_crash(late, leader.now).is_empty());
+    }
+    leader.now += Millis(100);
+    for target in 1..=3 {
+        let cut_off = CrashReport {
+            age: Millis(2_300) - Millis(GAP.0 * target),
+            ..leader.report(target, &PROMPT, RUN)
+        };
+        assert!(leader.manager.record_crash(cut_off, leader.now).is_empty());
+    }
+    leader.now += Millis::from_secs(1);
+    assert_eq!(leader.manager.decide(leader.now), [DEADLY]);
+}
+
+/// Guards against evidence that is pushed out by requests to targets that are down, before the next leader
+/// has it.
+#[test]
+fn requests_sent_after_a_crash_are_not_reported_to_the_next_leader() {
+    let mut guard = PartGuard::default();
+    let crashed_at = Millis(1_000);
+    guard.record_crash(TargetKey(1), &PROMPT, RUN, crashed_at);
+    for number in 1..=200 {
+        let late = crashed_at + Millis(10 * number);
+        let (report, _) = guard.record_crash(TargetKey(1), &[FIRST, OTHER], Millis(1), late);
+        assert_eq!(report, None);
+    }
+    let reports = guard.recent_reports(crashed_at + Millis(2_500));
+    let reported: Vec<_> = reports.iter().map(|report| &report.parts[..]).collect();
+    assert_eq!(reported, [&PROMPT[..]]);
+}
+
 /// Guards against a part that is quarantined again by evidence from before its release.
 #[test]
 fn crashes_with_a_released_part_are_not_reported_again() {
@@ -368,7 +458,7 @@
 fn earlier_part_is_blamed_if_each_request_is_sent_twice() {
     let mut leader = Leader::new();
     for own in [1, 1, 2, 2, 3, 3, 4, 4, 5, 5, 6, 6] {
-        leader.crash(&[FIRST, DEADLY, PromptPart(own)]);
+        leader.crash(&[FIRST, DEADLY, part(own)]);
         leader.answer(&[FIRST]);
     }
     let quarantined = leader.quarantined();
@@ -385,7 +475,7 @@
         quarantined: Vec::new(),
         suspected: vec![DEADLY],
     });
-    guard.begin_connection();
+    guard.end_connection();
     guard.apply(PartList::default());
     assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
 }
@@ -475,6 +565,24 @@
     assert!(quarantined.contains(&DEADLY), "{quarantined:?}");
 }
 
+/// Guards against evidence that is lost because an earlier reset of connections to the same target is reported
+/// after its crash, as to a new leader.
+#[test]
+fn crash_counts_if_an_earlier_reset_is_reported_after_it() {
+    let mut leader = Leader::new();
+    let reset_at = leader.now;
+    leader.now += Millis::from_secs(20);
+    for _ in 0..3 {
+        leader.crash(&PROMPT);
+        let reset = CrashReport {
+            age: leader.now - reset_at,
+            ..leader.report(leader.crashes, &[FIRST, OTHER], Millis(40))
+        };
+        leader.manager.record_crash(reset, leader.now);
+    }
+    assert_eq!(leader.quarantined(), [DEADLY]);
+}
+
 /// Guards against a sound part that is blamed for crashes by requests with a part that is quarantined already:
 /// those in flight at that moment, and trials.
 #[test]
