quorum: log how much is sent to a learner, and how much of it again

It now has both amounts, and the age of the last contact; the line of a proposed change has the amounts at the promotion.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -315,6 +315,15 @@
         state.progress.get(&id).map(|progress| progress.matched)
     }
 
+    /// Sending time of the last message that a member has acknowledged, by the clock of this replica;
+    /// `None` as for [`Core::synced_index_of`], or if there is none.
+    pub fn last_contact(&self, id: DiskId) -> Option<Millis> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        state.progress.get(&id)?.contact
+    }
+
     /// Replication progress of a member, for log lines; `None` as for [`Core::synced_index_of`].
     pub fn progress_of(&self, id: DiskId) -> Option<String> {
         let Role::Leader(state) = &self.role else {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -20,6 +20,7 @@
 mod reads;
 mod role;
 mod timing;
+mod traffic;
 mod transfer;
 mod wire;
 mod writer;
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -14,7 +14,8 @@
     Round,
     SnapshotId,
     Term,
-    log::Log, //
+    log::Log,
+    traffic::Traffic, //
 };
 
 /// Maximum payload size of an append message with more than one entry.
@@ -71,6 +72,7 @@
     pub(crate) round: Round,
     /// `None` before the first reply.
     catch_up: Option<CatchUp>,
+    pub(crate) traffic: Traffic,
 }
 
 /// Fields common to the append messages that a leader sends at one time.
@@ -87,8 +89,11 @@
             Mode::Replicate => "replicate",
             Mode::Snapshot(_) => "snapshot",
         };
-        let (next, in_flight) = (self.next.0, self.in_flight.len());
-        write!(f, "{mode}, next {next}, {in_flight} in flight")
+        let (next, in_flight, traffic) = (self.next.0, self.in_flight.len(), &self.traffic);
+        write!(
+            f,
+            "{mode}, next {next}, {in_flight} in flight, sent: {traffic}"
+        )
     }
 }
 
@@ -102,6 +107,7 @@
             contact: None,
             round: Round::default(),
             catch_up: None,
+            traffic: Traffic::default(),
         }
     }
 
@@ -153,19 +159,21 @@
         }
     }
 
-    fn append(&self, log: &Log, header: AppendHeader, max: usize) -> Option<Append> {
+    fn append(&mut self, log: &Log, header: AppendHeader, max: usize) -> Option<Append> {
         let prev_index = self.next.prev();
         let entries = match max {
             0 => Vec::new(),
             _ => log.slice(self.next, max),
         };
-        Some(Append {
+        let append = Append {
             prev_index,
             prev_term: log.term_at(prev_index)?,
             entries,
             commit: header.commit,
             echo: header.echo,
-        })
+        };
+        self.traffic.on_append(&append);
+        Some(append)
     }
 
     /// Records the echo of a reply, whatever its result.
--- a/crates/quorum/src/transfer.rs
+++ b/crates/quorum/src/transfer.rs
@@ -92,12 +92,14 @@
     }
 
     pub(crate) fn on_chunk_read(&mut self, to: DiskId, chunk: Option<Chunk>) {
-        if !self.is_leader() || !self.log.membership().contains(to) {
+        let Role::Leader(state) = &mut self.role else {
             return;
-        }
-        if let Some(chunk) = chunk {
-            self.send(to, Body::Chunk(chunk));
-        }
+        };
+        let (Some(progress), Some(chunk)) = (state.progress.get_mut(&to), chunk) else {
+            return;
+        };
+        progress.traffic.on_chunk(&chunk);
+        self.send(to, Body::Chunk(chunk));
     }
 
     pub(crate) fn on_offer(&mut self, from: DiskId, snapshot: Snapshot) {
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -8,6 +8,7 @@
 };
 use yuccaseam_journal::Position;
 use yuccaseam_quorum::{
+    Change,
     Core,
     Event,
     Index,
@@ -132,14 +133,18 @@
         let retiring = self.lock().state.retiring().clone();
         if now >= self.report_lag_at {
             self.report_lag_at = now + LAG_REPORT_INTERVAL;
-            report_lagging_learners(core);
+            report_lagging_learners(core, now);
         }
         let is_synced = |id| core.keeps_up(id);
         let change = self
             .manager()
             .next_change(core.membership(), &retiring, is_synced, now);
         if let Some(change) = change {
-            log::info!(change:? = change; "group change proposed");
+            let joining = match &change {
+                Change::Promote(id) | Change::Replace { new: id, .. } => core.progress_of(*id),
+                Change::AddLearner { .. } | Change::Remove(_) => None,
+            };
+            log::info!(change:? = change, progress = joining.as_deref(); "group change proposed");
             self.next_token += 1;
             let token = Token(self.next_token);
             self.step(Event::ChangeMembers { token, change });
@@ -206,13 +211,14 @@
 }
 
 /// Logs the learners that cannot become voters yet.
-fn report_lagging_learners(core: &Core) {
+fn report_lagging_learners(core: &Core, now: Millis) {
     for (id, member) in core.membership().iter() {
         if member.role == MemberRole::Learner && !core.keeps_up(id) {
             log::info!(
                 store:% = member.name, disk:% = id, committed = core.commit_index().0,
                 synced = core.synced_index_of(id).map(|index| index.0),
                 snapshot = core.snapshot_index().0, responds = core.is_active(id),
+                contact_age_ms = core.last_contact(id).map(|at| (now - at).0),
                 progress = core.progress_of(id).as_deref();
                 "learner lags behind");
         }
