serving: log the progress of all members while a learner lags

The line of a lagging learner did not show whether the learner or the whole link to its region is late. The other members are now logged beside it. The count of entries that are sent again starts at the lowest entry sent: the probe with the latest entry, which comes first, made all others count as repeated.

--- a/crates/quorum/src/traffic.rs
+++ b/crates/quorum/src/traffic.rs
@@ -16,8 +16,8 @@
     repeated_entry_bytes: u64,
     chunk_bytes: u64,
     repeated_chunk_bytes: u64,
-    /// Last entry sent.
-    last_sent: Index,
+    /// First and last entry sent without a gap, from the lowest entry sent on.
+    sent: Option<(Index, Index)>,
     /// Snapshot of the last chunk sent, and its end.
     chunk_end: Option<(SnapshotId, u64)>,
 }
@@ -27,10 +27,17 @@
         for entry in &append.entries {
             let size = entry.payload.size() as u64;
             self.entry_bytes += size;
-            if entry.index <= self.last_sent {
-                self.repeated_entry_bytes += size;
+            let index = entry.index;
+            match &mut self.sent {
+                Some((first, last)) if index >= *first => {
+                    if index <= *last {
+                        self.repeated_entry_bytes += size;
+                    } else {
+                        *last = index;
+                    }
+                }
+                sent => *sent = Some((index, index)),
             }
-            self.last_sent = self.last_sent.max(entry.index);
         }
     }
 
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -12,7 +12,6 @@
     Core,
     Event,
     Index,
-    MemberRole,
     Membership,
     Token, //
 };
@@ -210,17 +209,29 @@
     }
 }
 
-/// Logs the learners that cannot become voters yet.
+/// Logs the progress of all members while one of them cannot become a voter yet. That of the voters
+/// shows whether the learner or the link to its region is late.
 fn report_lagging_learners(core: &Core, now: Millis) {
-    for (id, member) in core.membership().iter() {
-        if member.role == MemberRole::Learner && !core.keeps_up(id) {
-            log::info!(
-                store:% = member.name, disk:% = id, committed = core.commit_index().0,
-                synced = core.synced_index_of(id).map(|index| index.0),
-                snapshot = core.snapshot_index().0, responds = core.is_active(id),
-                contact_age_ms = core.last_contact(id).map(|at| (now - at).0),
-                progress = core.progress_of(id).as_deref();
-                "learner lags behind");
-        }
+    let group = core.membership();
+    let lags = |id| !group.is_voter(id) && !core.keeps_up(id);
+    if !group.iter().any(|(id, _)| lags(id)) {
+        return;
+    }
+    for (id, member) in group.iter() {
+        let Some(progress) = core.progress_of(id) else {
+            continue;
+        };
+        let message = if lags(id) {
+            "learner lags behind"
+        } else {
+            "member beside a learner that lags"
+        };
+        log::info!(
+            store:% = member.name, disk:% = id, committed = core.commit_index().0,
+            synced = core.synced_index_of(id).map(|index| index.0),
+            snapshot = core.snapshot_index().0, responds = core.is_active(id),
+            contact_age_ms = core.last_contact(id).map(|at| (now - at).0),
+            progress:% = progress;
+            "{message}");
     }
 }
