quorum tests: a write that is refused during a leadership transfer is proposed again

A leader refuses proposals while it transfers its leadership, for an election timeout at most, and such a proposal is never committed. The write is now proposed again if it was refused as not run, within two election timeouts; everything else is checked as before.

--- a/crates/quorum/tests/all/group.rs
+++ b/crates/quorum/tests/all/group.rs
@@ -442,12 +442,20 @@
         self.leader().expect("a leader")
     }
 
-    /// Writes a value and waits for its acknowledgement.
+    /// Writes a value and waits for its acknowledgement. A leader refuses proposals while it transfers its
+    /// leadership, for an election timeout at most.
     pub(crate) fn write(&mut self) -> Token {
-        let at = self.wait_for_leader();
-        let token = self.propose(at, 1)[0];
-        self.until_committed(token);
-        token
+        let end = self.now + Timing::default().election_timeout * 2;
+        loop {
+            let at = self.wait_for_leader();
+            let token = self.propose(at, 1)[0];
+            if self.rejected.get(&token) != Some(&Verdict::NotRun) {
+                self.until_committed(token);
+                return token;
+            }
+            assert!(self.now < end, "proposals are refused");
+            self.advance();
+        }
     }
 
     /// Requests a change until the leader accepts it, and waits until it is committed. A leader
