quorum: probes carry no entries beyond a few KB

Callers saw no request served after a final fault, since two of three stores had lost their disks before the first of them was replaced.

Cause: a probe carried up to 256 KiB of entries, was repeated at each heartbeat, and again at each reply. A voter that has lost its disk never replies, so that it was probed until it was replaced, over the same connection as the learner that was to replace it.

Tests: lost_leader_on_a_slow_link_is_replaced and lost_follower_on_a_slow_link_is_replaced.

A probe now has entries of up to 4 KiB, so that the first heartbeat of a leader still carries the first entry of its term. It is sent once for each position, and repeated by heartbeats only. Entries follow once a probe has matched.

--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -129,12 +129,21 @@
     /// Returns entries from an index on, up to `max` payload bytes but at least one if there is
     /// any.
     pub(crate) fn slice(&self, from: Index, max: usize) -> Vec<Entry> {
+        let slice = self.slice_within(from, max);
+        if slice.is_empty() {
+            return self.get(from).cloned().into_iter().collect();
+        }
+        slice
+    }
+
+    /// Returns entries from an index on, up to `max` payload bytes.
+    pub(crate) fn slice_within(&self, from: Index, max: usize) -> Vec<Entry> {
         let mut size = 0;
         let mut slice = Vec::new();
         let mut index = from;
         while let Some(entry) = self.get(index) {
             size += entry.payload.size();
-            if size > max && !slice.is_empty() {
+            if size > max {
                 break;
             }
             slice.push(entry.clone());
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -10,6 +10,7 @@
 use crate::{
     Append,
     Echo,
+    Entry,
     Index,
     Round,
     SnapshotId,
@@ -21,15 +22,20 @@
 /// Maximum payload size of an append message with more than one entry.
 pub(crate) const MAX_APPEND_BYTES: usize = 256 * 1024;
 
+/// Maximum payload size of a probe. Probes are repeated at each heartbeat, also to a follower that never
+/// replies, so that the entries of a new leader's term are all that fits.
+const MAX_PROBE_BYTES: usize = 4 * 1024;
+
 /// Maximum number of unacknowledged append messages with entries per follower.
 const MAX_IN_FLIGHT: usize = 32;
 
 /// Replication mode of a follower.
 #[derive(Debug, PartialEq)]
 pub(crate) enum Mode {
-    /// Sends one message at a time until one matches.
+    /// Searches for the last entry that matches. A probe is sent for each new value of `next`, and
+    /// repeated by heartbeats.
     Probe {
-        /// Whether a reply is outstanding.
+        /// Whether the probe for the current `next` was sent.
         paused: bool,
     },
     /// Pipelines messages without waiting for replies.
@@ -125,13 +131,14 @@
             Mode::Probe { paused: true } | Mode::Snapshot(_) => None,
             Mode::Probe { paused } => {
                 *paused = true;
-                self.append(log, header, MAX_APPEND_BYTES)
+                self.probe(log, header)
             }
             Mode::Replicate => {
                 if self.in_flight.len() >= MAX_IN_FLIGHT {
                     return None;
                 }
-                let append = self.append(log, header, MAX_APPEND_BYTES)?;
+                let entries = log.slice(self.next, MAX_APPEND_BYTES);
+                let append = self.append(log, header, entries)?;
                 let last = append.entries.last()?.index;
                 self.next = last.next();
                 self.in_flight.push_back(last);
@@ -140,15 +147,15 @@
         }
     }
 
-    /// Returns a heartbeat. While probing it carries entries, because the previous message may have
-    /// been lost.
+    /// Returns a heartbeat, which is also a probe while probing, because the previous one may have been
+    /// lost.
     pub(crate) fn heartbeat(&mut self, log: &Log, header: AppendHeader) -> Option<Append> {
         match &mut self.mode {
             Mode::Probe { paused } => {
                 *paused = true;
-                self.append(log, header, MAX_APPEND_BYTES)
+                self.probe(log, header)
             }
-            Mode::Replicate => self.append(log, header, 0),
+            Mode::Replicate => self.append(log, header, Vec::new()),
             Mode::Snapshot(_) => Some(Append {
                 prev_index: Index::ZERO,
                 prev_term: Term(0),
@@ -159,12 +166,13 @@
         }
     }
 
-    fn append(&mut self, log: &Log, header: AppendHeader, max: usize) -> Option<Append> {
+    fn probe(&mut self, log: &Log, header: AppendHeader) -> Option<Append> {
+        let entries = log.slice_within(self.next, MAX_PROBE_BYTES);
+        self.append(log, header, entries)
+    }
+
+    fn append(&mut self, log: &Log, header: AppendHeader, entries: Vec<Entry>) -> Option<Append> {
         let prev_index = self.next.prev();
-        let entries = match max {
-            0 => Vec::new(),
-            _ => log.slice(self.next, max),
-        };
         let append = Append {
             prev_index,
             prev_term: log.term_at(prev_index)?,
@@ -180,9 +188,6 @@
     pub(crate) fn record_echo(&mut self, echo: Echo) {
         self.contact = self.contact.max(Some(echo.sent_at));
         self.round = self.round.max(echo.round);
-        if let Mode::Probe { paused } = &mut self.mode {
-            *paused = false;
-        }
     }
 
     /// Records that the follower has synced up to an index.
--- a/crates/quorum/tests/all/checks.rs
+++ b/crates/quorum/tests/all/checks.rs
@@ -30,7 +30,7 @@
 
 pub(crate) fn value_of(entry: &Entry) -> Option<u64> {
     match &entry.payload {
-        Payload::Command(data) => Some(u64::from_le_bytes(data[..].try_into().ok()?)),
+        Payload::Command(data) => data.first_chunk().copied().map(u64::from_le_bytes),
         _ => None,
     }
 }
--- a/crates/quorum/tests/all/group.rs
+++ b/crates/quorum/tests/all/group.rs
@@ -21,6 +21,7 @@
 };
 use yuccaseam_quorum::{
     Action,
+    Body,
     Change,
     ChangeError,
     Config,
@@ -30,6 +31,7 @@
     Event,
     Index,
     Membership,
+    Payload,
     Proposal,
     Restored,
     Timing,
@@ -47,6 +49,55 @@
 /// Additional delay of a message from or to a replica in another region.
 const REGION_DELAY: Millis = Millis(30);
 
+/// Bytes of a message besides its log data.
+const MESSAGE_OVERHEAD_BYTES: u64 = 100;
+
+/// Connections to and from the replicas in another region: ordered, and of a limited rate in each
+/// direction.
+pub(crate) struct RegionLink {
+    /// Rate in bytes per ms.
+    pub(crate) rate: u64,
+    /// Additional delay of each message.
+    pub(crate) delay: Millis,
+    /// Log data sent to the other region, in bytes.
+    pub(crate) sent: u64,
+    /// Time at which the last byte leaves, towards the other region and back.
+    free_at: [Millis; 2],
+}
+
+impl RegionLink {
+    pub(crate) fn new(rate: u64, delay: Millis) -> Self {
+        Self {
+            rate,
+            delay,
+            sent: 0,
+            free_at: [Millis::ZERO; 2],
+        }
+    }
+
+    /// Returns when a message arrives.
+    fn send(&mut self, body: &Body, is_back: bool, now: Millis) -> Millis {
+        let data = match body {
+            Body::Append(append) => {
+                let sizes = append.entries.iter().map(|entry| match &entry.payload {
+                    Payload::Command(data) => data.len() as u64,
+                    _ => 0,
+                });
+                sizes.sum()
+            }
+            Body::Chunk(chunk) => chunk.data.len() as u64,
+            _ => 0,
+        };
+        if !is_back {
+            self.sent += data;
+        }
+        let free_at = &mut self.free_at[usize::from(is_back)];
+        let transmission = Millis((data + MESSAGE_OVERHEAD_BYTES).div_ceil(self.rate));
+        *free_at = now.max(*free_at) + transmission;
+        *free_at + self.delay
+    }
+}
+
 /// Faults and delays of the network.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Net {
@@ -80,6 +131,12 @@
     pub(crate) cuts: BTreeSet<(usize, usize)>,
     /// Replicas in another region than the rest.
     pub(crate) remote: BTreeSet<usize>,
+    /// Link to these replicas; `None` if only its delay counts.
+    pub(crate) link: Option<RegionLink>,
+    /// Size of each proposed value in bytes, at least 8.
+    pub(crate) value_bytes: usize,
+    /// Replicas that have lost these disks. Messages to a lost disk still travel to its replica.
+    lost_disks: BTreeMap<DiskId, usize>,
     /// Number of applied entries after which a replica writes a snapshot.
     pub(crate) snapshot_every: u64,
     /// Probability that a disk syncs within a step of 10 ms.
@@ -107,6 +164,9 @@
             checks: Checks::default(),
             cuts: BTreeSet::new(),
             remote: BTreeSet::new(),
+            link: None,
+            value_bytes: 8,
+            lost_disks: BTreeMap::new(),
             snapshot_every: u64::MAX,
             sync_chance: 0.9,
             in_transit: Vec::new(),
@@ -175,6 +235,7 @@
     pub(crate) fn lose_disk(&mut self, at: usize) {
         self.crash(at);
         self.disks += 1;
+        self.lost_disks.insert(self.replicas[at].id, at);
         self.replicas[at].id = DiskId(self.disks);
         self.replicas[at].disk = Disk::default();
         self.restart(at);
@@ -212,9 +273,14 @@
     /// Proposes `count` new values in one event and returns their tokens.
     pub(crate) fn propose(&mut self, at: usize, count: usize) -> Vec<Token> {
         let tokens: Vec<Token> = (0..count).map(|_| self.token()).collect();
-        let proposals = tokens.iter().map(|&token| Proposal {
-            token,
-            data: Arc::from(&token.0.to_le_bytes()[..]),
+        let value_bytes = self.value_bytes;
+        let proposals = tokens.iter().map(|&token| {
+            let mut data = token.0.to_le_bytes().to_vec();
+            data.resize(value_bytes, 0);
+            Proposal {
+                token,
+                data: Arc::from(data),
+            }
         });
         let event = Event::Propose(proposals.collect());
         self.proposed
@@ -345,8 +411,19 @@
                 20
             };
             let mut delay = Millis(self.net.min_delay_ms + self.rng.random_range(1..=slowest));
-            let ends = [envelope.from, envelope.to].map(|id| self.position_of(id));
-            if ends.iter().flatten().any(|at| self.remote.contains(at)) {
+            let [from, to] = [envelope.from, envelope.to].map(|id| {
+                let lost = self.lost_disks.get(&id).copied();
+                let at = self.position_of(id).or(lost);
+                at.is_some_and(|at| self.remote.contains(&at))
+            });
+            if (from || to)
+                && let Some(link) = &mut self.link
+            {
+                let arrives_at = link.send(&envelope.body, from, self.now);
+                self.in_transit.push((arrives_at, envelope.clone()));
+                continue;
+            }
+            if from || to {
                 delay += REGION_DELAY;
             }
             self.in_transit.push((self.now + delay, envelope.clone()));
--- a/crates/quorum/tests/all/main.rs
+++ b/crates/quorum/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod rules;
 mod schedules;
 mod single;
+mod slow_links;
 mod snapshots;
 mod wire;
 mod writes;
--- /dev/null
+++ b/crates/quorum/tests/all/slow_links.rs
@@ -0,0 +1,118 @@
+//! Replication over a link of a limited rate to another region.
+
+use yuccaseam_base::{
+    Millis,
+    cases, //
+};
+use yuccaseam_quorum::{
+    Change,
+    ChangeError,
+    DiskId, //
+};
+
+use crate::group::{
+    Group,
+    RegionLink, //
+};
+
+/// 30 Mbit/s in bytes per ms.
+const RATE: u64 = 3_750;
+/// Delay of a message on the idle link.
+const DELAY: Millis = Millis(25);
+/// Size of an entry.
+const ENTRY_BYTES: usize = 10_000;
+/// Entries in the log when the learner joins.
+const OLD_ENTRIES: usize = 250;
+/// Data that may be sent twice: what may be in flight when a message is lost.
+const MAX_REPEATED_BYTES: u64 = 256 * 1024;
+
+/// Group with a log of 2.5 MB, in which a voter in another region loses its disk. Returns the leader
+/// and the position of that voter.
+fn with_lost_disk(seed: u64, pick: fn(usize) -> usize) -> (Group, usize, usize) {
+    let mut group = Group::new(3, seed);
+    group.value_bytes = ENTRY_BYTES;
+    let leader = group.wait_for_leader();
+    for _ in 0..OLD_ENTRIES / 10 {
+        group.propose(leader, 10);
+        group.run(Millis(50));
+    }
+    group.write();
+    let lost = pick(leader);
+    group.lose_disk(lost);
+    group.remote.insert(lost);
+    group.link = Some(RegionLink::new(RATE, DELAY));
+    group.write();
+    let leader = group.wait_for_leader();
+    (group, leader, lost)
+}
+
+fn follower(leader: usize) -> usize {
+    (leader + 1) % 3
+}
+
+fn add_learner(group: &mut Group, at: usize) -> DiskId {
+    let (id, name) = (group.replicas[at].id, group.replicas[at].name.clone());
+    group.change_and_wait(Change::AddLearner { id, name });
+    id
+}
+
+/// Writes 17 entries a second.
+fn write_for(group: &mut Group, leader: usize, time: Millis) {
+    let end = group.now + time;
+    while group.now < end {
+        if group.now.0 % 60 == 0 {
+            group.propose(leader, 1);
+        }
+        group.advance();
+    }
+}
+
+fn sent(group: &Group) -> u64 {
+    group.link.as_ref().expect("there is a link").sent
+}
+
+fn log_bytes(group: &Group) -> u64 {
+    (group.checks.committed.len() * ENTRY_BYTES) as u64
+}
+
+/// Guards against a lost voter that is replaced seconds late: a probe was repeated, with up to 256 KiB of
+/// entries, at each heartbeat and at each reply, also to the lost disk, and delayed all that followed it on
+/// the link.
+fn replace_lost_voter(seed: u64, pick: fn(usize) -> usize) {
+    let (mut group, leader, lost) = with_lost_disk(seed, pick);
+    let replica = &group.replicas[lost];
+    let group_before = &group.core(leader).expect("it runs").membership();
+    let old = group_before.voter_named(&replica.name).expect("it voted");
+    // Some time passes before the store with the new disk becomes a learner.
+    write_for(&mut group, leader, Millis(1_000));
+    let sent_before = sent(&group);
+    let new = add_learner(&mut group, lost);
+    let end = group.now + Millis(1_500);
+    let replace = Change::Replace { old, new };
+    let mut token = group.change(leader, replace.clone());
+    while !group.committed_tokens.contains(&token) {
+        assert!(
+            group.now < end,
+            "the lost voter is not replaced; sent {} of {} bytes",
+            sent(&group) - sent_before,
+            log_bytes(&group),
+        );
+        write_for(&mut group, leader, Millis(10));
+        match group.refused.get(&token) {
+            None => {}
+            Some(ChangeError::NotSynced { .. }) => token = group.change(leader, replace.clone()),
+            Some(error) => panic!("refused: {error}"),
+        }
+    }
+    let (sent, log) = (sent(&group) - sent_before, log_bytes(&group));
+    assert!(
+        sent <= log + MAX_REPEATED_BYTES,
+        "sent {sent} bytes of {log}"
+    );
+    group.check_states();
+}
+
+cases! { replace_lost_voter:
+    lost_follower_on_a_slow_link_is_replaced(41, follower);
+    lost_leader_on_a_slow_link_is_replaced(45, |leader| leader);
+}
