quorum: only the first of several rejections starts the replication anew

After one lost message the followers of a distant leader were sent most of what was in flight twice or more.

Cause: each message behind a lost one is rejected, and each rejection dropped what was in flight and probed again, also once a later probe had matched and the entries were on their way again.

Test: lost_message_on_a_slow_link_is_followed_by_one_repetition.

A rejection counts while probing only if it answers the probe at the current position, and while replicating only if the message was sent after that began. What it would tell otherwise follows from a later message, at the latest from the next heartbeat.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -159,8 +159,8 @@
         };
         progress.record_echo(echo);
         match result {
-            AppendResult::Matched(index) => progress.on_matched(index, &self.log),
-            AppendResult::Rejected { prev, hint } => progress.on_rejected(prev, hint),
+            AppendResult::Matched(index) => progress.on_matched(index, &self.log, self.now),
+            AppendResult::Rejected { prev, hint } => progress.on_rejected(prev, hint, echo),
         }
         let limit = self.timing.election_timeout;
         progress.measure_catch_up(self.log.last_index(), limit, self.now);
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -39,7 +39,10 @@
         paused: bool,
     },
     /// Pipelines messages without waiting for replies.
-    Replicate,
+    Replicate {
+        /// Start of this mode, by the leader's clock.
+        since: Millis,
+    },
     /// Transfers a snapshot before further entries.
     Snapshot(SnapshotTransfer),
 }
@@ -92,7 +95,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mode = match self.mode {
             Mode::Probe { .. } => "probe",
-            Mode::Replicate => "replicate",
+            Mode::Replicate { .. } => "replicate",
             Mode::Snapshot(_) => "snapshot",
         };
         let (next, in_flight, traffic) = (self.next.0, self.in_flight.len(), &self.traffic);
@@ -133,7 +136,7 @@
                 *paused = true;
                 self.probe(log, header)
             }
-            Mode::Replicate => {
+            Mode::Replicate { .. } => {
                 if self.in_flight.len() >= MAX_IN_FLIGHT {
                     return None;
                 }
@@ -155,7 +158,7 @@
                 *paused = true;
                 self.probe(log, header)
             }
-            Mode::Replicate => self.append(log, header, Vec::new()),
+            Mode::Replicate { .. } => self.append(log, header, Vec::new()),
             Mode::Snapshot(_) => Some(Append {
                 prev_index: Index::ZERO,
                 prev_term: Term(0),
@@ -191,7 +194,7 @@
     }
 
     /// Records that the follower has synced up to an index.
-    pub(crate) fn on_matched(&mut self, index: Index, log: &Log) {
+    pub(crate) fn on_matched(&mut self, index: Index, log: &Log, now: Millis) {
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
         while self.in_flight.front().is_some_and(|&last| last <= index) {
@@ -199,11 +202,11 @@
         }
         let is_caught_up = match self.mode {
             Mode::Probe { .. } => self.matched.next() >= self.next,
-            Mode::Replicate => false,
+            Mode::Replicate { .. } => false,
             Mode::Snapshot(_) => self.matched >= log.base(),
         };
         if is_caught_up {
-            self.mode = Mode::Replicate;
+            self.mode = Mode::Replicate { since: now };
         }
     }
 
@@ -229,10 +232,15 @@
             .is_some_and(|period| period.was_in_time && now < period.started_at + limit)
     }
 
-    /// Records that the follower lacks the entry that precedes a message's first, and resumes
-    /// probing.
-    pub(crate) fn on_rejected(&mut self, prev: Index, hint: Index) {
-        if prev <= self.matched || matches!(self.mode, Mode::Snapshot(_)) {
+    /// Records that the follower lacks the entry that precedes a message's first, and probes for an
+    /// earlier one. Each message behind a lost one is rejected: only the first rejection counts.
+    pub(crate) fn on_rejected(&mut self, prev: Index, hint: Index, echo: Echo) {
+        let is_stale = match self.mode {
+            Mode::Probe { .. } => prev != self.next.prev(),
+            Mode::Replicate { since } => echo.sent_at < since,
+            Mode::Snapshot(_) => true,
+        };
+        if prev <= self.matched || is_stale {
             return;
         }
         let next = prev.min(hint.next());
--- a/crates/quorum/tests/all/slow_links.rs
+++ b/crates/quorum/tests/all/slow_links.rs
@@ -116,3 +116,42 @@
     lost_follower_on_a_slow_link_is_replaced(41, follower);
     lost_leader_on_a_slow_link_is_replaced(45, |leader| leader);
 }
+
+/// Guards against a lost message that makes the leader send everything after it again and again: each
+/// message behind it was rejected, and each rejection started the replication anew.
+#[test]
+fn lost_message_on_a_slow_link_is_followed_by_one_repetition() {
+    for seed in 0..40 {
+        lose_message(seed);
+    }
+}
+
+fn lose_message(seed: u64) {
+    let mut group = Group::new(3, seed);
+    group.value_bytes = ENTRY_BYTES;
+    // Acknowledgements of slow syncs come between the rejections.
+    group.sync_chance = 0.3;
+    let leader = group.wait_for_leader();
+    let remote = follower(leader);
+    group.remote.insert(remote);
+    group.link = Some(RegionLink::new(RATE, DELAY));
+    group.write();
+    group.run(Millis::from_secs(1));
+    let (sent_before, log_before) = (sent(&group), log_bytes(&group));
+    for step in 0..30 {
+        // The messages of one step are lost, and those of the next ones are in flight when it is noticed.
+        group.net.loss = if step == 10 { 1.0 } else { 0.0 };
+        group.propose(leader, 2);
+        group.net.loss = 0.0;
+        group.advance();
+    }
+    group.run(Millis::from_secs(2));
+    let last = group.core(leader).expect("it runs").last_index();
+    assert_eq!(group.replicas[remote].applied, last);
+    let (sent, log) = (sent(&group) - sent_before, log_bytes(&group) - log_before);
+    assert!(
+        sent <= log + MAX_REPEATED_BYTES,
+        "seed {seed}: sent {sent} bytes of {log}"
+    );
+    group.check_states();
+}
