quorum: at most 256 KiB of entries are in flight to a follower

A follower in another region counted as unresponsive while it caught up, so that it replaced no lost voter.

Cause: up to 32 messages of 256 KiB were in flight, 8 MiB.

Test: learner_on_a_slow_link_stays_responsive_while_it_catches_up.

A message has at most 64 KiB now, unless a single entry is larger, and no further one is sent while 256 KiB are unacknowledged. This is about the bandwidth-delay product of a link between regions, as the window of the connection, so that a follower catches up at the rate of the link.

--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -20,7 +20,12 @@
 };
 
 /// Maximum payload size of an append message with more than one entry.
-pub(crate) const MAX_APPEND_BYTES: usize = 256 * 1024;
+const MAX_APPEND_BYTES: usize = 64 * 1024;
+
+/// Payload size of the unacknowledged append messages to a follower from which on no further one is sent:
+/// about the bandwidth-delay product of a link between regions. Heartbeats wait behind more, until the
+/// follower counts as unresponsive.
+const MAX_IN_FLIGHT_BYTES: usize = 256 * 1024;
 
 /// Maximum payload size of a probe. Probes are repeated at each heartbeat, also to a follower that never
 /// replies, so that the entries of a new leader's term are all that fits.
@@ -65,6 +70,13 @@
     was_in_time: bool,
 }
 
+/// Unacknowledged append message with entries.
+#[derive(Debug)]
+struct InFlight {
+    last: Index,
+    payload_bytes: usize,
+}
+
 /// Replication progress of a follower.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -73,8 +85,7 @@
     /// Next entry to send.
     pub(crate) next: Index,
     pub(crate) mode: Mode,
-    /// Last entry of each unacknowledged message.
-    in_flight: VecDeque<Index>,
+    in_flight: VecDeque<InFlight>,
     /// Sending time of the latest acknowledged message, by the leader's clock.
     pub(crate) contact: Option<Millis>,
     /// Latest acknowledged round.
@@ -137,19 +148,29 @@
                 self.probe(log, header)
             }
             Mode::Replicate { .. } => {
-                if self.in_flight.len() >= MAX_IN_FLIGHT {
+                if self.is_window_full() {
                     return None;
                 }
                 let entries = log.slice(self.next, MAX_APPEND_BYTES);
                 let append = self.append(log, header, entries)?;
                 let last = append.entries.last()?.index;
+                let sizes = append.entries.iter().map(|entry| entry.payload.size());
+                let payload_bytes = sizes.sum();
                 self.next = last.next();
-                self.in_flight.push_back(last);
+                self.in_flight.push_back(InFlight {
+                    last,
+                    payload_bytes,
+                });
                 Some(append)
             }
         }
     }
 
+    fn is_window_full(&self) -> bool {
+        let sizes = self.in_flight.iter().map(|message| message.payload_bytes);
+        self.in_flight.len() >= MAX_IN_FLIGHT || sizes.sum::<usize>() >= MAX_IN_FLIGHT_BYTES
+    }
+
     /// Returns a heartbeat, which is also a probe while probing, because the previous one may have been
     /// lost.
     pub(crate) fn heartbeat(&mut self, log: &Log, header: AppendHeader) -> Option<Append> {
@@ -197,8 +218,9 @@
     pub(crate) fn on_matched(&mut self, index: Index, log: &Log, now: Millis) {
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
-        while self.in_flight.front().is_some_and(|&last| last <= index) {
-            self.in_flight.pop_front();
+        let in_flight = &mut self.in_flight;
+        while in_flight.front().is_some_and(|first| first.last <= index) {
+            in_flight.pop_front();
         }
         let is_caught_up = match self.mode {
             Mode::Probe { .. } => self.matched.next() >= self.next,
--- a/crates/quorum/tests/all/slow_links.rs
+++ b/crates/quorum/tests/all/slow_links.rs
@@ -155,3 +155,23 @@
     );
     group.check_states();
 }
+
+/// Guards against heartbeats that wait behind entries: with megabytes in flight, a follower on a slow link
+/// counted as unresponsive while it caught up.
+#[test]
+fn learner_on_a_slow_link_stays_responsive_while_it_catches_up() {
+    let (mut group, leader, lost) = with_lost_disk(42, follower);
+    let new = add_learner(&mut group, lost);
+    group.run(Millis(300));
+    let end = group.now + Millis(1_500);
+    while group.now < end {
+        group.advance();
+        let core = group.core(leader).expect("it runs");
+        let contact = core.last_contact(new).expect("it responded");
+        assert!(
+            group.now < contact + Millis(250),
+            "the last contact was at {contact}, now {}",
+            group.now
+        );
+    }
+}
