--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod misbehaving;
 mod online;
+mod power;
 mod raw_target;
 mod tainted;
 
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -9,16 +9,28 @@
 
 use crate::{
     Append,
+    Chunk,
     Echo,
+    Entry,
     Index,
     Round,
     SnapshotId,
     Term,
-    log::Log, //
+    log::Log,
+    traffic::Traffic, //
 };
 
 /// Maximum payload size of an append message with more than one entry.
-pub(crate) const MAX_APPEND_BYTES: usize = 256 * 1024;
+const MAX_APPEND_BYTES: usize = 64 * 1024;
+
+/// Payload size of the unacknowledged append messages to a follower from which on no further one is sent:
+/// about the bandwidth-delay product of a link between regions. Heartbeats wait behind more, until the
+/// follower counts as unresponsive.
+const MAX_IN_FLIGHT_BYTES: usize = 256 * 1024;
+
+/// Maximum payload size of a probe. Probes are repeated at each heartbeat, also to a follower that never
+/// replies, so that the entries of a new leader's term are all that fits.
+const MAX_PROBE_BYTES: usize = 4 * 1024;
 
 /// Maximum number of unacknowledged append messages with entries per follower.
 const MAX_IN_FLIGHT: usize = 32;
@@ -26,13 +38,17 @@
 /// Replication mode of a follower.
 #[derive(Debug, PartialEq)]
 pub(crate) enum Mode {
-    /// Sends one message at a time until one matches.
+    /// Searches for the last entry that matches. A probe is sent for each new value of `next`, and
+    /// repeated by heartbeats.
     Probe {
-        /// Whether a reply is outstanding.
+        /// Whether the probe for the current `next` was sent.
         paused: bool,
     },
     /// Pipelines messages without waiting for replies.
-    Replicate,
+    Replicate {
+        /// Start of this mode, by the leader's clock.
+        since: Millis,
+    },
     /// Transfers a snapshot before further entries.
     Snapshot(SnapshotTransfer),
 }
@@ -41,10 +57,25 @@
 #[derive(Debug, PartialEq)]
 pub(crate) struct SnapshotTransfer {
     pub(crate) id: SnapshotId,
+    /// Offset of the last chunk requested since the last offer.
+    pub(crate) requested: Option<u64>,
+    /// When the last offer or chunk was sent.
+    pub(crate) sent_at: Millis,
     /// Time at which the snapshot is offered again if no chunk was acknowledged.
     pub(crate) retry_at: Millis,
 }
 
+impl SnapshotTransfer {
+    pub(crate) fn new(id: SnapshotId, now: Millis, timeout: Millis) -> Self {
+        Self {
+            id,
+            requested: None,
+            sent_at: now,
+            retry_at: now + timeout,
+        }
+    }
+}
+
 /// Measures whether a follower keeps up with the log. In each period it syncs what the log held at the
 /// start of the period.
 #[derive(Debug)]
@@ -55,6 +86,13 @@
     was_in_time: bool,
 }
 
+/// Unacknowledged append message with entries.
+#[derive(Debug)]
+struct InFlight {
+    last: Index,
+    payload_bytes: usize,
+}
+
 /// Replication progress of a follower.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -63,14 +101,14 @@
     /// Next entry to send.
     pub(crate) next: Index,
     pub(crate) mode: Mode,
-    /// Last entry of each unacknowledged message.
-    in_flight: VecDeque<Index>,
+    in_flight: VecDeque<InFlight>,
     /// Sending time of the latest acknowledged message, by the leader's clock.
     pub(crate) contact: Option<Millis>,
     /// Latest acknowledged round.
     pub(crate) round: Round,
     /// `None` before the first reply.
     catch_up: Option<CatchUp>,
+    pub(crate) traffic: Traffic,
 }
 
 /// Fields common to the append messages that a leader sends at one time.
@@ -84,11 +122,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mode = match self.mode {
             Mode::Probe { .. } => "probe",
-            Mode::Replicate => "replicate",
+            Mode::Replicate { .. } => "replicate",
             Mode::Snapshot(_) => "snapshot",
         };
-        let (next, in_flight) = (self.next.0, self.in_flight.len());
-        write!(f, "{mode}, next {next}, {in_flight} in flight")
+        let (next, in_flight, traffic) = (self.next.0, self.in_flight.len(), &self.traffic);
+        write!(
+            f,
+            "{mode}, next {next}, {in_flight} in flight, sent: {traffic}"
+        )
     }
 }
 
@@ -102,6 +143,7 @@
             contact: None,
             round: Round::default(),
             catch_up: None,
+            traffic: Traffic::default(),
         }
     }
 
@@ -119,30 +161,78 @@
             Mode::Probe { paused: true } | Mode::Snapshot(_) => None,
             Mode::Probe { paused } => {
                 *paused = true;
-                self.append(log, header, MAX_APPEND_BYTES)
+                self.probe(log, header)
             }
-            Mode::Replicate => {
-                if self.in_flight.len() >= MAX_IN_FLIGHT {
+            Mode::Replicate { .. } => {
+                if self.is_window_full() {
                     return None;
                 }
-                let append = self.append(log, header, MAX_APPEND_BYTES)?;
+                let entries = log.slice(self.next, MAX_APPEND_BYTES);
+                let append = self.append(log, header, entries)?;
                 let last = append.entries.last()?.index;
+                let sizes = append.entries.iter().map(|entry| entry.payload.size());
+                let payload_bytes = sizes.sum();
                 self.next = last.next();
-                self.in_flight.push_back(last);
+                self.in_flight.push_back(InFlight {
+                    last,
+                    payload_bytes,
+                });
                 Some(append)
             }
         }
     }
 
-    /// Returns a heartbeat. While probing it carries entries, because the previous message may have
-    /// been lost.
+    /// Whether the snapshot transfer made no progress in time, although the follower received what was
+    /// sent after the last chunk: on a slow link a chunk may take longer.
+    pub(crate) fn is_transfer_stalled(&self, now: Millis) -> bool {
+        match &self.mode {
+            Mode::Snapshot(transfer) => {
+                transfer.retry_at <= now && self.contact >= Some(transfer.sent_at)
+            }
+            Mode::Probe { .. } | Mode::Replicate { .. } => false,
+        }
+    }
+
+    /// Records that the follower has synced a snapshot up to an offset. Returns whether to send the chunk
+    /// from there on: an acknowledgement may come several times, but each chunk is sent once for an offer.
+    pub(crate) fn on_chunk_acknowledged(
+        &mut self,
+        id: SnapshotId,
+        received: u64,
+        retry_at: Millis,
+    ) -> bool {
+        let Mode::Snapshot(transfer) = &mut self.mode else {
+            return false;
+        };
+        if transfer.id != id || transfer.requested >= Some(received) {
+            return false;
+        }
+        transfer.requested = Some(received);
+        transfer.retry_at = retry_at;
+        received < id.size
+    }
+
+    pub(crate) fn on_chunk_sent(&mut self, chunk: &Chunk, now: Millis) {
+        self.traffic.on_chunk(chunk);
+        if let Mode::Snapshot(transfer) = &mut self.mode {
+            transfer.sent_at = now;
+        }
+    }
+
+    fn is_window_full(&self) -> bool {
+        let sizes = self.in_flight.iter().map(|message| message.payload_bytes);
+        self.in_flight.len() >= MAX_IN_FLIGHT || sizes.sum::<usize>() >= MAX_IN_FLIGHT_BYTES
+    }
+
+    /// Returns a heartbeat, which is also a probe while probing, because the previous one may have been
+    /// lost.
     pub(crate) fn heartbeat(&mut self, log: &Log, header: AppendHeader) -> Option<Append> {
         match &mut self.mode {
             Mode::Probe { paused } => {
                 *paused = true;
-                self.append(log, header, MAX_APPEND_BYTES)
+                self.probe(log, header)
             }
-            Mode::Replicate => self.append(log, header, 0),
+            Mode::Replicate { .. } => self.append(log, header, Vec::new()),
             Mode::Snapshot(_) => Some(Append {
                 prev_index: Index::ZERO,
                 prev_term: Term(0),
@@ -153,44 +243,45 @@
         }
     }
 
-    fn append(&self, log: &Log, header: AppendHeader, max: usize) -> Option<Append> {
+    fn probe(&mut self, log: &Log, header: AppendHeader) -> Option<Append> {
+        let entries = log.slice_within(self.next, MAX_PROBE_BYTES);
+        self.append(log, header, entries)
+    }
+
+    fn append(&mut self, log: &Log, header: AppendHeader, entries: Vec<Entry>) -> Option<Append> {
         let prev_index = self.next.prev();
-        let entries = match max {
-            0 => Vec::new(),
-            _ => log.slice(self.next, max),
-        };
-        Some(Append {
+        let append = Append {
             prev_index,
             prev_term: log.term_at(prev_index)?,
             entries,
             commit: header.commit,
             echo: header.echo,
-        })
+        };
+        self.traffic.on_append(&append);
+        Some(append)
     }
 
     /// Records the echo of a reply, whatever its result.
     pub(crate) fn record_echo(&mut self, echo: Echo) {
         self.contact = self.contact.max(Some(echo.sent_at));
         self.round = self.round.max(echo.round);
-        if let Mode::Probe { paused } = &mut self.mode {
-            *paused = false;
-        }
     }
 
     /// Records that the follower has synced up to an index.
-    pub(crate) fn on_matched(&mut self, index: Index, log: &Log) {
+    pub(crate) fn on_matched(&mut self, index: Index, log: &Log, now: Millis) {
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
-        while self.in_flight.front().is_some_and(|&last| last <= index) {
-            self.in_flight.pop_front();
+        let in_flight = &mut self.in_flight;
+        while in_flight.front().is_some_and(|first| first.last <= index) {
+            in_flight.pop_front();
         }
         let is_caught_up = match self.mode {
             Mode::Probe { .. } => self.matched.next() >= self.next,
-            Mode::Replicate => false,
+            Mode::Replicate { .. } => false,
             Mode::Snapshot(_) => self.matched >= log.base(),
         };
         if is_caught_up {
-            self.mode = Mode::Replicate;
+            self.mode = Mode::Replicate { since: now };
         }
     }
 
@@ -216,10 +307,15 @@
             .is_some_and(|period| period.was_in_time && now < period.started_at + limit)
     }
 
-    /// Records that the follower lacks the entry that precedes a message's first, and resumes
-    /// probing.
-    pub(crate) fn on_rejected(&mut self, prev: Index, hint: Index) {
-        if prev <= self.matched || matches!(self.mode, Mode::Snapshot(_)) {
+    /// Records that the follower lacks the entry that precedes a message's first, and probes for an
+    /// earlier one. Each message behind a lost one is rejected: only the first rejection counts.
+    pub(crate) fn on_rejected(&mut self, prev: Index, hint: Index, echo: Echo) {
+        let is_stale = match self.mode {
+            Mode::Probe { .. } => prev != self.next.prev(),
+            Mode::Replicate { since } => echo.sent_at < since,
+            Mode::Snapshot(_) => true,
+        };
+        if prev <= self.matched || is_stale {
             return;
         }
         let next = prev.min(hint.next());
