entry: report connections that end without a complete response

A caller's connection that ended while its request was handled, or in the middle of the response, left no line: a panic, a dropped task and a caller who left looked the same, and a stream that was cut midway looked like a request that was refused. A line with the request id and a counter now say how far the response had come, and whether this instance ended it.

--- a/crates/serving/src/entry/http_server.rs
+++ b/crates/serving/src/entry/http_server.rs
@@ -36,6 +36,7 @@
 use crate::link::pause;
 
 use super::{
+    exchange::Exchange,
     head_timeout::{
         HeadState,
         HeadTimeout, //
@@ -161,11 +162,12 @@
     let service = service_fn(|req| {
         state.request_started();
         let state = state.clone();
+        let exchange = Exchange::new(&req);
         let response = handler(req);
         async move {
             let response = response.await;
             state.response_ready();
-            Ok::<_, std::convert::Infallible>(response)
+            Ok::<_, std::convert::Infallible>(exchange.respond(response))
         }
     });
     let stream = HeadTimeout::new(stream, state.clone(), limits.head_timeout);
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod control;
+mod exchange;
 mod front;
 mod head_timeout;
 mod http_server;
