entry: a silent target keeps its request until another one has a slot

Callers saw a stream end midway, with neither an answer nor a refusal, although its target was sound and would have gone on. A resumable stream whose target sent no event for 1.2 s closed that target's connection first and looked for another one afterwards. If that one was full, rejected the request or answered with an error, or if there was none, the response was cut. In the same way a request without a response head after 0.6 s used up its attempts and ended with a 502.

A slot at another target is now taken before the silent one is left, and the silent one is kept while there is none. Once the caller has the head of a response, or a silent target was left, other targets are tried until the deadline; a target that sends an invalid response is not tried again. A target that sends bytes for 3 s without completing an event is not silent but faulty.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -10,6 +10,7 @@
 mod misbehaving;
 mod online;
 mod raw_target;
+mod silent;
 mod tainted;
 
 use std::{
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -6,6 +6,9 @@
 //! - A status that promises "not run" is sent to the caller only if no target may have run the
 //!   request.
 //! - No target gets more time than is left until the caller's deadline.
+//! - A target that is only silent keeps its request until another one has a slot for it.
+//! - A response that has begun is given up only if no target may run the request again, or at the
+//!   caller's deadline.
 
 mod prompt;
 
@@ -52,7 +55,13 @@
         Choice, //
     },
     cx::Cx,
+    link::pause,
     routes::choose_destination,
+    silence::{
+        Silence,
+        SilenceLimits,
+        SilenceStep, //
+    },
     targets::TargetKey,
     upstream::{
         CallLimits,
@@ -78,8 +87,6 @@
 const MAX_IDLE_NON_REPEATABLE: Millis = Millis(500);
 /// Longest idle time of a connection that is reused for a repeatable request.
 const MAX_IDLE_REPEATABLE: Millis = Millis(4_000);
-/// Shortest time-out of an attempt that can be followed by another one.
-const MIN_ATTEMPT_TIMEOUT: Millis = Millis(600);
 /// Shortest time without a response after which a target is suspected: an engine with free slots
 /// sends a first event within about 100 ms.
 const MIN_SUSPICION_TIMEOUT: Millis = Millis(800);
@@ -88,6 +95,8 @@
 pub(super) const MAX_BUFFERED_BYTES: usize = 2 << 20;
 /// Rejections by targets after which the caller is refused.
 const MAX_REJECTIONS: usize = 4;
+/// Delay until a persistent request that was rejected is sent to another target.
+const REJECTION_DELAY: Millis = Millis(50);
 
 /// Failure of a request that got no usable response from a target.
 #[derive(Clone, Copy, Debug)]
@@ -115,6 +124,14 @@
     }
 }
 
+/// What came of waiting for the head of a response.
+enum HeadOutcome {
+    Arrived(UpstreamResponse),
+    Failed(UpstreamError),
+    /// The target was silent, and another one has a slot.
+    Moved(Slot),
+}
+
 /// Slot at a target, counted as in use in the balancer and at the neighbours until it is dropped.
 pub(super) struct Slot {
     cx: Arc<Cx>,
@@ -180,6 +197,8 @@
     /// Shared parts of the prompt.
     parts: Vec<PromptPart>,
     tried: Vec<TargetKey>,
+    /// Targets that sent an invalid response, and are not tried again.
+    faulty: Vec<TargetKey>,
     rejections: usize,
     /// Number of targets that may have run the request.
     runs: u32,
@@ -187,6 +206,9 @@
     sent_at: Millis,
     /// When the first events of a stream were forwarded.
     pub(super) first_event_at: Option<Millis>,
+    /// Whether targets are tried until the deadline: the caller has the head of a response, or a target was
+    /// left that might still have responded.
+    pub(super) is_persistent: bool,
 }
 
 /// Serves an online request.
@@ -222,10 +244,12 @@
             deadline: req.arrived_at + caller_timeout.min(route.timeout),
             caller_timeout,
             tried: Vec::new(),
+            faulty: Vec::new(),
             rejections: 0,
             runs: 0,
             sent_at: Millis::ZERO,
             first_event_at: None,
+            is_persistent: false,
             route,
         })
     }
@@ -275,27 +299,35 @@
         self.route.repeatability.can_repeat() && self.runs < self.route.max_attempts
     }
 
-    /// Waits until a target can take the request, and occupies a slot there.
-    async fn acquire_slot(&self) -> Result<Slot, RequestFailure> {
+    /// Waits until a target can take the request, and occupies a slot there. A persistent request waits
+    /// until its deadline, and tries targets again, unless all of them are faulty.
+    async fn acquire_slot(&mut self) -> Result<Slot, RequestFailure> {
         let queued_at = self.now();
         loop {
-            let wake = self.cx.slot_released.notified();
             let now = self.now();
             if now >= self.deadline {
                 return Err(self.fail("deadline_passed"));
             }
             self.check_parts()?;
+            let best = self.best_target(&self.tried);
+            if self.is_persistent && best.is_none() {
+                if !self.faulty.is_empty() && self.best_target(&self.faulty).is_none() {
+                    return Err(self.fail("no_target"));
+                }
+                self.tried.clone_from(&self.faulty);
+            }
+            let wake = self.cx.slot_released.notified();
             let times = self.cx.service_times(&self.service, self.route.objective);
             let slot_request = SlotRequest {
-                waited: now - queued_at,
+                waited: if self.is_persistent {
+                    Millis::ZERO
+                } else {
+                    now - queued_at
+                },
                 objective: self.route.objective,
                 timeout: self.route.timeout,
                 caller_timeout: self.caller_timeout,
             };
-            let best = {
-                let balancer = self.cx.balancer();
-                balancer.choose(&self.service, &self.tried, rand::random(), now)
-            };
             let has_credit = self.cx.has_queue_credit(&self.service);
             match decide(&slot_request, best.as_ref(), &times, has_credit) {
                 Decision::Send => {
@@ -304,16 +336,39 @@
                     }
                 }
                 Decision::Wait => {}
+                Decision::Refuse if self.is_persistent => {}
                 Decision::Refuse if best.is_none() => return Err(self.fail("no_target")),
                 Decision::Refuse => return Err(self.fail("queue_full")),
             }
-            let remaining = slot_request.max_wait() - slot_request.waited;
+            let remaining = if self.is_persistent {
+                self.deadline - now
+            } else {
+                slot_request.max_wait() - slot_request.waited
+            };
             let delay = slot_request.recheck_delay(rand::random()).min(remaining);
             // On wake-up and on time-out alike, the loop decides again.
             let _ = timeout(delay.duration(), wake).await;
         }
     }
 
+    fn best_target(&self, excluded: &[TargetKey]) -> Option<Choice> {
+        let balancer = self.cx.balancer();
+        balancer.choose(&self.service, excluded, rand::random(), self.now())
+    }
+
+    /// Occupies a slot at another target than a silent one, if one is free and the request may be sent
+    /// there.
+    pub(super) fn take_other_slot(&self, silent: &Slot) -> Option<Slot> {
+        if !self.parts_are_allowed() {
+            return None;
+        }
+        let mut excluded = self.tried.clone();
+        excluded.push(silent.choice.key);
+        let choice = self.best_target(&excluded)?;
+        let is_free = choice.availability != Availability::Full;
+        is_free.then(|| Slot::new(&self.cx, &self.service, choice))
+    }
+
     fn build_request(&self, choice: &Choice, last_event: Option<&str>) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
@@ -329,25 +384,20 @@
         req
     }
 
-    /// Time-out for the head of a target's response.
-    fn attempt_timeout(&self) -> Millis {
-        let remaining = self.deadline - self.now();
-        if self.can_resume() {
-            remaining.min(MIN_ATTEMPT_TIMEOUT.max(self.route.objective * 2))
-        } else {
-            remaining
-        }
-    }
-
-    /// Sends the request to one target after another until one responds.
+    /// Sends the request to one target after another until one responds. `slot` is at the first of them, if
+    /// one has been chosen.
     pub(super) async fn call(
         &mut self,
         last_event: Option<&str>,
+        mut slot: Option<Slot>,
     ) -> Result<(Slot, UpstreamResponse), RequestFailure> {
         loop {
-            let slot = self.acquire_slot().await?;
+            let current = match slot.take() {
+                Some(slot) => slot,
+                None => self.acquire_slot().await?,
+            };
             self.take_part_admission().await?;
-            let req = self.build_request(&slot.choice, last_event);
+            let req = self.build_request(&current.choice, last_event);
             self.sent_at = self.now();
             let limits = CallLimits {
                 max_idle: if self.route.repeatability.can_repeat() {
@@ -355,45 +405,81 @@
                 } else {
                     MAX_IDLE_NON_REPEATABLE
                 },
-                max_wait: self.attempt_timeout(),
-                same_region: slot.choice.same_region,
+                max_wait: self.deadline - self.sent_at,
+                same_region: current.choice.same_region,
             };
-            let address = slot.choice.address;
+            let address = current.choice.address;
             let upstream = Arc::clone(&self.cx.upstream);
             let call = upstream.call(address, req, limits);
-            match self.with_suspicion_timeout(&slot, call).await {
-                Ok(response) if is_rejection(&response) => {
-                    self.handle_rejection(&slot, response)?
+            match self.wait_for_head(&current, call).await {
+                HeadOutcome::Arrived(response) if is_rejection(&response) => {
+                    self.handle_rejection(&current, response)?;
+                    if self.is_persistent {
+                        pause(REJECTION_DELAY).await;
+                    }
+                }
+                HeadOutcome::Arrived(response) if is_valid(&response) => {
+                    return Ok((current, response));
                 }
-                Ok(response) if is_valid(&response) => return Ok((slot, response)),
-                Ok(_) => {
+                HeadOutcome::Arrived(_) => {
                     let error = UpstreamError::may_have_run(Failure::InvalidResponse);
-                    self.handle_failure(&slot, &error)?;
+                    self.handle_failure(&current, &error)?;
                 }
-                Err(error) => {
-                    self.record_if_crash(&slot, &error);
-                    self.handle_failure(&slot, &error)?;
+                HeadOutcome::Failed(error) => {
+                    self.record_if_crash(&current, &error);
+                    self.handle_failure(&current, &error)?;
+                }
+                HeadOutcome::Moved(other) => {
+                    let error = UpstreamError::may_have_run(Failure::TimedOut);
+                    self.handle_failure(&current, &error)?;
+                    self.is_persistent = true;
+                    slot = Some(other);
                 }
             }
         }
     }
 
     /// Time without a response after which a target with free slots is reported as failed.
-    pub(super) fn suspicion_timeout(&self) -> Millis {
+    fn suspicion_timeout(&self) -> Millis {
         MIN_SUSPICION_TIMEOUT.max(self.route.objective * 3)
     }
 
-    /// Waits for a call, and records the target as unresponsive once the suspicion time-out passes.
-    async fn with_suspicion_timeout<F>(&self, slot: &Slot, call: F) -> F::Output
+    /// Starts to track the silence of the target that the request was sent to.
+    pub(super) fn silence(&self) -> Silence {
+        let limits = SilenceLimits {
+            suspicion: self.suspicion_timeout(),
+            can_move: self.can_resume(),
+            deadline: self.deadline,
+        };
+        Silence::new(limits, self.now())
+    }
+
+    /// Waits for the head of a response. The call is dropped, and so the target told to stop, once a slot
+    /// at another target is taken.
+    async fn wait_for_head<F>(&self, slot: &Slot, call: F) -> HeadOutcome
     where
-        F: Future,
+        F: Future<Output = Result<UpstreamResponse, UpstreamError>>,
     {
         let mut call = pin!(call);
-        match timeout(self.suspicion_timeout().duration(), &mut call).await {
-            Ok(result) => result,
-            Err(_) => {
-                slot.record_unresponsive(&self.id);
-                call.await
+        let mut silence = self.silence();
+        loop {
+            let wait = silence.next_step_at() - self.now();
+            match timeout(wait.duration(), &mut call).await {
+                Ok(Ok(response)) => return HeadOutcome::Arrived(response),
+                Ok(Err(error)) => return HeadOutcome::Failed(error),
+                Err(_) => {}
+            }
+            match silence.step(self.now()) {
+                SilenceStep::Wait => {}
+                SilenceStep::Suspect => slot.record_unresponsive(&self.id),
+                SilenceStep::Move => {
+                    if let Some(other) = self.take_other_slot(slot) {
+                        return HeadOutcome::Moved(other);
+                    }
+                }
+                SilenceStep::End => {
+                    return HeadOutcome::Failed(UpstreamError::may_have_run(Failure::TimedOut));
+                }
             }
         }
     }
@@ -415,12 +501,34 @@
         }
         self.tried.push(slot.choice.key);
         self.rejections += 1;
-        if self.rejections >= MAX_REJECTIONS {
+        if self.rejections >= MAX_REJECTIONS && !self.is_persistent {
             return Err(self.fail("targets_full"));
         }
         Ok(())
     }
 
+    /// Records a response that does not continue the one which has begun. Fails if no other target may be
+    /// tried.
+    pub(super) fn handle_refused_resume(
+        &mut self,
+        slot: &Slot,
+        status: StatusCode,
+    ) -> Result<(), RequestFailure> {
+        log::warn!(
+            request:% = self.id, target_name:% = slot.choice.name, status = status.as_u16();
+            "stream not resumed by the target");
+        if status.is_server_error() {
+            slot.record_failure();
+        }
+        self.tried.push(slot.choice.key);
+        self.runs += 1;
+        if self.can_repeat() {
+            Ok(())
+        } else {
+            Err(self.fail("resume_refused"))
+        }
+    }
+
     /// Records a failed attempt. Fails if no other target may be tried.
     pub(super) fn handle_failure(
         &mut self,
@@ -437,6 +545,9 @@
             "request failed at the target");
         slot.record_failure();
         self.tried.push(slot.choice.key);
+        if error.failure == Failure::InvalidResponse {
+            self.faulty.push(slot.choice.key);
+        }
         if error.verdict != Verdict::NotRun {
             self.runs += 1;
             if !self.can_repeat() {
@@ -449,7 +560,7 @@
     /// Serves a request whose response is buffered, not streamed.
     async fn buffered_response(&mut self) -> Result<HttpResponse, RequestFailure> {
         loop {
-            let (slot, response) = self.call(None).await?;
+            let (slot, response) = self.call(None, None).await?;
             let status = response.head.status;
             let remaining = self.deadline - self.now();
             let body = Limited::new(response.body, MAX_BUFFERED_BYTES).collect();
--- a/crates/serving/src/entry/online/prompt.rs
+++ b/crates/serving/src/entry/online/prompt.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Whether no part of the prompt is quarantined.
+    pub(super) fn parts_are_allowed(&self) -> bool {
+        self.admission() == Admission::Allowed
+    }
+
     /// Fails the request, for which there is a slot, if a part of its prompt is quarantined and the leader
     /// grants no trial.
     pub(super) async fn take_part_admission(&self) -> Result<(), RequestFailure> {
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -5,6 +5,7 @@
 //! - Only complete events are forwarded to the caller.
 //! - The caller sees a regular end of the stream only if the target ended it regularly.
 //! - A resumed stream continues after the last forwarded event.
+//! - A silent target is left only for another one that has a free slot.
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -26,6 +27,10 @@
         MAX_EVENT_BYTES,
         OversizedEvent, //
     },
+    silence::{
+        Silence,
+        SilenceStep, //
+    },
     upstream::{
         Connection,
         Failure,
@@ -48,9 +53,9 @@
     },
 };
 
-/// Time-out between events of a stream that another target can resume: many times the interval
-/// between events of a full engine.
-const STALL_TIMEOUT: Millis = Millis(1_200);
+/// Longest time from the first bytes of an event to its end, if the stream can be resumed. A target that
+/// still sends bytes after this time is not silent but faulty.
+const MAX_EVENT_TIME: Millis = Millis(3_000);
 
 /// Stream in progress.
 struct ForwardedStream {
@@ -60,9 +65,11 @@
     splitter: EventSplitter,
     /// When the last events arrived.
     last_event_at: Option<Millis>,
-    /// When the current target last completed an event, or its response began. Bytes that complete no
-    /// event do not count as progress.
-    progress_at: Millis,
+    /// Time since the current target last completed an event, or its response began. Bytes that complete
+    /// no event do not count as progress.
+    silence: Silence,
+    /// When the first bytes of an incomplete event arrived.
+    partial_since: Option<Millis>,
     /// Whether the current target has sent an event.
     has_event: bool,
     /// Longest time between two events.
@@ -94,15 +101,18 @@
     Events(Bytes),
     Ended,
     Failed(Failure),
+    /// The target was silent, and another one has a slot.
+    Moved(Slot),
 }
 
 /// Serves a request whose response is a stream.
 pub(super) async fn serve(mut request: ActiveRequest) -> Result<HttpResponse, RequestFailure> {
-    let (slot, response) = request.call(None).await?;
+    let (slot, response) = request.call(None, None).await?;
     let head = response.head.clone();
     let source = Some(Source::new(slot, response));
-    let forwarded = ForwardedStream {
-        progress_at: request.cx.clock.now(),
+    let mut forwarded = ForwardedStream {
+        silence: request.silence(),
+        partial_since: None,
         request,
         source,
         splitter: EventSplitter::default(),
@@ -114,6 +124,7 @@
     if !status.is_success() {
         return forwarded.forward_error(&head).await;
     }
+    forwarded.request.is_persistent = true;
     let frames = stream::unfold(forwarded, |mut forwarded| async {
         let frame = forwarded.next_events().await?;
         Some((frame.map(Frame::data), forwarded))
@@ -157,34 +168,40 @@
     /// Returns the next events for the caller, or `None` after the regular end of the stream.
     async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
-            let source = self.source.as_mut()?;
-            let stalled_for = self.request.cx.clock.now() - self.progress_at;
-            let remaining = self.request.deadline - self.request.cx.clock.now();
-            let wait = (self.request.event_timeout() - stalled_for).min(remaining);
-            let suspicion = self.request.suspicion_timeout() - stalled_for;
-            // Zero once the target was recorded as unresponsive.
-            let is_suspicion_due = suspicion > Millis::ZERO && suspicion < wait;
-            let first_wait = if is_suspicion_due { suspicion } else { wait };
-            let mut frame = timeout(first_wait.duration(), source.body.frame()).await;
-            if frame.is_err() && is_suspicion_due {
-                source.slot.record_unresponsive(&self.request.id);
-                frame = timeout((wait - suspicion).duration(), source.body.frame()).await;
+            let (failure, other) = match self.read().await? {
+                ReadOutcome::Events(events) => {
+                    self.record_event();
+                    return Some(Ok(events));
+                }
+                ReadOutcome::Ended => {
+                    self.finish();
+                    return None;
+                }
+                ReadOutcome::Failed(failure) => (failure, None),
+                ReadOutcome::Moved(other) => (Failure::TimedOut, Some(other)),
+            };
+            if let Err(error) = self.resume(failure, other).await {
+                return Some(Err(error.reason().into()));
             }
-            let is_over = self.request.cx.clock.now() >= self.request.deadline;
+        }
+    }
+
+    /// Reads from the target until there is something to do. `None` after the end of the stream.
+    async fn read(&mut self) -> Option<ReadOutcome> {
+        loop {
+            let source = self.source.as_mut()?;
+            let wait = self.silence.next_step_at() - self.request.cx.clock.now();
+            let frame = timeout(wait.duration(), source.body.frame()).await;
+            let now = self.request.cx.clock.now();
             let outcome = match frame {
                 // A target that sends without a pause must not outlast the deadline.
-                Ok(Some(Ok(_))) if is_over => ReadOutcome::Failed(Failure::TimedOut),
+                Ok(Some(Ok(_))) if now >= self.request.deadline => {
+                    ReadOutcome::Failed(Failure::TimedOut)
+                }
                 Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => match self.splitter.push(&data) {
-                        Ok(Some(events)) => ReadOutcome::Events(events),
-                        Ok(None) => continue,
-                        Err(OversizedEvent) => {
-                            log::warn!(
-                                request:% = self.request.id,
-                                target_name:% = source.slot.choice.name,
-                                max_bytes = MAX_EVENT_BYTES; "event without an end");
-                            ReadOutcome::Failed(Failure::InvalidResponse)
-                        }
+                    Ok(data) => match self.push(&data, now) {
+                        Some(outcome) => outcome,
+                        None => continue,
                     },
                     // Trailers are hop-by-hop.
                     Err(_) => continue,
@@ -195,29 +212,48 @@
                 }
                 Ok(None) => ReadOutcome::Ended,
                 Ok(Some(Err(_))) => ReadOutcome::Failed(Failure::Broken),
-                Err(_) => ReadOutcome::Failed(Failure::TimedOut),
+                Err(_) => match self.silence.step(now) {
+                    SilenceStep::Wait => continue,
+                    SilenceStep::Suspect => {
+                        source.slot.record_unresponsive(&self.request.id);
+                        continue;
+                    }
+                    SilenceStep::Move => match self.request.take_other_slot(&source.slot) {
+                        Some(other) => ReadOutcome::Moved(other),
+                        None => continue,
+                    },
+                    SilenceStep::End => ReadOutcome::Failed(Failure::TimedOut),
+                },
             };
-            match outcome {
-                ReadOutcome::Events(events) => {
-                    self.record_event();
-                    return Some(Ok(events));
-                }
-                ReadOutcome::Ended => {
-                    self.finish();
+            return Some(outcome);
+        }
+    }
+
+    /// Adds bytes of the target. `None` if they complete no event.
+    fn push(&mut self, data: &[u8], now: Millis) -> Option<ReadOutcome> {
+        match self.splitter.push(data) {
+            Ok(Some(events)) => {
+                self.partial_since = self.splitter.is_mid_event().then_some(now);
+                return Some(ReadOutcome::Events(events));
+            }
+            Ok(None) => {
+                let since = *self.partial_since.get_or_insert(now);
+                if now < since + MAX_EVENT_TIME || !self.request.can_resume() {
                     return None;
                 }
-                ReadOutcome::Failed(failure) => {
-                    if let Err(error) = self.resume(failure).await {
-                        return Some(Err(error.reason().into()));
-                    }
-                }
             }
+            Err(OversizedEvent) => {}
         }
+        log::warn!(
+            request:% = self.request.id,
+            target_name = self.source.as_ref().map(|source| source.slot.choice.name.0.as_str()),
+            max_bytes = MAX_EVENT_BYTES, max_ms = MAX_EVENT_TIME.0; "event without an end");
+        Some(ReadOutcome::Failed(Failure::InvalidResponse))
     }
 
     fn record_event(&mut self) {
         let now = self.request.cx.clock.now();
-        self.progress_at = now;
+        self.silence.record_progress(now);
         if !self.has_event {
             self.has_event = true;
             self.request.prove_parts();
@@ -243,8 +279,13 @@
         }
     }
 
-    /// Resumes the stream at another target, if the route allows it.
-    async fn resume(&mut self, failure: Failure) -> Result<(), RequestFailure> {
+    /// Resumes the stream at another target, if the route allows it. `other` is a slot there, if one has
+    /// been taken.
+    async fn resume(
+        &mut self,
+        failure: Failure,
+        mut other: Option<Slot>,
+    ) -> Result<(), RequestFailure> {
         let Some(source) = self.source.take() else {
             return Err(self.request.fail(failure.code()));
         };
@@ -257,28 +298,23 @@
         self.request.handle_failure(&source.slot, &error)?;
         drop(source.slot);
         self.splitter.discard_partial();
+        self.partial_since = None;
         let last_id = self.splitter.last_id().map(str::to_owned);
-        let (slot, response) = self.request.call(last_id.as_deref()).await?;
-        if !response.head.status.is_success() {
-            return Err(self.request.fail("resume_refused"));
-        }
+        let (slot, response) = loop {
+            let called = self.request.call(last_id.as_deref(), other.take());
+            let (slot, response) = called.await?;
+            if response.head.status.is_success() {
+                break (slot, response);
+            }
+            let status = response.head.status;
+            self.request.handle_refused_resume(&slot, status)?;
+        };
         log::info!(
             request:% = self.request.id, target_name:% = slot.choice.name, after = last_id.as_deref();
             "stream resumed at another target");
-        self.progress_at = self.request.cx.clock.now();
+        self.silence = self.request.silence();
         self.has_event = false;
         self.source = Some(Source::new(slot, response));
         Ok(())
     }
 }
-
-impl ActiveRequest {
-    /// Time-out between two events.
-    fn event_timeout(&self) -> Millis {
-        if self.can_resume() {
-            STALL_TIMEOUT
-        } else {
-            Millis::MAX
-        }
-    }
-}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
-//! [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
+//! [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -28,6 +28,7 @@
 pub mod routes;
 mod run;
 pub mod schedule;
+pub mod silence;
 pub mod state;
 mod store;
 pub mod targets;
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod quarantine;
 mod routes;
 mod schedule;
+mod silence;
 mod state;
 mod support;
 mod targets;
--- a/crates/testing/src/platform/mod.rs
+++ b/crates/testing/src/platform/mod.rs
@@ -17,7 +17,9 @@
     Behaviour,
     Crash,
     PlatformTarget,
-    Run, //
+    Run,
+    Silence,
+    SilenceBefore, //
 };
 
 /// The host of every route of [`PlatformSystem::manifest`].
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -83,6 +83,8 @@
     pub rejects: bool,
     /// Breaks each stream after this many of its events.
     pub breaks_after: Option<usize>,
+    /// Says nothing for a while in each run.
+    pub silence: Option<Silence>,
     /// Answers 500 to items whose path ends like this.
     pub poisoned: Option<&'static str>,
     /// Crashes as it begins to answer a request whose prompt has one of these parts before its last one,
@@ -97,12 +99,39 @@
             pause: Duration::from_millis(10),
             rejects: false,
             breaks_after: None,
+            silence: None,
             poisoned: None,
             crashing_parts: &[],
         }
     }
 }
 
+/// A pause of a sound target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// What comes after it.
+    pub before: SilenceBefore,
+    /// How long it is.
+    pub lasts: Duration,
+}
+
+/// What a silent target sends next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilenceBefore {
+    /// The head of its response.
+    Head,
+    /// The event with this number.
+    Event(usize),
+}
+
+impl Behaviour {
+    async fn pause_before(&self, next: SilenceBefore) {
+        if let Some(silence) = self.silence.filter(|silence| silence.before == next) {
+            tokio::time::sleep(silence.lasts).await;
+        }
+    }
+}
+
 /// One run of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -430,6 +459,7 @@
     if behaviour.poisoned.is_some_and(|end| path.ends_with(end)) {
         return signed(plain(StatusCode::INTERNAL_SERVER_ERROR, "poisoned"), &id);
     }
+    behaviour.pause_before(SilenceBefore::Head).await;
     if path.starts_with(SAFE) {
         tokio::time::sleep(behaviour.pause).await;
         return signed(plain(StatusCode::OK, &format!("answer to {id}")), &id);
@@ -465,13 +495,14 @@
     let state = (running, id.to_owned(), after + 1);
     let broken_from = behaviour.breaks_after.map(|count| after + count + 1);
     let pieces = stream::unfold(Some(state), move |state| {
-        let (events, pause) = (behaviour.events, behaviour.pause);
+        let behaviour = behaviour.clone();
         async move {
             let (running, id, number) = state?;
-            if number > events {
+            if number > behaviour.events {
                 return None;
             }
-            tokio::time::sleep(pause).await;
+            tokio::time::sleep(behaviour.pause).await;
+            behaviour.pause_before(SilenceBefore::Event(number)).await;
             if broken_from == Some(number) {
                 return Some((Err(io::Error::other("broken")), None));
             }
