--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -12,6 +12,7 @@
 mod online;
 mod power;
 mod raw_target;
+mod silent;
 mod tainted;
 
 use std::{
