A target that says in a response that it drains gets nothing new

Callers saw: nothing yet; targets say in all responses that they leave (`Server-Leaving: 1`), and requests still went to them until their announcement said so, or for good from an entry that is cut off.

Cause: nothing read the header.

The instance that receives any response head with it marks that start of the target as draining in its own table, and tells the leader, which tells all. The mark is part of the record, where draining wins over every later record of the same start, so neither the leader's list nor an announcement undoes it. An entry that could not reach a leader corrects the next one when that sends targets which drain without its knowledge. A request whose trial was granted checks its target again before it is sent.

Evidence, platform::control, before: nothing_follows_a_success_of_a_leaving_target: left: 12, right: 0 nothing_follows_a_broken_stream_of_a_leaving_target: entry 0: left: 12 leaving_target_gets_nothing_from_an_entry_without_a_leader: left: 12 leaving_target_gets_no_further_items: left: 7, right: 1 and so on: all nine new cases failed. After: 14 of 14 pass (one run of platform::control, debug build).

--- a/crates/daemon/tests/all/platform/control.rs
+++ b/crates/daemon/tests/all/platform/control.rs
@@ -7,14 +7,22 @@
 
 use http::Method;
 use tokio::runtime::Runtime;
+use yuccaseam_base::cases;
 use yuccaseam_testing::platform::{
+    BATCH,
+    Behaviour,
+    HOST,
+    ONCE,
     PlatformSystem,
+    RESUMABLE,
     SAFE,
     send, //
 };
 
 use super::{
     PATIENCE,
+    World,
+    job,
     with_world, //
 };
 
@@ -144,3 +152,192 @@
         }
     });
 }
+
+/// The target that says in its answers that it leaves.
+const LEAVING: usize = 0;
+/// Time within which an instance tells the others of a target that leaves.
+const PROPAGATION: Duration = Duration::from_millis(1_500);
+
+impl World {
+    /// Lets the first target answer a request of the first entry once with a behaviour, and say that it
+    /// leaves. It goes on to announce itself as ready, and its later answers do not say that it leaves.
+    async fn leave_once(&self, path: &str, behaviour: Behaviour) {
+        self.targets[LEAVING].behave(Behaviour {
+            leaving: true,
+            ..behaviour
+        });
+        let until = Instant::now() + PATIENCE;
+        for number in 0.. {
+            let reply = self.system.call(0, &format!("told-{number}"), path).await;
+            let reply = reply.expect("an answer comes");
+            if reply.headers.contains_key("server-leaving") || self.has_heard_of_drain(0) {
+                break;
+            }
+            assert!(Instant::now() < until, "the target gets no request");
+        }
+        self.targets[LEAVING].behave(Behaviour::default());
+    }
+
+    fn has_heard_of_drain(&self, entry: usize) -> bool {
+        let log = self.system.entries[entry].log();
+        log.contains("target drains, as its response says")
+    }
+
+    /// Sends requests of all kinds to an entry, and returns how many of them reached the first target.
+    async fn sent_to_leaving(&self, entry: usize, id: &str) -> usize {
+        for number in 0..12 {
+            let path = [SAFE, ONCE, RESUMABLE][number % 3];
+            let id = format!("{id}-{number}");
+            // Without another target that is free, the request is refused.
+            let reply = self.system.call(entry, &id, path).await;
+            reply.expect("an answer comes");
+        }
+        let runs = self.targets[LEAVING].runs();
+        let prefix = format!("{id}-");
+        runs.iter()
+            .filter(|run| run.id.starts_with(&prefix))
+            .count()
+    }
+}
+
+/// Guards against new requests for a target whose answers say that it leaves, while it still announces
+/// itself as ready.
+fn nothing_follows_an_answer_of_a_leaving_target(path: &str, behaviour: Behaviour) {
+    with_world(2, async |world| {
+        world.leave_once(path, behaviour).await;
+        assert_eq!(world.sent_to_leaving(0, "after").await, 0);
+        tokio::time::sleep(PROPAGATION).await;
+        for entry in 0..3 {
+            let id = format!("later{entry}");
+            assert_eq!(world.sent_to_leaving(entry, &id).await, 0, "entry {entry}");
+        }
+    });
+}
+
+cases! { nothing_follows_an_answer_of_a_leaving_target:
+    nothing_follows_a_success_of_a_leaving_target(SAFE, Behaviour::default());
+    nothing_follows_a_stream_of_a_leaving_target(ONCE, Behaviour::default());
+    nothing_follows_a_broken_stream_of_a_leaving_target(RESUMABLE, Behaviour {
+        breaks_after: Some(2),
+        ..Behaviour::default()
+    });
+    nothing_follows_an_error_of_a_leaving_target("/once/error", Behaviour {
+        poisoned: Some("/error"),
+        ..Behaviour::default()
+    });
+    nothing_follows_a_rejection_of_a_leaving_target(SAFE, Behaviour {
+        rejects: true,
+        ..Behaviour::default()
+    });
+}
+
+/// Guards against new requests for a leaving target from an entry that cannot tell the leader, and
+/// after the next leader, which has not heard of it, has sent its targets.
+#[test]
+fn leaving_target_gets_nothing_from_an_entry_without_a_leader() {
+    with_world(2, async |mut world| {
+        for store in &mut world.system.stores {
+            store.kill();
+        }
+        world.leave_once(SAFE, Behaviour::default()).await;
+        assert_eq!(world.sent_to_leaving(0, "alone").await, 0);
+        world.system.end_first_start();
+        for store in &mut world.system.stores {
+            store.start();
+        }
+        let until = Instant::now() + PATIENCE;
+        while !world.system.put_manifest(2).await {
+            assert!(Instant::now() < until, "{}", world.store_logs());
+        }
+        tokio::time::sleep(PROPAGATION).await;
+        for entry in 0..3 {
+            let id = format!("led{entry}");
+            assert_eq!(world.sent_to_leaving(entry, &id).await, 0, "entry {entry}");
+        }
+    });
+}
+
+/// Guards against the use of a leaving target as a last resort, when all others are full.
+#[test]
+fn leaving_target_gets_nothing_while_all_others_are_full() {
+    with_world(2, async |world| {
+        world.leave_once(SAFE, Behaviour::default()).await;
+        world.targets[1].behave(Behaviour {
+            events: 30,
+            pause: Duration::from_millis(100),
+            ..Behaviour::default()
+        });
+        let entry = world.system.entries[0].callers();
+        for number in 0..10 {
+            tokio::spawn(async move {
+                let id = format!("long-{number}");
+                let headers = [("host", HOST), ("request-id", id.as_str())];
+                send(entry, Method::POST, ONCE, &headers, "", PATIENCE).await
+            });
+        }
+        let until = Instant::now() + PATIENCE;
+        while world.targets[1].running().len() < 8 {
+            assert!(Instant::now() < until, "the other target is not full");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(world.sent_to_leaving(0, "full").await, 0);
+        assert_eq!(world.sent_to_leaving(0, "long").await, 0);
+    });
+}
+
+/// Guards against batch items for a target that answered one with a note that it leaves.
+#[test]
+fn leaving_target_gets_no_further_items() {
+    with_world(2, async |world| {
+        let items = || {
+            let runs = world.targets[LEAVING].runs();
+            runs.iter()
+                .filter(|run| run.path.starts_with(BATCH))
+                .count()
+        };
+        world.targets[LEAVING].behave(Behaviour {
+            leaving: true,
+            ..Behaviour::default()
+        });
+        let until = Instant::now() + PATIENCE;
+        for number in 0.. {
+            let id = format!("first{number}");
+            let reply = world.batch(0, Method::POST, BATCH, &id, &job(&id, 2)).await;
+            assert_eq!(reply.status, 202);
+            world.results(0, &id, 2).await;
+            if items() > 0 {
+                break;
+            }
+            assert!(Instant::now() < until, "the target gets no item");
+        }
+        world.targets[LEAVING].behave(Behaviour::default());
+        let before = items();
+        let second = job("second", 12);
+        let reply = world.batch(1, Method::POST, BATCH, "second", &second).await;
+        assert_eq!(reply.status, 202);
+        world.results(1, "second", 12).await;
+        assert_eq!(items(), before);
+    });
+}
+
+/// A target that has started again at the address of one that left is used.
+#[test]
+fn target_that_starts_again_after_it_left_is_used() {
+    with_world(1, async |world| {
+        world.leave_once(SAFE, Behaviour::default()).await;
+        assert_eq!(world.sent_to_leaving(0, "after").await, 0);
+        world.targets[LEAVING].behave(Behaviour {
+            crashing_parts: &["dead"],
+            ..Behaviour::default()
+        });
+        let to = world.targets[LEAVING].address();
+        let headers = [("request-id", "direct"), ("prompt-prefix", "dead:1,1:1")];
+        // The target crashes in place of an answer.
+        drop(send(to, Method::POST, ONCE, &headers, "", PATIENCE).await);
+        let until = Instant::now() + PATIENCE;
+        while world.sent_to_leaving(0, "again").await == 0 {
+            assert!(Instant::now() < until, "the new start gets no request");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+}
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -469,6 +469,12 @@
         self.refresh_neighbour_requests(changed_keys);
     }
 
+    /// Whether a start of a target takes new work.
+    pub fn takes_work(&self, key: TargetKey) -> bool {
+        let view = self.views.get(&key);
+        view.is_some_and(|view| view.record.takes_work())
+    }
+
     /// Requests of this instance in progress at a target.
     pub fn local_requests(&self, key: TargetKey) -> u32 {
         self.views.get(&key).map_or(0, |view| view.local)
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -58,6 +58,7 @@
     routes::RouteTable,
     state::StoredManifest,
     targets::{
+        TargetKey,
         TargetRecord,
         Targets, //
     },
@@ -277,6 +278,39 @@
         changed
     }
 
+    /// Marks a start of a target as draining, because a response of it said so. Returns its record
+    /// unless that was known.
+    pub(crate) fn mark_draining(&self, key: TargetKey) -> Option<TargetRecord> {
+        let mut targets = self.targets();
+        let record = targets.mark_draining(key)?;
+        self.balancer().set_target(&record);
+        drop(targets);
+        metrics::counter!("yuccaseam_draining_responses_total").increment(1);
+        log::info!(
+            target_name:% = record.name, service:% = record.service, address:% = record.address;
+            "target drains, as its response says");
+        Some(record)
+    }
+
+    /// Marks a start of a target as draining here, and tells the leader. If there is no connection, the
+    /// next leader is told once it sends its targets.
+    pub(crate) fn report_draining(&self, key: TargetKey) {
+        if self.mark_draining(key).is_some() {
+            self.send_to_leader(FollowerMessage::Drains(key));
+        }
+    }
+
+    /// Tells the leader which of its targets drain without its knowledge.
+    pub(crate) fn correct_leader(&self, records: &[TargetRecord]) {
+        let targets = self.targets();
+        let draining = records
+            .iter()
+            .filter(|record| targets.is_drain_unknown_to(record));
+        for record in draining {
+            self.send_to_leader(FollowerMessage::Drains(record.key()));
+        }
+    }
+
     /// Merges the stores known to a peer and returns all known stores, including this instance if
     /// it is one.
     pub(crate) fn merge_stores(&self, entries: Vec<StoreEntry>) -> Vec<StoreEntry> {
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -347,6 +347,10 @@
         loop {
             let slot = self.acquire_slot().await?;
             self.take_part_admission().await?;
+            // The target may have begun to drain while the leader was asked for a trial.
+            if !self.cx.balancer().takes_work(slot.choice.key) {
+                continue;
+            }
             let req = self.build_request(&slot.choice, last_event);
             self.sent_at = self.now();
             let limits = CallLimits {
@@ -361,7 +365,13 @@
             let address = slot.choice.address;
             let upstream = Arc::clone(&self.cx.upstream);
             let call = upstream.call(address, req, limits);
-            match self.with_suspicion_timeout(&slot, call).await {
+            let result = self.with_suspicion_timeout(&slot, call).await;
+            if let Ok(response) = &result
+                && headers::is_leaving(&response.head.headers)
+            {
+                self.cx.report_draining(slot.choice.key);
+            }
+            match result {
                 Ok(response) if is_rejection(&response) => {
                     self.handle_rejection(&slot, response)?
                 }
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -330,6 +330,7 @@
             Ok(LeaderMessage::Manifest(manifest)) => cx.apply_manifest(&manifest),
             Ok(LeaderMessage::Targets(records)) => {
                 has_targets = true;
+                cx.correct_leader(&records);
                 drop(cx.merge_targets(records));
             }
             Ok(LeaderMessage::Loads(loads)) => {
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -146,6 +146,9 @@
     /// The follower understands [`LeaderMessage::Parts`]. One of the version before would drop the
     /// connection.
     AcceptsParts,
+    /// A response of this start of a target said that it drains. A leader of the version before ignores
+    /// the message.
+    Drains(TargetKey),
 }
 
 /// A message of the leader to its followers.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -160,6 +160,12 @@
                 let _ = self.cx.send_to_leader(FollowerMessage::Announced(record));
                 return;
             }
+            FollowerMessage::Drains(target) => {
+                self.cx.mark_draining(target);
+                // Without a connection, the leader is told once it sends its targets.
+                self.cx.send_to_leader(FollowerMessage::Drains(target));
+                return;
+            }
             FollowerMessage::AcceptsParts => {
                 let list = self.cx.part_guard().list().clone();
                 return self.cx.relay.accept_parts(follower, list);
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -273,6 +273,7 @@
                 self.inner().neighbours_changed = true;
             }
             FollowerMessage::AcceptsParts => self.send_parts_to(follower),
+            FollowerMessage::Drains(target) => self.mark_draining(target),
             FollowerMessage::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
                     follower.loads = loads;
@@ -295,6 +296,13 @@
         }
     }
 
+    /// Marks a start of a target as draining, because a response of it said so, and tells all followers.
+    pub(super) fn mark_draining(&self, target: TargetKey) {
+        if let Some(record) = self.cx.mark_draining(target) {
+            self.broadcast_targets(vec![record]);
+        }
+    }
+
     fn broadcast_targets(&self, records: Vec<TargetRecord>) {
         let mut balancer = self.cx.balancer();
         for record in &records {
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -467,6 +467,10 @@
                 }
                 true
             }
+            Report::TargetDrains(target) => {
+                self.hub.mark_draining(target);
+                false
+            }
         }
     }
 
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -27,7 +27,10 @@
     },
     schedule::ItemKey,
     state::Item,
-    targets::TargetRecord,
+    targets::{
+        TargetKey,
+        TargetRecord, //
+    },
     upstream::{
         CallLimits,
         Failure, //
@@ -70,6 +73,8 @@
         run: u64,
         end: RunEnd,
     },
+    /// A response of a target said that it drains.
+    TargetDrains(TargetKey),
 }
 
 /// Builds the request of a run. `None` if the item's path, headers or ids are not valid in HTTP.
@@ -131,6 +136,10 @@
         Err(error) => return RunEnd::Interrupted(error.failure),
     };
     let head = &call.head;
+    if headers::is_leaving(&head.headers) {
+        // The runner runs until the process exits.
+        let _ = reports.send(Report::TargetDrains(target.key()));
+    }
     if head.headers.contains_key(headers::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
     {
         return RunEnd::Rejected;
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -4,8 +4,9 @@
 //!
 //! - Of two announcements of a target, the one of the later start wins; within one start, the one
 //!   with the higher number.
-//! - A target that is draining or has left takes no new work until it restarts. One that expired
-//!   takes work again once it announces itself.
+//! - A target that is draining or has left takes no new work until it restarts, whatever another
+//!   instance or the target itself says later. One that expired takes work again once it announces
+//!   itself.
 //! - Of two targets with one address, the one that started later owns it, in whichever order their
 //!   records arrive. The other one has left.
 
@@ -175,6 +176,29 @@
         Some(tracked.record.clone())
     }
 
+    /// Marks a start of a target as draining, because a response of it said so. Returns its record
+    /// unless that was known.
+    pub fn mark_draining(&mut self, key: TargetKey) -> Option<TargetRecord> {
+        let mut tracked = self.by_name.values_mut();
+        let tracked = tracked.find(|tracked| tracked.record.key() == key)?;
+        if std::mem::replace(&mut tracked.record.draining, true) {
+            return None;
+        }
+        Some(tracked.record.clone())
+    }
+
+    /// Whether a target is known here to drain, and the record of another instance does not say so.
+    pub fn is_drain_unknown_to(&self, record: &TargetRecord) -> bool {
+        let known = self.by_name.get(&record.name);
+        known.is_some_and(|tracked| {
+            let known = &tracked.record;
+            known.started_at == record.started_at
+                && known.draining
+                && !known.left
+                && !record.draining
+        })
+    }
+
     /// Merges a record of another instance. Returns the records that changed: none if the known one
     /// is as new.
     pub fn merge(&mut self, record: TargetRecord, now: Millis) -> Vec<TargetRecord> {
--- a/crates/serving/tests/all/targets.rs
+++ b/crates/serving/tests/all/targets.rs
@@ -183,3 +183,49 @@
             .all(|record| !record.left && !record.draining)
     );
 }
+
+/// Guards against new work for a target after its response said that it drains: an announcement, or an
+/// instance that does not know, says later that the same start is ready.
+#[test]
+fn drain_from_a_response_is_undone_only_by_a_new_start() {
+    let mut targets = Targets::default();
+    targets.apply_announcement(numbered(1), NOW);
+    let key = numbered(1).key();
+    assert_matches!(targets.mark_draining(key), Some(record) if !record.takes_work());
+    assert_eq!(targets.mark_draining(key), None, "known");
+    assert_eq!(
+        targets.apply_announcement(numbered(2), NOW),
+        AnnouncementOutcome::Renewed
+    );
+    assert!(targets.merge(numbered(9), NOW).is_empty());
+    let expired = TargetRecord {
+        left: true,
+        ..numbered(10)
+    };
+    assert!(targets.merge(expired, NOW).is_empty());
+    assert!(targets.records().all(|record| !record.takes_work()));
+    let restarted = TargetRecord {
+        started_at: 2,
+        ..numbered(1)
+    };
+    assert_matches!(
+        targets.merge(restarted.clone(), NOW).as_slice(),
+        [record] if record.takes_work()
+    );
+    // A late response of the start before says nothing of this one.
+    assert_eq!(targets.mark_draining(key), None);
+    assert!(targets.records().all(TargetRecord::takes_work));
+    assert!(!targets.is_drain_unknown_to(&restarted));
+}
+
+#[test]
+fn drain_is_told_to_instances_that_do_not_know_of_it() {
+    let mut targets = Targets::default();
+    targets.apply_announcement(numbered(1), NOW);
+    assert!(!targets.is_drain_unknown_to(&numbered(5)));
+    let drained = targets.mark_draining(numbered(1).key());
+    assert!(targets.is_drain_unknown_to(&numbered(5)));
+    let drained = drained.expect("the target took work");
+    assert!(!targets.is_drain_unknown_to(&drained));
+    assert!(!targets.is_drain_unknown_to(&target(2, "a1")));
+}
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -88,6 +88,8 @@
     /// Crashes as it begins to answer a request whose prompt has one of these parts before its last one,
     /// and starts again under another name.
     pub crashing_parts: &'static [&'static str],
+    /// Says in every answer that it leaves.
+    pub leaving: bool,
 }
 
 impl Default for Behaviour {
@@ -99,6 +101,7 @@
             breaks_after: None,
             poisoned: None,
             crashing_parts: &[],
+            leaving: false,
         }
     }
 }
@@ -354,7 +357,7 @@
         connections.spawn(async move {
             let service = service_fn(move |req| {
                 let shared = Arc::clone(&shared);
-                async move { Ok::<_, Infallible>(answer(shared, req).await) }
+                async move { Ok::<_, Infallible>(answer_with_state(shared, req).await) }
             });
             // A caller that breaks its connection is part of the tests.
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -393,6 +396,17 @@
     answer
 }
 
+/// Answers a request, and adds whether the target leaves.
+async fn answer_with_state(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let is_leaving = shared.behaviour().leaving;
+    let mut answer = answer(shared, req).await;
+    if is_leaving {
+        let value = http::HeaderValue::from_static("1");
+        answer.headers_mut().insert("server-leaving", value);
+    }
+    answer
+}
+
 async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let (head, body) = req.into_parts();
     let id = text(&head.headers, "request-id")
