balance: a start of a target that a later one has replaced takes no work

Cause: the view of a replaced start was kept while requests were in progress there, and with it its record, which still took work. A target that started again under its name and address and then drained got requests that were chosen for the start before.

Evidence: herd::replaced_start_of_a_target_takes_no_work failed with `left: Some(Choice { .. }), right: None`.

Change: the kept views of a name are marked as departed when another start of it becomes known. After: the test passes.

--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -249,6 +249,10 @@
         let name = &record.name;
         self.views
             .retain(|other, view| view.record.name != *name || *other == key || view.local > 0);
+        let views = self.views.values_mut();
+        for replaced in views.filter(|view| view.record.name == *name) {
+            replaced.record.depart();
+        }
         if let Some(view) = self.views.get_mut(&key) {
             view.record = record.clone();
             return;
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -87,7 +87,8 @@
         )
     }
 
-    fn depart(&mut self) {
+    /// Marks this start of the target as gone for good.
+    pub(crate) fn depart(&mut self) {
         self.left = true;
         self.draining = true;
     }
--- a/crates/serving/tests/all/herd.rs
+++ b/crates/serving/tests/all/herd.rs
@@ -22,7 +22,10 @@
         Load,
         NeighbourReport, //
     },
-    targets::TargetKey,
+    targets::{
+        TargetKey,
+        TargetRecord, //
+    },
 };
 
 use super::support::{
@@ -326,3 +329,24 @@
     entry.set_target(&record);
     assert_eq!(entry.choose("llm", &[], 1, NOW), None);
 }
+
+/// Guards against new work for a start that a later one of the same name has replaced, while a request
+/// of the earlier start has not ended.
+#[test]
+fn replaced_start_of_a_target_takes_no_work() {
+    let mut entry = balancer("a1");
+    let old = target(1, "a1");
+    entry.set_target(&old);
+    entry.begin_request(old.key());
+    let new = TargetRecord {
+        started_at: 2,
+        draining: true,
+        ..old.clone()
+    };
+    entry.set_target(&new);
+    assert_eq!(entry.choose("llm", &[], 0, NOW), None);
+    assert!(!entry.takes_work(old.key()));
+    entry.end_request(old.key());
+    entry.load_report();
+    assert_eq!(entry.local_requests(old.key()), 0);
+}
