--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -8,6 +8,7 @@
 mod lifecycle;
 mod limits;
 mod misbehaving;
+mod odd_entries;
 mod online;
 mod raw_target;
 mod tainted;
