Announcements with names of any length are refused

Callers saw: nothing in the test; all followers lost the leader. Six announcements with a service of 9 MB are more than the largest message between instances, which every new follower is sent: `leader connection lost`, `no message within the time limit`, then `the stream failed`.

Cause: names were bounded only by the body of a control call, 16 MB.

Evidence, platform::odd_entries, before: service_is_huge, zone_is_huge, name_is_long: left: 200, right: 400.

--- a/crates/daemon/tests/all/platform/odd_entries.rs
+++ b/crates/daemon/tests/all/platform/odd_entries.rs
@@ -179,7 +179,10 @@
     ]);
     port_is_out_of_range(400, "odd-", &[("address", quoted("127.0.0.1:65536"))]);
     zone_is_unknown(200, "odd-", &[("zone", quoted("nowhere"))]);
+    zone_is_huge(400, "odd-", &[("zone", quoted(&"z".repeat(HUGE_BYTES)))]);
     service_is_unknown(200, "odd-", &[("service", quoted("nothing"))]);
+    service_is_huge(400, "odd-", &[("service", quoted(&"s".repeat(HUGE_BYTES)))]);
+    name_is_long(400, &"n".repeat(8_000), &[]);
 }
 
 /// Guards against callers without an answer after a manifest with figures at the edge of their type.
