Announcements of targets that cannot be used are refused

Callers saw: nothing in the test, as another target was left. A target with port 0 or an unspecified or multicast address was chosen, failed as unreachable and was avoided for some time; one with u32::MAX slots always looked the least loaded, so requests and items went there first.

Evidence, platform::odd_entries, before: port_is_zero, address_is_unspecified, slots_are_the_largest: left: 200, right: 400.

--- a/crates/daemon/tests/all/platform/odd_entries.rs
+++ b/crates/daemon/tests/all/platform/odd_entries.rs
@@ -162,6 +162,7 @@
     unknown_field_is_nested_deeply(200, "odd-", &[("models", nested())]);
     known_field_is_nested_deeply(400, "odd-", &[("service", nested())]);
     slots_are_out_of_range(400, "odd-", &[("slots", "1e308".to_owned())]);
+    slots_are_the_largest(400, "odd-", &[("slots", u32::MAX.to_string())]);
     number_is_out_of_range(400, SOUND_TARGET, &[("sequence", "18446744073709551616".to_owned())]);
     start_is_out_of_range(400, SOUND_TARGET, &[("born", "1e400".to_owned())]);
     start_of_another_target_is_the_largest(400, "odd-", &[
@@ -177,7 +178,9 @@
         ("born", "1800000000000000000".to_owned()),
         ("address", quoted("127.0.0.1:9")),
     ]);
+    port_is_zero(400, "odd-", &[("address", quoted("127.0.0.1:0"))]);
     port_is_out_of_range(400, "odd-", &[("address", quoted("127.0.0.1:65536"))]);
+    address_is_unspecified(400, "odd-", &[("address", quoted("0.0.0.0:9"))]);
     zone_is_unknown(200, "odd-", &[("zone", quoted("nowhere"))]);
     zone_is_huge(400, "odd-", &[("zone", quoted(&"z".repeat(HUGE_BYTES)))]);
     service_is_unknown(200, "odd-", &[("service", quoted("nothing"))]);
