--- a/crates/daemon/tests/all/platform/odd_entries.rs
+++ b/crates/daemon/tests/all/platform/odd_entries.rs
@@ -185,6 +185,7 @@
     zone_is_huge(400, "odd-", &[("zone", quoted(&"z".repeat(HUGE_BYTES)))]);
     service_is_unknown(200, "odd-", &[("service", quoted("nothing"))]);
     service_is_huge(400, "odd-", &[("service", quoted(&"s".repeat(HUGE_BYTES)))]);
+    state_is_huge(400, "odd-", &[("state", quoted(&"r".repeat(HUGE_BYTES)))]);
     name_is_long(400, &"n".repeat(8_000), &[]);
 }
 
