state: the sum of the tokens of jobs saturates

Callers saw: 504 `no quorum replied in time` in a debug build, for every job from then on: each store panicked as it applied the job, and again after a restart. In a release build the sum wraps, so that a job passes the limit of its route.

Evidence, before: odd_entries::tokens_at_the_edge_of_their_type_do_no_harm: left: 504, right: 429; state::tokens_at_the_edge_of_their_type_are_over_the_limit: attempt to add with overflow.

Change: saturating sums. After: both pass (debug build).

--- a/crates/daemon/tests/all/platform/odd_entries.rs
+++ b/crates/daemon/tests/all/platform/odd_entries.rs
@@ -189,6 +189,26 @@
     name_is_long(400, &"n".repeat(8_000), &[]);
 }
 
+/// Guards against processes that end because the sum of the tokens of a job is out of range: each store
+/// applies the job, and again when it restarts.
+#[test]
+fn tokens_at_the_edge_of_their_type_do_no_harm() {
+    with_world(1, async |mut world| {
+        for (number, tokens) in [u64::MAX, u64::MAX / 2 + 1].into_iter().enumerate() {
+            let id = format!("huge{number}");
+            let body = job(&id, 3).replace("\"tokens\":10", &format!("\"tokens\":{tokens}"));
+            let reply = world.batch(0, Method::POST, BATCH, &id, &body).await;
+            assert_eq!(reply.status, 429, "{}", reply.body);
+        }
+        let reply = world
+            .batch(0, Method::POST, BATCH, "sound", &job("sound", 2))
+            .await;
+        assert_eq!(reply.status, 202);
+        world.results(1, "sound", 2).await;
+        world.assert_sound().await;
+    });
+}
+
 /// Guards against callers without an answer after a manifest with figures at the edge of their type.
 fn odd_manifest_does_no_harm(from: &str, to: &str) {
     with_world(1, async |mut world| {
--- a/crates/serving/src/state/job.rs
+++ b/crates/serving/src/state/job.rs
@@ -131,13 +131,13 @@
         self.ended || self.results.len() == self.items.len()
     }
 
-    /// Sum of the tokens of its unlisted items; 0 once it has ended.
+    /// Sum of the tokens of its unlisted items, at most the largest value; 0 once it has ended.
     pub fn waiting_tokens(&self) -> u64 {
         if self.ended {
             return 0;
         }
         let waiting = self.items.iter().filter(|item| !item.listed);
-        waiting.map(|item| item.tokens).sum()
+        waiting.map(|item| item.tokens).fold(0, u64::saturating_add)
     }
 
     /// The items without a result, with their positions; none once the job has ended.
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -130,7 +130,10 @@
         }
         let job = Job::from(new);
         if let Some(limit) = job.waiting_limit
-            && self.waiting_tokens(&job.route) + job.waiting_tokens() > limit
+            && self
+                .waiting_tokens(&job.route)
+                .saturating_add(job.waiting_tokens())
+                > limit
         {
             return CommandOutcome::OverLimit;
         }
@@ -185,10 +188,10 @@
         self.jobs.values()
     }
 
-    /// Sum of the tokens of the items that wait on a route.
+    /// Sum of the tokens of the items that wait on a route, at most the largest value.
     pub fn waiting_tokens(&self, route: &str) -> u64 {
         let jobs = self.jobs.values().filter(|job| job.route == route);
-        jobs.map(Job::waiting_tokens).sum()
+        jobs.map(Job::waiting_tokens).fold(0, u64::saturating_add)
     }
 
     /// The targets as last recorded. They may have departed since.
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -235,3 +235,26 @@
     assert_eq!(restored, state);
     assert!(State::restore(&snapshot[..snapshot.len() - 1]).is_err());
 }
+
+/// Guards against stores that end, or a limit that is passed, because the sum of the tokens is out of
+/// range.
+#[test]
+fn tokens_at_the_edge_of_their_type_are_over_the_limit() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[40])));
+    for tokens in [[u64::MAX, 1], [u64::MAX / 2 + 1; 2], [0, u64::MAX - 20]] {
+        assert_eq!(
+            state.apply(Command::Submit(job("k", &tokens))),
+            CommandOutcome::OverLimit
+        );
+    }
+    let unlimited = NewJob {
+        waiting_limit: None,
+        ..job("u", &[u64::MAX, u64::MAX])
+    };
+    assert_eq!(
+        state.apply(Command::Submit(unlimited)),
+        CommandOutcome::Done
+    );
+    assert_eq!(state.waiting_tokens("h.example/b/"), u64::MAX);
+}
