routes: the sum of the weights of a route has room for all of them

Callers saw: an operator's connection that closed without an answer, in a debug build, for a manifest with two weights of 1e308. In a release build the sum wraps, and the shares are others than stated.

Evidence, before: odd_entries::weights_are_the_largest: IncompleteMessage; routes::weights_at_the_edge_of_their_type_are_added_up: attempt to add with overflow.

Change: the sum is a u128. After: both pass (debug build).

--- a/crates/daemon/tests/all/platform/odd_entries.rs
+++ b/crates/daemon/tests/all/platform/odd_entries.rs
@@ -236,6 +236,10 @@
     objective_is_the_largest("\"target_latency_ms\":300", "\"target_latency_ms\":1e308");
     gap_is_the_largest("\"gap_target_ms\":250", "\"gap_target_ms\":1e308");
     attempts_are_the_largest("\"max_attempts\":3", "\"max_attempts\":4294967295");
+    weights_are_the_largest(
+        "\"service\":\"llm\"",
+        "\"weighted_services\":[{\"service\":\"llm\",\"weight\":1e308},{\"service\":\"llm\",\"weight\":1e308}]",
+    );
     completion_is_the_largest("\"completion_target_ms\":18000", "\"completion_target_ms\":1e308");
     limits_are_zero("\"max_header_bytes\":16384", "\"max_header_bytes\":0");
     field_is_nested_deeply("\"priority\":0", &format!("\"notes\":{},\"priority\":0", nested()));
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -165,23 +165,23 @@
     Ok(())
 }
 
-fn total_weight(route: &Route) -> u64 {
-    route
-        .destinations
-        .iter()
-        .map(|destination| destination.weight)
+fn total_weight(route: &Route) -> u128 {
+    let destinations = route.destinations.iter();
+    destinations
+        .map(|destination| u128::from(destination.weight))
         .sum()
 }
 
 /// Chooses the destination of a request by weight. `draw` is uniform over all values.
 pub fn choose_destination(route: &Route, draw: u64) -> Option<&str> {
     let total = total_weight(route);
-    let mut remaining = draw.checked_rem(total)?;
+    let mut remaining = u128::from(draw).checked_rem(total)?;
     route.destinations.iter().find_map(|destination| {
-        if remaining < destination.weight {
+        let weight = u128::from(destination.weight);
+        if remaining < weight {
             return Some(destination.service.as_str());
         }
-        remaining -= destination.weight;
+        remaining -= weight;
         None
     })
 }
--- a/crates/serving/tests/all/routes.rs
+++ b/crates/serving/tests/all/routes.rs
@@ -71,3 +71,14 @@
     let to_two = draws.filter(|service| *service == Some("two")).count();
     assert_eq!(to_two, 100);
 }
+
+/// Guards against an entry that ends a connection, or refuses a valid manifest, because the sum of the
+/// weights is out of range.
+#[test]
+fn weights_at_the_edge_of_their_type_are_added_up() {
+    let split = r#""weighted_services":[{"service":"one","weight":1e308},{"service":"two","weight":1e308}]"#;
+    let table = table(&route("r", "/a/", split)).expect("the manifest is valid");
+    let route = table.find("h.example", "/a/x").expect("a route");
+    assert_eq!(choose_destination(route, 0), Some("one"));
+    assert_eq!(choose_destination(route, u64::MAX), Some("two"));
+}
