admission: arithmetic on times of callers and manifests saturates

Callers saw: nothing yet. In a debug build, a time limit of u64::MAX or an objective of 1e308 ms ends the task that decides on a request; before a manifest is known it does so with the lock of the retry detector, after which the process answers no one. In a release build the decision is wrong.

Evidence, before: admission::largest_deadline_of_a_caller and three others: attempt to add / multiply with overflow.

Change: `Millis` arithmetic, which saturates, in place of that of its number. After: the four pass.

--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -79,13 +79,13 @@
     /// Whether the caller has been refused before. Its timeout is then visibly below the route's
     /// timeout.
     pub fn is_retry(&self) -> bool {
-        self.caller_timeout.0 * 100 < self.timeout.0 * RETRY_TIMEOUT_PERCENT
+        self.caller_timeout * 100 < self.timeout * RETRY_TIMEOUT_PERCENT
     }
 
     /// Time since its arrival within which the response must be expected to begin, if the request is
     /// to queue at a target.
     fn target_response(&self) -> Millis {
-        Millis(self.objective.0 * TARGET_RESPONSE_PERCENT / 100)
+        percent_of(self.objective, TARGET_RESPONSE_PERCENT)
     }
 
     /// Longest time that the request may wait for a slot.
@@ -95,7 +95,7 @@
         } else {
             FIRST_ATTEMPT_WAIT_PERCENT
         };
-        Millis(self.objective.0 * percent / 100).min(Millis(self.caller_timeout.0 / 2))
+        percent_of(self.objective, percent).min(Millis(self.caller_timeout.0 / 2))
     }
 
     /// Delay until a waiting request is decided on again, unless a slot that its instance held becomes
@@ -111,6 +111,10 @@
     }
 }
 
+fn percent_of(span: Millis, percent: u64) -> Millis {
+    Millis((span * percent).0 / 100)
+}
+
 /// Admission decision for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -144,7 +148,11 @@
     /// Records a request that found a free slot.
     pub fn record(&mut self, response: Millis, occupancy: Millis) {
         let average = |old: Millis, sample: Millis| {
-            Millis((old.0 * (SAMPLE_DIVISOR - 1) + sample.0).div_ceil(SAMPLE_DIVISOR))
+            Millis(
+                (old * (SAMPLE_DIVISOR - 1) + sample)
+                    .0
+                    .div_ceil(SAMPLE_DIVISOR),
+            )
         };
         self.response = average(self.response, response);
         self.occupancy = average(self.occupancy, occupancy);
@@ -154,7 +162,7 @@
     /// `queued` others wait.
     fn expected_response(&self, queued: u32, slots: u32) -> Millis {
         let position = u64::from(queued) + 1;
-        self.response + Millis(self.occupancy.0 * position / u64::from(slots.max(1)))
+        self.response + Millis((self.occupancy * position).0 / u64::from(slots.max(1)))
     }
 }
 
@@ -249,6 +257,6 @@
         }
         let max_timeout = self.max_timeouts.entry(kind.to_owned()).or_default();
         *max_timeout = caller_timeout.max(*max_timeout);
-        caller_timeout.0 * 100 < max_timeout.0 * RETRY_TIMEOUT_PERCENT
+        caller_timeout * 100 < *max_timeout * RETRY_TIMEOUT_PERCENT
     }
 }
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -101,8 +101,8 @@
 impl ItemTimes {
     /// Records an item that is complete, with the time that its runs took together.
     pub fn record(&mut self, ran: Millis) {
-        let sum = self.mean.0 * (RUN_SAMPLE_DIVISOR - 1) + ran.0;
-        self.mean = Millis(sum.div_ceil(RUN_SAMPLE_DIVISOR));
+        let sum = self.mean * (RUN_SAMPLE_DIVISOR - 1) + ran;
+        self.mean = Millis(sum.0.div_ceil(RUN_SAMPLE_DIVISOR));
     }
 
     /// Expected time that an item still runs after `ran` under this leader. An item that has output of an
--- a/crates/serving/tests/all/admission.rs
+++ b/crates/serving/tests/all/admission.rs
@@ -233,3 +233,29 @@
     assert_eq!(delays_in_tenths, [8, 9, 10, 11]);
     assert!((0..100).all(|draw| retry_after_startup(Millis(1_600), draw) >= Millis(400)));
 }
+
+/// Guards against a process that answers no one after times at the edge of their type, which callers
+/// and manifests may state.
+fn largest_times_are_decided_on(objective: Millis, timeout: Millis, caller_timeout: Millis) {
+    let request = SlotRequest {
+        waited: Millis(1),
+        objective,
+        timeout,
+        caller_timeout,
+    };
+    let mut times = ServiceTimes::assumed(objective);
+    times.record(Millis::MAX, Millis::MAX);
+    for online in [0, 8, 12] {
+        decide(&request, best_choice(online).as_ref(), &times, true);
+    }
+    assert!(request.max_wait() <= caller_timeout);
+    let mut detector = RetryDetector::default();
+    assert!(!detector.is_retry("drafts", caller_timeout));
+}
+
+cases! { largest_times_are_decided_on:
+    largest_deadline_of_a_caller(OBJECTIVE, Millis(5_000), Millis::MAX);
+    largest_timeout_of_a_route(OBJECTIVE, Millis::MAX, Millis(5_000));
+    largest_objective_of_a_route(Millis::MAX, Millis::MAX, Millis(5_000));
+    largest_of_all(Millis::MAX, Millis::MAX, Millis::MAX);
+}
