--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod limits;
 mod misbehaving;
+mod odd_entries;
 mod online;
 mod power;
 mod raw_target;
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -249,6 +249,10 @@
         let name = &record.name;
         self.views
             .retain(|other, view| view.record.name != *name || *other == key || view.local > 0);
+        let views = self.views.values_mut();
+        for replaced in views.filter(|view| view.record.name == *name) {
+            replaced.record.depart();
+        }
         if let Some(view) = self.views.get_mut(&key) {
             view.record = record.clone();
             return;
@@ -469,6 +473,12 @@
         self.refresh_neighbour_requests(changed_keys);
     }
 
+    /// Whether a start of a target takes new work.
+    pub fn takes_work(&self, key: TargetKey) -> bool {
+        let view = self.views.get(&key);
+        view.is_some_and(|view| view.record.takes_work())
+    }
+
     /// Requests of this instance in progress at a target.
     pub fn local_requests(&self, key: TargetKey) -> u32 {
         self.views.get(&key).map_or(0, |view| view.local)
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -401,6 +401,10 @@
                 None => self.acquire_slot().await?,
             };
             self.take_part_admission().await?;
+            // The target may have begun to drain while the leader was asked for a trial.
+            if !self.cx.balancer().takes_work(current.choice.key) {
+                continue;
+            }
             let req = self.build_request(&current.choice, last_event);
             self.sent_at = self.now();
             let limits = CallLimits {
@@ -415,7 +419,13 @@
             let address = current.choice.address;
             let upstream = Arc::clone(&self.cx.upstream);
             let call = upstream.call(address, req, limits);
-            match self.wait_for_head(&current, call).await {
+            let outcome = self.wait_for_head(&current, call).await;
+            if let HeadOutcome::Arrived(response) = &outcome
+                && headers::is_leaving(&response.head.headers)
+            {
+                self.cx.report_draining(current.choice.key);
+            }
+            match outcome {
                 HeadOutcome::Arrived(response) if is_rejection(&response) => {
                     self.handle_rejection(&current, response)?;
                     if self.is_persistent {
--- a/crates/soak/tests/all/quarantine.rs
+++ b/crates/soak/tests/all/quarantine.rs
@@ -25,7 +25,7 @@
     let at = |second| start + seconds(second);
     let crash = |second| Crash {
         at: at(second),
-        part: PART,
+        cause: PART,
     };
     (0..count).map(crash).collect()
 }
@@ -65,7 +65,7 @@
 fn crashes_under_another_part_do_not_count() {
     let start = Instant::now();
     let mut crashes = crashes(start, 5);
-    crashes[0].part = "dead";
+    crashes[0].cause = "dead";
     assert!(!is_violated(
         &crashes,
         &runs_at(start + seconds(20), 4),
