serving: items with a quarantined prompt part run as trials soon, in place of waiting for its first one

Callers saw: items left lying for 10 s or more, or until their lifetime was over, because a part of their prompts was quarantined. Cause: an item with a quarantined part waited for the trial of the part, after 10 s, 100 s and so on, like the requests of callers, though it cannot be refused as these can; a request of a caller could use the trial up. Evidence: the new process test failed before, with no result after 10 s ("results are missing"): a part under which requests crashed targets, then a job with it at targets that are sound. Change: 0.5 s after the quarantine one item with the part runs, at a target that no caller uses, and another one 2 s after that if it crashed too. A first event releases the part, and all items with it. A trial that no target ran is granted again. After a change of leader there is only the trial of the part.

--- a/crates/daemon/tests/all/platform/tainted.rs
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -7,6 +7,7 @@
 
 use http::Method;
 use yuccaseam_testing::platform::{
+    BATCH,
     Behaviour,
     HOST,
     ONCE,
@@ -30,6 +31,8 @@
 const MAX_LATE_REQUESTS: usize = 3;
 /// Time between two requests with the part.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Time within which items with a quarantined part complete, if it is sound.
+const ITEM_TIME: Duration = Duration::from_secs(6);
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -127,6 +130,47 @@
     });
 }
 
+/// Guards against items that are left lying because a part of their prompts is quarantined, although no target
+/// crashes under them.
+#[test]
+fn items_with_a_quarantined_part_that_is_sound_complete() {
+    with_world(6, async |world| {
+        world.behave(&Behaviour {
+            crashing_parts: &[DEADLY],
+            ..Behaviour::default()
+        });
+        let until = Instant::now() + REACTION_TIME;
+        for number in 0.. {
+            let reply = world.deadly_prompt(number).await;
+            if reply.is_some_and(|reply| reply.body == "part_quarantined") {
+                break;
+            }
+            assert!(Instant::now() < until, "the part is not quarantined");
+            tokio::time::sleep(INTERVAL).await;
+        }
+        world.behave(&Behaviour::default());
+        let started_at = Instant::now();
+        let items: Vec<_> = (0..4)
+            .map(|item| {
+                format!(
+                    r#"{{"id":"j1-{item}","path":"{BATCH}{item}","body":"aGk=","tokens":10,
+                        "headers":{{"Prompt-Prefix":"f1:100,{DEADLY}:60,a{item}:20"}}}}"#
+                )
+            })
+            .collect();
+        let body = format!(r#"{{"items":[{}]}}"#, items.join(","));
+        let path = format!("{BATCH}j1");
+        let reply = world.batch(0, Method::POST, &path, "j1", &body).await;
+        assert_eq!(reply.status, 202, "{}", reply.body);
+        let page = world.results(0, "j1", 4).await;
+        for result in page["results"].as_array().expect("a list") {
+            assert_eq!(result["state"], "completed", "{result}");
+        }
+        let took = started_at.elapsed();
+        assert!(took < ITEM_TIME, "the items took {took:?}");
+    });
+}
+
 /// Guards against a quarantine of sound parts because of targets that break off responses and live on.
 #[test]
 fn requests_that_live_targets_break_off_are_no_evidence() {
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -155,6 +155,13 @@
         due.map_or(Admission::Allowed, Admission::TrialDue)
     }
 
+    /// The quarantined ones of these parts, without those whose trial is due.
+    pub fn refused_parts(&self, parts: &[PromptPart], now: Millis) -> Vec<PromptPart> {
+        let is_refused =
+            |part: &PromptPart| matches!(self.admit(&[*part], now), Admission::Refused(_));
+        parts.iter().copied().filter(is_refused).collect()
+    }
+
     /// Records a request that a crash cut off before its first event. Returns the report for the leader, if it
     /// is evidence, and the part that is quarantined here from now on, if any.
     pub fn record_crash(
--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -16,6 +16,10 @@
 /// Time from quarantine to the first trial. A part that was quarantined by coincidence is served again
 /// soon.
 const FIRST_TRIAL_DELAY: Millis = Millis::from_secs(10);
+/// Times before the first and the second batch item that runs with a quarantined part as a trial of its own:
+/// from the quarantine, and from the first one. Items do not crash targets by themselves, so the part
+/// may be sound, and an item is owed where a request of a caller can be refused.
+const ITEM_TRIAL_DELAYS: [Millis; 2] = [Millis(500), Millis(2_000)];
 /// Growth of the time between two trials: each one may cost a target with all its requests.
 const TRIAL_DELAY_FACTOR: u64 = 10;
 /// Time for which a new leader only collects reports. Until all entries have reported their crashes again, a
@@ -57,15 +61,29 @@
     /// Trials granted so far.
     trials: u32,
     next_trial_at: Millis,
+    /// Trials of items granted so far.
+    item_trials: usize,
+    last_item_trial_at: Millis,
 }
 
 impl Quarantine {
-    fn new(trials: u32, now: Millis) -> Self {
+    /// A part that targets have just crashed under.
+    fn begin(now: Millis) -> Self {
+        Self {
+            item_trials: 0,
+            ..Self::resume(0, now)
+        }
+    }
+
+    /// A part with this many trials so far. Items wait for the next one.
+    fn resume(trials: u32, now: Millis) -> Self {
         let factor = TRIAL_DELAY_FACTOR.saturating_pow(trials);
         let delay = Millis(FIRST_TRIAL_DELAY.0.saturating_mul(factor));
         Self {
             trials,
             next_trial_at: now + delay.min(MAX_TRIAL_DELAY),
+            item_trials: ITEM_TRIAL_DELAYS.len(),
+            last_item_trial_at: now,
         }
     }
 }
@@ -88,7 +106,7 @@
     {
         let quarantined = recorded
             .into_iter()
-            .map(|(part, trials)| (part, Quarantine::new(trials, now)));
+            .map(|(part, trials)| (part, Quarantine::resume(trials, now)));
         Self {
             evidence: CrashEvidence::default(),
             quarantined: quarantined.collect(),
@@ -111,7 +129,7 @@
         }
         let mut culprits = Vec::new();
         while let Some(part) = self.evidence.take_culprit() {
-            self.quarantined.insert(part, Quarantine::new(0, now));
+            self.quarantined.insert(part, Quarantine::begin(now));
             culprits.push(part);
         }
         culprits
@@ -133,10 +151,33 @@
             return None;
         }
         let trials = quarantine.trials + 1;
-        *quarantine = Quarantine::new(trials, now);
+        *quarantine = Quarantine::resume(trials, now);
         Some(trials)
     }
 
+    /// Grants a batch item with a quarantined part a trial of its own. True if one is due.
+    pub fn grant_item_trial(&mut self, part: PromptPart, now: Millis) -> bool {
+        let Some(quarantine) = self.quarantined.get_mut(&part) else {
+            return false;
+        };
+        let delay = ITEM_TRIAL_DELAYS.get(quarantine.item_trials);
+        if delay.is_none_or(|delay| now < quarantine.last_item_trial_at + *delay) {
+            return false;
+        }
+        quarantine.item_trials += 1;
+        quarantine.last_item_trial_at = now;
+        true
+    }
+
+    /// Takes a trial back that no target ran.
+    pub fn return_item_trial(&mut self, part: PromptPart, now: Millis) {
+        if let Some(quarantine) = self.quarantined.get_mut(&part)
+            && now < quarantine.next_trial_at
+        {
+            quarantine.item_trials = quarantine.item_trials.saturating_sub(1);
+        }
+    }
+
     /// What all instances have to know.
     pub fn list(&self, now: Millis) -> PartList {
         let quarantined = self.quarantined.iter();
--- a/crates/serving/src/store/hub/parts.rs
+++ b/crates/serving/src/store/hub/parts.rs
@@ -87,6 +87,22 @@
         true
     }
 
+    /// Grants a batch item with a quarantined part a trial of its own if one is due.
+    pub(in crate::store) fn grant_item_trial(&self, part: PromptPart) -> bool {
+        let now = self.cx.clock.now();
+        let is_granted = self.inner().quarantine.grant_item_trial(part, now);
+        if is_granted {
+            log::info!(part:% = part; "trial of a quarantined prompt part granted to an item");
+        }
+        is_granted
+    }
+
+    /// Takes a trial of an item back that no target ran.
+    pub(in crate::store) fn return_item_trial(&self, part: PromptPart) {
+        let now = self.cx.clock.now();
+        self.inner().quarantine.return_item_trial(part, now);
+    }
+
     /// Sends the list of parts to a follower that accepts it, now and after each change.
     pub(super) fn send_parts_to(&self, follower: u64) {
         let mut inner = self.inner();
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -54,6 +54,7 @@
         TargetKey,
         TargetRecord, //
     },
+    upstream::Failure,
 };
 
 use super::{
@@ -93,6 +94,8 @@
     started_at: Millis,
     /// Shared parts of the prompt.
     parts: Vec<PromptPart>,
+    /// The quarantined part of which it is a trial.
+    trial: Option<PromptPart>,
     has_output: bool,
     task: AbortHandle,
 }
@@ -103,6 +106,21 @@
     }
 }
 
+/// An item that may only run as a trial of a quarantined prompt part.
+struct HeldItem {
+    key: ItemKey,
+    service: String,
+    part: PromptPart,
+    due_at: Millis,
+}
+
+/// Items without a listed result that may run now.
+#[derive(Default)]
+struct Waiting {
+    by_service: BTreeMap<String, Vec<WaitingItem>>,
+    held: Vec<HeldItem>,
+}
+
 /// Schedules batch items and collects their output.
 struct Runner {
     cx: Arc<Cx>,
@@ -167,12 +185,15 @@
         let replica = Arc::clone(&self.replica);
         let waiting = replica.read(|state| self.waiting(state, now));
         self.abort_stale_runs();
-        let has_work = !self.runs.is_empty() || waiting.values().any(|items| !items.is_empty());
+        let has_work = !self.runs.is_empty()
+            || !waiting.held.is_empty()
+            || waiting.by_service.values().any(|items| !items.is_empty());
         if has_work {
             let online = self.hub.online(now);
-            for (service, waiting) in waiting {
-                self.schedule(&service, &waiting, &online, now);
+            for (service, items) in waiting.by_service {
+                self.schedule(&service, &items, &online, now);
             }
+            self.try_held_items(waiting.held, &online, now);
         }
         let mut batch = BTreeMap::new();
         for run in self.runs.values() {
@@ -189,16 +210,12 @@
         }
     }
 
-    /// Items without a listed result that may run now, by service. Items without a route, and those with
-    /// a quarantined prompt part whose lifetime is over, are finished as errored.
-    fn waiting(
-        &mut self,
-        state: &crate::state::State,
-        now: Millis,
-    ) -> BTreeMap<String, Vec<WaitingItem>> {
-        let mut by_service = BTreeMap::<String, Vec<WaitingItem>>::new();
+    /// Items without a listed result that may run now. Items without a route, and those with a quarantined
+    /// prompt part whose lifetime is over, are finished as errored.
+    fn waiting(&mut self, state: &crate::state::State, now: Millis) -> Waiting {
+        let mut waiting = Waiting::default();
         let Some(table) = self.cx.table() else {
-            return by_service;
+            return waiting;
         };
         let mut abandoned = Vec::new();
         for job in state.jobs().filter(|job| !job.is_settled()) {
@@ -219,15 +236,23 @@
                 let Some(service) = choose_destination(route, hash) else {
                     continue;
                 };
-                if is_quarantined(&self.cx, item, now) {
+                let progress = self.progress.get(&key);
+                let backs_off = progress.is_some_and(|progress| now < progress.retry_at);
+                let refused = refused_parts(&self.cx, item, now);
+                if let Some(part) = refused.first() {
                     if route.item_lifetime.is_some_and(|most| view.age(now) > most) {
                         abandoned.push((key, job.id.clone()));
+                    } else if refused.len() == 1 && !backs_off {
+                        waiting.held.push(HeldItem {
+                            key,
+                            service: service.to_owned(),
+                            part: *part,
+                            due_at: view.due_at(route.completion_objective),
+                        });
                     }
                     continue;
                 }
-                let progress = self.progress.get(&key);
-                let backs_off = progress.is_some_and(|progress| now < progress.retry_at);
-                let entry = by_service.entry(service.to_owned()).or_default();
+                let entry = waiting.by_service.entry(service.to_owned()).or_default();
                 if !backs_off {
                     entry.push(WaitingItem {
                         key,
@@ -249,7 +274,7 @@
                 self.propose(finished(job, key.item, None), vec![key]);
             }
         }
-        by_service
+        waiting
     }
 
     /// Aborts runs whose item has a listed result or whose job has ended.
@@ -321,11 +346,55 @@
         for (key, target) in plan.start {
             let record = self.cx.targets().record(target).cloned();
             if let Some(record) = record {
-                self.start(key, &record);
+                self.start(key, &record, None);
             }
         }
     }
 
+    /// Starts a held item of each part of which a trial is due, at a target that no caller uses.
+    fn try_held_items(
+        &mut self,
+        mut held: Vec<HeldItem>,
+        online: &BTreeMap<TargetKey, u32>,
+        now: Millis,
+    ) {
+        let is_running = |key| self.runs.values().any(|run| run.key == key);
+        held.retain(|item| !is_running(item.key));
+        if !are_loads_known(self.hub.leader_for(now)) {
+            return;
+        }
+        held.sort_by_key(|item| (item.due_at, item.key));
+        let mut tried = HashSet::new();
+        for item in held {
+            if !tried.insert((item.service.clone(), item.part)) {
+                continue;
+            }
+            if let Some(target) = self.quietest_target(&item.service, online, now) {
+                self.start(item.key, &target, Some(item.part));
+            }
+        }
+    }
+
+    /// The target of a service with the fewest items, of those that no caller uses.
+    fn quietest_target(
+        &self,
+        service: &str,
+        online: &BTreeMap<TargetKey, u32>,
+        now: Millis,
+    ) -> Option<TargetRecord> {
+        let items_at = |key| self.runs.values().filter(|run| run.target == key).count();
+        let targets = self.cx.targets();
+        let quiet = targets.records().filter(|record| {
+            let key = record.key();
+            record.service == service
+                && record.takes_work()
+                && online.get(&key).is_none_or(|online| *online == 0)
+                && items_at(key) < record.slots as usize
+                && self.cooldowns.get(&key).is_none_or(|until| now >= *until)
+        });
+        quiet.min_by_key(|record| items_at(record.key())).cloned()
+    }
+
     /// Ends the run of an item, which resumes later.
     fn preempt(&mut self, key: ItemKey, now: Millis) {
         for (_, run) in self.runs.extract_if(|_, run| run.key == key) {
@@ -334,7 +403,8 @@
         }
     }
 
-    fn start(&mut self, key: ItemKey, target: &TargetRecord) {
+    /// Starts an item, as a trial of a quarantined prompt part if one is given.
+    fn start(&mut self, key: ItemKey, target: &TargetRecord, trial: Option<PromptPart>) {
         let Some(job_id) = self.jobs.job_id(key.job) else {
             return;
         };
@@ -356,7 +426,11 @@
         let Some((req, parts)) = prepared else {
             return;
         };
-        if !self.take_part_admission(&parts) {
+        let is_admitted = match trial {
+            Some(part) => self.hub.grant_item_trial(part),
+            None => self.take_part_admission(&parts),
+        };
+        if !is_admitted {
             return;
         }
         self.next_run += 1;
@@ -378,6 +452,7 @@
             address: target.address,
             started_at: self.cx.clock.now(),
             parts,
+            trial,
             has_output: false,
             task: task.abort_handle(),
         };
@@ -494,6 +569,14 @@
         if matches!(end, RunEnd::BrokenBeforeOutput) {
             self.record_if_crash(run);
         }
+        if let Some(part) = run.trial
+            && matches!(
+                end,
+                RunEnd::Rejected | RunEnd::Interrupted(Failure::Unreachable)
+            )
+        {
+            self.hub.return_item_trial(part);
+        }
         let progress = self.progress.entry(run.key).or_default();
         match end {
             RunEnd::Completed => {
@@ -571,14 +654,14 @@
     }
 }
 
-/// Whether a prompt part of an item is quarantined and no trial is due.
-fn is_quarantined(cx: &Cx, item: &Item, now: Millis) -> bool {
+/// The quarantined prompt parts of an item whose trial is not due.
+fn refused_parts(cx: &Cx, item: &Item, now: Millis) -> Vec<PromptPart> {
     let guard = cx.part_guard();
     if !guard.refuses_any() {
-        return false;
+        return Vec::new();
     }
     let parts = PromptPart::shared_of_item(&item.headers);
-    matches!(guard.admit(&parts, now), Admission::Refused(_))
+    guard.refused_parts(&parts, now)
 }
 
 fn finished(job: String, item: u32, output: Option<Output>) -> Command {
