tests: a target that leaves gets nothing new once the entries know it, and after the platform's limit

Cause (both traced before): the test began before an entry knew the second target, so that it answered 503 no_target; and the notice is answered once the leader has sent it to all followers, so that a request within the next millisecond may reach the target. The platform allows that for drain_ms (2.5 s) after the answer. Change: the test waits until each entry knows both targets. After the answer it waits until each entry has logged that the target left, at most for the limit of the platform, and from then on no request may reach it, as before. Twelve more requests follow once the limit has passed, while the target goes on announcing itself; before, nothing was checked then. As strict: all 24 requests must be answered 200, none may reach the target, and a notice that an entry does not get within 2.5 s fails the test, which it did not before if the other target was chosen. With entries that keep targets which left in use, it fails ("assertion failed: runs.iter().all(|run| !run.id.starts_with("after-"))").

--- a/crates/daemon/tests/all/platform/control.rs
+++ b/crates/daemon/tests/all/platform/control.rs
@@ -15,9 +15,13 @@
 
 use super::{
     PATIENCE,
+    TargetState,
     with_world, //
 };
 
+/// Time after an answered notice from which no request may reach the target: `drain_ms` of the settings.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
 #[test]
 fn manifests_never_go_back_and_invalid_ones_are_refused() {
     with_world(1, async |world| {
@@ -93,19 +97,34 @@
     });
 }
 
-/// A target that says that it leaves, without having said before that it drains, gets nothing new.
+/// A target that says that it leaves, without having said before that it drains, gets nothing new once the
+/// entries know of it, which they do within the time that the platform allows.
 #[test]
 fn a_target_that_leaves_gets_nothing_new() {
     with_world(2, async |world| {
+        for target in ["engine-0", "engine-1"] {
+            world
+                .wait_until_entries_know(target, TargetState::Announced, PATIENCE)
+                .await;
+        }
         let to = world.system.entries[1].control();
         let path = "/Instances.Deregister/engine-0";
         let sent = send(to, Method::POST, path, &[("host", "control")], "", PATIENCE).await;
         assert_eq!(sent.expect("an answer comes").status, 200);
+        world
+            .wait_until_entries_know("engine-0", TargetState::Left, DRAIN)
+            .await;
         for number in 0..12 {
             let id = format!("after-{number}");
             let reply = world.system.call(number % 3, &id, SAFE).await;
             assert_eq!(reply.expect("an answer comes").status, 200);
         }
+        tokio::time::sleep(DRAIN).await;
+        for number in 12..24 {
+            let id = format!("after-{number}");
+            let reply = world.system.call(number % 3, &id, SAFE).await;
+            assert_eq!(reply.expect("an answer comes").status, 200);
+        }
         let runs = world.targets[0].runs();
         assert!(runs.iter().all(|run| !run.id.starts_with("after-")));
     });
--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -39,6 +39,13 @@
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// What an entry knows of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TargetState {
+    Announced,
+    Left,
+}
+
 struct World {
     system: PlatformSystem,
     targets: Vec<PlatformTarget>,
@@ -102,6 +109,27 @@
         })
     }
 
+    /// Waits until every entry has logged that a target is in a state.
+    async fn wait_until_entries_know(&self, target: &str, state: TargetState, limit: Duration) {
+        let until = Instant::now() + limit;
+        for entry in &self.system.entries {
+            loop {
+                let log = entry.log();
+                let lines = log.lines();
+                let mut lines = lines
+                    .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+                    .filter(|line| line["message"] == "target changed");
+                if lines.any(|line| {
+                    line["target_name"] == target && line["left"] == (state == TargetState::Left)
+                }) {
+                    break;
+                }
+                assert!(Instant::now() < until, "{target} is not {state:?}: {log}");
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+
     /// Waits until an entry counts no request of another one at any target.
     async fn wait_until_others_are_idle(&self, entry: usize) {
         let to = self.system.entries[entry].metrics();
