--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -155,6 +155,13 @@
         due.map_or(Admission::Allowed, Admission::TrialDue)
     }
 
+    /// The quarantined ones of these parts, without those whose trial is due.
+    pub fn refused_parts(&self, parts: &[Feature], now: Millis) -> Vec<Feature> {
+        let is_refused =
+            |part: &Feature| matches!(self.admit(&[*part], now), Admission::Refused(_));
+        parts.iter().copied().filter(is_refused).collect()
+    }
+
     /// Records a request that a crash cut off before its first event. Returns the report for the leader, if it
     /// is evidence, and the parts that are quarantined here from now on.
     pub fn record_crash(
