serving: requests that declare other prompts are other requests

Callers saw: sound requests refused beside those with a prompt part that crashes targets, if all of them have the same path and body and differ by the prompt that they declare only. Cause: the digest of a whole request left the declared prompt out, so that all of these requests were repeats of one.

--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -26,13 +26,14 @@
 
 /// A whole request, which differs from others by its body.
 fn whole(body: &str) -> Feature {
-    request("POST", "/orders/1?a=b", "7", body)
+    request("POST", "/orders/1?a=b", "7", "f1:100,9:20", body)
 }
 
-fn request(method: &str, path: &str, id: &str, body: &str) -> Feature {
+fn request(method: &str, path: &str, id: &str, prompt: &str, body: &str) -> Feature {
     let req = Request::builder().method(method).uri(path);
     let req = req.header("host", "h.example").header("request-id", id);
-    let (head, ()) = req.body(()).expect("a request").into_parts();
+    let req = req.header("prompt-prefix", prompt).body(());
+    let (head, ()) = req.expect("a request").into_parts();
     Feature::whole_request(&head, body.as_bytes())
 }
 
@@ -263,11 +264,30 @@
 }
 
 cases! { check_same:
-    repeat_with_another_id_is_the_same_request(request("POST", "/orders/1?a=b", "8", "body"), true);
-    other_body_is_another_request(request("POST", "/orders/1?a=b", "7", "bodies"), false);
-    other_path_is_another_request(request("POST", "/orders/2?a=b", "7", "body"), false);
-    other_query_is_another_request(request("POST", "/orders/1?a=c", "7", "body"), false);
-    other_method_is_another_request(request("PUT", "/orders/1?a=b", "7", "body"), false);
+    repeat_with_another_id_is_the_same_request(
+        request("POST", "/orders/1?a=b", "8", "f1:100,9:20", "body"),
+        true,
+    );
+    other_body_is_another_request(
+        request("POST", "/orders/1?a=b", "7", "f1:100,9:20", "bodies"),
+        false,
+    );
+    other_prompt_is_another_request(
+        request("POST", "/orders/1?a=b", "7", "f1:100,8:20", "body"),
+        false,
+    );
+    other_path_is_another_request(
+        request("POST", "/orders/2?a=b", "7", "f1:100,9:20", "body"),
+        false,
+    );
+    other_query_is_another_request(
+        request("POST", "/orders/1?a=c", "7", "f1:100,9:20", "body"),
+        false,
+    );
+    other_method_is_another_request(
+        request("PUT", "/orders/1?a=b", "7", "f1:100,9:20", "body"),
+        false,
+    );
 }
 
 /// Guards against batch items that are refused because of a request with the same path and body: an accepted
