serving: a connection that yields its turn lets the process look for new connections first

Cause: after its share of bytes the task of a flooded connection woke itself. A runtime with one thread runs up to 61 tasks before it looks for new connections and data, and with three flooded connections these were 61 turns of 32 KiB, or of 64 KiB if the read buffer had grown, which the decoder reads byte by byte: once before the connection of the request is seen, and again for its bytes. Change: the task yields, so that the runtime looks for connections and data before it runs it again. A turn has 8 KiB, and no read takes more. The bound of the test is as it was.

--- a/crates/serving/src/fair_stream.rs
+++ b/crates/serving/src/fair_stream.rs
@@ -4,22 +4,30 @@
 //! decoder that finds nothing to deliver, as in a chunk size without end, reads on at once.
 
 use std::{
+    future::Future as _,
     io,
-    pin::Pin,
+    pin::{
+        Pin,
+        pin, //
+    },
     task::{
         Context,
         Poll, //
     },
 };
 
-use tokio::io::{
-    AsyncRead,
-    AsyncWrite,
-    ReadBuf, //
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncReadExt as _,
+        AsyncWrite,
+        ReadBuf, //
+    },
+    task::yield_now,
 };
 
 /// Bytes that are read before other tasks run.
-const MAX_BYTES_PER_TURN: usize = 32 * 1024;
+const MAX_BYTES_PER_TURN: usize = 8 * 1024;
 
 /// Wraps a connection, and lets other tasks run after each [`MAX_BYTES_PER_TURN`] bytes read.
 pub(crate) struct FairStream<S> {
@@ -45,11 +53,16 @@
     ) -> Poll<io::Result<()>> {
         if self.bytes >= MAX_BYTES_PER_TURN {
             self.bytes = 0;
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
+            // A task that wakes itself runs many times before the runtime looks for new connections and
+            // data. One that yields runs afterwards.
+            if pin!(yield_now()).poll(cx).is_pending() {
+                return Poll::Pending;
+            }
         }
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let rest = MAX_BYTES_PER_TURN - self.bytes;
+        let mut turn = (&mut self.stream).take(rest as u64);
+        let result = Pin::new(&mut turn).poll_read(cx, buf);
         match result {
             Poll::Ready(_) => self.bytes += buf.filled().len() - before,
             Poll::Pending => self.bytes = 0,
