tests: an earlier refusal comes once more on a kept connection

Guards against a promise of "not run" for a request that a target had run (REFUSED), and a second run of one that may run once (TWICE), after copies of a refusal of another request, with and without its id, before, with and after the next answer, and of the same item of a batch job.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -11,6 +11,7 @@
 mod odd_entries;
 mod online;
 mod raw_target;
+mod refusals;
 mod tainted;
 
 use std::{
