upstream: a success that says that it has not run may have run

Callers saw: 503 for a request that may run once and that three targets had run, each with a whole, signed answer that also had `Not-Executed`.

Cause: any response with that header was taken for a rejection, so the request went to another target. No response of a sound target has both.

Evidence, before: refusals::success_that_denies_its_run_may_have_run: denied-0: 503.

Change: `UpstreamResponse::is_rejection` and `is_valid` decide for requests and items; such a success is an invalid response, after which the request may have run.

--- a/crates/daemon/tests/all/platform/refusals.rs
+++ b/crates/daemon/tests/all/platform/refusals.rs
@@ -40,6 +40,12 @@
     PATIENCE,
     World,
     job,
+    raw_target::{
+        Answer,
+        End,
+        RawRun,
+        with_raw_targets, //
+    },
     read_request_id, //
 };
 
@@ -314,3 +320,38 @@
     copy_of_421_of_an_item_while_the_target_works("421 Misdirected Request", When::AtWork);
     copy_of_421_of_an_item_on_an_idle_connection("421 Misdirected Request", When::Idle);
 }
+
+/// A whole answer that says that the request was not run, to requests of this test.
+fn success_that_denies_its_run(run: &RawRun) -> Answer {
+    let denial = if run.id.starts_with("denied") {
+        "Not-Executed: 1\r\n"
+    } else {
+        ""
+    };
+    let body = expected_events(&run.id, EVENTS);
+    let bytes = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s\r\n{denial}Content-Length: {}\r\n\
+         \r\n{body}",
+        run.id,
+        body.len()
+    );
+    Answer {
+        bytes,
+        end: End::Framed,
+    }
+}
+
+/// Guards against a second run, and a promise of "not run", after a success that also says that the
+/// request was not run.
+#[test]
+fn success_that_denies_its_run_may_have_run() {
+    with_raw_targets(success_that_denies_its_run, async |raw| {
+        for number in 0..4 {
+            let id = format!("denied-{number}");
+            let reply = raw.world.system.call(0, &id, ONCE).await;
+            let reply = reply.expect("an answer comes");
+            assert!(!PROMISES.contains(&reply.status), "{id}: {}", reply.status);
+            assert_eq!(raw.runs_of(&id), 1, "{id}");
+        }
+    });
+}
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -372,10 +372,10 @@
                 self.cx.report_draining(slot.choice.key);
             }
             match result {
-                Ok(response) if is_rejection(&response) => {
+                Ok(response) if response.is_rejection() => {
                     self.handle_rejection(&slot, response)?
                 }
-                Ok(response) if is_valid(&response) => return Ok((slot, response)),
+                Ok(response) if response.is_valid() => return Ok((slot, response)),
                 Ok(_) => {
                     let error = UpstreamError::may_have_run(Failure::InvalidResponse);
                     self.handle_failure(&slot, &error)?;
@@ -536,17 +536,6 @@
     }
 }
 
-/// Whether the target reports that it has not run the request.
-fn is_rejection(response: &UpstreamResponse) -> bool {
-    response.head.headers.contains_key(headers::NOT_RUN)
-        || response.head.status == StatusCode::MISDIRECTED_REQUEST
-}
-
-/// Whether the response is valid: a success must carry the signature header.
-fn is_valid(response: &UpstreamResponse) -> bool {
-    !response.head.status.is_success() || response.head.headers.contains_key(headers::SIGNATURE)
-}
-
 /// Whether a status promises that the request has not run. A target that has run the request may
 /// still respond with such a status, which must not be forwarded to the caller.
 pub(super) fn promises_not_run(status: StatusCode) -> bool {
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -140,14 +140,13 @@
         // The runner runs until the process exits.
         let _ = reports.send(Report::TargetDrains(target.key()));
     }
-    if head.headers.contains_key(headers::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
-    {
+    if call.is_rejection() {
         return RunEnd::Rejected;
     }
     match head.status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Unprocessable,
         StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::FailedByTarget,
-        status if status.is_success() && head.headers.contains_key(headers::SIGNATURE) => {}
+        status if status.is_success() && call.is_valid() => {}
         _ => return RunEnd::Interrupted(Failure::InvalidResponse),
     }
     let requires_events = call.requires_events();
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -5,7 +5,8 @@
 //! - Each error states whether the target may have run the request. A request has not run if none of
 //!   its bytes were written.
 //! - A response whose request id differs from that of the request is an error.
-//! - A connection is reused only after a complete response, and is closed when its call is dropped.
+//! - A connection is reused only after a complete response that is no rejection, and is closed when its
+//!   call is dropped.
 
 use std::{
     collections::HashMap,
@@ -20,6 +21,7 @@
 use bytes::Bytes;
 use http::{
     Request,
+    StatusCode,
     header,
     response::Parts, //
 };
@@ -162,6 +164,20 @@
 }
 
 impl UpstreamResponse {
+    /// Whether the target reports that it has not run the request. A success that says so has run.
+    pub(crate) fn is_rejection(&self) -> bool {
+        let status = self.head.status;
+        let denies_run = self.head.headers.contains_key(headers::NOT_RUN);
+        status == StatusCode::MISDIRECTED_REQUEST || (denies_run && !status.is_success())
+    }
+
+    /// Whether the response is not contradictory: a success must have a signature, and a run.
+    pub(crate) fn is_valid(&self) -> bool {
+        let fields = &self.head.headers;
+        let is_signed = fields.contains_key(headers::SIGNATURE);
+        !self.head.status.is_success() || (is_signed && !fields.contains_key(headers::NOT_RUN))
+    }
+
     /// Whether a stream that ends without an event was broken off: if only the end of the connection
     /// ends it, a target that stops early looks like one that has sent everything. A stream that is
     /// resumed after its last event has none.
