targets: an address returns to a target that outlives its later owner

Callers saw: 503 `no_target` for as long as the process of an entry ran, after one announcement of another writer with the address of a sound target and a start that could be true, such as the present.

Cause: the target that lost its address was marked as having left by itself, which nothing but a new start undoes, and an owner that had expired still held the address for a minute.

Evidence, before: targets::address_returns_to_a_target_that_outlives_its_ later_owner: `Stale` does not match `Changed`; odd_entries:: address_returns_to_a_target_that_goes_on_to_announce_itself: returned-0: no_target, left: 503, right: 200.

Change: the loser is marked as gone, as one that expired. An owner holds its address unless it expired, and one that left by itself holds it as before. A list of targets is merged with those that are gone first, so that an expired owner holds no address at a process that missed it. A delayed announcement of a crashed target may take its address for up to 6 s if the owner has expired; its requests name it, so that another target there rejects them.

--- a/crates/daemon/tests/all/platform/odd_entries.rs
+++ b/crates/daemon/tests/all/platform/odd_entries.rs
@@ -3,7 +3,9 @@
 
 use std::time::{
     Duration,
-    Instant, //
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
 };
 
 use http::Method;
@@ -189,6 +191,28 @@
     name_is_long(400, &"n".repeat(8_000), &[]);
 }
 
+/// Guards against the loss of a sound target for good, after one announcement of another writer with its
+/// address and a start that could be true.
+#[test]
+fn address_returns_to_a_target_that_goes_on_to_announce_itself() {
+    with_world(1, async |mut world| {
+        let sound_address = world.targets[0].address().to_string();
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now = now.expect("the time of day is after 1970").as_millis();
+        let fields = [
+            ("address", quoted(SOUND_ADDRESS)),
+            ("born", now.to_string()),
+        ];
+        let body = announcement(&fields, &sound_address);
+        let path = "/Instances.Heartbeat/odd";
+        let reply = world.control(0, Method::POST, path, &body).await;
+        assert_eq!(reply.status, 200);
+        tokio::time::sleep(TARGET_TIMEOUT).await;
+        world.assert_served("returned").await;
+        world.assert_sound().await;
+    });
+}
+
 /// Guards against processes that end because the sum of the tokens of a job is out of range: each store
 /// applies the job, and again when it restarts.
 #[test]
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -264,10 +264,7 @@
         let now = self.clock.now();
         let mut targets = self.targets();
         let mut balancer = self.balancer();
-        let merged = records
-            .into_iter()
-            .flat_map(|record| targets.merge(record, now));
-        let changed: Vec<_> = merged.collect();
+        let changed = targets.merge_all(records, now);
         for record in &changed {
             balancer.set_target(record);
             log::info!(
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -494,8 +494,8 @@
         // Some records name targets that have lost their address since. Recorded again, they no
         // longer do.
         let changed = self.cx.merge_targets(recorded);
-        let departed = changed.into_iter().filter(TargetRecord::has_departed);
-        let named = departed.map(|record| (record.name.clone(), record));
+        let gone = changed.into_iter().filter(|record| record.left);
+        let named = gone.map(|record| (record.name.clone(), record));
         self.inner().unrecorded.extend(named);
         let mut targets = self.cx.targets();
         targets.reset_timeouts(now);
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -8,7 +8,8 @@
 //!   instance or the target itself says later. One that expired takes work again once it announces
 //!   itself.
 //! - Of two targets with one address, the one that started later owns it, in whichever order their
-//!   records arrive. The other one has left.
+//!   records arrive, unless it has expired. The other one takes no work; it does again if it still
+//!   announces itself once the owner has expired.
 
 use std::collections::BTreeMap;
 
@@ -54,8 +55,8 @@
     pub number: u64,
     /// Whether the target takes no new work.
     pub draining: bool,
-    /// Whether the target is gone. If it is draining too, it left by itself or lost its address, and
-    /// later announcements of the same start are stale; otherwise it expired.
+    /// Whether the target is gone. If it is draining too, it left by itself, and later announcements of
+    /// the same start are stale; otherwise it expired or lost its address.
     pub left: bool,
 }
 
@@ -210,28 +211,40 @@
         self.insert(record, now)
     }
 
+    /// Merges records of another instance. Returns those that changed.
+    pub fn merge_all(&mut self, mut records: Vec<TargetRecord>, now: Millis) -> Vec<TargetRecord> {
+        // Targets that are gone first, so that they hold no address of the others.
+        records.sort_by_key(|record| !record.left);
+        let merged = records
+            .into_iter()
+            .flat_map(|record| self.merge(record, now));
+        merged.collect()
+    }
+
     fn is_address_taken(&self, record: &TargetRecord) -> bool {
         self.by_name.values().any(|tracked| {
             let other = &tracked.record;
+            let has_expired = other.left && !other.draining;
             other.address == record.address
                 && other.name != record.name
                 && other.started_at > record.started_at
+                && !has_expired
         })
     }
 
     /// Inserts a record, and returns it and the records of targets that lose their address to it. If
-    /// the address belongs to a target that started later, the record is marked as departed.
+    /// the address belongs to a target that started later, the record is marked as gone.
     fn insert(&mut self, mut record: TargetRecord, now: Millis) -> Vec<TargetRecord> {
         if self.is_address_taken(&record) {
-            record.depart();
+            record.left = true;
         }
         let mut changed = vec![record.clone()];
         if !record.left {
             for tracked in self.by_name.values_mut() {
                 let other = &mut tracked.record;
                 let same_address = other.address == record.address;
-                if same_address && other.name != record.name && !other.has_departed() {
-                    other.depart();
+                if same_address && other.name != record.name && !other.left {
+                    other.left = true;
                     tracked.last_seen = now;
                     changed.push(other.clone());
                 }
--- a/crates/serving/tests/all/targets.rs
+++ b/crates/serving/tests/all/targets.rs
@@ -229,3 +229,65 @@
     assert!(!targets.is_drain_unknown_to(&drained));
     assert!(!targets.is_drain_unknown_to(&target(2, "a1")));
 }
+
+/// Guards against the loss of a sound target for good, after an announcement of another writer with its
+/// address: it goes on to announce itself, and the other one does not.
+#[test]
+fn address_returns_to_a_target_that_outlives_its_later_owner() {
+    let sound = target(1, "a1");
+    let other = TargetRecord {
+        name: TargetName::from("odd"),
+        started_at: 2,
+        ..sound.clone()
+    };
+    let announced = |number| TargetRecord {
+        number,
+        ..sound.clone()
+    };
+    let mut leader = Targets::default();
+    let mut follower = Targets::default();
+    for record in [announced(1), other] {
+        let outcome = leader.apply_announcement(record, NOW);
+        assert_matches!(outcome, AnnouncementOutcome::Changed(records) => {
+            follower.merge_all(records, NOW);
+        });
+    }
+    assert_eq!(
+        leader.apply_announcement(announced(2), NOW),
+        AnnouncementOutcome::Stale
+    );
+    let expired_at = NOW + Millis(7_000);
+    assert_eq!(leader.expire(Millis(6_000), expired_at).len(), 1);
+    assert_matches!(
+        leader.apply_announcement(announced(3), expired_at),
+        AnnouncementOutcome::Changed(_)
+    );
+    // The follower was cut off meanwhile. It is sent all targets, in the order of their names.
+    let all = leader.records().cloned().collect();
+    follower.merge_all(all, expired_at);
+    for targets in [leader, follower] {
+        let live: Vec<_> = targets.records().filter(|record| !record.left).collect();
+        assert_matches!(live.as_slice(), [record] if **record == announced(3));
+    }
+}
+
+/// An announcement that was delayed by a partition arrives after its target has crashed, and after the
+/// next owner of the address has left by itself.
+#[test]
+fn address_of_a_target_that_left_by_itself_returns_to_no_earlier_one() {
+    let mut targets = Targets::default();
+    let old = target(1, "a1");
+    let new = TargetRecord {
+        name: TargetName::from("engine-9"),
+        started_at: 2,
+        ..old.clone()
+    };
+    targets.apply_announcement(old.clone(), NOW);
+    targets.apply_announcement(new.clone(), NOW);
+    targets.mark_left(&new.name, NOW);
+    let late = TargetRecord { number: 7, ..old };
+    assert_eq!(
+        targets.apply_announcement(late, NOW),
+        AnnouncementOutcome::Stale
+    );
+}
