--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -148,11 +148,8 @@
     /// Records a request that found a free slot.
     pub fn record(&mut self, response: Millis, occupancy: Millis) {
         let average = |old: Millis, sample: Millis| {
-            Millis(
-                (old * (SAMPLE_DIVISOR - 1) + sample)
-                    .0
-                    .div_ceil(SAMPLE_DIVISOR),
-            )
+            let sum = old * (SAMPLE_DIVISOR - 1) + sample;
+            Millis(sum.0.div_ceil(SAMPLE_DIVISOR))
         };
         self.response = average(self.response, response);
         self.occupancy = average(self.occupancy, occupancy);
