--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -13,6 +13,7 @@
 mod online;
 mod power;
 mod raw_target;
+mod refusals;
 mod silent;
 mod tainted;
 
