--- a/crates/daemon/tests/all/platform/limits.rs
+++ b/crates/daemon/tests/all/platform/limits.rs
@@ -240,6 +240,31 @@
     });
 }
 
+/// The time for the head of a request must not go on after a request that is answered at once.
+#[test]
+fn a_connection_is_kept_after_a_request_that_is_answered_at_once() {
+    with_world(1, async |world| {
+        let entry = world.system.entries[0].callers();
+        let mut caller = tokio::net::TcpStream::connect(entry)
+            .await
+            .expect("a connection opens");
+        for pause in [Duration::ZERO, Duration::from_millis(3_500)] {
+            tokio::time::sleep(pause).await;
+            caller
+                .write_all(b"GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n")
+                .await
+                .expect("a request is sent");
+            let mut received = Vec::new();
+            read_until(
+                &mut caller,
+                &mut received,
+                b"no route for this host and path",
+            )
+            .await;
+        }
+    });
+}
+
 /// Reads until these bytes have come.
 async fn read_until(caller: &mut tokio::net::TcpStream, received: &mut Vec<u8>, end: &[u8]) {
     let until = tokio::time::Instant::now() + PATIENCE;
--- a/crates/serving/src/entry/head_timeout.rs
+++ b/crates/serving/src/entry/head_timeout.rs
@@ -2,8 +2,11 @@
 //!
 //! The HTTP library uses one time-out for idle connections and for partially received heads, which
 //! operators configure separately, and keeps the value that the connection began with. This wrapper runs
-//! one timer while the connection is idle and another one from the first byte of a head, with the limits
-//! in force, and ends reads when they expire. No timer runs while a request is handled or answered.
+//! one timer while the connection is idle and another one from the first byte of a head, and ends reads when
+//! they expire. No timer runs while a request is handled or answered.
+//!
+//! Each time-out is the longest one in force since the connection was opened. A client that does not know
+//! of a shorter one yet may send a request on an idle connection just as it is closed.
 
 use std::{
     future::Future,
@@ -13,6 +16,7 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -37,6 +41,8 @@
     },
 };
 
+use yuccaseam_base::Millis;
+
 use crate::fair_stream::FairStream;
 
 use super::http_server::ConnectionLimits;
@@ -46,12 +52,15 @@
 pub(super) struct HeadState {
     /// Whether a head has been read whose response is not complete.
     in_request: Arc<AtomicBool>,
+    /// Number of heads that have been read.
+    requests: Arc<AtomicU64>,
 }
 
 impl HeadState {
     /// Records that the head of a request has been read.
     pub(super) fn request_started(&self) {
         self.in_request.store(true, Ordering::Relaxed);
+        self.requests.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Records that the whole response has been passed to the HTTP library: the next bytes begin a head.
@@ -62,6 +71,10 @@
     fn is_in_request(&self) -> bool {
         self.in_request.load(Ordering::Relaxed)
     }
+
+    fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
 }
 
 /// What a connection waits for between two requests.
@@ -77,9 +90,13 @@
 pub(super) struct HeadTimeout<L> {
     stream: FairStream<TcpStream>,
     state: HeadState,
-    limits: L,
+    limits_in_force: L,
+    idle_timeout: Millis,
+    head_timeout: Millis,
     /// What is awaited, and since when. `None` while a request is handled.
     awaited: Option<(Awaited, Instant)>,
+    /// Heads that had been read at the last read: a request may be answered between two reads.
+    requests: u64,
     timer: Pin<Box<Sleep>>,
 }
 
@@ -87,12 +104,16 @@
 where
     L: Fn() -> ConnectionLimits + Unpin,
 {
-    pub(super) fn new(stream: TcpStream, state: HeadState, limits: L) -> Self {
+    pub(super) fn new(stream: TcpStream, state: HeadState, limits_in_force: L) -> Self {
+        let limits = limits_in_force();
         Self {
             stream: FairStream::new(stream),
             state,
-            limits,
+            limits_in_force,
+            idle_timeout: limits.idle_timeout,
+            head_timeout: limits.head_timeout,
             awaited: None,
+            requests: 0,
             timer: Box::pin(sleep_until(Instant::now())),
         }
     }
@@ -103,10 +124,12 @@
             let Some((awaited, since)) = self.awaited else {
                 return Poll::Pending;
             };
-            let limits = (self.limits)();
+            let limits = (self.limits_in_force)();
+            self.idle_timeout = self.idle_timeout.max(limits.idle_timeout);
+            self.head_timeout = self.head_timeout.max(limits.head_timeout);
             let limit = match awaited {
-                Awaited::FirstByte => limits.idle_timeout,
-                Awaited::RestOfHead => limits.head_timeout,
+                Awaited::FirstByte => self.idle_timeout,
+                Awaited::RestOfHead => self.head_timeout,
             };
             let until = since + limit.duration();
             if Instant::now() >= until {
@@ -130,11 +153,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let requests = self.state.requests();
         if self.state.is_in_request() {
             self.awaited = None;
-        } else if self.awaited.is_none() {
+        } else if self.awaited.is_none() || self.requests != requests {
             self.awaited = Some((Awaited::FirstByte, Instant::now()));
         }
+        self.requests = requests;
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if read.is_ready() {
