--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Append,
+    Chunk,
     Echo,
     Entry,
     Index,
@@ -56,10 +57,25 @@
 #[derive(Debug, PartialEq)]
 pub(crate) struct SnapshotTransfer {
     pub(crate) id: SnapshotId,
+    /// Offset of the last chunk requested since the last offer.
+    pub(crate) requested: Option<u64>,
+    /// When the last offer or chunk was sent.
+    pub(crate) sent_at: Millis,
     /// Time at which the snapshot is offered again if no chunk was acknowledged.
     pub(crate) retry_at: Millis,
 }
 
+impl SnapshotTransfer {
+    pub(crate) fn new(id: SnapshotId, now: Millis, timeout: Millis) -> Self {
+        Self {
+            id,
+            requested: None,
+            sent_at: now,
+            retry_at: now + timeout,
+        }
+    }
+}
+
 /// Measures whether a follower keeps up with the log. In each period it syncs what the log held at the
 /// start of the period.
 #[derive(Debug)]
@@ -166,6 +182,43 @@
         }
     }
 
+    /// Whether the snapshot transfer made no progress in time, although the follower received what was
+    /// sent after the last chunk: on a slow link a chunk may take longer.
+    pub(crate) fn is_transfer_stalled(&self, now: Millis) -> bool {
+        match &self.mode {
+            Mode::Snapshot(transfer) => {
+                transfer.retry_at <= now && self.contact >= Some(transfer.sent_at)
+            }
+            Mode::Probe { .. } | Mode::Replicate { .. } => false,
+        }
+    }
+
+    /// Records that the follower has synced a snapshot up to an offset. Returns whether to send the chunk
+    /// from there on: an acknowledgement may come several times, but each chunk is sent once for an offer.
+    pub(crate) fn on_chunk_acknowledged(
+        &mut self,
+        id: SnapshotId,
+        received: u64,
+        retry_at: Millis,
+    ) -> bool {
+        let Mode::Snapshot(transfer) = &mut self.mode else {
+            return false;
+        };
+        if transfer.id != id || transfer.requested >= Some(received) {
+            return false;
+        }
+        transfer.requested = Some(received);
+        transfer.retry_at = retry_at;
+        received < id.size
+    }
+
+    pub(crate) fn on_chunk_sent(&mut self, chunk: &Chunk, now: Millis) {
+        self.traffic.on_chunk(chunk);
+        if let Mode::Snapshot(transfer) = &mut self.mode {
+            transfer.sent_at = now;
+        }
+    }
+
     fn is_window_full(&self) -> bool {
         let sizes = self.in_flight.iter().map(|message| message.payload_bytes);
         self.in_flight.len() >= MAX_IN_FLIGHT || sizes.sum::<usize>() >= MAX_IN_FLIGHT_BYTES
--- a/crates/quorum/src/transfer.rs
+++ b/crates/quorum/src/transfer.rs
@@ -32,7 +32,7 @@
 
     /// Starts a transfer to every follower that needs an entry no longer in the log.
     pub(crate) fn offer_snapshots(&mut self) {
-        let retry_at = self.now + self.timing.election_timeout;
+        let (now, timeout) = (self.now, self.timing.election_timeout);
         let snapshot = self.log.snapshot().clone();
         let Role::Leader(state) = &mut self.role else {
             return;
@@ -40,8 +40,8 @@
         let mut to_offer = Vec::new();
         for (&to, progress) in &mut state.progress {
             if progress.needs_snapshot(&self.log) {
-                let id = snapshot.id;
-                progress.mode = Mode::Snapshot(SnapshotTransfer { id, retry_at });
+                let transfer = SnapshotTransfer::new(snapshot.id, now, timeout);
+                progress.mode = Mode::Snapshot(transfer);
                 to_offer.push(to);
             }
         }
@@ -50,17 +50,15 @@
         }
     }
 
-    /// Restarts transfers in which no chunk was acknowledged within the election timeout. The
-    /// follower's reply to the new offer contains the offset to resume from.
+    /// Restarts transfers in which a chunk was lost. The follower's reply to the new offer contains the
+    /// offset to resume from.
     pub(crate) fn restart_stalled_transfers(&mut self) {
         let now = self.now;
         let Role::Leader(state) = &mut self.role else {
             return;
         };
         for progress in state.progress.values_mut() {
-            if let Mode::Snapshot(transfer) = &progress.mode
-                && transfer.retry_at <= now
-            {
+            if progress.is_transfer_stalled(now) {
                 progress.next = self.log.base();
                 progress.mode = Mode::Probe { paused: true };
             }
@@ -75,14 +73,7 @@
         let Some(progress) = state.progress.get_mut(&from) else {
             return;
         };
-        let Mode::Snapshot(transfer) = &mut progress.mode else {
-            return;
-        };
-        if transfer.id != id {
-            return;
-        }
-        transfer.retry_at = retry_at;
-        if received < id.size {
+        if progress.on_chunk_acknowledged(id, received, retry_at) {
             self.actions.push(Action::ReadChunk {
                 to: from,
                 id,
@@ -98,7 +89,7 @@
         let (Some(progress), Some(chunk)) = (state.progress.get_mut(&to), chunk) else {
             return;
         };
-        progress.traffic.on_chunk(&chunk);
+        progress.on_chunk_sent(&chunk, self.now);
         self.send(to, Body::Chunk(chunk));
     }
 
--- a/crates/quorum/tests/all/slow_links.rs
+++ b/crates/quorum/tests/all/slow_links.rs
@@ -10,9 +10,12 @@
     DiskId, //
 };
 
-use crate::group::{
-    Group,
-    RegionLink, //
+use crate::{
+    disk::CHUNK,
+    group::{
+        Group,
+        RegionLink, //
+    },
 };
 
 /// 30 Mbit/s in bytes per ms.
@@ -60,7 +63,7 @@
 fn write_for(group: &mut Group, leader: usize, time: Millis) {
     let end = group.now + time;
     while group.now < end {
-        if group.now.0 % 60 == 0 {
+        if group.now.0.is_multiple_of(60) {
             group.propose(leader, 1);
         }
         group.advance();
@@ -175,3 +178,30 @@
         );
     }
 }
+
+/// Guards against chunks of a snapshot that double: each chunk that was offered again on a slow link was
+/// acknowledged, and each acknowledgement sent one more.
+#[test]
+fn snapshot_on_a_slow_link_is_sent_once() {
+    let mut group = Group::new(3, 44);
+    group.snapshot_every = 50;
+    let leader = group.wait_for_leader();
+    let lost = (leader + 1) % 3;
+    group.lose_disk(lost);
+    for _ in 0..20 {
+        group.propose(leader, 50);
+        group.run(Millis(100));
+    }
+    group.remote.insert(lost);
+    // The acknowledgement of a chunk takes longer than the election timeout.
+    group.link = Some(RegionLink::new(RATE, Millis(500)));
+    add_learner(&mut group, lost);
+    let last = group.checks.last_acknowledged();
+    group.run_until("it has everything", |group| {
+        group.replicas[lost].applied >= last
+    });
+    let replica = &group.replicas[lost];
+    let (sent, size) = (sent(&group), replica.disk.bytes.len());
+    assert!(sent <= (size + CHUNK) as u64, "sent {sent} bytes of {size}");
+    group.check_states();
+}
