--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod misbehaving;
 mod online;
+mod power;
 mod raw_target;
 mod tainted;
 
