quorum: a voter is replaced only by a learner that responds

A store that retires, or is silent for some seconds, was removed from the group for a store that had just stopped, and the next failure left no quorum.

Cause: a replacement waited for a quorum of the group without the old voter, and not for the learner. The learner was then promoted if it had responded within the election timeout, although it no longer did.

Test: voter_is_not_removed_for_a_learner_that_does_not_respond. Before, the change was not refused, and the stopped learner voted in place of a sound voter: timed out: it is refused

A replacement begins once the learner, too, has acknowledged a heartbeat sent after the request.

--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -26,7 +26,8 @@
 impl Core {
     /// Handles a requested change. A change of voters waits until a quorum of the changed group has
     /// acknowledged a heartbeat sent after the request: a group without a reachable quorum could
-    /// commit nothing, not even the reversal of the change.
+    /// commit nothing, not even the reversal of the change. A replacement also waits for the learner:
+    /// between its two steps no voter may be lost.
     pub(crate) fn on_change(&mut self, token: Token, change: Change) {
         let result = self
             .check_can_change()
@@ -68,7 +69,7 @@
         };
         let (token, change) = (*token, change.clone());
         let next = match self.membership_after(&change) {
-            Ok(next) if !self.has_quorum_in_round(&next, *round) => return,
+            Ok(next) if !self.can_change_to(&next, &change, *round) => return,
             next => next,
         };
         self.end_change();
@@ -79,6 +80,16 @@
         }
     }
 
+    /// Whether the members on which a change depends have acknowledged its round.
+    fn can_change_to(&self, next: &Membership, change: &Change, round: Round) -> bool {
+        let learner = match *change {
+            Change::Replace { new, .. } => Some(new),
+            _ => None,
+        };
+        let learner_responds = learner.is_none_or(|new| self.acked_round(new) >= round);
+        learner_responds && self.has_quorum_in_round(next, round)
+    }
+
     fn has_quorum_in_round(&self, group: &Membership, round: Round) -> bool {
         group.is_quorum(|id| self.acked_round(id) >= round)
     }
@@ -95,15 +106,21 @@
             return;
         }
         let (token, round) = (proposed_change.token, proposed_change.round);
-        let error = match self.membership_after(&proposed_change.change) {
-            Ok(next) => ChangeError::WouldLoseQuorum {
+        let error = match (
+            self.membership_after(&proposed_change.change),
+            &proposed_change.change,
+        ) {
+            (Ok(next), &Change::Replace { new, .. }) if self.has_quorum_in_round(&next, round) => {
+                ChangeError::Unresponsive(new)
+            }
+            (Ok(next), _) => ChangeError::WouldLoseQuorum {
                 active: next
                     .voters()
                     .filter(|&id| self.acked_round(id) >= round)
                     .count(),
                 needed: next.majority(),
             },
-            Err(error) => error,
+            (Err(error), _) => error,
         };
         self.end_change();
         self.actions.push(Action::ChangeRefused { token, error });
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -194,8 +194,7 @@
         /// Commit index of the leader.
         commit: Index,
     },
-    /// The learner did not respond within the election timeout after the voter that it replaces was
-    /// removed.
+    /// The learner that is to replace a voter did not respond within the election timeout.
     Unresponsive(DiskId),
     /// The instance already votes with this other disk, which must be replaced.
     InstanceHasVoter(DiskId),
@@ -230,7 +229,7 @@
             ),
             Self::Unresponsive(id) => write!(
                 f,
-                "the voter is removed, but learner {id}, which replaces it, does not respond"
+                "learner {id}, which is to replace a voter, does not respond"
             ),
             Self::InstanceHasVoter(id) => {
                 write!(f, "the instance already votes with disk {id}; replace it")
--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -84,6 +84,26 @@
     group.check_states();
 }
 
+/// Guards against a sound voter, as one that retires, that is removed for a learner that has stopped: the
+/// next failure left no quorum.
+#[test]
+fn voter_is_not_removed_for_a_learner_that_does_not_respond() {
+    let mut group = Group::new(3, 33);
+    group.write();
+    let blank = group.add_blank("instance-4");
+    let new = add_learner(&mut group, blank);
+    group.run(Millis::from_secs(1));
+    group.crash(blank);
+    let leader = group.wait_for_leader();
+    let (retiring, other) = others(leader);
+    let old = group.replicas[retiring].id;
+    let error = refusal(&mut group, Change::Replace { old, new });
+    assert_eq!(error, ChangeError::Unresponsive(new));
+    group.crash(other);
+    group.write();
+    group.check_states();
+}
+
 /// While a leader writes without a pause, a learner in another region never holds all committed entries
 /// when it is looked at: a lost voter was replaced seconds late, and a second lost disk ended the service.
 #[test]
