--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -8,6 +8,7 @@
 
 mod job_views;
 mod progress;
+mod quarantine;
 mod stream;
 
 use std::{
@@ -29,11 +30,7 @@
 use crate::{
     cx::Cx,
     link::pause,
-    parts::BrokenRequest,
-    quarantine::{
-        Admission,
-        Feature, //
-    },
+    quarantine::Feature,
     routes::choose_destination,
     schedule::{
         ItemKey,
@@ -49,7 +46,6 @@
         Command,
         CommandOutcome,
         FinishedItem,
-        Item,
         Output, //
     },
     targets::{
@@ -69,6 +65,10 @@
     JobViews, //
 };
 use progress::Progress;
+use quarantine::{
+    HeldItem,
+    refused_parts, //
+};
 use stream::{
     Report,
     RunEnd,
@@ -108,14 +108,6 @@
     }
 }
 
-/// An item that may only run as a trial of a quarantined prompt part.
-struct HeldItem {
-    key: ItemKey,
-    service: String,
-    part: Feature,
-    due_at: Millis,
-}
-
 /// Items without a listed result that may run now.
 #[derive(Default)]
 struct Waiting {
@@ -353,50 +345,6 @@
         }
     }
 
-    /// Starts a held item of each part of which a trial is due, at a target that no caller uses.
-    fn try_held_items(
-        &mut self,
-        mut held: Vec<HeldItem>,
-        online: &BTreeMap<TargetKey, u32>,
-        now: Millis,
-    ) {
-        let is_running = |key| self.runs.values().any(|run| run.key == key);
-        held.retain(|item| !is_running(item.key));
-        if !are_loads_known(self.hub.leader_for(now)) {
-            return;
-        }
-        held.sort_by_key(|item| (item.due_at, item.key));
-        let mut tried = HashSet::new();
-        for item in held {
-            if !tried.insert((item.service.clone(), item.part)) {
-                continue;
-            }
-            if let Some(target) = self.quietest_target(&item.service, online, now) {
-                self.start(item.key, &target, Some(item.part));
-            }
-        }
-    }
-
-    /// The target of a service with the fewest items, of those that no caller uses.
-    fn quietest_target(
-        &self,
-        service: &str,
-        online: &BTreeMap<TargetKey, u32>,
-        now: Millis,
-    ) -> Option<TargetRecord> {
-        let items_at = |key| self.runs.values().filter(|run| run.target == key).count();
-        let targets = self.cx.targets();
-        let quiet = targets.records().filter(|record| {
-            let key = record.key();
-            record.service == service
-                && record.takes_work()
-                && online.get(&key).is_none_or(|online| *online == 0)
-                && items_at(key) < record.slots as usize
-                && self.cooldowns.get(&key).is_none_or(|until| now >= *until)
-        });
-        quiet.min_by_key(|record| items_at(record.key())).cloned()
-    }
-
     /// Ends the run of an item, which resumes later.
     fn preempt(&mut self, key: ItemKey, now: Millis) {
         for (_, run) in self.runs.extract_if(|_, run| run.key == key) {
@@ -461,34 +409,6 @@
         self.runs.insert(run_id, run);
     }
 
-    /// Whether an item with these prompt parts may run now. Takes the trial of a quarantined part if one is
-    /// due.
-    fn take_part_admission(&self, features: &[Feature]) -> bool {
-        let now = self.cx.clock.now();
-        let admission = self.cx.part_guard().admit(features, now);
-        match admission {
-            Admission::Allowed => true,
-            Admission::TrialDue(part) => self.hub.grant_trial(part),
-            Admission::Refused(_) => false,
-        }
-    }
-
-    /// Records a possible crash of a target, as evidence against the prompt of the item.
-    fn record_if_crash(&self, run: &Run) {
-        let request = BrokenRequest {
-            target: run.target,
-            address: run.address,
-            parts: run.features.clone(),
-            sent_at: run.started_at,
-        };
-        let (cx, hub) = (Arc::clone(&self.cx), Arc::clone(&self.hub));
-        tokio::spawn(async move {
-            if let Some(report) = request.into_report(&cx).await {
-                hub.record_crashes(vec![report]);
-            }
-        });
-    }
-
     /// Proposes the output received so far, so that another leader can resume from there.
     fn persist_output(&mut self) {
         let mut advances = Vec::new();
@@ -660,16 +580,6 @@
     }
 }
 
-/// The quarantined prompt parts of an item whose trial is not due.
-fn refused_parts(cx: &Cx, item: &Item, now: Millis) -> Vec<Feature> {
-    let guard = cx.part_guard();
-    if !guard.refuses_any() {
-        return Vec::new();
-    }
-    let features = Feature::of_item(&item.headers);
-    guard.refused_parts(&features, now)
-}
-
 fn finished(job: String, item: u32, output: Option<Output>) -> Command {
     Command::Finish(FinishedItem { job, item, output })
 }
