serving: a new leader tries one item with a quarantined prompt part

Callers would see: items left lying for 10 s after a change of leader, because a part of their prompts is quarantined. Cause: the trials of items were left to the leader that had quarantined the part. A new leader waited for the trial of the part, whose time starts anew at each change. Evidence: items_with_a_quarantined_part_that_is_sound_complete failed once in 11 runs, in a run at a load of 69: the part was quarantined at 4.0 s, its leader lost leadership at 6.4 s and the next one at 10.9 s, and no item was tried. Change: a new leader tries one item 2 s after it leads. A later item waits for the trial of the part, as before.

--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -75,6 +75,14 @@
         }
     }
 
+    /// A part that an earlier leader quarantined. One item is tried.
+    fn restore(trials: u32, now: Millis) -> Self {
+        Self {
+            item_trials: ITEM_TRIAL_DELAYS.len() - 1,
+            ..Self::resume(trials, now)
+        }
+    }
+
     /// A part with this many trials so far. Items wait for the next one.
     fn resume(trials: u32, now: Millis) -> Self {
         let factor = TRIAL_DELAY_FACTOR.saturating_pow(trials);
@@ -106,7 +114,7 @@
     {
         let quarantined = recorded
             .into_iter()
-            .map(|(part, trials)| (part, Quarantine::resume(trials, now)));
+            .map(|(part, trials)| (part, Quarantine::restore(trials, now)));
         Self {
             evidence: CrashEvidence::default(),
             quarantined: quarantined.collect(),
