serving: requests with different prompts are different whole requests

Callers saw: sound requests refused (503 part_quarantined), as many as have the path and body of a request that crashes targets, where the body is empty or the same and only the prompt differs. Cause: the digest of a whole request has method, host, path and body, but not the prompt, which is a header. Three crashes by a deadly prompt part quarantined all prompts of the route. The new test failed before: "assertion `left != right` failed". Change: the declared prompt is part of the digest.

--- a/crates/serving/src/quarantine/feature.rs
+++ b/crates/serving/src/quarantine/feature.rs
@@ -33,12 +33,13 @@
     }
 
     /// Returns the feature of a whole request. Repeats of a request have the same method, host, path and
-    /// query, and body; ids, deadlines and other headers differ.
+    /// query, prompt, and body; ids, deadlines and other headers differ.
     pub fn whole_request(head: &Parts, body: &[u8]) -> Self {
         let host = headers::text(&head.headers, &header::HOST).unwrap_or_default();
         let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+        let prompt = headers::text(&head.headers, &headers::PROMPT_PARTS).unwrap_or_default();
         let mut hasher = Xxh3::new();
-        for field in [head.method.as_str(), host, path] {
+        for field in [head.method.as_str(), host, path, prompt] {
             hasher.update(field.as_bytes());
             hasher.update(&[FIELD_SEPARATOR]);
         }
--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -262,6 +262,21 @@
     assert_eq!(other == whole("body"), is_same);
 }
 
+/// Guards against sound prompts that are refused with another one, because the requests have the same path
+/// and no body.
+#[test]
+fn other_prompt_is_another_request() {
+    let prompt = |parts: &str| {
+        let req = Request::builder().method("POST").uri("/generate");
+        let req = req.header("prompt-prefix", parts).body(());
+        let (head, ()) = req.expect("a request").into_parts();
+        Feature::whole_request(&head, b"")
+    };
+    assert_eq!(prompt("f1:100,d00d:20,9:5"), prompt("f1:100,d00d:20,9:5"));
+    assert_ne!(prompt("f1:100,d00d:20,9:5"), prompt("f1:100,51:20,9:5"));
+    assert_ne!(prompt("f1:100,d00d:20,9:5"), prompt("f1:100,d00d:20,8:5"));
+}
+
 cases! { check_same:
     repeat_with_another_id_is_the_same_request(request("POST", "/orders/1?a=b", "8", "body"), true);
     other_body_is_another_request(request("POST", "/orders/1?a=b", "7", "bodies"), false);
