serving: trials of different features do not run at the same time

Callers may see: a sound request refused for 110 s, for instance a poll that was cut off by the same crashes as a deadly request. Cause: a bystander of three crashes is quarantined together with the culprit, so that the trials of both are due at the same time. The trial of the culprit crashes its target; if the bystander's runs there, it is cut off too, and the next one is 100 s later. Evidence: found by reading. The new test failed before: "left: Some(1) right: None". Change: the leader grants the next trial 1 s after the last one of another feature.

--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -26,6 +26,9 @@
 /// request that one of them sent to a target which was down already may look like the cause of its crash.
 /// Entries follow the new leader by then.
 const COLLECTION_PERIOD: Millis = Millis(600);
+/// Shortest time between trials of different parts. One trial may crash the target of another, which would
+/// count against both.
+const TRIAL_SPACING: Millis = Millis(1_000);
 /// Longest time between two trials.
 const MAX_TRIAL_DELAY: Millis = Millis::from_secs(24 * 3_600);
 
@@ -95,6 +98,8 @@
     quarantined: BTreeMap<Feature, Quarantine>,
     /// When the reports of all entries are there.
     decides_from: Millis,
+    /// Until when no further trial is granted.
+    no_trial_until: Millis,
 }
 
 impl QuarantineManager {
@@ -111,6 +116,7 @@
             evidence: CrashEvidence::default(),
             quarantined: quarantined.collect(),
             decides_from: now + COLLECTION_PERIOD,
+            no_trial_until: Millis::ZERO,
         }
     }
 
@@ -148,9 +154,10 @@
     /// Grants a trial of a part if one is due. Returns the number of its trials so far.
     pub fn grant_trial(&mut self, part: Feature, now: Millis) -> Option<u32> {
         let quarantine = self.quarantined.get_mut(&part)?;
-        if now < quarantine.next_trial_at {
+        if now < quarantine.next_trial_at.max(self.no_trial_until) {
             return None;
         }
+        self.no_trial_until = now + TRIAL_SPACING;
         let trials = quarantine.trials + 1;
         *quarantine = Quarantine::resume(trials, now);
         Some(trials)
--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -150,6 +150,24 @@
     assert!(leader.manager.list(leader.now).suspected.is_empty());
 }
 
+/// Guards against a sound request that is refused for minutes, because its trial ran beside that of the request
+/// which crashes targets: both are quarantined by the same crashes, so both trials are due at the same time.
+#[test]
+fn trials_of_two_requests_do_not_run_at_the_same_time() {
+    let mut leader = Leader::new();
+    let (deadly, bystander) = (whole("deadly"), whole("bystander"));
+    for _ in 0..3 {
+        leader.crash(&[&[bystander], &[deadly]]);
+    }
+    assert_eq!(leader.quarantined().len(), 2);
+    leader.now += Millis::from_secs(11);
+    assert_eq!(leader.manager.grant_trial(deadly, leader.now), Some(1));
+    leader.now += RUN;
+    assert_eq!(leader.manager.grant_trial(bystander, leader.now), None);
+    leader.now += Millis::from_secs(1);
+    assert_eq!(leader.manager.grant_trial(bystander, leader.now), Some(1));
+}
+
 /// Guards against a prompt part that is refused to everybody because of one request that has it.
 #[test]
 fn parts_of_a_deadly_request_stay_in_use() {
