entry: a trial holds until a target may have run the request

Callers saw: a sound request refused for 110 s and more after its quarantine. Cause: a trial that a full target rejects, or that cannot reach its target, is likely just after an outage. The request then looked for another target, found its feature quarantined until the next trial, and was refused; the trial counted, and the next one was 100 s later. Evidence: the new process test failed before: "Reply { status: 503, headers: {"retry-after": "30.000", ..}, body: "part_quarantined" .. }" (2 runs of 2; by chance it passes in one of four, if the one target that does not reject is chosen first). Change: the request keeps its trial until a target may have run it. A request that no target takes at all still uses up its trial.

--- a/crates/daemon/tests/all/platform/deadly.rs
+++ b/crates/daemon/tests/all/platform/deadly.rs
@@ -33,6 +33,8 @@
 const MAX_LATE_REPEATS: usize = 3;
 /// Time between two repeats.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Time after its quarantine within which the first trial of a request is due.
+const TRIAL_TIME: Duration = Duration::from_secs(12);
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -151,3 +153,22 @@
         world.assert_others_are_served(SAFE).await;
     });
 }
+
+/// Guards against a sound request that is refused for minutes, because the target that its trial was sent to
+/// rejected it as full: the trial counted although no target had run it.
+#[test]
+fn trial_that_a_target_rejects_is_sent_to_another_one() {
+    with_world(4, async |world| {
+        world.behave(&deadly_targets());
+        world.repeat_until_reaction(SAFE).await;
+        world.behave(&Behaviour {
+            rejects: true,
+            ..Behaviour::default()
+        });
+        world.targets[0].behave(Behaviour::default());
+        tokio::time::sleep(TRIAL_TIME).await;
+        let reply = world.repeat(2_000, SAFE).await;
+        let reply = reply.expect("an answer comes");
+        assert!(reply.is_whole_success(), "{reply:?}");
+    });
+}
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -198,6 +198,8 @@
     whole_request: Feature,
     /// What it may have in common with other requests that crash targets.
     features: Vec<Feature>,
+    /// Feature that the leader has granted this request as a trial of.
+    trial: Option<Feature>,
     tried: Vec<TargetKey>,
     /// Targets that sent an invalid response, and are not tried again.
     faulty: Vec<TargetKey>,
@@ -247,6 +249,7 @@
             arrived_at: req.arrived_at,
             deadline: req.arrived_at + caller_timeout.min(route.timeout),
             caller_timeout,
+            trial: None,
             tried: Vec::new(),
             faulty: Vec::new(),
             rejections: 0,
--- a/crates/serving/src/entry/online/prompt.rs
+++ b/crates/serving/src/entry/online/prompt.rs
@@ -27,7 +27,7 @@
     /// Fails the request if a part of its prompt is quarantined. If a trial of the part is due, the
     /// request may wait for a slot.
     pub(super) fn check_parts(&self) -> Result<(), RequestFailure> {
-        match self.admission() {
+        match self.admission_with_trial() {
             Admission::Refused(part) => Err(self.refuse_part(part)),
             Admission::Allowed | Admission::TrialDue(_) => Ok(()),
         }
@@ -40,10 +40,13 @@
 
     /// Fails the request, for which there is a slot, if a part of its prompt is quarantined and the leader
     /// grants no trial.
-    pub(super) async fn take_part_admission(&self) -> Result<(), RequestFailure> {
-        match self.admission() {
+    pub(super) async fn take_part_admission(&mut self) -> Result<(), RequestFailure> {
+        match self.admission_with_trial() {
             Admission::Allowed => Ok(()),
-            Admission::TrialDue(part) if parts::take_trial(&self.cx, part).await => Ok(()),
+            Admission::TrialDue(part) if parts::take_trial(&self.cx, part).await => {
+                self.trial = Some(part);
+                Ok(())
+            }
             Admission::Refused(part) | Admission::TrialDue(part) => Err(self.refuse_part(part)),
         }
     }
@@ -52,6 +55,16 @@
         self.cx.part_guard().admit(&self.features, self.now())
     }
 
+    /// Like [`Self::admission`], but a trial that was granted holds until a target may have run the request.
+    fn admission_with_trial(&self) -> Admission {
+        let Some(trial) = self.trial.filter(|_| self.runs == 0) else {
+            return self.admission();
+        };
+        let features = self.features.iter().copied();
+        let others: Vec<_> = features.filter(|feature| *feature != trial).collect();
+        self.cx.part_guard().admit(&others, self.now())
+    }
+
     fn refuse_part(&self, part: Feature) -> RequestFailure {
         log::info!(request:% = self.id, part:% = part; "prompt part is quarantined");
         RequestFailure {
