entry: the time for a head starts anew if its first bytes came with the head before

Callers may see: a connection that ends in the middle of the next head, after a response that took longer than the time-out for heads. Cause: the timer of a connection is cleared by a read while a request is handled. If the first bytes of the next head came in the same read as the request, the HTTP library reads nothing until the response has ended, and the timer still ran from the head before. Evidence: limits::a_head_that_begins_with_the_bytes_of_the_request_before_has_its_full_time failed before: "the connection ended after: " (2 runs of 2). Change: each head that has been read is counted, and the timer starts anew for the next one. The bytes that came with the request before give it the time-out of an idle connection, as those that come during its response. Measured: platform::limits passes.

--- a/crates/daemon/tests/all/platform/limits.rs
+++ b/crates/daemon/tests/all/platform/limits.rs
@@ -240,6 +240,40 @@
     });
 }
 
+/// Guards against a connection that ends in the middle of the next head, because the time for that head ran
+/// from the head before it: both came with the same bytes.
+#[test]
+fn a_head_that_begins_with_the_bytes_of_the_request_before_has_its_full_time() {
+    with_world(1, async |world| {
+        world.behave(&Behaviour {
+            events: 35,
+            pause: Duration::from_millis(100),
+            ..Behaviour::default()
+        });
+        let entry = world.system.entries[0].callers();
+        let mut caller = tokio::net::TcpStream::connect(entry)
+            .await
+            .expect("a connection opens");
+        let bytes = format!(
+            "POST {ONCE}1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: s1\r\nDeadline-Ms: 5000\r\n\
+             Content-Length: 0\r\n\r\nGET /nowhere HTTP/1.1\r\nHo"
+        );
+        caller
+            .write_all(bytes.as_bytes())
+            .await
+            .expect("a request and half a head are sent");
+        let mut received = Vec::new();
+        read_until(&mut caller, &mut received, b"\r\n0\r\n\r\n").await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        caller
+            .write_all(b"st: h\r\n\r\n")
+            .await
+            .expect("the rest is sent");
+        received.clear();
+        read_until(&mut caller, &mut received, b"HTTP/1.1 404").await;
+    });
+}
+
 /// Reads until these bytes have come.
 async fn read_until(caller: &mut tokio::net::TcpStream, received: &mut Vec<u8>, end: &[u8]) {
     let until = tokio::time::Instant::now() + PATIENCE;
--- a/crates/serving/src/entry/head_timeout.rs
+++ b/crates/serving/src/entry/head_timeout.rs
@@ -13,6 +13,7 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -46,11 +47,14 @@
 pub(super) struct HeadState {
     /// Whether a head has been read whose response is not complete.
     in_request: Arc<AtomicBool>,
+    /// Number of heads that have been read.
+    requests: Arc<AtomicU64>,
 }
 
 impl HeadState {
     /// Records that the head of a request has been read.
     pub(super) fn request_started(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
         self.in_request.store(true, Ordering::Relaxed);
     }
 
@@ -62,6 +66,10 @@
     fn is_in_request(&self) -> bool {
         self.in_request.load(Ordering::Relaxed)
     }
+
+    fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
 }
 
 /// What a connection waits for between two requests.
@@ -80,6 +88,8 @@
     limits: L,
     /// What is awaited, and since when. `None` while a request is handled.
     awaited: Option<(Awaited, Instant)>,
+    /// Number of heads that had been read when `awaited` was set.
+    requests: u64,
     timer: Pin<Box<Sleep>>,
 }
 
@@ -93,6 +103,7 @@
             state,
             limits,
             awaited: None,
+            requests: 0,
             timer: Box::pin(sleep_until(Instant::now())),
         }
     }
@@ -130,9 +141,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let requests = self.state.requests();
+        // There may have been no read since the head before, if bytes of the next one came with it.
+        let is_next_head = std::mem::replace(&mut self.requests, requests) != requests;
         if self.state.is_in_request() {
             self.awaited = None;
-        } else if self.awaited.is_none() {
+        } else if is_next_head || self.awaited.is_none() {
             self.awaited = Some((Awaited::FirstByte, Instant::now()));
         }
         let before = buf.filled().len();
