--- a/crates/serving/src/entry/head_timeout.rs
+++ b/crates/serving/src/entry/head_timeout.rs
@@ -40,7 +40,6 @@
         sleep_until, //
     },
 };
-
 use yuccaseam_base::Millis;
 
 use crate::fair_stream::FairStream;
@@ -59,8 +58,8 @@
 impl HeadState {
     /// Records that the head of a request has been read.
     pub(super) fn request_started(&self) {
-        self.in_request.store(true, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
+        self.in_request.store(true, Ordering::Relaxed);
     }
 
     /// Records that the whole response has been passed to the HTTP library: the next bytes begin a head.
@@ -95,7 +94,7 @@
     head_timeout: Millis,
     /// What is awaited, and since when. `None` while a request is handled.
     awaited: Option<(Awaited, Instant)>,
-    /// Heads that had been read at the last read: a request may be answered between two reads.
+    /// Number of heads that had been read when `awaited` was set.
     requests: u64,
     timer: Pin<Box<Sleep>>,
 }
@@ -154,12 +153,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let requests = self.state.requests();
+        // There may have been no read since the head before, if bytes of the next one came with it.
+        let is_next_head = std::mem::replace(&mut self.requests, requests) != requests;
         if self.state.is_in_request() {
             self.awaited = None;
-        } else if self.awaited.is_none() || self.requests != requests {
+        } else if is_next_head || self.awaited.is_none() {
             self.awaited = Some((Awaited::FirstByte, Instant::now()));
         }
-        self.requests = requests;
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if read.is_ready() {
--- a/crates/serving/src/quarantine/feature.rs
+++ b/crates/serving/src/quarantine/feature.rs
@@ -37,8 +37,8 @@
     pub fn whole_request(head: &Parts, body: &[u8]) -> Self {
         let host = headers::text(&head.headers, &header::HOST).unwrap_or_default();
         let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-        let mut hasher = Xxh3::new();
         let prompt = headers::text(&head.headers, &headers::PROMPT_PARTS).unwrap_or_default();
+        let mut hasher = Xxh3::new();
         for field in [head.method.as_str(), host, path, prompt] {
             hasher.update(field.as_bytes());
             hasher.update(&[FIELD_SEPARATOR]);
--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -151,6 +151,24 @@
     assert!(leader.manager.list(leader.now).suspected.is_empty());
 }
 
+/// Guards against a sound request that is refused for minutes, because its trial ran beside that of the request
+/// which crashes targets: both are quarantined by the same crashes, so both trials are due at the same time.
+#[test]
+fn trials_of_two_requests_do_not_run_at_the_same_time() {
+    let mut leader = Leader::new();
+    let (deadly, bystander) = (whole("deadly"), whole("bystander"));
+    for _ in 0..3 {
+        leader.crash(&[&[bystander], &[deadly]]);
+    }
+    assert_eq!(leader.quarantined().len(), 2);
+    leader.now += Millis::from_secs(11);
+    assert_eq!(leader.manager.grant_trial(deadly, leader.now), Some(1));
+    leader.now += RUN;
+    assert_eq!(leader.manager.grant_trial(bystander, leader.now), None);
+    leader.now += Millis::from_secs(1);
+    assert_eq!(leader.manager.grant_trial(bystander, leader.now), Some(1));
+}
+
 /// Guards against a prompt part that is refused to everybody because of one request that has it.
 #[test]
 fn parts_of_a_deadly_request_stay_in_use() {
@@ -263,6 +281,21 @@
     assert_eq!(other == whole("body"), is_same);
 }
 
+/// Guards against sound prompts that are refused with another one, because the requests have the same path
+/// and no body.
+#[test]
+fn other_prompt_is_another_request() {
+    let prompt = |parts: &str| {
+        let req = Request::builder().method("POST").uri("/generate");
+        let req = req.header("prompt-prefix", parts).body(());
+        let (head, ()) = req.expect("a request").into_parts();
+        Feature::whole_request(&head, b"")
+    };
+    assert_eq!(prompt("f1:100,d00d:20,9:5"), prompt("f1:100,d00d:20,9:5"));
+    assert_ne!(prompt("f1:100,d00d:20,9:5"), prompt("f1:100,51:20,9:5"));
+    assert_ne!(prompt("f1:100,d00d:20,9:5"), prompt("f1:100,d00d:20,8:5"));
+}
+
 cases! { check_same:
     repeat_with_another_id_is_the_same_request(
         request("POST", "/orders/1?a=b", "8", "f1:100,9:20", "body"),
