entry: limits of a new manifest hold on open connections

A caller's connection was closed while callers still used it: the idle time-out was that of the manifest in force when the connection was accepted, so after a manifest with a longer one, callers sent requests on connections that we closed. And the time for the head of a request started with bytes that came while the response before it was still being sent, so that the connection ended with that response.

Cause: both timers belonged to the connection, not to what it waits for, and one of them was the HTTP library's, which keeps its first value.

Evidence: both tests failed before:

a_longer_idle_timeout_holds_on_open_connections: assertion failed: .. starts_with("HTTP/1.1 404") a_head_that_begins_during_a_response_has_its_full_time: the connection ended after:

One wrapper now runs both timers, with the longest limits in force since the connection was opened, and none while a request is handled or its response sent.

--- a/crates/daemon/tests/all/platform/limits.rs
+++ b/crates/daemon/tests/all/platform/limits.rs
@@ -11,7 +11,9 @@
     AsyncWriteExt as _, //
 };
 use yuccaseam_testing::platform::{
+    Behaviour,
     HOST,
+    ONCE,
     PlatformSystem,
     SAFE,
     send, //
@@ -19,6 +21,7 @@
 
 use super::{
     PATIENCE,
+    World,
     with_world, //
 };
 
@@ -122,3 +125,153 @@
         assert!(sent.is_err() || sent.is_ok_and(|reply| reply.status == 431));
     });
 }
+
+/// Sends a manifest with another idle time-out to the first entry.
+async fn set_idle_timeout(world: &World, version: u64, millis: u64) {
+    let body = PlatformSystem::manifest(version);
+    let timeout = format!(r#""idle_timeout_ms":{millis}"#);
+    let body = body.replace(r#""idle_timeout_ms":15000"#, &timeout);
+    let to = world.system.entries[0].control();
+    let headers = [("host", "control")];
+    let sent = send(
+        to,
+        Method::POST,
+        "/Config.Replace",
+        &headers,
+        &body,
+        PATIENCE,
+    );
+    assert_eq!(sent.await.expect("an answer comes").status, 200);
+    let line = format!(r#""version":{version}"#);
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let log = world.system.entries[0].log();
+        let mut lines = log
+            .lines()
+            .filter(|text| text.contains("manifest in force"));
+        if lines.any(|text| text.contains(&line)) {
+            return;
+        }
+        assert!(Instant::now() < until, "{log}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against issue 28: a connection was closed after the idle time-out that was in force when it was
+/// opened, although callers went by a longer one.
+#[test]
+fn a_longer_idle_timeout_holds_on_open_connections() {
+    with_world(1, async |world| {
+        set_idle_timeout(&world, 2, 1_500).await;
+        let entry = world.system.entries[0].callers();
+        let mut caller = tokio::net::TcpStream::connect(entry)
+            .await
+            .expect("a connection opens");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        set_idle_timeout(&world, 3, 15_000).await;
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        caller
+            .write_all(b"GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n")
+            .await
+            .expect("a request is sent");
+        let mut buf = [0; 64];
+        let read = tokio::time::timeout(PATIENCE, caller.read(&mut buf)).await;
+        let len = read
+            .expect("an answer comes")
+            .expect("the connection is open");
+        assert!(buf[..len].starts_with(b"HTTP/1.1 404"));
+    });
+}
+
+/// An idle connection must not be held for ever.
+#[test]
+fn an_idle_connection_is_closed_after_the_idle_timeout() {
+    with_world(1, async |world| {
+        set_idle_timeout(&world, 2, 1_000).await;
+        let entry = world.system.entries[0].callers();
+        let mut idle = tokio::net::TcpStream::connect(entry)
+            .await
+            .expect("a connection opens");
+        let opened = Instant::now();
+        let mut buf = [0; 64];
+        let read = tokio::time::timeout(Duration::from_secs(4), idle.read(&mut buf)).await;
+        let len = read.expect("it is closed").expect("without a reset");
+        assert_eq!(len, 0);
+        assert!(opened.elapsed() > Duration::from_millis(900));
+    });
+}
+
+/// Guards against issue 28: the time for the head of a request ran while the response to the one before it
+/// was sent, so that the connection ended although the rest of the head was on its way.
+#[test]
+fn a_head_that_begins_during_a_response_has_its_full_time() {
+    with_world(1, async |world| {
+        world.behave(&Behaviour {
+            events: 35,
+            pause: Duration::from_millis(100),
+            ..Behaviour::default()
+        });
+        let entry = world.system.entries[0].callers();
+        let mut caller = tokio::net::TcpStream::connect(entry)
+            .await
+            .expect("a connection opens");
+        let first = format!(
+            "POST {ONCE}1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: s1\r\nDeadline-Ms: 5000\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        caller
+            .write_all(first.as_bytes())
+            .await
+            .expect("a request is sent");
+        let mut received = Vec::new();
+        read_until(&mut caller, &mut received, b"data: s1-1\n").await;
+        caller
+            .write_all(b"GET /nowhere HTTP/1.1\r\nHo")
+            .await
+            .expect("half a head is sent");
+        read_until(&mut caller, &mut received, b"\r\n0\r\n\r\n").await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        caller
+            .write_all(b"st: h\r\n\r\n")
+            .await
+            .expect("the rest is sent");
+        received.clear();
+        read_until(&mut caller, &mut received, b"HTTP/1.1 404").await;
+    });
+}
+
+/// The time for the head of a request must not go on after a request that is answered at once.
+#[test]
+fn a_connection_is_kept_after_a_request_that_is_answered_at_once() {
+    with_world(1, async |world| {
+        let entry = world.system.entries[0].callers();
+        let mut caller = tokio::net::TcpStream::connect(entry)
+            .await
+            .expect("a connection opens");
+        for pause in [Duration::ZERO, Duration::from_millis(3_500)] {
+            tokio::time::sleep(pause).await;
+            caller
+                .write_all(b"GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n")
+                .await
+                .expect("a request is sent");
+            let mut received = Vec::new();
+            read_until(
+                &mut caller,
+                &mut received,
+                b"no route for this host and path",
+            )
+            .await;
+        }
+    });
+}
+
+/// Reads until these bytes have come.
+async fn read_until(caller: &mut tokio::net::TcpStream, received: &mut Vec<u8>, end: &[u8]) {
+    let until = tokio::time::Instant::now() + PATIENCE;
+    while !received.windows(end.len()).any(|bytes| bytes == end) {
+        let read = tokio::time::timeout_at(until, caller.read_buf(received)).await;
+        let len = read.expect("bytes come").expect("the connection is open");
+        let text = String::from_utf8_lossy(received);
+        assert!(len > 0, "the connection ended after: {text}");
+    }
+}
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -22,10 +22,13 @@
 };
 use yuccaseam_platform::headers;
 
-use super::response::{
-    Body,
-    BodyError,
-    HttpResponse, //
+use super::{
+    head_timeout::HeadState,
+    response::{
+        Body,
+        BodyError,
+        HttpResponse, //
+    },
 };
 
 /// How far a request has come.
@@ -53,6 +56,7 @@
 /// One request and its response. Reports a connection that ends before the response is complete.
 pub(super) struct Exchange {
     request: String,
+    state: HeadState,
     has_response_body: bool,
     phase: Phase,
     /// Why the response body failed.
@@ -61,10 +65,12 @@
 
 impl Exchange {
     /// Begins with the head of a request.
-    pub(super) fn new<B>(req: &Request<B>) -> Self {
+    pub(super) fn new<B>(req: &Request<B>, state: HeadState) -> Self {
+        state.request_started();
         let request = headers::text(req.headers(), &headers::REQUEST_ID).unwrap_or("-");
         Self {
             request: request.to_owned(),
+            state,
             has_response_body: req.method() != Method::HEAD,
             phase: Phase::Handling,
             failure: None,
@@ -74,16 +80,20 @@
     /// Tracks the response until all of its body has been read.
     pub(super) fn respond(mut self, response: HttpResponse) -> HttpResponse {
         response.map(|body| {
-            self.phase = if body.is_end_stream() || !self.has_response_body {
-                Phase::Complete
-            } else {
-                Phase::Responding
-            };
+            self.phase = Phase::Responding;
+            if body.is_end_stream() || !self.has_response_body {
+                self.complete();
+            }
             let exchange = self;
             TrackedBody { body, exchange }.boxed_unsync()
         })
     }
 
+    fn complete(&mut self) {
+        self.phase = Phase::Complete;
+        self.state.response_ended();
+    }
+
     /// Why the connection ended, for logs and metrics.
     fn end_reason(&self) -> &'static str {
         if thread::panicking() {
@@ -128,10 +138,8 @@
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         match &polled {
             Poll::Ready(Some(Err(error))) => self.exchange.failure = Some(error.to_string()),
-            Poll::Ready(None) => self.exchange.phase = Phase::Complete,
-            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => {
-                self.exchange.phase = Phase::Complete;
-            }
+            Poll::Ready(None) => self.exchange.complete(),
+            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.exchange.complete(),
             Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         polled
--- a/crates/serving/src/entry/head_timeout.rs
+++ b/crates/serving/src/entry/head_timeout.rs
@@ -1,8 +1,12 @@
-//! Time-out for reading the head of a request.
+//! Time-outs for reading the head of a request.
 //!
 //! The HTTP library uses one time-out for idle connections and for partially received heads, which
-//! operators configure separately. This wrapper starts a timer at the first byte of a head and
-//! fails reads if the rest does not arrive in time.
+//! operators configure separately, and keeps the value that the connection began with. This wrapper runs
+//! one timer while the connection is idle and another one from the first byte of a head, and ends reads when
+//! they expire. No timer runs while a request is handled or answered.
+//!
+//! Each time-out is the longest one in force since the connection was opened. A client that does not know
+//! of a shorter one yet may send a request on an idle connection just as it is closed.
 
 use std::{
     future::Future,
@@ -12,12 +16,14 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicU64,
             Ordering, //
         },
     },
     task::{
         Context,
-        Poll, //
+        Poll,
+        ready, //
     },
 };
 
@@ -29,86 +35,154 @@
     },
     net::TcpStream,
     time::{
+        Instant,
         Sleep,
-        sleep, //
+        sleep_until, //
     },
 };
 use yuccaseam_base::Millis;
 
 use crate::fair_stream::FairStream;
 
+use super::http_server::ConnectionLimits;
+
 /// Tracks whether a connection is processing a request or between two requests.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadState {
-    /// Whether a head has been read whose response has not been passed to the HTTP library yet.
+    /// Whether a head has been read whose response is not complete.
     in_request: Arc<AtomicBool>,
+    /// Number of heads that have been read.
+    requests: Arc<AtomicU64>,
 }
 
 impl HeadState {
     /// Records that the head of a request has been read.
     pub(super) fn request_started(&self) {
         self.in_request.store(true, Ordering::Relaxed);
+        self.requests.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Records that the response has been passed to the HTTP library: the next bytes begin a head.
-    pub(super) fn response_ready(&self) {
+    /// Records that the whole response has been passed to the HTTP library: the next bytes begin a head.
+    pub(super) fn response_ended(&self) {
         self.in_request.store(false, Ordering::Relaxed);
     }
+
+    fn is_in_request(&self) -> bool {
+        self.in_request.load(Ordering::Relaxed)
+    }
+
+    fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
+/// What a connection waits for between two requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Awaited {
+    /// The first byte of a head.
+    FirstByte,
+    /// The rest of a head.
+    RestOfHead,
 }
 
-/// TCP stream whose reads fail if the head of a request takes too long.
-pub(super) struct HeadTimeout {
+/// TCP stream whose reads end if the connection is idle or the head of a request incomplete for too long.
+pub(super) struct HeadTimeout<L> {
     stream: FairStream<TcpStream>,
     state: HeadState,
-    timeout: Millis,
-    /// Set from the first byte of a head until the head has been read.
-    timer: Option<Pin<Box<Sleep>>>,
+    limits_in_force: L,
+    idle_timeout: Millis,
+    head_timeout: Millis,
+    /// What is awaited, and since when. `None` while a request is handled.
+    awaited: Option<(Awaited, Instant)>,
+    /// Heads that had been read at the last read: a request may be answered between two reads.
+    requests: u64,
+    timer: Pin<Box<Sleep>>,
 }
 
-impl HeadTimeout {
-    pub(super) fn new(stream: TcpStream, state: HeadState, timeout: Millis) -> Self {
+impl<L> HeadTimeout<L>
+where
+    L: Fn() -> ConnectionLimits + Unpin,
+{
+    pub(super) fn new(stream: TcpStream, state: HeadState, limits_in_force: L) -> Self {
+        let limits = limits_in_force();
         Self {
             stream: FairStream::new(stream),
             state,
-            timeout,
-            timer: None,
+            limits_in_force,
+            idle_timeout: limits.idle_timeout,
+            head_timeout: limits.head_timeout,
+            awaited: None,
+            requests: 0,
+            timer: Box::pin(sleep_until(Instant::now())),
+        }
+    }
+
+    /// Waits until the connection has been idle, or a head incomplete, for too long.
+    fn poll_expired(&mut self, cx: &mut Context<'_>) -> Poll<Awaited> {
+        loop {
+            let Some((awaited, since)) = self.awaited else {
+                return Poll::Pending;
+            };
+            let limits = (self.limits_in_force)();
+            self.idle_timeout = self.idle_timeout.max(limits.idle_timeout);
+            self.head_timeout = self.head_timeout.max(limits.head_timeout);
+            let limit = match awaited {
+                Awaited::FirstByte => self.idle_timeout,
+                Awaited::RestOfHead => self.head_timeout,
+            };
+            let until = since + limit.duration();
+            if Instant::now() >= until {
+                return Poll::Ready(awaited);
+            }
+            if self.timer.deadline() != until {
+                self.timer.as_mut().reset(until);
+            }
+            // The limits may have been raised since the timer was set.
+            ready!(self.timer.as_mut().poll(cx));
         }
     }
 }
 
-impl AsyncRead for HeadTimeout {
+impl<L> AsyncRead for HeadTimeout<L>
+where
+    L: Fn() -> ConnectionLimits + Unpin,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let in_request = self.state.in_request.load(Ordering::Relaxed);
-        if in_request {
-            self.timer = None;
+        let requests = self.state.requests();
+        if self.state.is_in_request() {
+            self.awaited = None;
+        } else if self.awaited.is_none() || self.requests != requests {
+            self.awaited = Some((Awaited::FirstByte, Instant::now()));
         }
+        self.requests = requests;
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        match read {
-            Poll::Ready(_) if !in_request && buf.filled().len() > before => {
-                let timeout = self.timeout;
-                self.timer
-                    .get_or_insert_with(|| Box::pin(sleep(timeout.duration())));
-                read
-            }
-            Poll::Pending => {
-                let timer = self.timer.as_mut();
-                let timed_out = timer.is_some_and(|timer| timer.as_mut().poll(cx).is_ready());
-                if timed_out {
-                    return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-                }
-                Poll::Pending
+        if read.is_ready() {
+            let has_bytes = buf.filled().len() > before;
+            if let Some((awaited @ Awaited::FirstByte, since)) = self.awaited.as_mut()
+                && has_bytes
+            {
+                *awaited = Awaited::RestOfHead;
+                *since = Instant::now();
             }
-            Poll::Ready(_) => read,
+            return read;
+        }
+        match ready!(self.poll_expired(cx)) {
+            // The end of the stream: an idle connection is closed without an error.
+            Awaited::FirstByte => Poll::Ready(Ok(())),
+            Awaited::RestOfHead => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
         }
     }
 }
 
-impl AsyncWrite for HeadTimeout {
+impl<L> AsyncWrite for HeadTimeout<L>
+where
+    L: Unpin,
+{
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/serving/src/entry/http_server.rs
+++ b/crates/serving/src/entry/http_server.rs
@@ -19,10 +19,7 @@
     server::conn::http1,
     service::service_fn, //
 };
-use hyper_util::rt::{
-    TokioIo,
-    TokioTimer, //
-};
+use hyper_util::rt::TokioIo;
 use tokio::{
     net::{
         TcpListener,
@@ -102,7 +99,7 @@
 }
 
 /// Accepts and serves connections at an address until [`Connections::close`]. `limits` returns the
-/// limits for each new connection.
+/// limits in force.
 ///
 /// # Errors
 ///
@@ -114,7 +111,7 @@
     handler: H,
 ) -> anyhow::Result<()>
 where
-    L: Fn() -> ConnectionLimits + Send + 'static,
+    L: Fn() -> ConnectionLimits + Clone + Send + Unpin + 'static,
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = HttpResponse> + Send + 'static,
 {
@@ -134,7 +131,7 @@
             match accepted {
                 Ok((stream, _)) => {
                     let (connections, handler) = (Arc::clone(&connections), Arc::clone(&handler));
-                    tokio::spawn(serve(stream, connections, limits(), handler));
+                    tokio::spawn(serve(stream, connections, limits.clone(), handler));
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "cannot accept connection");
@@ -146,12 +143,13 @@
     Ok(())
 }
 
-async fn serve<H, F>(
+async fn serve<L, H, F>(
     stream: TcpStream,
     connections: Arc<Connections>,
-    limits: ConnectionLimits,
+    limits: L,
     handler: Arc<H>,
 ) where
+    L: Fn() -> ConnectionLimits + Send + Unpin + 'static,
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = HttpResponse> + Send + 'static,
 {
@@ -160,21 +158,16 @@
     let _ = stream.set_nodelay(true);
     let state = HeadState::default();
     let service = service_fn(|req| {
-        state.request_started();
-        let state = state.clone();
-        let exchange = Exchange::new(&req);
+        let exchange = Exchange::new(&req, state.clone());
         let response = handler(req);
-        async move {
-            let response = response.await;
-            state.response_ready();
-            Ok::<_, std::convert::Infallible>(exchange.respond(response))
-        }
+        async move { Ok::<_, std::convert::Infallible>(exchange.respond(response.await)) }
     });
-    let stream = HeadTimeout::new(stream, state.clone(), limits.head_timeout);
+    let max_head_bytes = limits().max_head_bytes;
+    let stream = HeadTimeout::new(stream, state.clone(), limits);
     let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.duration())
-        .max_buf_size(limits.max_head_bytes.max(MIN_READ_BUFFER_BYTES))
+        // `HeadTimeout` runs the timers.
+        .header_read_timeout(None)
+        .max_buf_size(max_head_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     let mut closing = connections.closing.subscribe();
