entry: a stream's response begins with its first event

Callers saw a connection end without any answer: the head of a stream was passed on as soon as its target sent it, and if the target broke off before the first event, the HTTP library closed the caller's connection, mostly before it had sent that head.

The class of fault: the entry commits itself to a response before it knows that there is one. The first event, or the regular end, is now awaited first. A target that fails before it is answered with a 502, or another one takes over with its own head.

Evidence: a_stream_that_breaks_before_its_first_event_is_answered failed before:

assertion left == right failed left: 200 (right: 502)

--- a/crates/daemon/tests/all/platform/silent.rs
+++ b/crates/daemon/tests/all/platform/silent.rs
@@ -305,6 +305,23 @@
     });
 }
 
+/// Guards against issue 28: a stream whose target broke off between the head and the first event ended
+/// without an answer.
+#[test]
+fn a_stream_that_breaks_before_its_first_event_is_answered() {
+    with_world(1, async |world| {
+        world.behave(&Behaviour {
+            breaks_after: Some(0),
+            ..Behaviour::default()
+        });
+        let reply = world.ask("s1", ONCE).await.expect("the call ends");
+        assert_eq!(reply.status, 502);
+        assert!(reply.complete);
+        assert!(!reply.is_signed());
+        assert_eq!(world.runs_of("s1"), 1);
+    });
+}
+
 /// An operator must be able to tell a response that was cut from one that its caller gave up.
 #[test]
 fn a_response_that_is_cut_leaves_a_line() {
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -6,6 +6,8 @@
 //! - The caller sees a regular end of the stream only if the target ended it regularly.
 //! - A resumed stream continues after the last forwarded event.
 //! - A silent target is left only for another one that has a free slot.
+//! - The caller's response begins with the first event, so that a target that fails before it does not end the
+//!   response without an answer.
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -49,7 +51,8 @@
     },
     response::{
         BodyError,
-        HttpResponse, //
+        HttpResponse,
+        full_body, //
     },
 };
 
@@ -60,6 +63,8 @@
 /// Stream in progress.
 struct ForwardedStream {
     request: ActiveRequest,
+    /// Head of the caller's response: that of the target that sent the first event.
+    head: http::response::Parts,
     /// `None` once the stream has ended.
     source: Option<Source>,
     splitter: EventSplitter,
@@ -108,26 +113,33 @@
 /// Serves a request whose response is a stream.
 pub(super) async fn serve(mut request: ActiveRequest) -> Result<HttpResponse, RequestFailure> {
     let (slot, response) = request.call(None, None).await?;
-    let head = response.head.clone();
-    let source = Some(Source::new(slot, response));
     let mut forwarded = ForwardedStream {
+        head: response.head.clone(),
         silence: request.silence(),
         partial_since: None,
         request,
-        source,
+        source: Some(Source::new(slot, response)),
         splitter: EventSplitter::default(),
         last_event_at: None,
         has_event: false,
         longest_pause: Millis::ZERO,
     };
-    let status = head.status;
-    if !status.is_success() {
-        return forwarded.forward_error(&head).await;
+    if !forwarded.head.status.is_success() {
+        return forwarded.forward_error().await;
     }
-    forwarded.request.is_persistent = true;
-    let frames = stream::unfold(forwarded, |mut forwarded| async {
-        let frame = forwarded.next_events().await?;
-        Some((frame.map(Frame::data), forwarded))
+    let first = forwarded.next_events().await?;
+    let head = forwarded.head.clone();
+    let Some(first) = first else {
+        return Ok(response_with_body(&head, full_body(Bytes::new())));
+    };
+    let frames = stream::unfold((Some(first), forwarded), |(first, mut forwarded)| async {
+        let events = match first {
+            Some(first) => Ok(first),
+            None => forwarded.next_events().await.transpose()?,
+        };
+        let frame = events.map(Frame::data);
+        let frame = frame.map_err(|error| BodyError::from(error.reason()));
+        Some((frame, (None, forwarded)))
     });
     Ok(response_with_body(
         &head,
@@ -137,10 +149,8 @@
 
 impl ForwardedStream {
     /// Forwards an error response of a target.
-    async fn forward_error(
-        mut self,
-        head: &http::response::Parts,
-    ) -> Result<HttpResponse, RequestFailure> {
+    async fn forward_error(mut self) -> Result<HttpResponse, RequestFailure> {
+        let head = &self.head;
         let Some(source) = self.source.take() else {
             return Err(self.request.fail("broken"));
         };
@@ -159,30 +169,26 @@
         source.conn.release();
         self.request
             .log_response(&source.slot, head.status, "failed_by_target");
-        Ok(response_with_body(
-            head,
-            super::response::full_body(body.to_bytes()),
-        ))
+        Ok(response_with_body(head, full_body(body.to_bytes())))
     }
 
     /// Returns the next events for the caller, or `None` after the regular end of the stream.
-    async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
+    async fn next_events(&mut self) -> Result<Option<Bytes>, RequestFailure> {
         loop {
-            let (failure, other) = match self.read().await? {
-                ReadOutcome::Events(events) => {
+            let (failure, other) = match self.read().await {
+                None => return Ok(None),
+                Some(ReadOutcome::Events(events)) => {
                     self.record_event();
-                    return Some(Ok(events));
+                    return Ok(Some(events));
                 }
-                ReadOutcome::Ended => {
+                Some(ReadOutcome::Ended) => {
                     self.finish();
-                    return None;
+                    return Ok(None);
                 }
-                ReadOutcome::Failed(failure) => (failure, None),
-                ReadOutcome::Moved(other) => (Failure::TimedOut, Some(other)),
+                Some(ReadOutcome::Failed(failure)) => (failure, None),
+                Some(ReadOutcome::Moved(other)) => (Failure::TimedOut, Some(other)),
             };
-            if let Err(error) = self.resume(failure, other).await {
-                return Some(Err(error.reason().into()));
-            }
+            self.resume(failure, other).await?;
         }
     }
 
@@ -260,7 +266,10 @@
         }
         match self.last_event_at {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
-            None => self.request.first_event_at = Some(now),
+            None => {
+                self.request.first_event_at = Some(now);
+                self.request.is_persistent = true;
+            }
         }
         self.last_event_at = Some(now);
     }
@@ -297,6 +306,9 @@
         }
         self.request.handle_failure(&source.slot, &error)?;
         drop(source.slot);
+        if other.is_some() {
+            self.request.is_persistent = true;
+        }
         self.splitter.discard_partial();
         self.partial_since = None;
         let last_id = self.splitter.last_id().map(str::to_owned);
@@ -312,6 +324,9 @@
         log::info!(
             request:% = self.request.id, target_name:% = slot.choice.name, after = last_id.as_deref();
             "stream resumed at another target");
+        if self.last_event_at.is_none() {
+            self.head = response.head.clone();
+        }
         self.silence = self.request.silence();
         self.has_event = false;
         self.source = Some(Source::new(slot, response));
