--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -284,7 +284,7 @@
 /// Guards against sound prompts that are refused with another one, because the requests have the same path
 /// and no body.
 #[test]
-fn other_prompt_is_another_request() {
+fn requests_without_a_body_differ_by_their_prompts() {
     let prompt = |parts: &str| {
         let req = Request::builder().method("POST").uri("/generate");
         let req = req.header("prompt-prefix", parts).body(());
