--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -44,10 +44,17 @@
         "queue_full" => format!("every target of its service was full{loads}"),
         "no_target" => format!("no target of its service accepted work{loads}"),
         "targets_full" => format!("the targets {targets} rejected it"),
-        "part_quarantined" => format!(
-            "part {} of its prompt is quarantined: targets crashed under requests with it",
-            own.iter().find_map(|line| line.text("part")).unwrap_or("-")
-        ),
+        "request_quarantined" => {
+            let feature = own.iter().find_map(|line| line.text("feature"));
+            let feature = feature.unwrap_or("-");
+            if feature.starts_with("request:") {
+                "it is quarantined: targets crashed under this request, with other ids".to_owned()
+            } else {
+                format!(
+                    "part {feature} of its prompt is quarantined: targets crashed under requests with it"
+                )
+            }
+        }
         "deadline_passed" => "its deadline passed".to_owned(),
         "silent" => format!("{targets} sent nothing before the deadline"),
         "broken" => format!("{targets} broke off"),
--- a/crates/cli/tests/all/explain.rs
+++ b/crates/cli/tests/all/explain.rs
@@ -42,12 +42,20 @@
     );
     refusal_because_of_a_quarantined_prompt_part(
         concat!(
-            r#"edge-1 {"time_ms":1050,"level":"INFO","message":"prompt part is quarantined","request":"r1","part":"d00d"}"#,
+            r#"edge-1 {"time_ms":1050,"level":"INFO","message":"a feature of the request is quarantined","request":"r1","feature":"d00d"}"#,
             "\n",
-            r#"edge-1 {"time_ms":1051,"level":"INFO","message":"request ended","request":"r1","outcome":"given_up","why":"part_quarantined","took_ms":1}"#
+            r#"edge-1 {"time_ms":1051,"level":"INFO","message":"request ended","request":"r1","outcome":"given_up","why":"request_quarantined","took_ms":1}"#
         ),
         "part d00d of its prompt is quarantined: targets crashed under requests with it"
     );
+    refusal_because_the_whole_request_is_quarantined(
+        concat!(
+            r#"edge-1 {"time_ms":1050,"level":"INFO","message":"a feature of the request is quarantined","request":"r1","feature":"request:a1b2"}"#,
+            "\n",
+            r#"edge-1 {"time_ms":1051,"level":"INFO","message":"request ended","request":"r1","outcome":"given_up","why":"request_quarantined","took_ms":1}"#
+        ),
+        "it is quarantined: targets crashed under this request, with other ids"
+    );
     slow_response(
         r#"edge-1 {"time_ms":2000,"level":"INFO","message":"request ended","request":"r1","outcome":"streamed","target_name":"e7","waited_ms":20,"first_event_ms":520,"believed_online":9,"believed_batch":0,"took_ms":1000}"#,
         "it was served by e7: 20 ms until it was sent there, 500 ms until the first event (estimated load 9 requests and 0 items), 1000 ms in all"
--- a/crates/daemon/tests/all/platform/silent.rs
+++ b/crates/daemon/tests/all/platform/silent.rs
@@ -109,7 +109,7 @@
             }
             assert_eq!(world.runs_of(&id), 1, "{path} {before:?}");
         }
-        assert!(!world.store_logs().contains("prompt part quarantined"));
+        assert!(!world.store_logs().contains("feature quarantined"));
     });
 }
 
@@ -136,7 +136,7 @@
                 assert_eq!(world.runs_of(item), 1, "{item} {before:?}");
             }
         }
-        assert!(!world.store_logs().contains("prompt part quarantined"));
+        assert!(!world.store_logs().contains("feature quarantined"));
     });
 }
 
--- a/crates/daemon/tests/all/platform/tainted.rs
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -142,7 +142,7 @@
         let until = Instant::now() + REACTION_TIME;
         for number in 0.. {
             let reply = world.deadly_prompt(number).await;
-            if reply.is_some_and(|reply| reply.body == "part_quarantined") {
+            if reply.is_some_and(|reply| reply.body == "request_quarantined") {
                 break;
             }
             assert!(Instant::now() < until, "the part is not quarantined");
@@ -197,7 +197,7 @@
                 .prompt(number % 3, &format!("sound-{number}"), shared)
                 .await;
             let reply = reply.expect("an answer comes");
-            assert_ne!(reply.body, "part_quarantined");
+            assert_ne!(reply.body, "request_quarantined");
             if reply.is_whole_success() {
                 return;
             }
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -1,4 +1,4 @@
-//! Reports to the leader about prompt parts, and trials of quarantined ones.
+//! Reports to the leader about crashes of targets, and trials of quarantined features.
 
 use std::{
     net::SocketAddr,
@@ -34,8 +34,8 @@
 pub(crate) struct BrokenRequest {
     pub(crate) target: TargetKey,
     pub(crate) address: SocketAddr,
-    /// Shared parts of the prompt.
-    pub(crate) parts: Vec<Feature>,
+    /// Features of the request.
+    pub(crate) features: Vec<Feature>,
     pub(crate) sent_at: Millis,
 }
 
@@ -44,15 +44,16 @@
     /// target that still accepts connections only broke one.
     pub(crate) async fn into_report(self, cx: &Cx) -> Option<CrashReport> {
         let crashed_at = cx.clock.now();
-        if self.parts.is_empty() || cx.upstream.accepts_connections(self.address).await {
+        if self.features.is_empty() || cx.upstream.accepts_connections(self.address).await {
             return None;
         }
         let ran_for = crashed_at - self.sent_at;
-        let mut guard = cx.part_guard();
-        let (report, culprits) = guard.record_crash(self.target, &self.parts, ran_for, crashed_at);
+        let mut guard = cx.feature_guard();
+        let (report, culprits) =
+            guard.record_crash(self.target, &self.features, ran_for, crashed_at);
         drop(guard);
-        for part in culprits {
-            log::warn!(part:% = part; "prompt part quarantined at this instance");
+        for feature in culprits {
+            log::warn!(feature:% = feature; "feature quarantined at this instance");
         }
         let age = cx.clock.now() - crashed_at;
         report.map(|report| CrashReport { age, ..report })
@@ -70,18 +71,18 @@
     });
 }
 
-/// Records that a target has begun to answer a request, and tells the leader if it watches a part of the
+/// Records that a target has begun to answer a request, and tells the leader if it watches a feature of the
 /// prompt.
-pub(crate) fn prove(cx: &Arc<Cx>, parts: &[Feature]) {
-    let watched = cx.part_guard().prove(parts, cx.clock.now());
+pub(crate) fn prove(cx: &Arc<Cx>, features: &[Feature]) {
+    let watched = cx.feature_guard().prove(features, cx.clock.now());
     if !watched.is_empty() {
-        report_to_leader(cx, move |_| HubRequest::ProveParts(watched.clone()));
+        report_to_leader(cx, move |_| HubRequest::ProveFeatures(watched.clone()));
     }
 }
 
 /// Reports recent crashes to a leader that may be new.
 pub(crate) fn report_recent_crashes(cx: &Arc<Cx>) {
-    let reports = cx.part_guard().recent_reports(cx.clock.now());
+    let reports = cx.feature_guard().recent_reports(cx.clock.now());
     if !reports.is_empty() {
         report_crashes(cx, reports);
     }
@@ -115,7 +116,7 @@
             }
             if cx.clock.now() >= deadline {
                 // Crashes are reported again to the next leader.
-                log::warn!(reply:? = reply; "leader did not confirm a report on prompt parts");
+                log::warn!(reply:? = reply; "leader did not confirm a report on features");
                 return;
             }
             pause(ATTEMPT_BACKOFF).await;
@@ -123,9 +124,11 @@
     });
 }
 
-/// Asks the leader for the trial of a quarantined part. False if it grants none in time.
-pub(crate) async fn take_trial(cx: &Cx, part: Feature) -> bool {
+/// Asks the leader for the trial of a quarantined feature. False if it grants none in time.
+pub(crate) async fn take_trial(cx: &Cx, feature: Feature) -> bool {
     let deadline = cx.clock.now() + TRIAL_TIMEOUT;
-    let reply = cx.call_leader(&HubRequest::TryPart(part), deadline).await;
+    let reply = cx
+        .call_leader(&HubRequest::TryFeature(feature), deadline)
+        .await;
     reply == Some(HubReply::Done)
 }
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -53,7 +53,7 @@
         pause, //
     },
     neighbours::Neighbours,
-    quarantine::PartGuard,
+    quarantine::FeatureGuard,
     relay::Relay,
     routes::RouteTable,
     state::StoredManifest,
@@ -95,7 +95,7 @@
     retry_detector: Mutex<RetryDetector>,
     service_times: Mutex<HashMap<String, ServiceTimes>>,
     queue_credits: Mutex<HashMap<String, QueueCredits>>,
-    part_guard: Mutex<PartGuard>,
+    feature_guard: Mutex<FeatureGuard>,
     leader: Mutex<Option<IpAddr>>,
     leader_sender: Mutex<Option<mpsc::Sender<FollowerMessage>>>,
     started_at: Millis,
@@ -142,7 +142,7 @@
             retry_detector: Mutex::default(),
             service_times: Mutex::default(),
             queue_credits: Mutex::default(),
-            part_guard: Mutex::default(),
+            feature_guard: Mutex::default(),
             leader: Mutex::default(),
             leader_sender: Mutex::default(),
             started_at,
@@ -182,9 +182,9 @@
         lock(&self.retry_detector)
     }
 
-    /// Prompt parts that are quarantined or suspected.
-    pub(crate) fn part_guard(&self) -> MutexGuard<'_, PartGuard> {
-        lock(&self.part_guard)
+    /// Features that are quarantined or suspected.
+    pub(crate) fn feature_guard(&self) -> MutexGuard<'_, FeatureGuard> {
+        lock(&self.feature_guard)
     }
 
     /// How long a service takes. `objective` is that of the route, from which the times are assumed
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -10,7 +10,7 @@
 //! - A response that has begun is given up only if no target may run the request again, or at the
 //!   caller's deadline.
 
-mod prompt;
+mod quarantine;
 mod slot;
 
 pub(super) use slot::Slot;
@@ -282,7 +282,7 @@
                 Some(slot) => slot,
                 None => self.acquire_slot().await?,
             };
-            self.take_part_admission().await?;
+            self.take_admission().await?;
             // The target may have begun to drain while the leader was asked for a trial.
             if !self.cx.balancer().takes_work(current.choice.key) {
                 continue;
@@ -484,7 +484,7 @@
             } else {
                 self.cx.balancer().record_success(slot.choice.key);
                 self.record_service_times(&slot);
-                self.prove_parts();
+                self.prove_features();
             }
             response.conn.release();
             self.log_response(&slot, status, "answered");
--- a/crates/serving/src/entry/online/prompt.rs
+++ b/crates/serving/src/entry/online/quarantine.rs
@@ -1,9 +1,9 @@
-//! What the parts of its prompt mean for a request: refusal, trials and evidence.
+//! What its features mean for a request: refusal, trials and evidence.
 
 use yuccaseam_base::Millis;
 
 use crate::{
-    parts::{
+    crash_reports::{
         self,
         BrokenRequest, //
     },
@@ -20,39 +20,41 @@
     Slot, //
 };
 
-/// When a caller may send a request with a quarantined prompt part again.
+/// When a caller may send a request with a quarantined feature again.
 const QUARANTINE_RETRY_AFTER: Millis = Millis::from_secs(30);
 
 impl ActiveRequest {
-    /// Fails the request if a part of its prompt is quarantined. If a trial of the part is due, the
+    /// Fails the request if one of its features is quarantined. If a trial of the feature is due, the
     /// request may wait for a slot.
-    pub(super) fn check_parts(&self) -> Result<(), RequestFailure> {
+    pub(super) fn check_features(&self) -> Result<(), RequestFailure> {
         match self.admission_with_trial() {
-            Admission::Refused(part) => Err(self.refuse_part(part)),
+            Admission::Refused(feature) => Err(self.refuse_feature(feature)),
             Admission::Allowed | Admission::TrialDue(_) => Ok(()),
         }
     }
 
-    /// Whether no part of the prompt is quarantined.
-    pub(super) fn parts_are_allowed(&self) -> bool {
+    /// Whether none of its features is quarantined.
+    pub(super) fn features_are_allowed(&self) -> bool {
         self.admission() == Admission::Allowed
     }
 
-    /// Fails the request, for which there is a slot, if a part of its prompt is quarantined and the leader
+    /// Fails the request, for which there is a slot, if one of its features is quarantined and the leader
     /// grants no trial.
-    pub(super) async fn take_part_admission(&mut self) -> Result<(), RequestFailure> {
+    pub(super) async fn take_admission(&mut self) -> Result<(), RequestFailure> {
         match self.admission_with_trial() {
             Admission::Allowed => Ok(()),
-            Admission::TrialDue(part) if parts::take_trial(&self.cx, part).await => {
-                self.trial = Some(part);
+            Admission::TrialDue(feature) if crash_reports::take_trial(&self.cx, feature).await => {
+                self.trial = Some(feature);
                 Ok(())
             }
-            Admission::Refused(part) | Admission::TrialDue(part) => Err(self.refuse_part(part)),
+            Admission::Refused(feature) | Admission::TrialDue(feature) => {
+                Err(self.refuse_feature(feature))
+            }
         }
     }
 
     fn admission(&self) -> Admission {
-        self.cx.part_guard().admit(&self.features, self.now())
+        self.cx.feature_guard().admit(&self.features, self.now())
     }
 
     /// Like [`Self::admission`], but a trial that was granted holds until a target may have run the request.
@@ -62,32 +64,32 @@
         };
         let features = self.features.iter().copied();
         let others: Vec<_> = features.filter(|feature| *feature != trial).collect();
-        self.cx.part_guard().admit(&others, self.now())
+        self.cx.feature_guard().admit(&others, self.now())
     }
 
-    fn refuse_part(&self, part: Feature) -> RequestFailure {
-        log::info!(request:% = self.id, part:% = part; "prompt part is quarantined");
+    fn refuse_feature(&self, feature: Feature) -> RequestFailure {
+        log::info!(request:% = self.id, feature:% = feature; "a feature of the request is quarantined");
         RequestFailure {
             retry_after: Some(QUARANTINE_RETRY_AFTER),
-            ..self.fail("part_quarantined")
+            ..self.fail("request_quarantined")
         }
     }
 
     /// Records that a target has begun to answer.
-    pub(in super::super) fn prove_parts(&self) {
-        parts::prove(&self.cx, &self.features);
+    pub(in super::super) fn prove_features(&self) {
+        crash_reports::prove(&self.cx, &self.features);
     }
 
-    /// Records a possible crash of a target that had not begun to answer, as evidence against the prompt.
+    /// Records a possible crash of a target that had not begun to answer, as evidence against its features.
     pub(in super::super) fn record_if_crash(&self, slot: &Slot, error: &UpstreamError) {
         if error.is_possible_crash() {
             let request = BrokenRequest {
                 target: slot.choice.key,
                 address: slot.choice.address,
-                parts: self.features.clone(),
+                features: self.features.clone(),
                 sent_at: self.sent_at,
             };
-            parts::record_broken(&self.cx, request);
+            crash_reports::record_broken(&self.cx, request);
         }
     }
 }
--- a/crates/serving/src/entry/online/slot.rs
+++ b/crates/serving/src/entry/online/slot.rs
@@ -83,7 +83,7 @@
             if now >= self.deadline {
                 return Err(self.fail("deadline_passed"));
             }
-            self.check_parts()?;
+            self.check_features()?;
             let best = self.best_target(&self.tried);
             if self.is_persistent && best.is_none() {
                 if !self.faulty.is_empty() && self.best_target(&self.faulty).is_none() {
@@ -134,7 +134,7 @@
     /// Occupies a slot at another target than a silent one, if one is free and the request may be sent
     /// there.
     pub(in super::super) fn take_other_slot(&self, silent: &Slot) -> Option<Slot> {
-        if !self.parts_are_allowed() {
+        if !self.features_are_allowed() {
             return None;
         }
         let mut excluded = self.tried.clone();
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -262,7 +262,7 @@
         self.silence.record_progress(now);
         if !self.has_event {
             self.has_event = true;
-            self.request.prove_parts();
+            self.request.prove_features();
         }
         match self.last_event_at {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -36,6 +36,7 @@
 };
 
 use crate::{
+    crash_reports,
     cx::Cx,
     leader_search::{
         LeaderSearch,
@@ -52,7 +53,6 @@
         encode,
         pause, //
     },
-    parts,
     targets::TargetRecord,
 };
 
@@ -284,7 +284,7 @@
     };
     // A failure also ends the stream of the leader.
     let _ = tx.send(hello).await;
-    let _ = tx.send(FollowerMessage::AcceptsParts).await;
+    let _ = tx.send(FollowerMessage::AcceptsFeatures).await;
     let why = tokio::select! {
         why = receive(cx, notifications, &mut incoming) => why,
         () = report_loads(cx, &tx) => "the stream to the leader closed",
@@ -295,7 +295,7 @@
         // Its items ended with its process or its leadership.
         cx.balancer().reset_batch_loads();
     }
-    cx.part_guard().end_connection();
+    cx.feature_guard().end_connection();
     cx.relay.set_direct(false);
     cx.set_leader(None);
     cx.set_leader_sender(None);
@@ -309,7 +309,7 @@
     incoming: &mut Streaming<Parcel>,
 ) -> &'static str {
     let mut has_targets = false;
-    let mut has_parts = false;
+    let mut has_features = false;
     loop {
         let limit = if has_targets {
             LEADER_TIMEOUT
@@ -345,11 +345,11 @@
                     .set_peers(neighbourhood.ips.into_iter().collect());
             }
             Ok(LeaderMessage::Noted(notice)) => notifications.confirm(notice),
-            Ok(LeaderMessage::Parts(list)) => {
-                cx.part_guard().apply(list);
-                if !has_parts {
-                    has_parts = true;
-                    parts::report_recent_crashes(cx);
+            Ok(LeaderMessage::Features(list)) => {
+                cx.feature_guard().apply(list);
+                if !has_features {
+                    has_features = true;
+                    crash_reports::report_recent_crashes(cx);
                 }
             }
             Err(_) => return "a message from the leader is malformed",
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod balance;
+mod crash_reports;
 mod cx;
 mod entry;
 pub mod events;
@@ -22,7 +23,6 @@
 pub mod neighbourhood;
 mod neighbours;
 pub mod orphans;
-mod parts;
 pub mod quarantine;
 mod relay;
 pub mod routes;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -20,7 +20,7 @@
     quarantine::{
         CrashReport,
         Feature,
-        PartList, //
+        FeatureList, //
     },
     state::{
         NewJob,
@@ -80,10 +80,10 @@
     PassOn(Box<HubRequest>),
     /// Record requests that crashes of their targets cut off before the first event.
     ReportCrashes(Vec<CrashReport>),
-    /// Record that targets have begun to answer requests with these prompt parts.
-    ProveParts(Vec<Feature>),
-    /// Ask for the trial of a quarantined prompt part. [`HubReply::NotFound`] if none is due.
-    TryPart(Feature),
+    /// Record that targets have begun to answer requests with these features.
+    ProveFeatures(Vec<Feature>),
+    /// Ask for the trial of a quarantined feature. [`HubReply::NotFound`] if none is due.
+    TryFeature(Feature),
 }
 
 /// The reply to a request.
@@ -143,9 +143,9 @@
     },
     /// Number of requests that the follower has in flight at each target.
     Loads(Vec<(TargetKey, u32)>),
-    /// The follower understands [`LeaderMessage::Parts`]. One of the version before would drop the
+    /// The follower understands [`LeaderMessage::Features`]. One of the version before would drop the
     /// connection.
-    AcceptsParts,
+    AcceptsFeatures,
     /// A response of this start of a target said that it drains. A leader of the version before ignores
     /// the message.
     Drains(TargetKey),
@@ -165,9 +165,9 @@
     Neighbours(Neighbourhood),
     /// All followers were sent the notification with this number.
     Noted(u64),
-    /// Prompt parts that are quarantined or suspected. Sent to followers that accept it, on connection and
+    /// Features that are quarantined or suspected. Sent to followers that accept it, on connection and
     /// after each change.
-    Parts(PartList),
+    Features(FeatureList),
 }
 
 /// An encoded [`LeaderMessage`]. Encoded once, also if it goes to many followers.
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! Evidence against prompt parts, from crashes of targets.
+//! Evidence against features of requests, from crashes of targets.
 
 use std::collections::{
     BTreeMap,
@@ -15,7 +15,7 @@
 
 use super::Feature;
 
-/// Consecutive crashes after which a part is quarantined. Two in a row can be a coincidence.
+/// Consecutive crashes after which a feature is quarantined. Two in a row can be a coincidence.
 const CRASHES_TO_QUARANTINE: usize = 3;
 /// Time after a crash from which a request counts as sent after it. Reports of one moment arrive at
 /// different times.
@@ -23,14 +23,14 @@
 /// How long before a crash the next repeat of a whole request may seem to have been sent: an entry sends it
 /// again as soon as its connection breaks, and reports travel for different times.
 const REPEAT_MARGIN: Millis = Millis(50);
-/// How long a crash counts. Requests with a part may be rare.
+/// How long a crash counts. Requests with a feature may be rare.
 const EVIDENCE_LIFETIME: Millis = Millis::from_secs(600);
 /// Longest time between two reports of one crash of a target. A report of another time is of another crash:
 /// the first one may have been a reset of connections, after which the same start of the target goes on.
 const MAX_REPORT_SPREAD: Millis = Millis::from_secs(5);
 /// Crashes that are kept. The oldest is dropped beyond that.
 const MAX_CRASHES: usize = 256;
-/// Suspected parts that instances watch for.
+/// Suspected features that instances watch for.
 const MAX_SUSPECTED: usize = 64;
 /// Requests that are kept of one crash: more than the slots of a target.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
@@ -46,8 +46,8 @@
 pub struct CrashReport {
     /// Start of the target that crashed.
     pub target: TargetKey,
-    /// Shared parts of the prompt, in order.
-    pub parts: Vec<Feature>,
+    /// Features of the request: the shared parts of its prompt in order, then the whole request.
+    pub features: Vec<Feature>,
     /// Time from when the request was sent to the crash.
     pub ran_for: Millis,
     /// Time since the crash.
@@ -56,17 +56,17 @@
 
 #[derive(Debug)]
 struct CutOffRequest {
-    parts: Vec<Feature>,
+    features: Vec<Feature>,
     sent_at: Millis,
 }
 
 impl CutOffRequest {
     /// The whole request. `None` for a batch item.
     fn whole(&self) -> Option<Feature> {
-        self.parts
+        self.features
             .iter()
             .copied()
-            .find(|part| part.is_whole_request())
+            .find(|feature| feature.is_whole_request())
     }
 }
 
@@ -98,9 +98,9 @@
 }
 
 impl Crash {
-    fn parts(&self) -> Vec<Feature> {
-        let parts = self.requests.iter().flat_map(|request| &request.parts);
-        parts.copied().collect()
+    fn features(&self) -> Vec<Feature> {
+        let features = self.requests.iter().flat_map(|request| &request.features);
+        features.copied().collect()
     }
 
     /// Records a cause. Returns whether that changes what the crash is evidence against.
@@ -124,7 +124,7 @@
     fn suspects(&self, feature: Feature) -> impl Iterator<Item = &CutOffRequest> {
         let requests = self.requests.iter();
         requests.filter(move |request| {
-            request.parts.contains(&feature) && self.is_evidence(request, feature)
+            request.features.contains(&feature) && self.is_evidence(request, feature)
         })
     }
 
@@ -135,7 +135,7 @@
         if !cause.is_whole_request() {
             return false;
         }
-        if request.parts.contains(&cause) {
+        if request.features.contains(&cause) {
             // One of its own parts may be what crashes targets.
             return cause != feature;
         }
@@ -144,16 +144,16 @@
     }
 }
 
-/// Recent crashes, and the parts that were there.
+/// Recent crashes, and the features that were there.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
     /// Ordered by time.
     crashes: VecDeque<Crash>,
-    /// Consecutive crashes of each part, at least one.
+    /// Consecutive crashes of each feature, at least one.
     counts: BTreeMap<Feature, usize>,
-    /// When a target last began to answer a request with a part. Only parts of recent crashes.
+    /// When a target last began to answer a request with a feature. Only features of recent crashes.
     proved_at: BTreeMap<Feature, Millis>,
-    /// Parts that were in the crashes of a culprit, before it in the prompts, and when the last of these
+    /// Features that were in the crashes of a culprit, before it in the prompts, and when the last of these
     /// crashes was. No target has begun to answer a request with them since.
     passed_over: BTreeMap<Feature, Millis>,
     /// Culprits that no target has begun to answer since. They are not found a second time.
@@ -174,21 +174,21 @@
             return false;
         }
         let becomes_explained = cause.is_some_and(|cause| crash.explain(Cause::Known(cause)));
-        let parts = report.parts.clone();
+        let features = report.features.clone();
         let mut requests = crash.requests.iter_mut();
-        if let Some(known) = requests.find(|known| known.parts == report.parts) {
+        if let Some(known) = requests.find(|known| known.features == report.features) {
             known.sent_at = known.sent_at.max(sent_at);
         } else if crash.requests.len() < MAX_REQUESTS_PER_CRASH {
             crash.requests.push(CutOffRequest {
-                parts: report.parts,
+                features: report.features,
                 sent_at,
             });
         }
         if becomes_explained {
-            let affected = crash.parts();
+            let affected = crash.features();
             self.recount(affected);
         }
-        self.recount(parts);
+        self.recount(features);
         true
     }
 
@@ -206,7 +206,7 @@
                 if self.crashes.len() == MAX_CRASHES
                     && let Some(dropped) = self.crashes.pop_front()
                 {
-                    self.recount(dropped.parts());
+                    self.recount(dropped.features());
                 }
                 self.insert(Crash {
                     target,
@@ -233,7 +233,7 @@
         let Some(mut crash) = self.crashes.remove(position) else {
             return position;
         };
-        let affected = crash.parts();
+        let affected = crash.features();
         crash.at = at;
         crash.requests.retain(|request| request.sent_at <= at);
         let position = self.insert(crash);
@@ -241,14 +241,14 @@
         position
     }
 
-    /// Records that a target has begun to answer a request with these parts.
-    pub fn prove(&mut self, parts: &[Feature], now: Millis) {
+    /// Records that a target has begun to answer a request with these features.
+    pub fn prove(&mut self, features: &[Feature], now: Millis) {
         let now = evidence_time(now);
-        for part in parts {
-            self.passed_over.remove(part);
-            self.taken.remove(part);
-            if self.counts.remove(part).is_some() {
-                self.proved_at.insert(*part, now);
+        for feature in features {
+            self.passed_over.remove(feature);
+            self.taken.remove(feature);
+            if self.counts.remove(feature).is_some() {
+                self.proved_at.insert(*feature, now);
             }
         }
     }
@@ -256,15 +256,17 @@
     /// Features that the next crashes may quarantine, those with most crashes first.
     pub fn suspected(&self) -> Vec<Feature> {
         let counts = self.counts.iter();
-        let close = counts.filter(|(part, count)| {
-            **count + 1 >= CRASHES_TO_QUARANTINE || self.passed_over.contains_key(part)
+        let close = counts.filter(|(feature, count)| {
+            **count + 1 >= CRASHES_TO_QUARANTINE || self.passed_over.contains_key(feature)
         });
-        // A part is in more requests than a whole request, and its quarantine refuses more.
-        let rank = |part: Feature, count| (count, !part.is_whole_request(), part);
-        let mut close: Vec<_> = close.map(|(part, count)| rank(*part, *count)).collect();
+        // A prompt part is in more requests than a whole request, and its quarantine refuses more.
+        let rank = |feature: Feature, count| (count, !feature.is_whole_request(), feature);
+        let mut close: Vec<_> = close
+            .map(|(feature, count)| rank(*feature, *count))
+            .collect();
         close.sort_unstable_by(|a, b| b.cmp(a));
         close.truncate(MAX_SUSPECTED);
-        close.into_iter().map(|(.., part)| part).collect()
+        close.into_iter().map(|(.., feature)| feature).collect()
     }
 
     /// Returns the features to quarantine now, and takes their crashes as explained.
@@ -293,71 +295,70 @@
     /// decides: the later ones may belong to requests that were sent again.
     fn next_culprit(&self) -> Option<Feature> {
         let counts = self.counts.iter();
-        let (first, most) = counts.max_by_key(|(part, count)| (**count, **part))?;
+        let (first, most) = counts.max_by_key(|(feature, count)| (**count, **feature))?;
         if *most < CRASHES_TO_QUARANTINE {
             return None;
         }
         let candidates = self
             .requests_with(*first)
-            .flat_map(|request| &request.parts)
-            .filter_map(|part| self.counts.get_key_value(part));
+            .flat_map(|request| &request.features)
+            .filter_map(|feature| self.counts.get_key_value(feature));
         let close = candidates.filter(|(_, count)| **count + 1 >= *most);
         let close: BTreeMap<_, _> = close.collect();
-        let rank = |part: &Feature| (self.depth(*part), close[part], *part);
-        let last = close.keys().copied().max_by_key(|part| rank(part))?;
-        let hidden = close
-            .keys()
-            .copied()
-            .filter(|part| close[*part] > close[last] && self.passed_over.contains_key(*part));
-        Some(*hidden.max_by_key(|part| rank(part)).unwrap_or(last))
+        let rank = |feature: &Feature| (self.depth(*feature), close[feature], *feature);
+        let last = close.keys().copied().max_by_key(|feature| rank(feature))?;
+        let hidden = close.keys().copied().filter(|feature| {
+            close[*feature] > close[last] && self.passed_over.contains_key(*feature)
+        });
+        Some(*hidden.max_by_key(|feature| rank(feature)).unwrap_or(last))
     }
 
     /// Takes the crashes of a culprit as explained.
     fn take(&mut self, culprit: Feature) {
-        self.pass_over_parts_before(culprit);
+        self.pass_over_features_before(culprit);
         self.taken.insert(culprit);
         let mut affected = vec![culprit];
         for crash in &mut self.crashes {
             if crash.suspects(culprit).next().is_some() {
                 crash.explain(Cause::Found(culprit));
-                affected.extend(crash.parts());
+                affected.extend(crash.features());
             }
         }
         self.recount(affected);
     }
 
-    /// Remembers parts that were in the crashes of a culprit, before it in the prompts.
-    fn pass_over_parts_before(&mut self, culprit: Feature) {
+    /// Remembers features that were in the crashes of a culprit, before it in the prompts.
+    fn pass_over_features_before(&mut self, culprit: Feature) {
         for crash in &self.crashes {
             for request in crash.suspects(culprit) {
-                let mut parts = request.parts.iter();
-                let Some(position) = parts.position(|part| *part == culprit) else {
+                let mut features = request.features.iter();
+                let Some(position) = features.position(|feature| *feature == culprit) else {
                     continue;
                 };
-                let earlier = request.parts[..position].iter();
-                let counted = earlier.filter(|part| self.counts.contains_key(part));
+                let earlier = request.features[..position].iter();
+                let counted = earlier.filter(|feature| self.counts.contains_key(feature));
                 self.passed_over
-                    .extend(counted.map(|part| (*part, crash.at)));
+                    .extend(counted.map(|feature| (*feature, crash.at)));
             }
         }
     }
 
-    fn recount(&mut self, parts: Vec<Feature>) {
-        for part in parts {
-            let count = if self.taken.contains(&part) {
+    fn recount(&mut self, features: Vec<Feature>) {
+        for feature in features {
+            let count = if self.taken.contains(&feature) {
                 0
             } else {
-                self.crashes_in_a_row(part)
+                self.crashes_in_a_row(feature)
             };
             match count {
-                0 => self.counts.remove(&part),
-                count => self.counts.insert(part, count),
+                0 => self.counts.remove(&feature),
+                count => self.counts.insert(feature, count),
             };
         }
     }
 
     /// Number of crashes since a feature was last proved, each with a request that was sent after the crash
-    /// before it. Those of one whole request count once against its parts: it may have crashed its
+    /// before it. Those of one whole request count once against its prompt parts: it may have crashed its
     /// targets by itself.
     fn crashes_in_a_row(&self, feature: Feature) -> usize {
         let proved_at = self.proved_at.get(&feature);
@@ -397,7 +398,7 @@
     fn depth(&self, feature: Feature) -> usize {
         let positions = self
             .requests_with(feature)
-            .filter_map(|request| request.parts.iter().position(|other| *other == feature));
+            .filter_map(|request| request.features.iter().position(|other| *other == feature));
         positions.max().unwrap_or_default()
     }
 
@@ -406,7 +407,7 @@
             .crashes
             .partition_point(|crash| now > crash.at + EVIDENCE_LIFETIME);
         let expired: Vec<_> = self.crashes.drain(..expired).collect();
-        self.recount(expired.iter().flat_map(Crash::parts).collect());
+        self.recount(expired.iter().flat_map(Crash::features).collect());
         self.passed_over
             .retain(|_, crashed_at| now <= *crashed_at + EVIDENCE_LIFETIME);
         self.proved_at
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -1,4 +1,4 @@
-//! Admission of requests by the parts of their prompts, at each instance.
+//! Admission of requests by their features, at each instance.
 
 use std::collections::{
     BTreeMap,
@@ -17,10 +17,10 @@
     CrashEvidence,
     CrashReport,
     Feature,
-    PartList, //
+    FeatureList, //
 };
 
-/// How long a part stays quarantined at first that this instance alone has decided on. The leader decides
+/// How long a feature stays quarantined at first that this instance alone has decided on. The leader decides
 /// as soon as it can be reached.
 const LOCAL_QUARANTINE_PERIOD: Millis = Millis::from_secs(30);
 /// Longest period of such a quarantine.
@@ -34,11 +34,11 @@
 #[value]
 #[derive(Copy)]
 pub enum Admission {
-    /// No part is quarantined.
+    /// No feature is quarantined.
     Allowed,
-    /// A part is quarantined.
+    /// A feature is quarantined.
     Refused(Feature),
-    /// A part is quarantined, and the leader may grant this request as its trial.
+    /// A feature is quarantined, and the leader may grant this request as its trial.
     TrialDue(Feature),
 }
 
@@ -74,20 +74,20 @@
     crashed_at: Millis,
 }
 
-/// Parts that this instance watches or refuses, as last sent by the leader and from its own evidence.
+/// Features that this instance watches or refuses, as last sent by the leader and from its own evidence.
 #[derive(Debug, Default)]
-pub struct PartGuard {
-    list: PartList,
+pub struct FeatureGuard {
+    list: FeatureList,
     /// Whether the leader sent its list over the current connection. It decides then; this instance does
     /// not know which targets others saw crash.
     is_current: bool,
     evidence: CrashEvidence,
-    /// Parts that this instance has quarantined itself.
+    /// Features that this instance has quarantined itself.
     local: BTreeMap<Feature, LocalQuarantine>,
     reports: VecDeque<KeptReport>,
 }
 
-impl PartGuard {
+impl FeatureGuard {
     /// Records that the connection to the leader is lost. Its list stays in force until the next leader has
     /// sent its own.
     pub fn end_connection(&mut self) {
@@ -95,59 +95,59 @@
     }
 
     /// Applies the list of the leader.
-    pub fn apply(&mut self, list: PartList) {
+    pub fn apply(&mut self, list: FeatureList) {
         let is_update = std::mem::replace(&mut self.is_current, true);
-        let known: BTreeSet<_> = self.known_parts().collect();
+        let known: BTreeSet<_> = self.known_features().collect();
         let quarantined = self.list.quarantined.iter();
-        let quarantined: BTreeSet<_> = quarantined.map(|entry| entry.part).collect();
+        let quarantined: BTreeSet<_> = quarantined.map(|entry| entry.feature).collect();
         self.list = list;
-        // A new leader lists what it knows of, which are no suspected parts yet.
+        // A new leader lists what it knows of, which are no suspected features yet.
         if !is_update {
             return;
         }
-        let now_known: BTreeSet<_> = self.known_parts().collect();
+        let now_known: BTreeSet<_> = self.known_features().collect();
         // Crashes that do not count any more are no evidence for the next leader either. Those of a
-        // released part count against none of its requests' parts.
+        // released feature count against none of its requests' features.
         let cleared: BTreeSet<_> = known.difference(&now_known).copied().collect();
-        self.local.retain(|part, _| !cleared.contains(part));
+        self.local.retain(|feature, _| !cleared.contains(feature));
         self.reports.retain_mut(|kept| {
-            let parts = &mut kept.report.parts;
-            let was_released = parts
+            let features = &mut kept.report.features;
+            let was_released = features
                 .iter()
-                .any(|part| cleared.contains(part) && quarantined.contains(part));
-            parts.retain(|part| !cleared.contains(part));
-            !was_released && !parts.is_empty()
+                .any(|feature| cleared.contains(feature) && quarantined.contains(feature));
+            features.retain(|feature| !cleared.contains(feature));
+            !was_released && !features.is_empty()
         });
     }
 
     /// The list that this instance passes on to those which follow the leader through it.
-    pub fn list(&self) -> &PartList {
+    pub fn list(&self) -> &FeatureList {
         &self.list
     }
 
-    fn known_parts(&self) -> impl Iterator<Item = Feature> {
-        let quarantined = self.list.quarantined.iter().map(|entry| entry.part);
+    fn known_features(&self) -> impl Iterator<Item = Feature> {
+        let quarantined = self.list.quarantined.iter().map(|entry| entry.feature);
         quarantined.chain(self.list.suspected.iter().copied())
     }
 
-    /// Whether there is a part whose requests are refused.
+    /// Whether there is a feature whose requests are refused.
     pub fn refuses_any(&self) -> bool {
         !self.list.quarantined.is_empty() || !self.is_current && !self.local.is_empty()
     }
 
-    /// Decides on a request with these parts.
-    pub fn admit(&self, parts: &[Feature], now: Millis) -> Admission {
+    /// Decides on a request with these features.
+    pub fn admit(&self, features: &[Feature], now: Millis) -> Admission {
         let mut due = None;
-        for part in parts {
+        for feature in features {
             let mut quarantined = self.list.quarantined.iter();
-            let listed = quarantined.find(|entry| entry.part == *part);
-            let local = self.local.get(part);
+            let listed = quarantined.find(|entry| entry.feature == *feature);
+            let local = self.local.get(feature);
             match listed {
-                // The leader grants trials also of parts that this instance has quarantined itself.
-                Some(entry) if entry.trial_due => due = due.or(Some(*part)),
-                Some(_) => return Admission::Refused(*part),
+                // The leader grants trials also of features that this instance has quarantined itself.
+                Some(entry) if entry.trial_due => due = due.or(Some(*feature)),
+                Some(_) => return Admission::Refused(*feature),
                 None if !self.is_current && local.is_some_and(|local| local.is_active(now)) => {
-                    return Admission::Refused(*part);
+                    return Admission::Refused(*feature);
                 }
                 None => {}
             }
@@ -155,32 +155,32 @@
         due.map_or(Admission::Allowed, Admission::TrialDue)
     }
 
-    /// The quarantined ones of these parts, without those whose trial is due.
-    pub fn refused_parts(&self, parts: &[Feature], now: Millis) -> Vec<Feature> {
+    /// The quarantined ones of these features, without those whose trial is due.
+    pub fn refused_features(&self, features: &[Feature], now: Millis) -> Vec<Feature> {
         let is_refused =
-            |part: &Feature| matches!(self.admit(&[*part], now), Admission::Refused(_));
-        parts.iter().copied().filter(is_refused).collect()
+            |feature: &Feature| matches!(self.admit(&[*feature], now), Admission::Refused(_));
+        features.iter().copied().filter(is_refused).collect()
     }
 
     /// Records a request that a crash cut off before its first event. Returns the report for the leader, if it
-    /// is evidence, and the parts that are quarantined here from now on.
+    /// is evidence, and the features that are quarantined here from now on.
     pub fn record_crash(
         &mut self,
         target: TargetKey,
-        parts: &[Feature],
+        features: &[Feature],
         ran_for: Millis,
         now: Millis,
     ) -> (Option<CrashReport>, Vec<Feature>) {
         let report = CrashReport {
             target,
-            parts: parts.to_vec(),
+            features: features.to_vec(),
             ran_for,
             age: Millis::ZERO,
         };
-        let mut parts = report.parts.iter().copied();
-        let known = parts.find(|part| self.local.contains_key(part));
-        let cause = match self.admit(&report.parts, now) {
-            Admission::Refused(part) | Admission::TrialDue(part) => Some(part),
+        let mut features = report.features.iter().copied();
+        let known = features.find(|feature| self.local.contains_key(feature));
+        let cause = match self.admit(&report.features, now) {
+            Admission::Refused(feature) | Admission::TrialDue(feature) => Some(feature),
             Admission::Allowed => known,
         };
         if !self.evidence.record(report.clone(), cause, now) {
@@ -203,17 +203,17 @@
         (Some(report), culprits)
     }
 
-    /// Quarantines parts by the evidence of this instance, or renews the earlier quarantine of `known`.
+    /// Quarantines features by the evidence of this instance, or renews the earlier quarantine of `known`.
     fn quarantine_locally(&mut self, known: Option<Feature>, now: Millis) -> Vec<Feature> {
-        if let Some(part) = known
-            && let Some(local) = self.local.get_mut(&part)
+        if let Some(feature) = known
+            && let Some(local) = self.local.get_mut(&feature)
         {
             // Others were sent before the quarantine.
             if local.is_active(now) {
                 return Vec::new();
             }
             local.renew(now);
-            return vec![part];
+            return vec![feature];
         }
         let culprits = self.evidence.take_culprits();
         for culprit in &culprits {
@@ -223,17 +223,17 @@
         culprits
     }
 
-    /// Records that a target has begun to answer a request with these parts. Returns those that the leader
+    /// Records that a target has begun to answer a request with these features. Returns those that the leader
     /// has to know of.
-    pub fn prove(&mut self, parts: &[Feature], now: Millis) -> Vec<Feature> {
-        if parts.is_empty() {
+    pub fn prove(&mut self, features: &[Feature], now: Millis) -> Vec<Feature> {
+        if features.is_empty() {
             return Vec::new();
         }
-        self.evidence.prove(parts, now);
-        self.local.retain(|part, _| !parts.contains(part));
-        let known: BTreeSet<_> = self.known_parts().collect();
-        let parts = parts.iter().copied();
-        parts.filter(|part| known.contains(part)).collect()
+        self.evidence.prove(features, now);
+        self.local.retain(|feature, _| !features.contains(feature));
+        let known: BTreeSet<_> = self.known_features().collect();
+        let features = features.iter().copied();
+        features.filter(|feature| known.contains(feature)).collect()
     }
 
     /// Recent crashes that this instance saw, for a new leader.
--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -1,4 +1,4 @@
-//! The leader's decisions about prompt parts.
+//! The leader's decisions about features.
 
 use std::collections::BTreeMap;
 
@@ -13,11 +13,11 @@
     Feature, //
 };
 
-/// Time from quarantine to the first trial. A part that was quarantined by coincidence is served again
+/// Time from quarantine to the first trial. A feature that was quarantined by coincidence is served again
 /// soon.
 const FIRST_TRIAL_DELAY: Millis = Millis::from_secs(10);
-/// Times before the first and the second batch item that runs with a quarantined part as a trial of its own:
-/// from the quarantine, and from the first one. Items do not crash targets by themselves, so the part
+/// Times before the first and the second batch item that runs with a quarantined feature as a trial of its own:
+/// from the quarantine, and from the first one. Items do not crash targets by themselves, so the feature
 /// may be sound, and an item is owed where a request of a caller can be refused.
 const ITEM_TRIAL_DELAYS: [Millis; 2] = [Millis(500), Millis(2_000)];
 /// Growth of the time between two trials: each one may cost a target with all its requests.
@@ -26,34 +26,34 @@
 /// request that one of them sent to a target which was down already may look like the cause of its crash.
 /// Entries follow the new leader by then.
 const COLLECTION_PERIOD: Millis = Millis(600);
-/// Shortest time between trials of different parts. One trial may crash the target of another, which would
+/// Shortest time between trials of different features. One trial may crash the target of another, which would
 /// count against both.
 const TRIAL_SPACING: Millis = Millis(1_000);
 /// Longest time between two trials.
 const MAX_TRIAL_DELAY: Millis = Millis::from_secs(24 * 3_600);
 
-/// A quarantined part.
+/// A quarantined feature.
 #[record]
 #[derive(Copy)]
-pub struct QuarantinedPart {
-    /// The part.
-    pub part: Feature,
+pub struct QuarantinedFeature {
+    /// The feature.
+    pub feature: Feature,
     /// Whether the leader grants a trial to the next request with it.
     pub trial_due: bool,
 }
 
-/// Parts that all instances know of.
+/// Features that all instances know of.
 #[record]
 #[derive(Default)]
-pub struct PartList {
-    /// Parts whose requests are refused.
-    pub quarantined: Vec<QuarantinedPart>,
-    /// Parts with some evidence against them. Instances report responses to requests with them.
+pub struct FeatureList {
+    /// Features whose requests are refused.
+    pub quarantined: Vec<QuarantinedFeature>,
+    /// Features with some evidence against them. Instances report responses to requests with them.
     pub suspected: Vec<Feature>,
 }
 
-impl PartList {
-    /// Whether it names no part.
+impl FeatureList {
+    /// Whether it names no feature.
     pub fn is_empty(&self) -> bool {
         self.quarantined.is_empty() && self.suspected.is_empty()
     }
@@ -70,7 +70,7 @@
 }
 
 impl Quarantine {
-    /// A part that targets have just crashed under.
+    /// A feature that targets have just crashed under.
     fn begin(now: Millis) -> Self {
         Self {
             item_trials: 0,
@@ -78,7 +78,7 @@
         }
     }
 
-    /// A part that an earlier leader quarantined. One item is tried.
+    /// A feature that an earlier leader quarantined. One item is tried.
     fn restore(trials: u32, now: Millis) -> Self {
         Self {
             item_trials: ITEM_TRIAL_DELAYS.len() - 1,
@@ -86,7 +86,7 @@
         }
     }
 
-    /// A part with this many trials so far. Items wait for the next one.
+    /// A feature with this many trials so far. Items wait for the next one.
     fn resume(trials: u32, now: Millis) -> Self {
         let factor = TRIAL_DELAY_FACTOR.saturating_pow(trials);
         let delay = Millis(FIRST_TRIAL_DELAY.0.saturating_mul(factor));
@@ -99,7 +99,7 @@
     }
 }
 
-/// Decides, at the leader, which parts are quarantined, and grants trials.
+/// Decides, at the leader, which features are quarantined, and grants trials.
 #[derive(Debug, Default)]
 pub struct QuarantineManager {
     evidence: CrashEvidence,
@@ -111,7 +111,7 @@
 }
 
 impl QuarantineManager {
-    /// Continues with the recorded parts and the number of trials of each, as a new leader. The time to the
+    /// Continues with the recorded features and the number of trials of each, as a new leader. The time to the
     /// next trial starts anew.
     pub fn restore<I>(recorded: I, now: Millis) -> Self
     where
@@ -119,7 +119,7 @@
     {
         let quarantined = recorded
             .into_iter()
-            .map(|(part, trials)| (part, Quarantine::restore(trials, now)));
+            .map(|(feature, trials)| (feature, Quarantine::restore(trials, now)));
         Self {
             evidence: CrashEvidence::default(),
             quarantined: quarantined.collect(),
@@ -128,16 +128,16 @@
         }
     }
 
-    /// Records a request that a crash cut off. Returns the parts that are quarantined from now on.
+    /// Records a request that a crash cut off. Returns the features that are quarantined from now on.
     pub fn record_crash(&mut self, report: CrashReport, now: Millis) -> Vec<Feature> {
-        let mut features = report.parts.iter();
+        let mut features = report.features.iter();
         let cause = features.find(|feature| self.quarantined.contains_key(feature));
         let cause = cause.copied();
         self.evidence.record(report, cause, now);
         self.decide(now)
     }
 
-    /// Returns the parts that are quarantined from now on.
+    /// Returns the features that are quarantined from now on.
     pub fn decide(&mut self, now: Millis) -> Vec<Feature> {
         if now < self.decides_from {
             return Vec::new();
@@ -150,18 +150,18 @@
         culprits
     }
 
-    /// Records that a target has begun to answer a request with these parts. Returns those that are
+    /// Records that a target has begun to answer a request with these features. Returns those that are
     /// released.
-    pub fn prove(&mut self, parts: &[Feature], now: Millis) -> Vec<Feature> {
-        self.evidence.prove(parts, now);
-        let parts = parts.iter().copied();
-        let released = parts.filter(|part| self.quarantined.remove(part).is_some());
+    pub fn prove(&mut self, features: &[Feature], now: Millis) -> Vec<Feature> {
+        self.evidence.prove(features, now);
+        let features = features.iter().copied();
+        let released = features.filter(|feature| self.quarantined.remove(feature).is_some());
         released.collect()
     }
 
-    /// Grants a trial of a part if one is due. Returns the number of its trials so far.
-    pub fn grant_trial(&mut self, part: Feature, now: Millis) -> Option<u32> {
-        let quarantine = self.quarantined.get_mut(&part)?;
+    /// Grants a trial of a feature if one is due. Returns the number of its trials so far.
+    pub fn grant_trial(&mut self, feature: Feature, now: Millis) -> Option<u32> {
+        let quarantine = self.quarantined.get_mut(&feature)?;
         if now < quarantine.next_trial_at.max(self.no_trial_until) {
             return None;
         }
@@ -171,9 +171,9 @@
         Some(trials)
     }
 
-    /// Grants a batch item with a quarantined part a trial of its own. True if one is due.
-    pub fn grant_item_trial(&mut self, part: Feature, now: Millis) -> bool {
-        let Some(quarantine) = self.quarantined.get_mut(&part) else {
+    /// Grants a batch item with a quarantined feature a trial of its own. True if one is due.
+    pub fn grant_item_trial(&mut self, feature: Feature, now: Millis) -> bool {
+        let Some(quarantine) = self.quarantined.get_mut(&feature) else {
             return false;
         };
         let delay = ITEM_TRIAL_DELAYS.get(quarantine.item_trials);
@@ -186,8 +186,8 @@
     }
 
     /// Takes a trial back that no target ran.
-    pub fn return_item_trial(&mut self, part: Feature, now: Millis) {
-        if let Some(quarantine) = self.quarantined.get_mut(&part)
+    pub fn return_item_trial(&mut self, feature: Feature, now: Millis) {
+        if let Some(quarantine) = self.quarantined.get_mut(&feature)
             && now < quarantine.next_trial_at
         {
             quarantine.item_trials = quarantine.item_trials.saturating_sub(1);
@@ -195,15 +195,15 @@
     }
 
     /// What all instances have to know.
-    pub fn list(&self, now: Millis) -> PartList {
+    pub fn list(&self, now: Millis) -> FeatureList {
         let quarantined = self.quarantined.iter();
-        let quarantined = quarantined.map(|(part, quarantine)| QuarantinedPart {
-            part: *part,
+        let quarantined = quarantined.map(|(feature, quarantine)| QuarantinedFeature {
+            feature: *feature,
             trial_due: now >= quarantine.next_trial_at,
         });
         let mut suspected = self.evidence.suspected();
-        suspected.retain(|part| !self.quarantined.contains_key(part));
-        PartList {
+        suspected.retain(|feature| !self.quarantined.contains_key(feature));
+        FeatureList {
             quarantined: quarantined.collect(),
             suspected,
         }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -29,7 +29,7 @@
         LeaderFrame,
         LeaderMessage, //
     },
-    quarantine::PartList,
+    quarantine::FeatureList,
 };
 
 /// Time limit for the leader to answer a forwarded request.
@@ -41,8 +41,8 @@
     direct: bool,
     next_id: u64,
     followers: HashMap<u64, mpsc::Sender<LeaderFrame>>,
-    /// Followers that understand lists of prompt parts.
-    accept_parts: HashSet<u64>,
+    /// Followers that understand lists of features.
+    accept_features: HashSet<u64>,
 }
 
 /// Instances that follow the leader through this entry.
@@ -79,16 +79,16 @@
             return;
         }
         let frame = LeaderFrame::from(message);
-        let is_parts = matches!(message, LeaderMessage::Parts(_));
+        let is_parts = matches!(message, LeaderMessage::Features(_));
         let Inner {
             followers,
-            accept_parts,
+            accept_features,
             ..
         } = &mut *inner;
         followers.retain(|id, tx| {
-            (is_parts && !accept_parts.contains(id)) || tx.try_send(frame.clone()).is_ok()
+            (is_parts && !accept_features.contains(id)) || tx.try_send(frame.clone()).is_ok()
         });
-        accept_parts.retain(|id| followers.contains_key(id));
+        accept_features.retain(|id| followers.contains_key(id));
     }
 
     fn add(&self, tx: mpsc::Sender<LeaderFrame>, initial: Vec<LeaderMessage>) -> Option<u64> {
@@ -105,13 +105,13 @@
         Some(id)
     }
 
-    /// Sends the list of parts to a follower that accepts it, now and after each change.
-    fn accept_parts(&self, follower: u64, list: PartList) {
+    /// Sends the list of features to a follower that accepts it, now and after each change.
+    fn accept_features(&self, follower: u64, list: FeatureList) {
         let mut inner = self.inner();
-        let frame = LeaderFrame::from(&LeaderMessage::Parts(list));
+        let frame = LeaderFrame::from(&LeaderMessage::Features(list));
         let tx = inner.followers.get(&follower);
         if tx.is_some_and(|tx| tx.try_send(frame).is_ok()) {
-            inner.accept_parts.insert(follower);
+            inner.accept_features.insert(follower);
         }
     }
 
@@ -166,9 +166,9 @@
                 self.cx.send_to_leader(FollowerMessage::Drains(target));
                 return;
             }
-            FollowerMessage::AcceptsParts => {
-                let list = self.cx.part_guard().list().clone();
-                return self.cx.relay.accept_parts(follower, list);
+            FollowerMessage::AcceptsFeatures => {
+                let list = self.cx.feature_guard().list().clone();
+                return self.cx.relay.accept_features(follower, list);
             }
             // The leader counts only the loads of its direct followers.
             FollowerMessage::Hello { .. } | FollowerMessage::Loads(_) => return,
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -120,14 +120,14 @@
     /// Replaces the recorded addresses of the stores, so that they find each other after a power
     /// loss.
     NoteStores(BTreeMap<InstanceName, IpAddr>),
-    /// Records that prompt parts are quarantined.
+    /// Records that features are quarantined.
     Quarantine {
-        /// The parts.
-        parts: Vec<Feature>,
+        /// The features.
+        features: Vec<Feature>,
         /// Trials granted to each so far.
         trials: u32,
     },
-    /// Releases prompt parts from quarantine.
+    /// Releases features from quarantine.
     Release(Vec<Feature>),
 }
 
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -1,5 +1,5 @@
 //! Replicated state: the manifest, batch jobs, retiring instances, known targets and stores, and
-//! quarantined prompt parts.
+//! quarantined features.
 //!
 //! # Invariants
 //!
@@ -56,11 +56,11 @@
     retiring: BTreeSet<InstanceName>,
     targets: BTreeMap<TargetName, TargetRecord>,
     stores: BTreeMap<InstanceName, IpAddr>,
-    /// Quarantined prompt parts, and the trials granted to each so far.
+    /// Quarantined features, and the trials granted to each so far.
     quarantined: BTreeMap<Feature, u32>,
 }
 
-/// Encoding of an empty map, with which [`State`] ends if no part is quarantined.
+/// Encoding of an empty map, with which [`State`] ends if no feature is quarantined.
 const EMPTY_MAP: u8 = 0;
 
 impl State {
@@ -104,14 +104,14 @@
                 self.stores = stores;
                 CommandOutcome::Done
             }
-            Command::Quarantine { parts, trials } => {
-                let entries = parts.into_iter().map(|part| (part, trials));
+            Command::Quarantine { features, trials } => {
+                let entries = features.into_iter().map(|feature| (feature, trials));
                 self.quarantined.extend(entries);
                 CommandOutcome::Done
             }
-            Command::Release(parts) => {
-                for part in parts {
-                    self.quarantined.remove(&part);
+            Command::Release(features) => {
+                for feature in features {
+                    self.quarantined.remove(&feature);
                 }
                 CommandOutcome::Done
             }
@@ -206,7 +206,7 @@
         &self.stores
     }
 
-    /// The quarantined prompt parts, and the trials granted to each so far.
+    /// The quarantined features, and the trials granted to each so far.
     pub fn quarantined(&self) -> &BTreeMap<Feature, u32> {
         &self.quarantined
     }
@@ -230,7 +230,7 @@
 
     fn restore(data: &[u8]) -> Result<Self, postcard::Error> {
         postcard::from_bytes(data).or_else(|error| {
-            // A snapshot of a version that knew no quarantined parts ends before them.
+            // A snapshot of a version that knew no quarantined features ends before them.
             let extended = [data, &[EMPTY_MAP]].concat();
             postcard::from_bytes(&extended).map_err(|_| error)
         })
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -1,6 +1,6 @@
 //! The leader's followers: collects their loads and announcements, and sends them updates.
 
-mod parts;
+mod quarantine;
 
 use std::{
     collections::{
@@ -44,7 +44,7 @@
     neighbourhood::Neighbourhoods,
     orphans::OrphanedItems,
     quarantine::{
-        PartList,
+        FeatureList,
         QuarantineManager, //
     },
     state::Command,
@@ -83,8 +83,8 @@
     /// LoadGroup whose loads the follower was sent.
     group: Option<LoadGroup>,
     sent_at: Millis,
-    /// Whether it understands lists of prompt parts.
-    accepts_parts: bool,
+    /// Whether it understands lists of features.
+    accepts_features: bool,
 }
 
 impl Follower {
@@ -119,10 +119,10 @@
     batch: BTreeMap<TargetKey, u32>,
     /// Items of the leader before this one, if it vanished.
     orphans: OrphanedItems,
-    /// Decisions on prompt parts.
+    /// Decisions on features.
     quarantine: QuarantineManager,
-    /// Prompt parts as last sent to followers.
-    sent_parts: PartList,
+    /// Features as last sent to followers.
+    sent_features: FeatureList,
     /// Version of the manifest last sent to followers.
     sent_version: u64,
     /// When this instance became leader and loaded the recorded targets. `None` if it does not
@@ -186,7 +186,7 @@
             loads: Vec::new(),
             group: None,
             sent_at: Millis::ZERO,
-            accepts_parts: false,
+            accepts_features: false,
         };
         inner.followers.insert(id, follower);
         Some(id)
@@ -272,7 +272,7 @@
                 }
                 self.inner().neighbours_changed = true;
             }
-            FollowerMessage::AcceptsParts => self.send_parts_to(follower),
+            FollowerMessage::AcceptsFeatures => self.send_features_to(follower),
             FollowerMessage::Drains(target) => self.mark_draining(target),
             FollowerMessage::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
@@ -450,11 +450,11 @@
         let now = self.cx.clock.now();
         if !was_leader {
             self.take_over_items(now);
-            self.load_recorded_parts(now);
+            self.load_recorded_features(now);
             self.load_recorded_targets(now);
         }
-        self.decide_on_parts(now);
-        self.send_parts(now);
+        self.decide_on_features(now);
+        self.send_features(now);
         self.record_changes(now);
         let expired = self.cx.targets().expire(TARGET_TIMEOUT, now);
         if !expired.is_empty() {
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -172,8 +172,10 @@
             HubRequest::EndJob(job) => self.propose(Command::End { job }).await,
             HubRequest::StartRetiring(instance) => self.start_retiring(instance).await,
             HubRequest::GetRetiring(instance) => self.get_retiring(&instance).await,
-            HubRequest::ReportCrashes(_) | HubRequest::ProveParts(_) | HubRequest::TryPart(_)
-                if !self.hub.decides_on_parts() =>
+            HubRequest::ReportCrashes(_)
+            | HubRequest::ProveFeatures(_)
+            | HubRequest::TryFeature(_)
+                if !self.hub.decides_on_features() =>
             {
                 self.not_leader()
             }
@@ -181,12 +183,12 @@
                 self.hub.record_crashes(reports);
                 HubReply::Done
             }
-            HubRequest::ProveParts(parts) => {
-                self.hub.prove_parts(&parts);
+            HubRequest::ProveFeatures(features) => {
+                self.hub.prove_features(&features);
                 HubReply::Done
             }
-            HubRequest::TryPart(part) if self.hub.grant_trial(part) => HubReply::Done,
-            HubRequest::TryPart(_) => HubReply::NotFound,
+            HubRequest::TryFeature(feature) if self.hub.grant_trial(feature) => HubReply::Done,
+            HubRequest::TryFeature(_) => HubReply::NotFound,
             HubRequest::Leads if self.is_leader() => HubReply::Done,
             HubRequest::Leads | HubRequest::PassOn(_) => self.not_leader(),
         }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -67,7 +67,7 @@
 use progress::Progress;
 use quarantine::{
     HeldItem,
-    refused_parts, //
+    refused_features, //
 };
 use stream::{
     Report,
@@ -232,15 +232,15 @@
                 };
                 let progress = self.progress.get(&key);
                 let backs_off = progress.is_some_and(|progress| now < progress.retry_at);
-                let refused = refused_parts(&self.cx, item, now);
-                if let Some(part) = refused.first() {
+                let refused = refused_features(&self.cx, item, now);
+                if let Some(feature) = refused.first() {
                     if route.item_lifetime.is_some_and(|most| view.age(now) > most) {
                         abandoned.push((key, job.id.clone()));
                     } else if refused.len() == 1 && !backs_off {
                         waiting.held.push(HeldItem {
                             key,
                             service: service.to_owned(),
-                            part: *part,
+                            feature: *feature,
                             due_at: view.due_at(route.completion_objective),
                         });
                     }
@@ -353,7 +353,7 @@
         }
     }
 
-    /// Starts an item, as a trial of a quarantined prompt part if one is given.
+    /// Starts an item, as a trial of a quarantined feature if one is given.
     fn start(&mut self, key: ItemKey, target: &TargetRecord, trial: Option<Feature>) {
         let Some(job_id) = self.jobs.job_id(key.job) else {
             return;
@@ -377,8 +377,8 @@
             return;
         };
         let is_admitted = match trial {
-            Some(part) => self.hub.grant_item_trial(part),
-            None => self.take_part_admission(&features),
+            Some(feature) => self.hub.grant_item_trial(feature),
+            None => self.take_admission(&features),
         };
         if !is_admitted {
             return;
@@ -443,7 +443,7 @@
                 // repeats them.
                 if let Some(run) = self.runs.get_mut(&run) {
                     if !std::mem::replace(&mut run.has_output, true) && !run.features.is_empty() {
-                        self.hub.prove_parts(&run.features);
+                        self.hub.prove_features(&run.features);
                     }
                     let progress = self.progress.entry(run.key).or_default();
                     progress.lines.extend(lines);
@@ -495,13 +495,13 @@
         if matches!(end, RunEnd::BrokenBeforeOutput) {
             self.record_if_crash(run);
         }
-        if let Some(part) = run.trial
+        if let Some(feature) = run.trial
             && matches!(
                 end,
                 RunEnd::Rejected | RunEnd::Interrupted(Failure::Unreachable)
             )
         {
-            self.hub.return_item_trial(part);
+            self.hub.return_item_trial(feature);
         }
         let progress = self.progress.entry(run.key).or_default();
         match end {
--- a/crates/serving/src/store/runner/quarantine.rs
+++ b/crates/serving/src/store/runner/quarantine.rs
@@ -1,4 +1,4 @@
-//! Batch items whose prompts have a quarantined part, and evidence from the runs of items.
+//! Batch items whose prompts have a quarantined feature, and evidence from the runs of items.
 
 use std::{
     collections::{
@@ -11,8 +11,8 @@
 use yuccaseam_base::Millis;
 
 use crate::{
+    crash_reports::BrokenRequest,
     cx::Cx,
-    parts::BrokenRequest,
     quarantine::{
         Admission,
         Feature, //
@@ -33,16 +33,16 @@
     Runner, //
 };
 
-/// An item that may only run as a trial of a quarantined prompt part.
+/// An item that may only run as a trial of a quarantined feature.
 pub(super) struct HeldItem {
     pub(super) key: ItemKey,
     pub(super) service: String,
-    pub(super) part: Feature,
+    pub(super) feature: Feature,
     pub(super) due_at: Millis,
 }
 
 impl Runner {
-    /// Starts a held item of each part of which a trial is due, at a target that no caller uses.
+    /// Starts a held item of each feature of which a trial is due, at a target that no caller uses.
     pub(super) fn try_held_items(
         &mut self,
         mut held: Vec<HeldItem>,
@@ -57,11 +57,11 @@
         held.sort_by_key(|item| (item.due_at, item.key));
         let mut tried = HashSet::new();
         for item in held {
-            if !tried.insert((item.service.clone(), item.part)) {
+            if !tried.insert((item.service.clone(), item.feature)) {
                 continue;
             }
             if let Some(target) = self.quietest_target(&item.service, online, now) {
-                self.start(item.key, &target, Some(item.part));
+                self.start(item.key, &target, Some(item.feature));
             }
         }
     }
@@ -86,14 +86,14 @@
         quiet.min_by_key(|record| items_at(record.key())).cloned()
     }
 
-    /// Whether an item with these prompt parts may run now. Takes the trial of a quarantined part if one is
+    /// Whether an item with these features may run now. Takes the trial of a quarantined feature if one is
     /// due.
-    pub(super) fn take_part_admission(&self, features: &[Feature]) -> bool {
+    pub(super) fn take_admission(&self, features: &[Feature]) -> bool {
         let now = self.cx.clock.now();
-        let admission = self.cx.part_guard().admit(features, now);
+        let admission = self.cx.feature_guard().admit(features, now);
         match admission {
             Admission::Allowed => true,
-            Admission::TrialDue(part) => self.hub.grant_trial(part),
+            Admission::TrialDue(feature) => self.hub.grant_trial(feature),
             Admission::Refused(_) => false,
         }
     }
@@ -103,7 +103,7 @@
         let request = BrokenRequest {
             target: run.target,
             address: run.address,
-            parts: run.features.clone(),
+            features: run.features.clone(),
             sent_at: run.started_at,
         };
         let (cx, hub) = (Arc::clone(&self.cx), Arc::clone(&self.hub));
@@ -115,12 +115,12 @@
     }
 }
 
-/// The quarantined prompt parts of an item whose trial is not due.
-pub(super) fn refused_parts(cx: &Cx, item: &Item, now: Millis) -> Vec<Feature> {
-    let guard = cx.part_guard();
+/// The quarantined features of an item whose trial is not due.
+pub(super) fn refused_features(cx: &Cx, item: &Item, now: Millis) -> Vec<Feature> {
+    let guard = cx.feature_guard();
     if !guard.refuses_any() {
         return Vec::new();
     }
     let features = Feature::of_item(&item.headers);
-    guard.refused_parts(&features, now)
+    guard.refused_features(&features, now)
 }
--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -11,7 +11,7 @@
         Admission,
         CrashReport,
         Feature,
-        PartGuard,
+        FeatureGuard,
         QuarantineManager, //
     },
     targets::TargetKey,
@@ -59,7 +59,7 @@
         self.target += 1;
         let reports = requests.iter().map(|features| CrashReport {
             target: TargetKey(self.target),
-            parts: features.to_vec(),
+            features: features.to_vec(),
             ran_for: RUN,
             age: Millis::ZERO,
         });
@@ -81,7 +81,7 @@
 
     fn quarantined(&self) -> Vec<Feature> {
         let list = self.manager.list(self.now);
-        list.quarantined.iter().map(|entry| entry.part).collect()
+        list.quarantined.iter().map(|entry| entry.feature).collect()
     }
 }
 
@@ -116,7 +116,7 @@
     for target in 1..=9 {
         let report = CrashReport {
             target: TargetKey(target),
-            parts: vec![poll],
+            features: vec![poll],
             ran_for: Millis(200),
             age: Millis::ZERO,
         };
@@ -247,7 +247,7 @@
 /// Guards against an entry cut off from the leader that crashes target after target.
 #[test]
 fn entry_without_a_leader_quarantines_a_request_by_its_own_evidence() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     let deadly = [whole("deadly")];
     let mut now = Millis(1_000);
     for target in 1..=3 {
@@ -262,7 +262,7 @@
 /// Guards against evidence that is lost with its leader.
 #[test]
 fn next_leader_quarantines_a_request_by_the_crashes_that_entries_report_again() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     let deadly = [whole("deadly")];
     let mut now = Millis(1_000);
     for target in 1..=3 {
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -11,10 +11,10 @@
         Admission,
         CrashReport,
         Feature,
-        PartGuard,
-        PartList,
+        FeatureGuard,
+        FeatureList,
         QuarantineManager,
-        QuarantinedPart, //
+        QuarantinedFeature, //
     },
     targets::TargetKey,
 };
@@ -53,7 +53,7 @@
     fn report(&self, target: u64, parts: &[Feature], ran_for: Millis) -> CrashReport {
         CrashReport {
             target: TargetKey(target),
-            parts: parts.to_vec(),
+            features: parts.to_vec(),
             ran_for,
             age: Millis::ZERO,
         }
@@ -75,7 +75,7 @@
 
     fn quarantined(&self) -> Vec<Feature> {
         let list = self.manager.list(self.now);
-        list.quarantined.iter().map(|entry| entry.part).collect()
+        list.quarantined.iter().map(|entry| entry.feature).collect()
     }
 }
 
@@ -250,7 +250,7 @@
     let list = leader.manager.list(leader.now);
     assert_matches!(
         &list.quarantined[..],
-        [QuarantinedPart {
+        [QuarantinedFeature {
             trial_due: true,
             ..
         }]
@@ -337,16 +337,16 @@
 fn new_leader_has_the_recorded_parts() {
     let mut manager = QuarantineManager::restore([(DEADLY, 0)], Millis::ZERO);
     let list = manager.list(Millis(1));
-    assert_eq!(list.quarantined[0].part, DEADLY);
+    assert_eq!(list.quarantined[0].feature, DEADLY);
     assert!(!list.quarantined[0].trial_due);
     let report = Leader::new().report(1, &PROMPT, RUN);
     assert!(manager.record_crash(report, Millis(2_000)).is_empty());
 }
 
-fn list(trial_due: bool) -> PartList {
-    PartList {
-        quarantined: vec![QuarantinedPart {
-            part: DEADLY,
+fn list(trial_due: bool) -> FeatureList {
+    FeatureList {
+        quarantined: vec![QuarantinedFeature {
+            feature: DEADLY,
             trial_due,
         }],
         suspected: vec![OTHER],
@@ -354,7 +354,7 @@
 }
 
 fn check_admission(parts: &[Feature], trial_due: bool, expected: Admission) {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     guard.apply(list(trial_due));
     assert_eq!(guard.admit(parts, Millis(1)), expected);
 }
@@ -369,7 +369,7 @@
 
 #[test]
 fn answers_are_reported_only_for_parts_that_the_leader_watches() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     guard.apply(list(false));
     assert_eq!(guard.prove(&[FIRST, OTHER], Millis(1)), [OTHER]);
     assert!(guard.prove(&[FIRST], Millis(1)).is_empty());
@@ -379,21 +379,21 @@
 /// next leader does not have.
 #[test]
 fn list_is_in_force_until_the_next_leader_has_sent_its_own() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     guard.apply(list(false));
     guard.end_connection();
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
     guard.apply(list(false));
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Refused(DEADLY));
     guard.end_connection();
-    guard.apply(PartList::default());
+    guard.apply(FeatureList::default());
     assert_eq!(guard.admit(&PROMPT, Millis(1)), Admission::Allowed);
 }
 
 /// Guards against an entry cut off from the leader that crashes target after target.
 #[test]
 fn entry_without_a_leader_quarantines_for_a_time_by_its_own_evidence() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     let mut now = Millis(1_000);
     for target in 1..=3 {
         now += GAP;
@@ -415,8 +415,8 @@
 /// saw and sends requests to targets that are down.
 #[test]
 fn entry_with_a_leader_leaves_the_decision_to_it() {
-    let mut guard = PartGuard::default();
-    guard.apply(PartList::default());
+    let mut guard = FeatureGuard::default();
+    guard.apply(FeatureList::default());
     let mut now = Millis(1_000);
     for target in 1..=3 {
         now += GAP;
@@ -434,7 +434,7 @@
 /// Guards against evidence that is lost with its leader.
 #[test]
 fn next_leader_quarantines_by_the_crashes_that_entries_report_again() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     let mut now = Millis(1_000);
     for target in 1..=3 {
         now += GAP;
@@ -479,7 +479,7 @@
 /// has it.
 #[test]
 fn requests_sent_after_a_crash_are_not_reported_to_the_next_leader() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     let crashed_at = Millis(1_000);
     guard.record_crash(TargetKey(1), &PROMPT, RUN, crashed_at);
     for number in 1..=200 {
@@ -488,18 +488,18 @@
         assert_eq!(report, None);
     }
     let reports = guard.recent_reports(crashed_at + Millis(2_500));
-    let reported: Vec<_> = reports.iter().map(|report| &report.parts[..]).collect();
+    let reported: Vec<_> = reports.iter().map(|report| &report.features[..]).collect();
     assert_eq!(reported, [&PROMPT[..]]);
 }
 
 /// Guards against a part that is quarantined again by evidence from before its release.
 #[test]
 fn crashes_with_a_released_part_are_not_reported_again() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
     guard.record_crash(TargetKey(2), &[OTHER], RUN, Millis(1_000));
     guard.apply(list(false));
-    guard.apply(PartList::default());
+    guard.apply(FeatureList::default());
     assert!(guard.recent_reports(Millis(2_000)).is_empty());
 }
 
@@ -519,15 +519,15 @@
 /// Guards against evidence that an entry drops as it connects to a new leader, which has no list yet.
 #[test]
 fn crashes_with_suspected_parts_are_reported_to_the_next_leader() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
     guard.record_crash(TargetKey(2), &PROMPT, RUN, Millis(1_300));
-    guard.apply(PartList {
+    guard.apply(FeatureList {
         quarantined: Vec::new(),
         suspected: vec![DEADLY],
     });
     guard.end_connection();
-    guard.apply(PartList::default());
+    guard.apply(FeatureList::default());
     assert_eq!(guard.recent_reports(Millis(2_000)).len(), 2);
 }
 
@@ -563,14 +563,14 @@
 /// requests was answered.
 #[test]
 fn crashes_with_a_part_that_is_still_suspected_are_reported_again() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     guard.record_crash(TargetKey(1), &PROMPT, RUN, Millis(1_000));
     guard.record_crash(TargetKey(2), &PROMPT, RUN, Millis(1_300));
-    guard.apply(PartList {
+    guard.apply(FeatureList {
         quarantined: Vec::new(),
         suspected: PROMPT.to_vec(),
     });
-    guard.apply(PartList {
+    guard.apply(FeatureList {
         quarantined: Vec::new(),
         suspected: vec![DEADLY],
     });
@@ -580,7 +580,7 @@
 /// Guards against an entry that refuses a part which the leader has released.
 #[test]
 fn release_by_the_leader_ends_the_quarantine_at_each_entry() {
-    let mut guard = PartGuard::default();
+    let mut guard = FeatureGuard::default();
     let mut now = Millis(1_000);
     for target in 1..=3 {
         now += GAP;
@@ -589,7 +589,7 @@
     guard.apply(list(false));
     guard.apply(list(true));
     assert_eq!(guard.admit(&PROMPT, now), Admission::TrialDue(DEADLY));
-    guard.apply(PartList::default());
+    guard.apply(FeatureList::default());
     assert_eq!(guard.admit(&PROMPT, now), Admission::Allowed);
 }
 
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -217,11 +217,11 @@
     let mut state = State::default();
     let (released, kept) = (part(1), part(2));
     state.apply(Command::Quarantine {
-        parts: vec![released, kept],
+        features: vec![released, kept],
         trials: 0,
     });
     state.apply(Command::Quarantine {
-        parts: vec![kept],
+        features: vec![kept],
         trials: 2,
     });
     state.apply(Command::Release(vec![released]));
