serving: an entry without a leader quarantines a released feature again

Callers may see: a request that crashes target after target through one entry without a leader. Cause: an entry that quarantined a feature itself keeps it as a found culprit until it sees a response to it. If a trial at another entry cleared it, the leader's list ended the quarantine here, but the culprit stayed found, so that later crashes counted nothing while the entry had no leader again. Evidence: found by reading. The new test failed before: "left: Allowed right: Refused(..)". Change: what the leader's list clears may be found again, by further crashes.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Records that the leader has released a feature. Only further crashes are evidence against it.
+    pub fn release(&mut self, feature: Feature) {
+        self.taken.remove(&feature);
+    }
+
     /// Features that the next crashes may quarantine, those with most crashes first.
     pub fn suspected(&self) -> Vec<Feature> {
         let counts = self.counts.iter();
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -110,6 +110,9 @@
         // released part count against none of its requests' parts.
         let cleared: BTreeSet<_> = known.difference(&now_known).copied().collect();
         self.local.retain(|part, _| !cleared.contains(part));
+        for part in &cleared {
+            self.evidence.release(*part);
+        }
         self.reports.retain_mut(|kept| {
             let parts = &mut kept.report.parts;
             let was_released = parts
--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -12,7 +12,9 @@
         CrashReport,
         Feature,
         PartGuard,
-        QuarantineManager, //
+        PartList,
+        QuarantineManager,
+        QuarantinedPart, //
     },
     targets::TargetKey,
 };
@@ -258,6 +260,35 @@
     assert_eq!(guard.admit(&[whole("sound")], now), Admission::Allowed);
 }
 
+/// Guards against an entry that lets a request crash target after target while it has no leader, because it
+/// quarantined it once before and a leader released it.
+#[test]
+fn entry_without_a_leader_quarantines_a_released_request_again() {
+    let mut guard = PartGuard::default();
+    let deadly = [whole("deadly")];
+    let mut now = Millis(1_000);
+    for target in 1..=6 {
+        if target == 4 {
+            let quarantined = PartList {
+                quarantined: vec![QuarantinedPart {
+                    part: deadly[0],
+                    trial_due: true,
+                }],
+                suspected: Vec::new(),
+            };
+            guard.apply(quarantined);
+            guard.apply(PartList::default());
+            guard.end_connection();
+        }
+        now += GAP;
+        assert_eq!(guard.admit(&deadly, now), Admission::Allowed);
+        guard.record_crash(TargetKey(target), &deadly, RUN, now);
+        if target % 3 == 0 {
+            assert_eq!(guard.admit(&deadly, now), Admission::Refused(deadly[0]));
+        }
+    }
+}
+
 /// Guards against evidence that is lost with its leader.
 #[test]
 fn next_leader_quarantines_a_request_by_the_crashes_that_entries_report_again() {
