--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -110,6 +110,9 @@
         // released feature count against none of its requests' features.
         let cleared: BTreeSet<_> = known.difference(&now_known).copied().collect();
         self.local.retain(|feature, _| !cleared.contains(feature));
+        for feature in &cleared {
+            self.evidence.release(*feature);
+        }
         self.reports.retain_mut(|kept| {
             let features = &mut kept.report.features;
             let was_released = features
