serving: a quarantined feature that no request has any more is forgotten

Callers may see: slower admission at every entry, as the list of quarantined features grows, and with it the state of the stores. Each outage that cuts off a request three times adds one, and callers that gave up for good never come to its trial. Found by the review, by reading. Change: a feature whose trial has been due for an hour is released. Evidence: the new test needs the new function; before, a feature left the list by an answered trial only.

--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -31,6 +31,8 @@
 const TRIAL_SPACING: Millis = Millis(1_000);
 /// Longest time between two trials.
 const MAX_TRIAL_DELAY: Millis = Millis::from_secs(24 * 3_600);
+/// How long a trial is due without a request for it, until the feature is released. Bounds the list.
+const UNUSED_RETENTION: Millis = Millis::from_secs(3_600);
 
 /// A quarantined feature.
 #[record]
@@ -159,6 +161,18 @@
         released.collect()
     }
 
+    /// Releases features that no request has had for a long time, and returns them.
+    pub fn release_unused(&mut self, now: Millis) -> Vec<Feature> {
+        let unused = self.quarantined.extract_if(.., |_, quarantine| {
+            now >= quarantine.next_trial_at + UNUSED_RETENTION
+        });
+        let unused: Vec<_> = unused.map(|(feature, _)| feature).collect();
+        for feature in &unused {
+            self.evidence.release(*feature);
+        }
+        unused
+    }
+
     /// Grants a trial of a feature if one is due. Returns the number of its trials so far.
     pub fn grant_trial(&mut self, feature: Feature, now: Millis) -> Option<u32> {
         let quarantine = self.quarantined.get_mut(&feature)?;
--- a/crates/serving/src/store/hub/quarantine.rs
+++ b/crates/serving/src/store/hub/quarantine.rs
@@ -36,10 +36,12 @@
         self.quarantine(culprits, now);
     }
 
-    /// Decides on the evidence of earlier reports.
+    /// Decides on the evidence of earlier reports, and releases what no request has had for long.
     pub(super) fn decide_on_features(&self, now: Millis) {
         let culprits = self.inner().quarantine.decide(now);
         self.quarantine(culprits, now);
+        let unused = self.inner().quarantine.release_unused(now);
+        self.release(unused, now);
     }
 
     /// Records that features are quarantined, and tells the followers.
@@ -62,6 +64,11 @@
     pub(in crate::store) fn prove_features(&self, features: &[Feature]) {
         let now = self.cx.clock.now();
         let released = self.inner().quarantine.prove(features, now);
+        self.release(released, now);
+    }
+
+    /// Records that features are released, and tells the followers.
+    fn release(&self, released: Vec<Feature>, now: Millis) {
         if released.is_empty() {
             return;
         }
--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -246,6 +246,25 @@
     }
 }
 
+/// Guards against a list of quarantined requests that only grows, as callers give up for good.
+#[test]
+fn request_that_does_not_come_again_is_forgotten() {
+    let mut leader = Leader::new();
+    let deadly = whole("deadly");
+    for _ in 0..3 {
+        leader.crash(&[&[deadly]]);
+    }
+    leader.now += Millis::from_secs(3_600);
+    assert!(leader.manager.release_unused(leader.now).is_empty());
+    leader.now += Millis::from_secs(60);
+    assert_eq!(leader.manager.release_unused(leader.now), [deadly]);
+    assert!(leader.quarantined().is_empty());
+    for _ in 0..3 {
+        leader.crash(&[&[deadly]]);
+    }
+    assert_eq!(leader.quarantined(), [deadly]);
+}
+
 /// Guards against an entry cut off from the leader that crashes target after target.
 #[test]
 fn entry_without_a_leader_quarantines_a_request_by_its_own_evidence() {
