--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -18,3 +18,4 @@
 mod state;
 mod support;
 mod targets;
+mod trials;
