serving: the quarantine of a whole request hides none of its prompt parts

Cause: a part before the culprit in the prompt counts as hidden by it, and a hidden part wins over later ones with fewer crashes. That holds for prompt parts, whose crashes count against no other part once they are explained. Crashes of a whole request still count against its parts, so none is hidden; but each was marked, the popular first part too, which then won over the deadly one. The new test failed before: left [Feature(241)], the first part, right [Feature(53261)], the deadly one. Change: only a quarantined prompt part marks the parts before it.

--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -320,7 +320,10 @@
 
     /// Takes the crashes of a culprit as explained.
     fn take(&mut self, culprit: Feature) {
-        self.pass_over_features_before(culprit);
+        // A whole request hides none of its parts: its crashes still count once against each.
+        if !culprit.is_whole_request() {
+            self.pass_over_features_before(culprit);
+        }
         self.taken.insert(culprit);
         let mut affected = vec![culprit];
         for crash in &mut self.crashes {
--- a/crates/serving/tests/all/deadly_requests.rs
+++ b/crates/serving/tests/all/deadly_requests.rs
@@ -19,6 +19,10 @@
     targets::TargetKey,
 };
 
+const fn part(id: u128) -> Feature {
+    Feature::prompt_part(PromptPart(id))
+}
+
 const FIRST: Feature = Feature::prompt_part(PromptPart(0xf1));
 const SESSION: Feature = Feature::prompt_part(PromptPart(0x51));
 /// Time from a request to the crash that it causes.
@@ -218,6 +222,23 @@
     assert!(!leader.quarantined().contains(&FIRST));
 }
 
+/// Guards against a sound part that is blamed in place of a later one, because a whole request with it was
+/// quarantined before.
+#[test]
+fn later_part_is_blamed_after_a_request_with_the_same_first_part_was_quarantined() {
+    let mut leader = Leader::new();
+    let (other, deadly) = (part(0xdead), part(0xd00d));
+    for _ in 0..3 {
+        leader.crash(&[&[FIRST, part(1), other, whole("one")]]);
+    }
+    assert_eq!(leader.quarantined(), [whole("one")]);
+    leader.crash(&[&[FIRST, part(2), deadly, whole("two")]]);
+    assert_eq!(
+        leader.crash(&[&[FIRST, part(3), deadly, whole("three")]]),
+        [deadly]
+    );
+}
+
 /// Guards against a quarantine of a request that targets answer in between.
 #[test]
 fn answered_request_is_cleared_of_the_crashes_before() {
