--- a/crates/serving/src/crash_reports.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -71,8 +71,8 @@
     });
 }
 
-/// Records that a target has begun to answer a request, and tells the leader if it watches a feature of the
-/// prompt.
+/// Records that a target has begun to answer a request, and tells the leader if it watches a feature of
+/// the request.
 pub(crate) fn prove(cx: &Arc<Cx>, features: &[Feature]) {
     let watched = cx.feature_guard().prove(features, cx.clock.now());
     if !watched.is_empty() {
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -95,6 +95,12 @@
             Self::Found(feature) | Self::Known(feature) => Some(feature),
         }
     }
+
+    /// Whether it is a prompt part, which accounts for all of a crash.
+    fn is_prompt_part(self) -> bool {
+        let feature = self.feature();
+        feature.is_some_and(|feature| !feature.is_whole_request())
+    }
 }
 
 impl Crash {
@@ -105,14 +111,10 @@
 
     /// Records a cause. Returns whether that changes what the crash is evidence against.
     fn explain(&mut self, cause: Cause) -> bool {
-        let is_part = |cause: Cause| {
-            let feature = cause.feature();
-            feature.is_some_and(|feature| !feature.is_whole_request())
-        };
         let is_new = match self.cause {
             Cause::Unknown => true,
-            Cause::Found(_) => is_part(cause) || matches!(cause, Cause::Known(_)),
-            Cause::Known(_) => is_part(cause) && !is_part(self.cause),
+            Cause::Found(_) => cause.is_prompt_part() || matches!(cause, Cause::Known(_)),
+            Cause::Known(_) => cause.is_prompt_part() && !self.cause.is_prompt_part(),
         };
         if is_new {
             self.cause = cause;
@@ -128,6 +130,7 @@
         })
     }
 
+    /// Whether the crash is evidence against a feature of a request that it cut off.
     fn is_evidence(&self, request: &CutOffRequest, feature: Feature) -> bool {
         let Some(cause) = self.cause.feature() else {
             return true;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -79,14 +79,14 @@
             return;
         }
         let frame = LeaderFrame::from(message);
-        let is_parts = matches!(message, LeaderMessage::Features(_));
+        let is_features = matches!(message, LeaderMessage::Features(_));
         let Inner {
             followers,
             accept_features,
             ..
         } = &mut *inner;
         followers.retain(|id, tx| {
-            (is_parts && !accept_features.contains(id)) || tx.try_send(frame.clone()).is_ok()
+            (is_features && !accept_features.contains(id)) || tx.try_send(frame.clone()).is_ok()
         });
         accept_features.retain(|id| followers.contains_key(id));
     }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -205,7 +205,7 @@
     }
 
     /// Items without a listed result that may run now. Items without a route, and those with a quarantined
-    /// prompt part whose lifetime is over, are finished as errored.
+    /// feature whose lifetime is over, are finished as errored.
     fn waiting(&mut self, state: &crate::state::State, now: Millis) -> Waiting {
         let mut waiting = Waiting::default();
         let Some(table) = self.cx.table() else {
--- a/crates/serving/src/store/runner/quarantine.rs
+++ b/crates/serving/src/store/runner/quarantine.rs
@@ -1,4 +1,4 @@
-//! Batch items whose prompts have a quarantined feature, and evidence from the runs of items.
+//! Batch items with a quarantined feature, and evidence from the runs of items.
 
 use std::{
     collections::{
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Records a possible crash of a target, as evidence against the prompt of the item.
+    /// Records a possible crash of a target, as evidence against the features of the item.
     pub(super) fn record_if_crash(&self, run: &Run) {
         let request = BrokenRequest {
             target: run.target,
