--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,12 +13,12 @@
 ONLINE_PREFIX = "/lohu930/"
 ITEMS, TOKENS = 10, 940
 EVENTS = 20
-# The sheet's `garble`: share = 0.6 of the workers spoil x = 0.03 of their answers for 5 s; and its `burst` of batch
-# jobs: six times 0.515 a second for 3 s. Both may come more than once.
-SHARE, SPOIL_EVERY, SPOIL_S = 0.6, 34, 5.0
+# The site file's `garble`: share = 0.35 of the workers spoil x = 0.02 of their answers for 5.5 s; and its `burst` of
+# batch jobs: six times 0.515 a second for 3 s. Both may come more than once.
+SHARE, SPOIL_EVERY, SPOIL_S = 0.35, 50, 5.5
 ROUNDS, ROUND_S = 3, 10.0
 BURST_JOBS, BURST_GAP_S = 9, 0.33
-ONLINE_GAP_S = 0.1
+ONLINE_GAP_S = 0.05
 
 
 async def answer(worker, rid, path, headers, body, after, head, writer):
@@ -32,8 +32,10 @@
         await writer.drain()
 
     if worker.faulty and fleet.spoiling:
-        fleet.answers += 1
-        if fleet.answers % SPOIL_EVERY == 0:
+        # Every 50th answer to items, and every 50th to streams.
+        kind = path.startswith(PREFIX)
+        fleet.answers[kind] += 1
+        if fleet.answers[kind] % SPOIL_EVERY == 0:
             noise = "noise-%016x" % random.getrandbits(64)
             fleet.spoiled.append((rid, noise))
             fleet.record(f"worker {worker.name} spoils its answer to {rid}: {noise}, and resets the channel")
@@ -102,7 +104,7 @@
 
 async def case(fleet):
     record = fleet.record
-    fleet.spoiling, fleet.answers, fleet.spoiled = False, 0, []
+    fleet.spoiling, fleet.answers, fleet.spoiled = False, {True: 0, False: 0}, []
     batch = route("r-batch", PREFIX, "batch", "huvo11a", target_latency_ms=400, completion_target_ms=18000,
                   item_ttl_s=60, cap=2_400_000, max_attempts=3, resumable=True)
     for at in range(9):
@@ -136,7 +138,7 @@
         results = {}
         for name in jobs:
             results.update(await listed(fleet, name))
-    record(f"{len(results)} of {total} items are listed; {len(fleet.spoiled)} of {fleet.answers} answers of "
+    record(f"{len(results)} of {total} items are listed; {len(fleet.spoiled)} of {sum(fleet.answers.values())} answers of "
            f"{int(9 * SHARE)} workers were spoiled")
     if TROUBLE and not fleet.spoiled:
         raise CannotRun("no answer was spoiled")
