--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -329,6 +329,7 @@
                 self.snapshot_bytes = id.size;
                 self.step(Event::SnapshotInstalled(id));
             }
+            DiskReply::SnapshotNotWritten => self.snapshot_running = false,
             DiskReply::Full => self.on_full(),
             DiskReply::Restored(restored) => self.start_core(*restored),
         }
--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Entries and stores as processes with the platform's settings, against stand-ins that speak its
 //! protocol. Each system has a loopback network of its own.
 
+mod capacity;
 mod control;
 mod deadly;
 mod floods;
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -84,6 +84,8 @@
     pub(crate) writer: Writer,
     deferred: Vec<DeferredMessage>,
     pub(crate) incoming: Option<Incoming>,
+    /// Offset up to which chunks of the incoming snapshot have arrived, stored or not.
+    pub(crate) incoming_end: u64,
     /// Whether a received snapshot is being installed.
     pub(crate) installing: bool,
     pub(crate) actions: Vec<Action>,
@@ -98,6 +100,7 @@
     pub fn new(cfg: Config, mut restored: Restored, now: Millis) -> Self {
         let hard_state = restored.hard_state;
         let incoming = restored.incoming.take();
+        let incoming_end = incoming.as_ref().map_or(0, |incoming| incoming.received);
         let log = Log::restore(restored);
         let commit = log.base();
         let mut core = Self {
@@ -116,6 +119,7 @@
             writer: Writer::default(),
             deferred: Vec::new(),
             incoming,
+            incoming_end,
             installing: false,
             actions: Vec::new(),
         };
@@ -346,6 +350,11 @@
         self.log.base()
     }
 
+    /// Size of the latest snapshot in bytes.
+    pub fn snapshot_bytes(&self) -> u64 {
+        self.log.snapshot().id.size
+    }
+
     /// Membership as of the last entry of the log, committed or not.
     pub fn membership(&self) -> &Membership {
         self.log.membership()
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -19,6 +19,7 @@
     Index,
     Payload,
     Proposal,
+    ReplicationStep,
     Token,
     progress::{
         AppendHeader,
@@ -157,7 +158,7 @@
         let Some(progress) = state.progress.get_mut(&from) else {
             return;
         };
-        progress.record_echo(echo);
+        progress.record_echo(echo, self.now);
         match result {
             AppendResult::Matched(index) => progress.on_matched(index, &self.log, self.now),
             AppendResult::Rejected { prev, hint } => progress.on_rejected(prev, hint, echo),
@@ -324,6 +325,35 @@
         state.progress.get(&id)?.contact
     }
 
+    /// Step of the replication to a member; `None` as for [`Core::synced_index_of`].
+    pub fn replication_step(&self, id: DiskId) -> Option<ReplicationStep> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        state.progress.get(&id).map(Progress::step)
+    }
+
+    /// Whether a snapshot is being sent to a member.
+    pub fn is_sending_snapshot(&self) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let mut progress = state.progress.values();
+        progress.any(|progress| progress.step() == ReplicationStep::Snapshot)
+    }
+
+    /// Lowest measured rate of the links to the other voters, in bytes per ms; `None` as for
+    /// [`Core::synced_index_of`], or if the link to one of them was not measured yet.
+    pub fn link_rate(&self) -> Option<u64> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        let rate = |id| state.progress.get(&id)?.link_rate.bytes_per_ms();
+        let voters = self.other_voters().into_iter();
+        let rates: Option<Vec<_>> = voters.map(rate).collect();
+        rates?.into_iter().min()
+    }
+
     /// Replication progress of a member, for log lines; `None` as for [`Core::synced_index_of`].
     pub fn progress_of(&self, id: DiskId) -> Option<String> {
         let Role::Leader(state) = &self.role else {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -13,6 +13,7 @@
 mod follower;
 mod id;
 mod leader;
+mod link_rate;
 mod log;
 mod membership;
 mod message;
@@ -69,6 +70,7 @@
     Envelope,
     LastEntry, //
 };
+pub use progress::ReplicationStep;
 pub use timing::Timing;
 pub use transfer::CHUNK_BYTES;
 pub use wire::{
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -5,7 +5,10 @@
     fmt, //
 };
 
-use yuccaseam_base::Millis;
+use yuccaseam_base::{
+    Millis,
+    value, //
+};
 
 use crate::{
     Append,
@@ -16,8 +19,10 @@
     Round,
     SnapshotId,
     Term,
+    link_rate::LinkRate,
     log::Log,
-    traffic::Traffic, //
+    traffic::Traffic,
+    transfer::SnapshotTransfer, //
 };
 
 /// Maximum payload size of an append message with more than one entry.
@@ -53,29 +58,6 @@
     Snapshot(SnapshotTransfer),
 }
 
-/// Snapshot transfer to a follower.
-#[derive(Debug, PartialEq)]
-pub(crate) struct SnapshotTransfer {
-    pub(crate) id: SnapshotId,
-    /// Offset of the last chunk requested since the last offer.
-    pub(crate) requested: Option<u64>,
-    /// When the last offer or chunk was sent.
-    pub(crate) sent_at: Millis,
-    /// Time at which the snapshot is offered again if no chunk was acknowledged.
-    pub(crate) retry_at: Millis,
-}
-
-impl SnapshotTransfer {
-    pub(crate) fn new(id: SnapshotId, now: Millis, timeout: Millis) -> Self {
-        Self {
-            id,
-            requested: None,
-            sent_at: now,
-            retry_at: now + timeout,
-        }
-    }
-}
-
 /// Measures whether a follower keeps up with the log. In each period it syncs what the log held at the
 /// start of the period.
 #[derive(Debug)]
@@ -109,6 +91,7 @@
     /// `None` before the first reply.
     catch_up: Option<CatchUp>,
     pub(crate) traffic: Traffic,
+    pub(crate) link_rate: LinkRate,
 }
 
 /// Fields common to the append messages that a leader sends at one time.
@@ -118,17 +101,29 @@
     pub(crate) echo: Echo,
 }
 
+/// Step of the replication to a member.
+#[value]
+#[derive(Copy)]
+pub enum ReplicationStep {
+    /// The last entry that matches is searched for.
+    Probe,
+    /// A snapshot is being sent.
+    Snapshot,
+    /// Entries are sent.
+    Entries,
+}
+
 impl fmt::Display for Progress {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let mode = match self.mode {
-            Mode::Probe { .. } => "probe",
-            Mode::Replicate { .. } => "replicate",
-            Mode::Snapshot(_) => "snapshot",
+        let step = match self.step() {
+            ReplicationStep::Probe => "probe",
+            ReplicationStep::Entries => "replicate",
+            ReplicationStep::Snapshot => "snapshot",
         };
         let (next, in_flight, traffic) = (self.next.0, self.in_flight.len(), &self.traffic);
         write!(
             f,
-            "{mode}, next {next}, {in_flight} in flight, sent: {traffic}"
+            "{step}, next {next}, {in_flight} in flight, sent: {traffic}"
         )
     }
 }
@@ -144,6 +139,15 @@
             round: Round::default(),
             catch_up: None,
             traffic: Traffic::default(),
+            link_rate: LinkRate::default(),
+        }
+    }
+
+    pub(crate) fn step(&self) -> ReplicationStep {
+        match self.mode {
+            Mode::Probe { .. } => ReplicationStep::Probe,
+            Mode::Replicate { .. } => ReplicationStep::Entries,
+            Mode::Snapshot(_) => ReplicationStep::Snapshot,
         }
     }
 
@@ -172,6 +176,10 @@
                 let last = append.entries.last()?.index;
                 let sizes = append.entries.iter().map(|entry| entry.payload.size());
                 let payload_bytes = sizes.sum();
+                let is_idle = self.in_flight.is_empty();
+                let sent_at = header.echo.sent_at;
+                self.link_rate
+                    .on_sent(last, payload_bytes, is_idle, sent_at);
                 self.next = last.next();
                 self.in_flight.push_back(InFlight {
                     last,
@@ -182,41 +190,42 @@
         }
     }
 
-    /// Whether the snapshot transfer made no progress in time, although the follower received what was
-    /// sent after the last chunk: on a slow link a chunk may take longer.
+    /// Whether the snapshot transfer, if any, is to be offered again.
     pub(crate) fn is_transfer_stalled(&self, now: Millis) -> bool {
         match &self.mode {
-            Mode::Snapshot(transfer) => {
-                transfer.retry_at <= now && self.contact >= Some(transfer.sent_at)
-            }
+            Mode::Snapshot(transfer) => transfer.is_stalled(self.contact, now),
             Mode::Probe { .. } | Mode::Replicate { .. } => false,
         }
     }
 
-    /// Records that the follower has synced a snapshot up to an offset. Returns whether to send the chunk
-    /// from there on: an acknowledgement may come several times, but each chunk is sent once for an offer.
+    /// Records that the follower has synced a snapshot up to an offset. Returns the offset of the next
+    /// chunk to read, if one may be sent.
     pub(crate) fn on_chunk_acknowledged(
         &mut self,
         id: SnapshotId,
         received: u64,
-        retry_at: Millis,
-    ) -> bool {
-        let Mode::Snapshot(transfer) = &mut self.mode else {
-            return false;
-        };
-        if transfer.id != id || transfer.requested >= Some(received) {
-            return false;
+        now: Millis,
+        timeout: Millis,
+    ) -> Option<u64> {
+        match &mut self.mode {
+            Mode::Snapshot(transfer) if transfer.id == id => {
+                transfer.on_acknowledged(received, now, timeout)
+            }
+            _ => None,
         }
-        transfer.requested = Some(received);
-        transfer.retry_at = retry_at;
-        received < id.size
     }
 
-    pub(crate) fn on_chunk_sent(&mut self, chunk: &Chunk, now: Millis) {
-        self.traffic.on_chunk(chunk);
-        if let Mode::Snapshot(transfer) = &mut self.mode {
-            transfer.sent_at = now;
+    /// Records that a chunk was read. Returns whether to send it, and the offset of the next chunk to
+    /// read, if one may be sent.
+    pub(crate) fn on_chunk_read(&mut self, chunk: &Chunk, now: Millis) -> (bool, Option<u64>) {
+        let Mode::Snapshot(transfer) = &mut self.mode else {
+            return (false, None);
+        };
+        if !transfer.on_read(chunk, now) {
+            return (false, None);
         }
+        self.traffic.on_chunk(chunk);
+        (true, transfer.next_read())
     }
 
     fn is_window_full(&self) -> bool {
@@ -262,7 +271,8 @@
     }
 
     /// Records the echo of a reply, whatever its result.
-    pub(crate) fn record_echo(&mut self, echo: Echo) {
+    pub(crate) fn record_echo(&mut self, echo: Echo, now: Millis) {
+        self.link_rate.on_round_trip(now - echo.sent_at);
         self.contact = self.contact.max(Some(echo.sent_at));
         self.round = self.round.max(echo.round);
     }
@@ -271,6 +281,7 @@
     pub(crate) fn on_matched(&mut self, index: Index, log: &Log, now: Millis) {
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
+        self.link_rate.on_acknowledged(index, now);
         let in_flight = &mut self.in_flight;
         while in_flight.front().is_some_and(|first| first.last <= index) {
             in_flight.pop_front();
--- a/crates/quorum/tests/all/slow_links.rs
+++ b/crates/quorum/tests/all/slow_links.rs
@@ -205,3 +205,33 @@
     assert!(sent <= (size + CHUNK) as u64, "sent {sent} bytes of {size}");
     group.check_states();
 }
+
+/// Guards against a store that votes again only seconds after the link has carried its snapshot: with one
+/// chunk in flight at a time, each took a round trip.
+#[test]
+fn snapshot_on_a_slow_link_takes_as_long_as_its_transmission() {
+    // A transfer by round trips of single chunks would take 10 s.
+    const LIMIT: Millis = Millis(1_500);
+    let mut group = Group::new(3, 46);
+    group.snapshot_every = 50;
+    let leader = group.wait_for_leader();
+    let lost = follower(leader);
+    group.lose_disk(lost);
+    for _ in 0..250 {
+        group.propose(leader, 50);
+        group.run(Millis(20));
+    }
+    group.write();
+    group.remote.insert(lost);
+    group.link = Some(RegionLink::new(RATE, DELAY));
+    add_learner(&mut group, lost);
+    let end = group.now + LIMIT;
+    let last = group.checks.last_acknowledged();
+    let size = group.replicas[leader].disk.bytes.len();
+    assert!(size >= 150 * CHUNK, "the snapshot has {size} bytes");
+    while group.replicas[lost].applied < last {
+        assert!(group.now < end, "the snapshot of {size} bytes is not there");
+        group.advance();
+    }
+    group.check_states();
+}
--- a/crates/replica/src/disk_thread.rs
+++ b/crates/replica/src/disk_thread.rs
@@ -75,6 +75,8 @@
         /// State decoded from the snapshot.
         state: Box<M>,
     },
+    /// A snapshot was not written, for lack of space. The log stays complete.
+    SnapshotNotWritten,
     /// The disk is full. Requests are ignored until [`DiskRequest::Reload`].
     Full,
     /// State restored from the disk, with which to restart the core.
@@ -181,8 +183,8 @@
         Ok(())
     }
 
-    /// Writes a snapshot. On a full disk it only logs the error: the log stays complete, so a later
-    /// snapshot can cover the same entries.
+    /// Writes a snapshot. On a full disk the log stays complete, so that a later snapshot can cover the
+    /// same entries.
     fn snapshot(
         &mut self,
         position: Position,
@@ -191,7 +193,10 @@
     ) -> anyhow::Result<()> {
         match self.disk.write_snapshot(position, members, state) {
             Ok(snapshot) => self.reply(DiskReply::Event(Event::SnapshotCreated(snapshot))),
-            Err(error @ JournalError::Full { .. }) => log::error!("snapshot not written: {error}"),
+            Err(error @ JournalError::Full { .. }) => {
+                log::error!("snapshot not written: {error}");
+                self.reply(DiskReply::SnapshotNotWritten);
+            }
             Err(error) => return Err(error.into()),
         }
         Ok(())
--- /dev/null
+++ b/crates/serving/src/capacity.rs
@@ -0,0 +1,26 @@
+//! Maximum size of the replicated state.
+//!
+//! A store that returns with an empty disk receives the whole state, perhaps from another region, and must
+//! vote again before the loss of the next disk has to be survived. Jobs that would make the state larger than
+//! the link carries in that time are refused.
+
+use yuccaseam_base::Millis;
+
+/// Rate of a link that was not measured yet, in bytes per ms: three quarters of 30 Mbit/s.
+pub const MIN_LINK_RATE: u64 = 2_800;
+
+/// Time of a join besides the transfer: until the leader knows of the disk, has written a snapshot, and has
+/// made the store a voter.
+pub const JOIN_OVERHEAD: Millis = Millis(1_500);
+
+/// Minimum time for the transfer.
+const MIN_TRANSFER_TIME: Millis = Millis(1_000);
+
+/// Returns the maximum size of the state in bytes, such that `joining` stores, to which the state is sent over
+/// one link, vote within `recovery`. `link_rate` is the measured rate of the slowest link to a voter in bytes
+/// per ms.
+pub fn max_state_bytes(recovery: Millis, joining: usize, link_rate: Option<u64>) -> u64 {
+    let rate = link_rate.unwrap_or_default().max(MIN_LINK_RATE);
+    let time = (recovery - JOIN_OVERHEAD).max(MIN_TRANSFER_TIME);
+    time.0 * rate / joining.max(1) as u64
+}
--- a/crates/serving/src/entry/batch.rs
+++ b/crates/serving/src/entry/batch.rs
@@ -39,7 +39,7 @@
 const CALL_TIMEOUT: Millis = Millis(4_000);
 /// Retry delay for callers while no leader is available.
 const LEADER_RETRY_AFTER: Millis = Millis(700);
-/// Retry delay for a job that exceeds the limit of waiting tokens.
+/// Retry delay for a job that exceeds the limit of waiting tokens, or the capacity of the stores.
 const CAPACITY_RETRY_AFTER: Millis = Millis(2_000);
 
 /// Submits a job to the leader.
@@ -84,6 +84,9 @@
             *response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
             response
         }
+        Some(link::HubReply::NoCapacity) => {
+            refusal("stores have no capacity for the job", CAPACITY_RETRY_AFTER)
+        }
         other => failed_call_response(other),
     }
 }
@@ -141,6 +144,7 @@
     match reply {
         Some(link::HubReply::Done) => "accepted",
         Some(link::HubReply::OverLimit) => "over_limit",
+        Some(link::HubReply::NoCapacity) => "no_capacity",
         Some(_) => "unknown",
         None => "no_leader",
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod capacity;
 mod crash_reports;
 mod cx;
 mod entry;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -111,6 +111,8 @@
     TooFewLeft,
     /// Whether the instance can be shut down for good.
     Retired(bool),
+    /// The stores have no capacity for the job. None of its items runs.
+    NoCapacity,
 }
 
 /// A message of a follower to the leader.
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -52,6 +52,18 @@
     pub items: Vec<NewItem>,
 }
 
+impl NewJob {
+    /// Size of the data of its items, in bytes.
+    pub fn stored_bytes(&self) -> u64 {
+        let sizes = self.items.iter().map(|item| {
+            let headers = item.headers.iter();
+            let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+            item.id.len() + item.path.len() + item.body.len() + headers
+        });
+        sizes.sum::<usize>() as u64
+    }
+}
+
 /// Partial or final output of an item.
 #[record]
 pub struct Output {
--- a/crates/serving/src/state/job.rs
+++ b/crates/serving/src/state/job.rs
@@ -147,6 +147,18 @@
         items.filter(move |(_, item)| is_open && !item.listed)
     }
 
+    /// Number of the completed items, and the size of their results in bytes.
+    pub(super) fn completed_sizes(&self) -> (u64, u64) {
+        let sizes = self
+            .results
+            .iter()
+            .filter_map(|listed| match &listed.finish {
+                Finish::Completed(text) => Some(text.len() as u64),
+                Finish::Errored => None,
+            });
+        sizes.fold((0, 0), |(count, bytes), size| (count + 1, bytes + size))
+    }
+
     /// The item with an id, listed or not.
     pub fn item(&self, id: &str) -> Option<&Item> {
         self.items.iter().find(|item| item.id == id)
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -60,6 +60,9 @@
     quarantined: BTreeMap<Feature, u32>,
 }
 
+/// Expected size of a result in bytes before there are results.
+const DEFAULT_RESULT_BYTES: u64 = 8 << 10;
+
 /// Encoding of an empty map, with which [`State`] ends if no feature is quarantined.
 const EMPTY_MAP: u8 = 0;
 
@@ -196,6 +199,16 @@
         jobs.map(Job::waiting_tokens).fold(0, u64::saturating_add)
     }
 
+    /// Size of the results that the waiting items are expected to have, in bytes: each the mean of the
+    /// results so far. The tokens of an item only limit its result, and may be far more than any target has.
+    pub fn expected_output_bytes(&self) -> u64 {
+        let waiting: usize = self.jobs.values().map(|job| job.waiting().count()).sum();
+        let sizes = self.jobs.values().map(Job::completed_sizes);
+        let (count, bytes) = sizes.fold((0, 0), |sum, size| (sum.0 + size.0, sum.1 + size.1));
+        let mean = u64::checked_div(bytes, count);
+        waiting as u64 * mean.unwrap_or(DEFAULT_RESULT_BYTES)
+    }
+
     /// The targets as last recorded. They may have departed since.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.values()
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -37,7 +37,8 @@
     },
     state::{
         Command,
-        CommandOutcome, //
+        CommandOutcome,
+        NewJob, //
     },
 };
 
@@ -95,6 +96,16 @@
         }
     }
 
+    async fn submit(&self, job: NewJob) -> HubReply {
+        let is_new = self.replica.read(|state| state.job(&job.id).is_none());
+        let is_refused =
+            is_new && self.is_leader() && !self.replica.has_capacity(job.stored_bytes());
+        if is_refused {
+            return HubReply::NoCapacity;
+        }
+        self.propose(Command::Submit(job)).await
+    }
+
     fn not_leader(&self) -> HubReply {
         HubReply::NotLeader(self.leader_ip())
     }
@@ -160,7 +171,7 @@
             HubRequest::Gossip(entries) => HubReply::Gossip(self.cx.merge_stores(entries)),
             HubRequest::PutManifest(manifest) => self.propose(Command::PutManifest(manifest)).await,
             HubRequest::GetManifest => self.manifest().await,
-            HubRequest::Submit(job) => self.propose(Command::Submit(job)).await,
+            HubRequest::Submit(job) => self.submit(job).await,
             HubRequest::Results(request) => {
                 let wait = Millis(request.wait_ms).min(MAX_RESULTS_WAIT);
                 match pages::read(&self.replica, &request, wait).await {
--- a/crates/serving/src/store/replica/driver.rs
+++ b/crates/serving/src/store/replica/driver.rs
@@ -1,5 +1,6 @@
 //! The driver: the task that owns the replication core.
 
+mod joins;
 mod timed;
 
 use std::{
@@ -41,6 +42,7 @@
 use crate::{
     cx::Cx,
     state::{
+        Command,
         CommandOutcome,
         State, //
     },
@@ -62,6 +64,8 @@
     Waiter, //
 };
 
+use joins::Joins;
+
 /// How long commands are refused after a write failed on a full disk.
 const DISK_FULL_BACKOFF: Millis = Millis(1_000);
 /// Size of a log entry without its command.
@@ -83,6 +87,13 @@
     log_bytes: u64,
     snapshot_bytes: u64,
     snapshot_running: bool,
+    /// Growth of the log that the running snapshot covers, in bytes.
+    covered_log_bytes: u64,
+    /// Earliest time of the next snapshot.
+    snapshot_at: Millis,
+    /// Whether jobs were removed since the last snapshot.
+    has_shrunk: bool,
+    joins: Joins,
     waiters: HashMap<Token, Waiter>,
     next_token: u64,
     proposals: Vec<Proposal>,
@@ -117,6 +128,10 @@
             log_bytes: 0,
             snapshot_bytes: 0,
             snapshot_running: false,
+            covered_log_bytes: 0,
+            snapshot_at: Millis::ZERO,
+            has_shrunk: false,
+            joins: Joins::default(),
             waiters: HashMap::new(),
             next_token: 0,
             proposals: Vec::new(),
@@ -245,6 +260,7 @@
                 }
             },
             Frame::Hello(hello) => {
+                let has_group = hello.has_group;
                 let status = StoreStatus {
                     disk: DiskId(hello.disk),
                     domain: hello.domain,
@@ -256,6 +272,9 @@
                 if restarted {
                     self.transport.reset_stream(&from);
                 }
+                if !has_group {
+                    self.answer_hello(&from);
+                }
             }
         }
     }
@@ -276,6 +295,7 @@
                 self.snapshot_bytes = id.size;
                 self.step(Event::SnapshotInstalled(id));
             }
+            DiskReply::SnapshotNotWritten => self.on_snapshot_not_written(),
             DiskReply::Full => self.on_full(),
             DiskReply::Restored(restored) => self.start_core(*restored),
         }
@@ -387,7 +407,10 @@
         };
         self.log_bytes += ENTRY_OVERHEAD_BYTES + data.len() as u64;
         let outcome = match postcard::from_bytes(data) {
-            Ok(command) => self.lock().state.apply(command),
+            Ok(command) => {
+                self.has_shrunk |= matches!(command, Command::Forget { .. });
+                self.lock().state.apply(command)
+            }
             Err(error) => {
                 log::error!(index = index.0, error:% = error; "malformed log entry skipped");
                 CommandOutcome::Done
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use yuccaseam_base::{
+    InstanceName,
     Machine as _,
     Millis, //
 };
@@ -39,7 +40,17 @@
 /// Time without a known leader, longer than an election, after which each such time is reported.
 const NO_LEADER_REPORT_INTERVAL: Millis = Millis(2_000);
 /// Minimum growth of the log before the state is written to a snapshot.
-const MIN_SNAPSHOT_BYTES: u64 = 4 << 20;
+const MIN_SNAPSHOT_BYTES: u64 = 1 << 20;
+/// Growth of the log before the state is written to a snapshot, as a divisor of the size of the last one:
+/// a store that joins receives both.
+const SNAPSHOT_GROWTH_DIVISOR: u64 = 4;
+/// Growth of the log up to which a snapshot that is being sent is not replaced by a newer one, with which
+/// the transfer would start again.
+const MAX_HELD_LOG_BYTES: u64 = 8 << 20;
+/// Growth of the log from which on a store joins with a new snapshot.
+const MAX_JOIN_LOG_BYTES: u64 = 256 << 10;
+/// Pause after a snapshot that was not written.
+const SNAPSHOT_BACKOFF: Millis = Millis(1_000);
 
 impl Driver {
     pub(super) fn on_tick(&mut self) {
@@ -90,18 +101,12 @@
                 JOINING_HELLO_INTERVAL
             };
         let own = self.cx.settings.instance.clone();
-        let founder = self.manager().founder();
-        let hello = Hello {
-            disk: self.id.0,
-            domain: self.cx.settings.domain.clone(),
-            has_group,
-            founder: founder.clone(),
-        };
+        let hello = self.hello();
         let status = StoreStatus {
             disk: self.id,
             domain: hello.domain.clone(),
             has_group,
-            founder,
+            founder: hello.founder.clone(),
             received_at: now,
         };
         self.manager().record_hello(own.clone(), status);
@@ -119,6 +124,24 @@
         }
     }
 
+    fn hello(&self) -> Hello {
+        Hello {
+            disk: self.id.0,
+            domain: self.cx.settings.domain.clone(),
+            has_group: self.has_group(),
+            founder: self.manager().founder(),
+        }
+    }
+
+    /// Answers the hello of a store without a group: it can reply to the leader only once it knows which
+    /// instance holds the leader's disk.
+    pub(super) fn answer_hello(&mut self, to: &InstanceName) {
+        if self.has_group() {
+            let frame = Frame::Hello(self.hello());
+            self.transport.send(to, &frame);
+        }
+    }
+
     fn maintain_group(&mut self, now: Millis) {
         if !self.has_group() && self.manager().can_bootstrap(now) {
             log::info!("no store belongs to a group; bootstrapping a new one");
@@ -130,6 +153,7 @@
             return;
         };
         let retiring = self.lock().state.retiring().clone();
+        self.joins.observe(core, now);
         if now >= self.report_lag_at {
             self.report_lag_at = now + LAG_REPORT_INTERVAL;
             report_lagging_learners(core, now);
@@ -138,6 +162,9 @@
         let change = self
             .manager()
             .next_change(core.membership(), &retiring, is_synced, now);
+        if matches!(change, Some(Change::AddLearner { .. })) && self.is_snapshot_stale() {
+            return self.write_snapshot();
+        }
         if let Some(change) = change {
             let joining = match &change {
                 Change::Promote(id) | Change::Replace { new: id, .. } => core.progress_of(*id),
@@ -150,14 +177,31 @@
         }
     }
 
+    /// Whether the log has grown so far, or a snapshot is being written, that a store should not join yet.
+    fn is_snapshot_stale(&self) -> bool {
+        self.snapshot_running
+            || (self.log_bytes >= MAX_JOIN_LOG_BYTES && self.cx.clock.now() >= self.snapshot_at)
+    }
+
     pub(super) fn snapshot_if_due(&mut self) {
         let Some(core) = &self.core else {
             return;
         };
-        let due = self.log_bytes >= MIN_SNAPSHOT_BYTES.max(self.snapshot_bytes);
-        if !due || self.snapshot_running {
+        let growth = MIN_SNAPSHOT_BYTES.max(self.snapshot_bytes / SNAPSHOT_GROWTH_DIVISOR);
+        let is_held = core.is_sending_snapshot() && self.log_bytes < MAX_HELD_LOG_BYTES;
+        let is_due = self.log_bytes >= growth || self.has_shrunk;
+        if is_due && !is_held {
+            self.write_snapshot();
+        }
+    }
+
+    fn write_snapshot(&mut self) {
+        if self.snapshot_running || self.cx.clock.now() < self.snapshot_at {
             return;
         }
+        let Some(core) = &self.core else {
+            return;
+        };
         let Some((term, members)) = core.term_and_membership_at(self.applied) else {
             return;
         };
@@ -165,7 +209,8 @@
         let state = self.lock().state.snapshot();
         self.snapshot_bytes = state.len() as u64;
         self.snapshot_running = true;
-        self.log_bytes = 0;
+        self.has_shrunk = false;
+        self.covered_log_bytes = std::mem::take(&mut self.log_bytes);
         self.send_to_disk(DiskRequest::Snapshot {
             position: Position {
                 index: self.applied.0,
@@ -176,6 +221,13 @@
         });
     }
 
+    /// Counts the log that a failed snapshot would have covered again.
+    pub(super) fn on_snapshot_not_written(&mut self) {
+        self.snapshot_running = false;
+        self.log_bytes += std::mem::take(&mut self.covered_log_bytes);
+        self.snapshot_at = self.cx.clock.now() + SNAPSHOT_BACKOFF;
+    }
+
     pub(super) fn publish(&mut self) {
         let is_leader = self.core.as_ref().is_some_and(Core::is_leader);
         if is_leader != self.was_leader {
@@ -196,7 +248,11 @@
         let leader = leader.and_then(|id| self.name_of(id));
         let lease_until = self.core.as_ref().and_then(Core::lease_until);
         let group = self.core.as_ref().map(Core::membership).cloned();
+        let link_rate = self.core.as_ref().and_then(Core::link_rate);
+        let stored_bytes = self.snapshot_bytes + self.log_bytes;
         let mut published = self.lock();
+        published.link_rate = link_rate;
+        published.stored_bytes = stored_bytes;
         published.leader = leader;
         published.lease_until = lease_until;
         if let Some(group) = group
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -265,3 +265,24 @@
     );
     assert_eq!(state.waiting_tokens("h.example/b/"), u64::MAX);
 }
+
+/// Guards against a few items with very many tokens that make the state count as full.
+#[test]
+fn expected_output_counts_items_and_not_their_tokens() {
+    let mut state = State::default();
+    let unlimited = |id: &str, tokens: &[u64]| NewJob {
+        waiting_limit: None,
+        ..job(id, tokens)
+    };
+    state.apply(Command::Submit(unlimited("j", &[1, 1_000_000, 1])));
+    let text = "x".repeat(600);
+    let whole = output(None, &[&text], "1");
+    state.apply(finish("j", 0, Some(whole)));
+    assert_eq!(state.expected_output_bytes(), 2 * 600);
+    state.apply(finish("j", 1, None));
+    assert_eq!(state.expected_output_bytes(), 600);
+    state.apply(Command::End {
+        job: "j".to_owned(),
+    });
+    assert_eq!(state.expected_output_bytes(), 0);
+}
