MIXED: bytes that are no event stay out of results and streams

Cause: whatever ended with an empty line was taken as an event, and the last id among all of it as the point to go on from.

Change: each event must have an id that is a number above the one before, or above the one that the run, or its caller, went on after. At the first block that has none the stream has failed, and goes on at another target after the last event if it may be resumed. The same code serves items and callers.

--- a/crates/daemon/tests/all/platform/framing.rs
+++ b/crates/daemon/tests/all/platform/framing.rs
@@ -44,6 +44,15 @@
 const STOP: usize = 2;
 /// A request that does not fit into the buffers of a connection whose target does not read.
 const LONG_BODY_BYTES: usize = 1_000_000;
+/// Bytes that are no event, after the second event of a stream: without an id, with an empty one, with a word
+/// as id, with the id of an event before, and without an end of their own.
+const NOISE: [(&str, &str); 5] = [
+    ("noise-no-id", "data: noise\n\n"),
+    ("noise-empty-id", "id:\ndata: noise\n\n"),
+    ("noise-word", "id: noise\ndata: noise\n\n"),
+    ("noise-repeated", "id: 2\ndata: noise\n\n"),
+    ("noise-joined", "data: noise"),
+];
 /// Status line of a success.
 const OK: &str = "HTTP/1.1 200 OK";
 /// Streams that their target breaks off, and the last whole event that it sends.
@@ -76,6 +85,8 @@
         "404" => unframed("HTTP/1.1 404 Not Found", run, "no such order"),
         "500" => unframed("HTTP/1.1 500 Internal Server Error", run, "it failed"),
         "500-reset" => reset(unframed("HTTP/1.1 500 Internal Server Error", run, "it")),
+        "noise-first" if run.earlier == 0 => reset(chunked(run, "data: noise\n\n")),
+        _ if let Some(bytes) = noisy_stream(run, kind) => chunked(run, &bytes),
         "reset" if run.earlier == 0 => reset(unframed(OK, run, &part)),
         "reset-between" if run.after.is_none() => reset(unframed(OK, run, &part)),
         "reset-after-last" if run.after.is_none() => reset(unframed(OK, run, &whole)),
@@ -96,6 +107,14 @@
     events.strip_prefix(&before).unwrap_or_default().to_owned()
 }
 
+/// The first run of a stream, with noise after the second event. The stream ends as if it were complete.
+fn noisy_stream(run: &RawRun, kind: &str) -> Option<String> {
+    let (_, noise) = NOISE.into_iter().find(|(name, _)| *name == kind)?;
+    let before = expected_events(&run.id, STOP);
+    let after = events_after(run, EVENTS).split_off(before.len());
+    (run.earlier == 0 && run.after.is_none()).then(|| format!("{before}{noise}{after}"))
+}
+
 fn unframed(status: &str, run: &RawRun, body: &str) -> Answer {
     let id = &run.id;
     Answer {
@@ -417,3 +436,43 @@
         assert!(raw.sent_after_close().is_empty());
     });
 }
+
+/// Guards against bytes that are no event in streams: they were forwarded as if they were, and the stream
+/// went on after them, from its beginning if they came first.
+#[test]
+fn stream_with_bytes_that_are_no_event_goes_on_at_another_target() {
+    with_raw_targets(answer, async |raw| {
+        for (kind, _) in NOISE.into_iter().chain([("noise-first", "")]) {
+            let reply = raw.call(kind, &format!("{RESUMABLE}{kind}")).await;
+            assert!(reply.is_whole_success(), "{kind}: {reply:?}");
+            assert_eq!(reply.body, expected_events(kind, EVENTS), "{kind}");
+            let resumed = raw.resumed_after(kind);
+            let expected: &[usize] = if kind == "noise-first" { &[] } else { &[STOP] };
+            assert_eq!(resumed, expected, "{kind}");
+        }
+        for (kind, _) in NOISE {
+            let id = format!("once-{kind}");
+            let reply = raw
+                .world
+                .system
+                .call(0, &id, &format!("{ONCE}{kind}"))
+                .await;
+            let whole = reply.ok().filter(Reply::is_whole_success);
+            assert!(whole.is_none(), "{kind}: {whole:?}");
+            assert_eq!(raw.runs_of(&id), 1);
+        }
+    });
+}
+
+/// Guards against bytes that are no event in completed results: see the test of streams.
+#[test]
+fn batch_item_with_bytes_that_are_no_event_goes_on_at_another_target() {
+    with_raw_targets(answer, async |raw| {
+        for (kind, _) in NOISE.into_iter().chain([("noise-first", "")]) {
+            let result = run_item(&raw, kind, kind).await;
+            assert_eq!(result["state"], "completed", "{kind}");
+            let item = format!("{kind}-0");
+            assert_eq!(result["text"], expected_text(&item, EVENTS), "{kind}");
+        }
+    });
+}
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -137,7 +137,7 @@
     pub(super) id: String,
     /// Version of the manifest that the route was taken from.
     manifest: u64,
-    head: Parts,
+    pub(super) head: Parts,
     body: Bytes,
     service: String,
     pub(super) arrived_at: Millis,
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -22,12 +22,13 @@
 };
 use tokio::time::timeout;
 use yuccaseam_base::Millis;
+use yuccaseam_platform::headers;
 
 use crate::{
     events::{
         EventSplitter,
-        MAX_EVENT_BYTES,
-        OversizedEvent, //
+        InvalidEvent,
+        parse_event_id, //
     },
     silence::{
         Silence,
@@ -113,13 +114,15 @@
 /// Serves a request whose response is a stream.
 pub(super) async fn serve(mut request: ActiveRequest) -> Result<HttpResponse, RequestFailure> {
     let (slot, response) = request.call(None, None).await?;
+    let after = headers::text(&request.head.headers, &headers::LAST_EVENT_ID);
+    let splitter = EventSplitter::after(after.and_then(parse_event_id));
     let mut forwarded = ForwardedStream {
         head: response.head.clone(),
         silence: request.silence(),
         partial_since: None,
         request,
         source: Some(Source::new(slot, response)),
-        splitter: EventSplitter::default(),
+        splitter,
         last_event_at: None,
         has_event: false,
         longest_pause: Millis::ZERO,
@@ -237,7 +240,7 @@
 
     /// Adds bytes of the target. `None` if they complete no event.
     fn push(&mut self, data: &[u8], now: Millis) -> Option<ReadOutcome> {
-        match self.splitter.push(data) {
+        let error = match self.splitter.push(data) {
             Ok(Some(events)) => {
                 self.partial_since = self.splitter.is_mid_event().then_some(now);
                 return Some(ReadOutcome::Events(events));
@@ -247,13 +250,16 @@
                 if now < since + MAX_EVENT_TIME || !self.request.can_resume() {
                     return None;
                 }
+                // Not longer than the largest event, but too late.
+                InvalidEvent::Oversized
             }
-            Err(OversizedEvent) => {}
-        }
+            Err(error) => error,
+        };
         log::warn!(
             request:% = self.request.id,
             target_name = self.source.as_ref().map(|source| source.slot.choice.name.0.as_str()),
-            max_bytes = MAX_EVENT_BYTES, max_ms = MAX_EVENT_TIME.0; "event without an end");
+            error:? = error, after = self.splitter.last_id(), max_ms = MAX_EVENT_TIME.0;
+            "invalid event");
         Some(ReadOutcome::Failed(Failure::InvalidResponse))
     }
 
@@ -311,7 +317,7 @@
         }
         self.splitter.discard_partial();
         self.partial_since = None;
-        let last_id = self.splitter.last_id().map(str::to_owned);
+        let last_id = self.splitter.last_id().map(|id| id.to_string());
         let (slot, response) = loop {
             let called = self.request.call(last_id.as_deref(), other.take());
             let (slot, response) = called.await?;
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -29,6 +29,7 @@
 
 use crate::{
     cx::Cx,
+    events::parse_event_id,
     link::pause,
     quarantine::Feature,
     routes::choose_destination,
@@ -389,6 +390,7 @@
             Arc::clone(&self.cx),
             target.clone(),
             req,
+            last_id.as_deref().and_then(parse_event_id),
             run_id,
             self.reports.clone(),
         ));
@@ -447,7 +449,7 @@
                     }
                     let progress = self.progress.entry(run.key).or_default();
                     progress.lines.extend(lines);
-                    progress.last_id = last_id.or(progress.last_id.take());
+                    progress.last_id = Some(last_id.to_string());
                 }
                 false
             }
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -22,7 +22,6 @@
     cx::Cx,
     events::{
         EventSplitter,
-        MAX_EVENT_BYTES,
         event_data, //
     },
     schedule::ItemKey,
@@ -67,7 +66,8 @@
     Events {
         run: u64,
         lines: Vec<String>,
-        last_id: Option<String>,
+        /// Id of the last of these events.
+        last_id: u64,
     },
     Ended {
         run: u64,
@@ -104,15 +104,17 @@
     Some(req)
 }
 
-/// Runs an item at a target, and reports its events and its end.
+/// Runs an item at a target from `after` on, the id of the last event that has arrived, and reports its events
+/// and its end.
 pub(super) async fn stream(
     cx: Arc<Cx>,
     target: TargetRecord,
     req: Request<Full<bytes::Bytes>>,
+    after: Option<u64>,
     run: u64,
     reports: mpsc::UnboundedSender<Report>,
 ) {
-    let end = stream_events(&cx, &target, req, run, &reports).await;
+    let end = stream_events(&cx, &target, req, after, run, &reports).await;
     // The runner runs until the process exits.
     let _ = reports.send(Report::Ended { run, end });
 }
@@ -121,6 +123,7 @@
     cx: &Arc<Cx>,
     target: &TargetRecord,
     req: Request<Full<bytes::Bytes>>,
+    after: Option<u64>,
     run: u64,
     reports: &mpsc::UnboundedSender<Report>,
 ) -> RunEnd {
@@ -150,7 +153,7 @@
         _ => return RunEnd::Interrupted(Failure::InvalidResponse),
     }
     let requires_events = call.requires_events();
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::after(after);
     let mut output_bytes = 0;
     let mut last_event_at = cx.clock.now();
     loop {
@@ -172,13 +175,16 @@
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
-                let Ok(events) = splitter.push(&data) else {
-                    log::warn!(
-                        target_name:% = target.name, max_bytes = MAX_EVENT_BYTES;
-                        "event without an end");
-                    return RunEnd::Interrupted(Failure::InvalidResponse);
+                let events = match splitter.push(&data) {
+                    Ok(events) => events,
+                    Err(error) => {
+                        log::warn!(
+                            target_name:% = target.name, error:? = error,
+                            after = splitter.last_id(); "invalid event of a batch item");
+                        return RunEnd::Interrupted(Failure::InvalidResponse);
+                    }
                 };
-                if let Some(events) = events {
+                if let (Some(events), Some(last_id)) = (events, splitter.last_id()) {
                     output_bytes += events.len();
                     if output_bytes > MAX_OUTPUT_BYTES {
                         log::warn!(
@@ -193,7 +199,7 @@
                     let _ = reports.send(Report::Events {
                         run,
                         lines: lines.collect(),
-                        last_id: splitter.last_id().map(str::to_owned),
+                        last_id,
                     });
                 }
             }
