LOST: items that no target takes hold back no others

Cause: a refusal counted against its target, for all items, and never against the item: it was due first, waited 300 ms, and each refusal kept its target back for 1 s. The same held for answers of 400 to 499, for requests that are not valid in HTTP, and for trials that were not granted.

Change: the new module `refusals` counts them. An item is tried at each target once; refused by all, it yields to all others and waits ever longer, but is owed until its lifetime is over. Only its first refusal counts against a target.

Evidence: the three tests of platform::refused_items failed before (no sound item was listed in 10 s) and pass; tests of the decisions in refusals and schedule.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -15,6 +15,7 @@
 mod power;
 mod raw_target;
 mod refusals;
+mod refused_items;
 mod silent;
 mod tainted;
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,6 +25,7 @@
 mod neighbours;
 pub mod orphans;
 pub mod quarantine;
+pub mod refusals;
 mod relay;
 pub mod routes;
 mod run;
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -56,6 +56,8 @@
     pub started: bool,
     /// Time that it is expected to run still.
     pub remaining: Millis,
+    /// Whether all targets have refused it.
+    pub is_refused: bool,
 }
 
 /// An item that is running.
@@ -131,13 +133,18 @@
     leading_for >= START_DELAY
 }
 
-/// Plans the next scheduling step.
-pub fn plan(
+/// Plans the next scheduling step. `refuses` states whether a target has refused an item and is not to be
+/// tried again yet.
+pub fn plan<F>(
     waiting: &[WaitingItem],
     running: &[RunningItem],
     capacities: &[TargetCapacity],
+    refuses: F,
     now: Millis,
-) -> Plan {
+) -> Plan
+where
+    F: Fn(ItemKey, TargetKey) -> bool,
+{
     let mut plan = Plan::default();
     let mut runs_by_target = BTreeMap::<TargetKey, Vec<&RunningItem>>::new();
     for run in running {
@@ -152,7 +159,7 @@
             free.push((capacity.slots - taken, capacity.target));
         }
     }
-    assign_slots(waiting, free, now, &mut plan.start);
+    assign_slots(waiting, free, refuses, now, &mut plan.start);
     plan
 }
 
@@ -203,29 +210,41 @@
     can_be_on_time(due_at, remaining, now) && due_at <= now + URGENT_WINDOW
 }
 
-/// Assigns free slots to items, the first due first, on the target with the most free slots.
-fn assign_slots(
+/// Assigns free slots to items, the first due first, on the target with the most free slots that has not
+/// refused the item.
+fn assign_slots<F>(
     waiting: &[WaitingItem],
     mut free: Vec<(u32, TargetKey)>,
+    refuses: F,
     now: Millis,
     starts: &mut Vec<(ItemKey, TargetKey)>,
-) {
+) where
+    F: Fn(ItemKey, TargetKey) -> bool,
+{
     let mut queue: Vec<_> = waiting.iter().collect();
     // Items that will be late in any case lose little by waiting longer, so they come after those that
-    // can still be on time. If the items due first came first during overload, all would be late.
+    // can still be on time. If the items due first came first during overload, all would be late. Items that
+    // no target takes must not hold back any other.
     queue.sort_by_key(|item| {
         let is_late = !can_be_on_time(item.due_at, item.remaining, now);
-        (is_late, item.due_at, !item.started, item.key)
+        (
+            item.is_refused,
+            is_late,
+            item.due_at,
+            !item.started,
+            item.key,
+        )
     });
     for item in queue {
         let reserved = reserved_slots(item, now);
         free.sort_unstable_by(|a, b| b.cmp(a));
-        let Some((slots, target)) = free.first_mut() else {
+        if free.is_empty() {
             return;
-        };
-        if *slots <= reserved {
-            continue;
         }
+        let mut usable = free.iter_mut().filter(|(slots, _)| *slots > reserved);
+        let Some((slots, target)) = usable.find(|(_, target)| !refuses(item.key, *target)) else {
+            continue;
+        };
         *slots -= 1;
         starts.push((item.key, *target));
         free.retain(|(slots, _)| *slots > 0);
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -32,6 +32,10 @@
     events::parse_event_id,
     link::pause,
     quarantine::Feature,
+    refusals::{
+        RETRY_BACKOFF,
+        Refusals, //
+    },
     routes::choose_destination,
     schedule::{
         ItemKey,
@@ -78,8 +82,9 @@
 
 /// How often items are scheduled if no slot becomes free in between.
 const SCHEDULE_INTERVAL: Millis = Millis(30);
-/// Pause of an item after a failed run.
-const RETRY_BACKOFF: Millis = Millis(300);
+/// How much longer than its lifetime an item is kept that no target takes: the clocks of the instances that
+/// its age is counted by may differ.
+const LIFETIME_MARGIN: Millis = Millis::from_secs(10);
 /// How long a target gets no items after it rejected one or a run there was interrupted.
 const TARGET_COOLDOWN: Millis = Millis(1_000);
 /// How long results are retained beyond the promised lifetime.
@@ -205,8 +210,8 @@
         }
     }
 
-    /// Items without a listed result that may run now. Items without a route, and those with a quarantined
-    /// feature whose lifetime is over, are finished as errored.
+    /// Items without a listed result that may run now. Items without a route, and those whose lifetime is
+    /// over and that all targets refuse or that have a quarantined feature, are finished as errored.
     fn waiting(&mut self, state: &crate::state::State, now: Millis) -> Waiting {
         let mut waiting = Waiting::default();
         let Some(table) = self.cx.table() else {
@@ -233,6 +238,12 @@
                 };
                 let progress = self.progress.get(&key);
                 let backs_off = progress.is_some_and(|progress| now < progress.retry_at);
+                let is_refused = progress.is_some_and(|item| item.refusals.is_refused_by_all());
+                let lifetime = route.item_lifetime.map(|time| time + LIFETIME_MARGIN);
+                if is_refused && lifetime.is_some_and(|lifetime| view.age(now) > lifetime) {
+                    abandoned.push((key, job.id.clone()));
+                    continue;
+                }
                 let refused = refused_features(&self.cx, item, now);
                 if let Some(feature) = refused.first() {
                     if route.item_lifetime.is_some_and(|most| view.age(now) > most) {
@@ -258,6 +269,7 @@
                             progress.map_or(Millis::ZERO, |progress| progress.ran),
                             item.last_id.is_some(),
                         ),
+                        is_refused,
                     });
                 }
             }
@@ -331,7 +343,11 @@
             });
             capacities.collect()
         };
-        let plan = plan(&waiting, &running, &capacities, now);
+        let refuses = |key, target| {
+            let progress = self.progress.get(&key);
+            progress.is_some_and(|progress| progress.refusals.is_refused_by(target))
+        };
+        let plan = plan(&waiting, &running, &capacities, refuses, now);
         for key in plan.pause {
             let job = self.jobs.job_id(key.job);
             log::info!(job, item = key.item; "batch item preempted");
@@ -375,6 +391,9 @@
             Some((req, Feature::of_item(&item.headers)))
         });
         let Some((req, features)) = prepared else {
+            // No target can be sent such a request.
+            log::warn!(job:% = job_id, item = key.item; "batch item is not valid in HTTP");
+            progress.retry_at = self.cx.clock.now() + progress.refusals.record_by_all();
             return;
         };
         let is_admitted = match trial {
@@ -382,6 +401,8 @@
             None => self.take_admission(&features),
         };
         if !is_admitted {
+            let progress = self.progress.entry(key).or_default();
+            progress.retry_at = self.cx.clock.now() + RETRY_BACKOFF;
             return;
         }
         self.next_run += 1;
@@ -449,6 +470,7 @@
                     }
                     let progress = self.progress.entry(run.key).or_default();
                     progress.lines.extend(lines);
+                    progress.refusals = Refusals::default();
                     progress.last_id = Some(last_id.to_string());
                 }
                 false
@@ -489,6 +511,7 @@
             RunEnd::Unprocessable => "impossible",
             RunEnd::FailedByTarget => "failed",
             RunEnd::Rejected => "rejected",
+            RunEnd::Refused => "refused",
             RunEnd::Interrupted(failure) => failure.code(),
             RunEnd::BrokenBeforeOutput => "broken",
         };
@@ -519,13 +542,35 @@
             RunEnd::FailedByTarget => {
                 self.record_failure(job, run.key);
             }
-            RunEnd::Rejected | RunEnd::Interrupted(_) | RunEnd::BrokenBeforeOutput => {
+            RunEnd::Rejected | RunEnd::Refused => self.record_refusal(run, now),
+            RunEnd::Interrupted(_) | RunEnd::BrokenBeforeOutput => {
                 progress.retry_at = now + RETRY_BACKOFF;
                 self.cooldowns.insert(run.target, now + TARGET_COOLDOWN);
             }
         }
     }
 
+    /// Lets a refused item wait. Only its first refusal counts against the target, which may be full: an item
+    /// that is refused again and again says nothing about others.
+    fn record_refusal(&mut self, run: &Run, now: Millis) {
+        let targets: Vec<_> = {
+            let targets = self.cx.targets();
+            let service = targets
+                .record(run.target)
+                .map(|record| record.service.clone());
+            let records = targets
+                .records()
+                .filter(|record| Some(&record.service) == service.as_ref() && record.takes_work());
+            records.map(TargetRecord::key).collect()
+        };
+        let progress = self.progress.entry(run.key).or_default();
+        let backoff = progress.refusals.record(run.target, targets);
+        progress.retry_at = now + backoff;
+        if progress.refusals.is_first() {
+            self.cooldowns.insert(run.target, now + TARGET_COOLDOWN);
+        }
+    }
+
     /// Counts a failed run, and finishes the item as errored after the last allowed one. The local
     /// count is ahead of the replicated one, which a slow disk delays.
     fn record_failure(&mut self, job: String, key: ItemKey) {
--- a/crates/serving/src/store/runner/progress.rs
+++ b/crates/serving/src/store/runner/progress.rs
@@ -2,9 +2,12 @@
 
 use yuccaseam_base::Millis;
 
-use crate::state::{
-    Item,
-    Output, //
+use crate::{
+    refusals::Refusals,
+    state::{
+        Item,
+        Output, //
+    }, //
 };
 
 /// Received output of an item.
@@ -19,6 +22,8 @@
     pub(super) retry_at: Millis,
     /// Number of runs that a target reported as failed.
     pub(super) failures: u32,
+    /// Refusals since the last event.
+    pub(super) refusals: Refusals,
     /// Time that the runs of this leader took together.
     pub(super) ran: Millis,
 }
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -53,6 +53,8 @@
     FailedByTarget,
     /// The target did not run the item.
     Rejected,
+    /// The target answered that the request is wrong.
+    Refused,
     /// The connection or the stream failed.
     Interrupted(Failure),
     /// The connection broke before the first event, as in a crash of the target.
@@ -149,6 +151,7 @@
     match head.status {
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Unprocessable,
         StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::FailedByTarget,
+        status if status.is_client_error() => return RunEnd::Refused,
         status if status.is_success() && call.is_valid() => {}
         _ => return RunEnd::Interrupted(Failure::InvalidResponse),
     }
--- a/crates/serving/tests/all/schedule.rs
+++ b/crates/serving/tests/all/schedule.rs
@@ -6,13 +6,14 @@
 };
 use yuccaseam_serving::{
     schedule::{
+        self,
         ItemKey,
         ItemTimes,
+        Plan,
         RunningItem,
         TargetCapacity,
         WaitingItem,
-        are_loads_known,
-        plan, //
+        are_loads_known, //
     },
     targets::TargetKey,
 };
@@ -34,6 +35,7 @@
         due_at,
         started: false,
         remaining: RUN,
+        is_refused: false,
     }
 }
 
@@ -55,6 +57,15 @@
     }
 }
 
+fn plan(
+    waiting: &[WaitingItem],
+    running: &[RunningItem],
+    capacities: &[TargetCapacity],
+    now: Millis,
+) -> Plan {
+    schedule::plan(waiting, running, capacities, |_, _| false, now)
+}
+
 fn check_starts(online: u32, due_at: Millis, expected: usize) {
     let queue: Vec<_> = (0..10).map(|number| waiting(number, due_at)).collect();
     let plan = plan(&queue, &[], &[engine(online)], NOW);
@@ -175,3 +186,31 @@
     assert!(!are_loads_known(Millis(350 + 100)));
     assert!(are_loads_known(Millis(1_000)));
 }
+
+/// Guards against items that no target takes and that hold back the others: they were due first.
+#[test]
+fn items_that_all_targets_refuse_come_last() {
+    let refused = WaitingItem {
+        is_refused: true,
+        ..waiting(1, DUE_URGENT)
+    };
+    let late = waiting(2, Millis(90_000));
+    let plan = plan(&[refused, late], &[], &[engine(5)], NOW);
+    assert_eq!(plan.start, [(item(2), TargetKey(1))]);
+}
+
+/// Guards against an item that only one target can run and that is tried at the emptiest one again and
+/// again.
+#[test]
+fn item_is_tried_at_targets_that_have_not_refused_it() {
+    let small = engine(0);
+    let large = TargetCapacity {
+        target: TargetKey(2),
+        ..engine(5)
+    };
+    let refuses = |key, target| key == item(1) && target == TargetKey(1);
+    let queue = [waiting(1, DUE_LATE), waiting(2, DUE_LATE)];
+    let plan = schedule::plan(&queue, &[], &[small, large], refuses, NOW);
+    let expected = [(item(1), TargetKey(2)), (item(2), TargetKey(1))];
+    assert_eq!(plan.start, expected);
+}
