LOST: late items run at targets of any size, and beside steady callers

Cause: a late item left two slots free at its target, whatever the target had, and preemption one.

Change: at most a quarter of a target's slots is held back, for starts and for preemption. If no item of a service runs, the first late one uses the reserve.

--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -24,6 +24,9 @@
 const PRESSING_WINDOW: Millis = Millis(13_000);
 /// Slots of a target that preemption frees once callers have taken the reserve.
 const PREEMPTION_RESERVED_SLOTS: u32 = 1;
+/// Part of a target's slots that is held back at most, as a divisor: a target with few slots has none to spare,
+/// and preemption frees its slots for callers.
+const MAX_RESERVED_DIVISOR: u32 = 4;
 /// Time for which a new leader starts no items: entries take up to this long to detect the new
 /// leader and report their load.
 const START_DELAY: Millis = Millis(600);
@@ -151,18 +154,46 @@
         runs_by_target.entry(run.target).or_default().push(run);
     }
     let mut free = Vec::new();
+    let mut has_runs = false;
     for capacity in capacities {
         let runs = runs_by_target.remove(&capacity.target).unwrap_or_default();
         let continuing = pause_excess_runs(capacity, runs, now, &mut plan.pause);
+        has_runs |= continuing > 0;
         let taken = capacity.online + continuing;
         if capacity.accepts && taken < capacity.slots {
-            free.push((capacity.slots - taken, capacity.target));
+            free.push(FreeSlots {
+                free: capacity.slots - taken,
+                target: capacity.target,
+                max_reserved: max_reserved(capacity.slots),
+            });
         }
     }
-    assign_slots(waiting, free, refuses, now, &mut plan.start);
+    assign_slots(waiting, free, has_runs, refuses, now, &mut plan.start);
     plan
 }
 
+/// Free slots of a target.
+#[value]
+#[derive(Copy, PartialOrd, Ord)]
+struct FreeSlots {
+    free: u32,
+    target: TargetKey,
+    /// Slots that may be held back at most.
+    max_reserved: u32,
+}
+
+impl FreeSlots {
+    /// Whether an item may start that leaves `reserved` slots free.
+    fn has_room(&self, reserved: u32) -> bool {
+        self.free > reserved.min(self.max_reserved)
+    }
+}
+
+/// Slots of a target that may be held back at most.
+fn max_reserved(slots: u32) -> u32 {
+    slots / MAX_RESERVED_DIVISOR
+}
+
 /// Pauses runs that exceed the slots left by callers, the last due first, and returns the number of
 /// runs that continue.
 fn pause_excess_runs(
@@ -176,7 +207,8 @@
         .iter()
         .filter(|run| is_urgent(run.due_at, run.remaining, now))
         .count();
-    let max_runs = free.saturating_sub(PREEMPTION_RESERVED_SLOTS) as usize;
+    let reserved = PREEMPTION_RESERVED_SLOTS.min(max_reserved(capacity.slots));
+    let max_runs = free.saturating_sub(reserved) as usize;
     let max_runs = max_runs.max(urgent.min(free as usize));
     runs.sort_by_key(|run| {
         let is_late = !can_be_on_time(run.due_at, run.remaining, now);
@@ -211,42 +243,48 @@
 }
 
 /// Assigns free slots to items, the first due first, on the target with the most free slots that has not
-/// refused the item.
+/// refused the item. If nothing runs and nothing else starts, an item that is late uses the reserve: it must not
+/// wait for as long as callers come.
 fn assign_slots<F>(
     waiting: &[WaitingItem],
-    mut free: Vec<(u32, TargetKey)>,
+    mut free: Vec<FreeSlots>,
+    has_runs: bool,
     refuses: F,
     now: Millis,
     starts: &mut Vec<(ItemKey, TargetKey)>,
 ) where
     F: Fn(ItemKey, TargetKey) -> bool,
 {
+    let is_late = |item: &WaitingItem| !can_be_on_time(item.due_at, item.remaining, now);
     let mut queue: Vec<_> = waiting.iter().collect();
     // Items that will be late in any case lose little by waiting longer, so they come after those that
     // can still be on time. If the items due first came first during overload, all would be late. Items that
     // no target takes must not hold back any other.
     queue.sort_by_key(|item| {
-        let is_late = !can_be_on_time(item.due_at, item.remaining, now);
         (
             item.is_refused,
-            is_late,
+            is_late(item),
             item.due_at,
             !item.started,
             item.key,
         )
     });
     for item in queue {
-        let reserved = reserved_slots(item, now);
+        let reserved = if is_late(item) && !has_runs && starts.is_empty() {
+            PREEMPTION_RESERVED_SLOTS
+        } else {
+            reserved_slots(item, now)
+        };
         free.sort_unstable_by(|a, b| b.cmp(a));
         if free.is_empty() {
             return;
         }
-        let mut usable = free.iter_mut().filter(|(slots, _)| *slots > reserved);
-        let Some((slots, target)) = usable.find(|(_, target)| !refuses(item.key, *target)) else {
+        let mut usable = free.iter_mut().filter(|target| target.has_room(reserved));
+        let Some(slots) = usable.find(|slots| !refuses(item.key, slots.target)) else {
             continue;
         };
-        *slots -= 1;
-        starts.push((item.key, *target));
-        free.retain(|(slots, _)| *slots > 0);
+        slots.free -= 1;
+        starts.push((item.key, slots.target));
+        free.retain(|slots| slots.free > 0);
     }
 }
