capacity: results are compressed, and the highest rate of a link counts

Change: the bound is for one join. Long results are compressed in the state. The rate of a link is the highest of recent bursts, since syncs and other traffic only lower a sample; short bursts count as 20 ms. Four fifths of it are used.

--- a/crates/quorum/src/link_rate.rs
+++ b/crates/quorum/src/link_rate.rs
@@ -4,14 +4,14 @@
 
 use crate::Index;
 
-/// Minimum size of a burst, below which the granularity of the clock dominates its transmission time.
+/// Minimum size of a burst that counts.
 const MIN_BURST_BYTES: usize = 64 * 1024;
 
-/// Minimum transmission time of a burst that counts, above the variation of a sync.
-const MIN_TRANSMISSION: Millis = Millis(5);
+/// Minimum transmission time of a burst: shorter ones count as long, since the time of a sync varies.
+const MIN_TRANSMISSION: Millis = Millis(20);
 
-/// Weight of the estimate before a sample, to one of the sample.
-const OLD_WEIGHT: u64 = 3;
+/// Share by which the estimate falls with each lower sample, as a divisor.
+const DECAY_DIVISOR: u64 = 64;
 
 /// Messages sent at one time on an idle link.
 #[derive(Debug)]
@@ -22,7 +22,7 @@
 }
 
 /// Estimate of the rate of a link: the size of a burst over its time to the acknowledgement beyond the
-/// shortest round trip. Syncs and other traffic on the link lower it.
+/// shortest round trip. Syncs and other traffic lower a sample, so that the highest counts.
 #[derive(Debug, Default)]
 pub(crate) struct LinkRate {
     min_round_trip: Option<Millis>,
@@ -63,14 +63,13 @@
         let Some(min_round_trip) = self.min_round_trip else {
             return;
         };
-        let transmission = now - (burst.sent_at + min_round_trip);
-        if burst.bytes < MIN_BURST_BYTES || transmission < MIN_TRANSMISSION {
+        if burst.bytes < MIN_BURST_BYTES {
             return;
         }
-        let sample = burst.bytes as u64 / transmission.0;
-        self.bytes_per_ms = Some(self.bytes_per_ms.map_or(sample, |rate| {
-            (rate * OLD_WEIGHT + sample) / (OLD_WEIGHT + 1)
-        }));
+        let transmission = now - (burst.sent_at + min_round_trip);
+        let sample = burst.bytes as u64 / transmission.max(MIN_TRANSMISSION).0;
+        let before = self.bytes_per_ms.unwrap_or_default();
+        self.bytes_per_ms = Some(sample.max(before - before / DECAY_DIVISOR));
     }
 
     /// The estimate in bytes per ms; `None` before the first burst.
--- a/crates/serving/src/capacity.rs
+++ b/crates/serving/src/capacity.rs
@@ -9,6 +9,9 @@
 /// Rate of a link that was not measured yet, in bytes per ms: three quarters of 30 Mbit/s.
 pub const MIN_LINK_RATE: u64 = 2_800;
 
+/// Share of the measured rate that the state may use, as a fraction: the rest is for other traffic.
+const USABLE_RATE: (u64, u64) = (4, 5);
+
 /// Time of a join besides the transfer: until the leader knows of the disk, has written a snapshot, and has
 /// made the store a voter.
 pub const JOIN_OVERHEAD: Millis = Millis(1_500);
@@ -16,11 +19,11 @@
 /// Minimum time for the transfer.
 const MIN_TRANSFER_TIME: Millis = Millis(1_000);
 
-/// Returns the maximum size of the state in bytes, such that `joining` stores, to which the state is sent over
-/// one link, vote within `recovery`. `link_rate` is the measured rate of the slowest link to a voter in bytes
-/// per ms.
-pub fn max_state_bytes(recovery: Millis, joining: usize, link_rate: Option<u64>) -> u64 {
-    let rate = link_rate.unwrap_or_default().max(MIN_LINK_RATE);
+/// Returns the maximum size of the state in bytes, such that a store votes within `recovery`. `link_rate` is
+/// the measured rate of the slowest link to a voter in bytes per ms.
+pub fn max_state_bytes(recovery: Millis, link_rate: Option<u64>) -> u64 {
+    let (numerator, denominator) = USABLE_RATE;
+    let measured = link_rate.unwrap_or_default() * numerator / denominator;
     let time = (recovery - JOIN_OVERHEAD).max(MIN_TRANSFER_TIME);
-    time.0 * rate / joining.max(1) as u64
+    time.0 * measured.max(MIN_LINK_RATE)
 }
--- a/crates/serving/src/state/job.rs
+++ b/crates/serving/src/state/job.rs
@@ -1,5 +1,7 @@
 //! State of one batch job.
 
+use std::borrow::Cow;
+
 use yuccaseam_base::{
     Millis,
     record, //
@@ -8,9 +10,13 @@
 use super::{
     NewItem,
     NewJob,
-    Output, //
+    Output,
+    packed, //
 };
 
+/// Size of an output from which on it is compressed, in bytes.
+const MIN_PACKED_BYTES: usize = 512;
+
 /// Final result of an item.
 #[record]
 pub enum Finish {
@@ -18,6 +24,45 @@
     Completed(String),
     /// It can never be completed, or failed too often.
     Errored,
+    /// As [`Finish::Completed`], with the output compressed.
+    CompletedPacked(Vec<u8>),
+}
+
+impl Finish {
+    /// Result of a completed item. A store that joins receives all results, so that long ones are
+    /// compressed.
+    pub(super) fn completed(text: String) -> Self {
+        if text.len() < MIN_PACKED_BYTES {
+            return Self::Completed(text);
+        }
+        Self::CompletedPacked(packed::pack(text.as_bytes()))
+    }
+
+    /// The complete output of a completed item; `None` if it is errored.
+    ///
+    /// # Panics
+    ///
+    /// Never: a compressed output was a text.
+    pub fn text(&self) -> Option<Cow<'_, str>> {
+        match self {
+            Self::Completed(text) => Some(Cow::Borrowed(text)),
+            Self::CompletedPacked(data) => {
+                let text = packed::unpack(data).expect("the state compressed it");
+                let text = String::from_utf8(text).expect("the state compressed a text");
+                Some(Cow::Owned(text))
+            }
+            Self::Errored => None,
+        }
+    }
+
+    /// Size in the state in bytes; `None` if the item is errored.
+    fn stored_bytes(&self) -> Option<u64> {
+        match self {
+            Self::Completed(text) => Some(text.len() as u64),
+            Self::CompletedPacked(data) => Some(data.len() as u64),
+            Self::Errored => None,
+        }
+    }
 }
 
 /// An item of a job.
@@ -149,13 +194,8 @@
 
     /// Number of the completed items, and the size of their results in bytes.
     pub(super) fn completed_sizes(&self) -> (u64, u64) {
-        let sizes = self
-            .results
-            .iter()
-            .filter_map(|listed| match &listed.finish {
-                Finish::Completed(text) => Some(text.len() as u64),
-                Finish::Errored => None,
-            });
+        let results = self.results.iter();
+        let sizes = results.filter_map(|listed| listed.finish.stored_bytes());
         sizes.fold((0, 0), |(count, bytes), size| (count + 1, bytes + size))
     }
 
@@ -196,7 +236,7 @@
                     return false;
                 }
                 let lines = std::mem::take(&mut self.items[position as usize].lines);
-                Finish::Completed(lines.join("\n"))
+                Finish::completed(lines.join("\n"))
             }
             None => Finish::Errored,
         };
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -9,6 +9,7 @@
 
 mod command;
 mod job;
+mod packed;
 mod stored_manifest;
 
 pub use command::{
--- a/crates/serving/src/store/pages.rs
+++ b/crates/serving/src/store/pages.rs
@@ -13,7 +13,6 @@
         PageRequest, //
     },
     state::{
-        Finish,
         Job,
         State, //
     },
@@ -58,16 +57,14 @@
     let mut bytes = 0;
     let mut results = Vec::new();
     for listed in job.results().iter().skip(after) {
+        let text = listed.finish.text();
         let result = ListedResult {
             item: job.items()[listed.item as usize].id.clone(),
-            outcome: match listed.finish {
-                Finish::Completed(_) => ItemOutcome::Completed,
-                Finish::Errored => ItemOutcome::Errored,
-            },
-            text: match &listed.finish {
-                Finish::Completed(text) => text.clone(),
-                Finish::Errored => String::new(),
+            outcome: match text {
+                Some(_) => ItemOutcome::Completed,
+                None => ItemOutcome::Errored,
             },
+            text: text.unwrap_or_default().into_owned(),
         };
         bytes += result.text.len();
         if bytes > MAX_PAGE_BYTES && !results.is_empty() {
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -212,11 +212,7 @@
     pub(crate) fn has_capacity(&self, bytes: u64) -> bool {
         let published = self.published();
         let settings = &self.cx.settings;
-        let limit = capacity::max_state_bytes(
-            settings.bounds.loss_recovery,
-            settings.tolerated_losses,
-            published.link_rate,
-        );
+        let limit = capacity::max_state_bytes(settings.bounds.loss_recovery, published.link_rate);
         let expected = published.state.expected_output_bytes();
         let needed = published.stored_bytes + expected + bytes;
         if needed > limit {
