A target that sends events without end cannot fill the memory of a store

Change: an item has at most 1 MiB of output, that of a page of results, all runs together. If a target sends more, all of it is discarded, in the log too (`Discard`), and the item runs again from its beginning at another target.

The flood of an error was first written with status 500, which ends an item as errored; it is 502 now.

--- a/crates/daemon/tests/all/platform/floods.rs
+++ b/crates/daemon/tests/all/platform/floods.rs
@@ -25,17 +25,21 @@
 use tokio::runtime::Runtime;
 use yuccaseam_base::cases;
 use yuccaseam_testing::platform::{
+    BATCH,
     HOST,
     ONCE,
     PlatformSystem,
     PlatformTarget,
     RESUMABLE,
     SAFE,
+    expected_text,
     send, //
 };
 
 use super::{
     PATIENCE,
+    World,
+    job,
     read_request_id, //
 };
 
@@ -46,7 +50,12 @@
 /// Most memory that an entry may use, in KB: half of that of the smallest instances.
 const MAX_MEMORY_KB: u64 = 80_000;
 
-/// What a target sends once and then again and again.
+/// Number of items that run at a target that floods its caller.
+const ITEMS: usize = 8;
+/// Time for which items run there.
+const FLOODED_FOR: Duration = Duration::from_secs(4);
+
+/// What a target sends once and then again and again, with a number that increases for each `NUMBER`.
 #[derive(Clone, Copy)]
 struct Flood {
     once: &'static str,
@@ -81,10 +90,19 @@
         return Ok(());
     };
     stream.write_all(flood.once.replace("ID", &id).as_bytes())?;
-    let piece = flood.again.repeat(16_384 / flood.again.len());
-    loop {
-        stream.write_all(piece.as_bytes())?;
+    let repeats = 16_384 / flood.again.len();
+    if !flood.again.contains("NUMBER") {
+        let piece = flood.again.repeat(repeats);
+        loop {
+            stream.write_all(piece.as_bytes())?;
+        }
     }
+    for first in (1..).step_by(repeats) {
+        let numbers = first..first + repeats;
+        let events = numbers.map(|number| flood.again.replace("NUMBER", &number.to_string()));
+        stream.write_all(events.collect::<String>().as_bytes())?;
+    }
+    Ok(())
 }
 
 /// Calls of each kind end in time as failed, the target's connections are closed, the memory of the entry
@@ -242,3 +260,55 @@
         again: "X: y\r\n",
     });
 }
+
+/// Batch items run at a target that floods its caller: the memory of the stores is bounded, and
+/// a sound target completes the items.
+fn item_flood_is_cut_off(flood: Flood) {
+    let runtime = Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let system = PlatformSystem::start(3, 3);
+        let open = Arc::new(AtomicUsize::new(0));
+        let place = |_| Ok((start_flooding(flood, &open)?, ()));
+        let control = system.control();
+        let target = PlatformTarget::start_behind("flooding", "llm", "a1", 8, control, place).await;
+        let (flooding, ()) = target.expect("a target starts");
+        assert!(system.put_manifest(1).await, "a manifest is accepted");
+        wait_until_routed(system.entries[0].callers()).await;
+        let world = World {
+            system,
+            targets: vec![flooding],
+        };
+        let path = format!("{BATCH}j1");
+        let body = job("j1", ITEMS);
+        let reply = world.batch(0, Method::POST, &path, "j1", &body).await;
+        assert_eq!(reply.status, 202, "{reply:?}");
+        tokio::time::sleep(FLOODED_FOR).await;
+        for store in &world.system.stores {
+            let memory = store.memory_kb().expect("the store runs");
+            assert!(memory < MAX_MEMORY_KB, "{} has {memory} KB", store.name);
+        }
+        let control = world.system.control();
+        let sound = PlatformTarget::start("sound", "llm", "b1", 8, control).await;
+        let _sound = sound.expect("a target starts");
+        let page = world.results(0, "j1", ITEMS).await;
+        for result in page["results"].as_array().expect("a list") {
+            let id = result["id"].as_str().expect("an id");
+            assert_eq!(result["text"], expected_text(id, 5), "{id}");
+        }
+    });
+}
+
+cases! { item_flood_is_cut_off:
+    item_header_without_end(Flood { once: "HTTP/1.1 200 OK\r\nX: ", again: "x" });
+    item_error_without_end(Flood {
+        once: "HTTP/1.1 502 Bad Gateway\r\nRequest-Id: ID\r\n\r\n",
+        again: "x",
+    });
+    item_body_without_end_of_event(Flood { once: CHUNKED, again: "4\r\nxxxx\r\n" });
+    item_events_without_ids(Flood { once: CHUNKED, again: "9\r\ndata: x\n\n\r\n" });
+    item_comments_without_end(Flood { once: CHUNKED, again: "3\r\n:\n\n\r\n" });
+    item_events_without_end(Flood {
+        once: "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n\r\n",
+        again: "id: NUMBER\ndata: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n\n",
+    });
+}
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -141,6 +141,13 @@
     },
     /// Releases features from quarantine.
     Release(Vec<Feature>),
+    /// Discards the partial output of an item, which then runs again from its beginning.
+    Discard {
+        /// Id of the job.
+        job: String,
+        /// Position of the item in its job.
+        item: u32,
+    },
 }
 
 /// Outcome of a command.
--- a/crates/serving/src/state/job.rs
+++ b/crates/serving/src/state/job.rs
@@ -88,6 +88,11 @@
 }
 
 impl Item {
+    /// Size of the data of the events so far.
+    pub fn output_bytes(&self) -> usize {
+        self.lines.iter().map(String::len).sum()
+    }
+
     /// Whether its result is listed.
     pub fn is_listed(&self) -> bool {
         self.listed
@@ -214,6 +219,13 @@
         }
     }
 
+    pub(super) fn discard_output(&mut self, item: u32) {
+        if let Some(item) = self.items.get_mut(item as usize) {
+            item.lines = Vec::new();
+            item.last_id = None;
+        }
+    }
+
     /// Appends output. Returns false if it does not follow the stored output.
     pub(super) fn advance(&mut self, item: u32, output: Output) -> bool {
         let ended = self.ended;
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -81,6 +81,12 @@
                 }
                 CommandOutcome::Done
             }
+            Command::Discard { job, item } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.discard_output(item);
+                }
+                CommandOutcome::Done
+            }
             Command::End { job } => match self.jobs.get_mut(&job) {
                 Some(job) => {
                     job.end();
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -75,6 +75,7 @@
     refused_features, //
 };
 use stream::{
+    Arrived,
     Report,
     RunEnd,
     build_request, //
@@ -384,6 +385,10 @@
             })
         });
         let last_id = progress.last_id.clone();
+        let arrived = Arrived {
+            last_id: last_id.as_deref().and_then(parse_event_id),
+            bytes: progress.bytes,
+        };
         let prepared = self.replica.read(|state| {
             let job = state.job(job_id)?;
             let item = job.items().get(key.item as usize)?;
@@ -411,7 +416,7 @@
             Arc::clone(&self.cx),
             target.clone(),
             req,
-            last_id.as_deref().and_then(parse_event_id),
+            arrived,
             run_id,
             self.reports.clone(),
         ));
@@ -469,6 +474,7 @@
                         self.hub.prove_features(&run.features);
                     }
                     let progress = self.progress.entry(run.key).or_default();
+                    progress.bytes += lines.iter().map(String::len).sum::<usize>();
                     progress.lines.extend(lines);
                     progress.refusals = Refusals::default();
                     progress.last_id = Some(last_id.to_string());
@@ -512,6 +518,7 @@
             RunEnd::FailedByTarget => "failed",
             RunEnd::Rejected => "rejected",
             RunEnd::Refused => "refused",
+            RunEnd::Oversized => "oversized",
             RunEnd::Interrupted(failure) => failure.code(),
             RunEnd::BrokenBeforeOutput => "broken",
         };
@@ -543,6 +550,11 @@
                 self.record_failure(job, run.key);
             }
             RunEnd::Rejected | RunEnd::Refused => self.record_refusal(run, now),
+            RunEnd::Oversized => {
+                progress.discard_output();
+                self.record_refusal(run, now);
+                self.propose(Command::Discard { job, item }, vec![run.key]);
+            }
             RunEnd::Interrupted(_) | RunEnd::BrokenBeforeOutput => {
                 progress.retry_at = now + RETRY_BACKOFF;
                 self.cooldowns.insert(run.target, now + TARGET_COOLDOWN);
--- a/crates/serving/src/store/runner/progress.rs
+++ b/crates/serving/src/store/runner/progress.rs
@@ -18,6 +18,8 @@
     /// Data of the events since then, one line per event.
     pub(super) lines: Vec<String>,
     pub(super) last_id: Option<String>,
+    /// Size of the data of all events.
+    pub(super) bytes: usize,
     /// Earliest start of the next run. The maximum if no run is to follow.
     pub(super) retry_at: Millis,
     /// Number of runs that a target reported as failed.
@@ -33,6 +35,7 @@
         Self {
             persisted_id: item.last_id.clone(),
             last_id: item.last_id.clone(),
+            bytes: item.output_bytes(),
             failures: item.failed_runs,
             ..Self::default()
         }
@@ -40,6 +43,14 @@
 }
 
 impl Progress {
+    /// Forgets all output, so that the item runs again from its beginning.
+    pub(super) fn discard_output(&mut self) {
+        self.persisted_id = None;
+        self.lines = Vec::new();
+        self.last_id = None;
+        self.bytes = 0;
+    }
+
     /// Takes the output received since the last call.
     pub(super) fn take_output(&mut self) -> Output {
         Output {
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -39,8 +39,8 @@
 /// Time limit for the response head and between frames, after which the item resumes elsewhere.
 const STALL_TIMEOUT: Millis = Millis(2_000);
 
-/// Largest output of one run, in bytes: many times that of the largest items.
-const MAX_OUTPUT_BYTES: usize = 4 << 20;
+/// Largest output of an item in bytes: that of a page of results.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
 
 /// How a run ended.
 #[derive(Debug)]
@@ -55,6 +55,8 @@
     Rejected,
     /// The target answered that the request is wrong.
     Refused,
+    /// The output is longer than that of any item.
+    Oversized,
     /// The connection or the stream failed.
     Interrupted(Failure),
     /// The connection broke before the first event, as in a crash of the target.
@@ -106,17 +108,25 @@
     Some(req)
 }
 
-/// Runs an item at a target from `after` on, the id of the last event that has arrived, and reports its events
-/// and its end.
+/// Output of an item that has arrived before a run.
+#[derive(Clone, Copy)]
+pub(super) struct Arrived {
+    /// Id of the last event.
+    pub(super) last_id: Option<u64>,
+    /// Size of the data of the events.
+    pub(super) bytes: usize,
+}
+
+/// Runs an item at a target, and reports its events and its end.
 pub(super) async fn stream(
     cx: Arc<Cx>,
     target: TargetRecord,
     req: Request<Full<bytes::Bytes>>,
-    after: Option<u64>,
+    arrived: Arrived,
     run: u64,
     reports: mpsc::UnboundedSender<Report>,
 ) {
-    let end = stream_events(&cx, &target, req, after, run, &reports).await;
+    let end = stream_events(&cx, &target, req, arrived, run, &reports).await;
     // The runner runs until the process exits.
     let _ = reports.send(Report::Ended { run, end });
 }
@@ -125,7 +135,7 @@
     cx: &Arc<Cx>,
     target: &TargetRecord,
     req: Request<Full<bytes::Bytes>>,
-    after: Option<u64>,
+    arrived: Arrived,
     run: u64,
     reports: &mpsc::UnboundedSender<Report>,
 ) -> RunEnd {
@@ -156,7 +166,7 @@
         _ => return RunEnd::Interrupted(Failure::InvalidResponse),
     }
     let requires_events = call.requires_events();
-    let mut splitter = EventSplitter::after(after);
+    let mut splitter = EventSplitter::after(arrived.last_id);
     let mut output_bytes = 0;
     let mut last_event_at = cx.clock.now();
     loop {
@@ -189,11 +199,12 @@
                 };
                 if let (Some(events), Some(last_id)) = (events, splitter.last_id()) {
                     output_bytes += events.len();
-                    if output_bytes > MAX_OUTPUT_BYTES {
+                    let total = arrived.bytes + output_bytes;
+                    if total > MAX_OUTPUT_BYTES {
                         log::warn!(
-                            target_name:% = target.name, bytes = output_bytes,
+                            target_name:% = target.name, bytes = total,
                             max_bytes = MAX_OUTPUT_BYTES; "output of a batch item is too large");
-                        return RunEnd::Interrupted(Failure::InvalidResponse);
+                        return RunEnd::Oversized;
                     }
                     last_event_at = cx.clock.now();
                     let lines = event_data(&events);
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -300,3 +300,32 @@
     assert_eq!(text.as_deref(), Some(lines.join("\n").as_str()));
     assert!(state.snapshot().len() < line.len() * lines.len() / 2);
 }
+
+#[test]
+fn item_whose_output_was_discarded_runs_from_its_beginning() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[1])));
+    let advance = |after, lines: &[&str], last_id| {
+        Command::Advance(vec![Advance {
+            job: "j".to_owned(),
+            item: 0,
+            output: output(after, lines, last_id),
+        }])
+    };
+    assert_eq!(
+        state.apply(advance(None, &["noise"], "7")),
+        CommandOutcome::Done
+    );
+    let job_id = "j".to_owned();
+    state.apply(Command::Discard {
+        job: job_id,
+        item: 0,
+    });
+    assert_eq!(
+        state.apply(advance(Some("7"), &["more"], "8")),
+        CommandOutcome::Gap
+    );
+    state.apply(finish("j", 0, Some(output(None, &["a"], "1"))));
+    let job = state.job("j").expect("the job is there");
+    assert_eq!(job.results()[0].finish.text().as_deref(), Some("a"));
+}
