--- a/crates/daemon/tests/all/platform/framing.rs
+++ b/crates/daemon/tests/all/platform/framing.rs
@@ -53,6 +53,20 @@
     ("noise-repeated", "id: 2\ndata: noise\n\n"),
     ("noise-joined", "data: noise"),
 ];
+/// What a target answers that is asked to resume a stream, which another one has broken off.
+const REFUSED_RESUMES: [(&str, &str); 6] = [
+    ("resume-404", "HTTP/1.1 404 Not Found"),
+    ("resume-400", "HTTP/1.1 400 Bad Request"),
+    ("resume-500", "HTTP/1.1 500 Internal Server Error"),
+    ("resume-502", "HTTP/1.0 502 Bad Gateway"),
+    (
+        "resume-rejected",
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1",
+    ),
+    ("resume-noise", "502 this is no answer in the protocol"),
+];
+/// Text of such an answer.
+const ERROR_TEXT: &str = "id: 3\ndata: internal error\n\n";
 /// Status line of a success.
 const OK: &str = "HTTP/1.1 200 OK";
 /// Streams that their target breaks off, and the last whole event that it sends.
@@ -86,6 +100,11 @@
         "500" => unframed("HTTP/1.1 500 Internal Server Error", run, "it failed"),
         "500-reset" => reset(unframed("HTTP/1.1 500 Internal Server Error", run, "it")),
         "noise-first" if run.earlier == 0 => reset(chunked(run, "data: noise\n\n")),
+        _ if let Some(head) = refused_resume(kind) => match run.earlier {
+            0 => reset(chunked_part(run, &part)),
+            1 => unframed(head, run, ERROR_TEXT),
+            _ => unframed(OK, run, &whole),
+        },
         _ if let Some(bytes) = noisy_stream(run, kind) => chunked(run, &bytes),
         "reset" if run.earlier == 0 => reset(unframed(OK, run, &part)),
         "reset-between" if run.after.is_none() => reset(unframed(OK, run, &part)),
@@ -107,6 +126,11 @@
     events.strip_prefix(&before).unwrap_or_default().to_owned()
 }
 
+fn refused_resume(kind: &str) -> Option<&'static str> {
+    let mut kinds = REFUSED_RESUMES.into_iter();
+    kinds.find_map(|(name, head)| (name == kind).then_some(head))
+}
+
 /// The first run of a stream, with noise after the second event. The stream ends as if it were complete.
 fn noisy_stream(run: &RawRun, kind: &str) -> Option<String> {
     let (_, noise) = NOISE.into_iter().find(|(name, _)| *name == kind)?;
@@ -140,6 +164,12 @@
     }
 }
 
+/// A chunk of an answer that does not end.
+fn chunked_part(run: &RawRun, part: &str) -> Answer {
+    let status = format!("{OK}\r\nTransfer-Encoding: chunked");
+    unframed(&status, run, &format!("{:x}\r\n{part}\r\n", part.len()))
+}
+
 fn reset(answer: Answer) -> Answer {
     let end = End::Reset;
     Answer { end, ..answer }
@@ -476,3 +506,40 @@
         }
     });
 }
+
+/// Guards against the text or the head of an error in the middle of a stream: it has begun and broken off, and
+/// the next target answers with an error.
+#[test]
+fn error_of_the_next_target_stays_out_of_a_stream_that_has_begun() {
+    with_raw_targets(answer, async |raw| {
+        for (kind, _) in REFUSED_RESUMES {
+            let expected = expected_events(kind, EVENTS);
+            let path = format!("{RESUMABLE}{kind}");
+            let reply = raw.world.system.call(0, kind, &path).await;
+            assert!(raw.runs_of(kind) >= 2, "{kind} was not resumed");
+            // An answer that is cut off may end in an error of the connection.
+            let Ok(reply) = reply else {
+                continue;
+            };
+            if reply.is_whole_success() {
+                assert_eq!(reply.body, expected, "{kind}");
+            } else {
+                assert!(!reply.complete, "{kind}: {reply:?}");
+                assert!(expected.starts_with(&reply.body), "{kind}: {reply:?}");
+            }
+        }
+    });
+}
+
+/// The same for the results of batch items.
+#[test]
+fn error_of_the_next_target_stays_out_of_a_result_that_has_begun() {
+    with_raw_targets(answer, async |raw| {
+        for (kind, _) in REFUSED_RESUMES {
+            let result = run_item(&raw, kind, kind).await;
+            assert_eq!(result["state"], "completed", "{kind}");
+            let item = format!("{kind}-0");
+            assert_eq!(result["text"], expected_text(&item, EVENTS), "{kind}");
+        }
+    });
+}
