LOST: a request that is read late in a planned stop is refused

Cause: a request whose body was read after the idle connections were closed was passed on like any other.

Change: such a request is refused with 503 and has not run; another instance takes it at once.

--- a/crates/daemon/tests/all/platform/lifecycle.rs
+++ b/crates/daemon/tests/all/platform/lifecycle.rs
@@ -14,7 +14,14 @@
 
 use assert_matches::assert_matches;
 use http::Method;
-use tokio::runtime::Runtime;
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    net::TcpStream,
+    runtime::Runtime, //
+};
 use yuccaseam_testing::{
     Shape, Shapes, Signal,
     platform::{
@@ -169,13 +176,45 @@
             world.system.entries[0].is_running(),
             "the long stream still runs"
         );
-        let late = tokio::net::TcpStream::connect(entry).await;
+        let late = TcpStream::connect(entry).await;
         assert_matches!(late, Err(error) if error.kind() == ErrorKind::ConnectionRefused);
         let reply = long.await.expect("the call ends").expect("an answer comes");
         assert!(reply.is_whole_success());
     });
 }
 
+/// Guards against a request that is passed on late in a planned stop and cut off at its end, although it may
+/// not be repeated: its body was read while the entry waited for its last requests.
+#[test]
+fn request_that_is_read_late_in_a_planned_stop_is_refused_and_not_run() {
+    with_world(2, async |mut world| {
+        world.behave(&Behaviour {
+            events: 105,
+            pause: Duration::from_millis(40),
+            ..Behaviour::default()
+        });
+        let entry = world.system.entries[0].callers();
+        let mut caller = TcpStream::connect(entry).await.expect("a connection opens");
+        let head = format!(
+            "POST {ONCE}1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: late\r\nDeadline-Ms: 5000\r\n\
+             Content-Length: 2\r\n\r\nh"
+        );
+        let sent = caller.write_all(head.as_bytes()).await;
+        sent.expect("half a request is sent");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        world.system.entries[0].signal(Signal::Term);
+        tokio::time::sleep(Duration::from_millis(4_000)).await;
+        caller.write_all(b"i").await.expect("the rest is sent");
+        let mut reply = String::new();
+        let read = caller.read_to_string(&mut reply);
+        let read = tokio::time::timeout(PATIENCE, read).await;
+        let read = read.expect("the connection ends");
+        assert!(reply.starts_with("HTTP/1.1 503"), "{read:?}: {reply}");
+        assert!(reply.contains("retry-after"), "{reply}");
+        assert_eq!(world.runs_of("late"), 0);
+    });
+}
+
 #[test]
 fn a_store_that_lost_its_disk_joins_again_and_nothing_is_lost() {
     with_world(2, async |mut world| {
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -86,6 +86,8 @@
     pub(crate) slot_released: Notify,
     /// Set when a planned stop begins.
     pub(crate) stopping: AtomicBool,
+    /// Set when a planned stop has closed idle connections. What is read from then on could only be cut off.
+    pub(crate) closing: AtomicBool,
     seeds: Mutex<Vec<IpAddr>>,
     address_book: Mutex<AddressBook>,
     manifest: Mutex<Option<StoredManifest>>,
@@ -133,6 +135,7 @@
             manifest_changed: Notify::new(),
             slot_released: Notify::new(),
             stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             seeds: Mutex::new(seed_ips(&settings)),
             address_book: Mutex::default(),
             manifest: Mutex::default(),
@@ -450,6 +453,11 @@
         }
     }
 
+    /// Whether a planned stop has closed idle connections.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -54,6 +54,8 @@
 
 /// Part of a caller's time that is reserved for serving the request once the manifest is known.
 const MIN_SERVE_TIME: Millis = Millis(150);
+/// Retry delay for a request that arrived too late in a planned stop: other instances take it at once.
+const STOPPING_RETRY_AFTER: Millis = Millis(50);
 
 /// Starts the HTTP server for callers.
 ///
@@ -99,6 +101,12 @@
         Ok(body) => body,
         Err(response) => return response,
     };
+    if cx.is_closing() {
+        log::info!(
+            request = request_id(&head), why = "stopping", read_ms = (cx.clock.now() - arrived_at).0;
+            "request refused");
+        return refusal("instance is stopping", STOPPING_RETRY_AFTER);
+    }
     match route.repeatability {
         Repeatability::Batch if head.method == Method::POST => {
             batch::submit(&cx, route, &host, &head, &body, arrived_at).await
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -159,6 +159,7 @@
     if cx.settings.callers.is_some() {
         pause(READINESS_DELAY).await;
     }
+    cx.closing.store(true, Ordering::Relaxed);
     connections.close();
     let deadline = stopped_at + cx.settings.bounds.grace - EXIT_MARGIN;
     while connections.open() > 0 && cx.clock.now() < deadline {
