QUOTA: the leader holds a job to the newest limit of its route

Cause: the limit went with the job, from the manifest of the entry.

Change: the leader takes the limits from the newest manifest in the log.

--- a/crates/daemon/tests/all/platform/jobs.rs
+++ b/crates/daemon/tests/all/platform/jobs.rs
@@ -6,13 +6,20 @@
 };
 
 use http::Method;
-use yuccaseam_testing::platform::{
-    BATCH,
-    Behaviour,
-    expected_text, //
+use yuccaseam_testing::{
+    Signal,
+    platform::{
+        BATCH,
+        Behaviour,
+        HOST,
+        PlatformSystem,
+        expected_text,
+        send, //
+    },
 };
 
 use super::{
+    PATIENCE,
     job, //
     with_world,
 };
@@ -96,3 +103,32 @@
         }
     });
 }
+
+/// Guards against a quota that is exceeded: an entry that wakes up still has the manifest of before, and the
+/// limit of its route went with the job.
+#[test]
+fn job_at_an_entry_that_wakes_up_is_held_to_the_newest_limit() {
+    with_world(1, async |mut world| {
+        world.system.entries[0].signal(Signal::Stop);
+        let entry = world.system.entries[0].callers();
+        let (path, body) = (format!("{BATCH}j1"), job("j1", 12));
+        let headers = [("host", HOST), ("request-id", "j1")];
+        let sent = async { send(entry, Method::POST, &path, &headers, &body, PATIENCE).await };
+        let lower = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let body = PlatformSystem::manifest(2).replace(r#""cap":100000"#, r#""cap":100"#);
+            assert!(body.contains(r#""cap":100,"#), "{body}");
+            let to = world.system.entries[1].control();
+            let headers = [("host", "control")];
+            let path = "/Config.Replace";
+            let sent = send(to, Method::POST, path, &headers, &body, PATIENCE).await;
+            assert_eq!(sent.expect("an answer comes").status, 200);
+            tokio::time::sleep(Duration::from_millis(3_500)).await;
+            world.system.entries[0].signal(Signal::Cont);
+        };
+        let (reply, ()) = tokio::join!(sent, lower);
+        let reply = reply.expect("an answer comes");
+        // 120 tokens do not fit.
+        assert_eq!(reply.status, 429, "{reply:?}");
+    });
+}
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -96,16 +96,34 @@
         }
     }
 
-    async fn submit(&self, job: NewJob) -> HubReply {
+    async fn submit(&self, mut job: NewJob) -> HubReply {
         let is_new = self.replica.read(|state| state.job(&job.id).is_none());
-        let is_refused =
-            is_new && self.is_leader() && !self.replica.has_capacity(job.stored_bytes());
-        if is_refused {
-            return HubReply::NoCapacity;
+        if is_new && self.is_leader() {
+            self.apply_route_limits(&mut job);
+            if !self.replica.has_capacity(job.stored_bytes()) {
+                return HubReply::NoCapacity;
+            }
         }
         self.propose(Command::Submit(job)).await
     }
 
+    /// Replaces the limits of a job by those of the newest manifest: an instance that was frozen may still
+    /// have an older one.
+    fn apply_route_limits(&self, job: &mut NewJob) {
+        let newest = self.replica.read(|state| state.manifest().cloned());
+        if let Some(newest) = newest {
+            self.cx.apply_manifest(&newest);
+        }
+        let Some(table) = self.cx.table() else {
+            return;
+        };
+        let path_start = job.route.find('/').unwrap_or_default();
+        if let Some(route) = table.find(&job.host, &job.route[path_start..]) {
+            job.waiting_limit = route.max_waiting_tokens;
+            job.max_attempts = route.max_attempts;
+        }
+    }
+
     fn not_leader(&self) -> HubReply {
         HubReply::NotLeader(self.leader_ip())
     }
