BUDGET: a target proves a request sound after 500 ms of its answer, not at once

Cause: the first event cleared the evidence of earlier crashes, and a crash after it was not reported.

Change: features are proved when the stream ends, or by an event 500 ms or more after the first; a crash before that is reported.

--- a/crates/daemon/tests/all/platform/tainted.rs
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -6,6 +6,7 @@
 };
 
 use http::Method;
+use yuccaseam_base::cases;
 use yuccaseam_testing::platform::{
     BATCH,
     Behaviour,
@@ -84,12 +85,13 @@
 }
 
 /// Guards against requests that crash one target after the other: all have one part of their prompts in
-/// common, and no entry knew what the others had seen.
-#[test]
-fn requests_with_a_part_that_crashes_targets_stop_reaching_them() {
+/// common, and no entry knew what the others had seen, or a first event was taken as a proof that the part is
+/// sound.
+fn requests_with_a_deadly_part_stop_reaching_targets(events_before_crash: usize) {
     with_world(9, async |world| {
         world.behave(&Behaviour {
             crashing_parts: &[DEADLY],
+            events_before_crash,
             ..Behaviour::default()
         });
         let mut number = 0;
@@ -130,6 +132,12 @@
     });
 }
 
+cases! { requests_with_a_deadly_part_stop_reaching_targets:
+    requests_with_a_part_that_crashes_targets_stop_reaching_them(0);
+    requests_with_a_part_that_crashes_targets_after_an_event_stop_reaching_them(1);
+    requests_with_a_part_that_crashes_targets_after_some_events_stop_reaching_them(3);
+}
+
 /// Guards against items that are left lying because a part of their prompts is quarantined, although no target
 /// crashes under them.
 #[test]
--- a/crates/serving/src/crash_reports.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -30,7 +30,7 @@
 /// How long a request waits for the grant of a trial.
 const TRIAL_TIMEOUT: Millis = Millis(300);
 
-/// A request whose connection broke before the first event.
+/// A request whose connection broke before it had proved its features sound.
 pub(crate) struct BrokenRequest {
     pub(crate) target: TargetKey,
     pub(crate) address: SocketAddr,
@@ -60,7 +60,7 @@
     }
 }
 
-/// Records a request whose connection broke before the first event, and reports it to the leader if its
+/// Records a request whose connection broke before it had proved its features sound, and reports it to the leader if its
 /// target crashed.
 pub(crate) fn record_broken(cx: &Arc<Cx>, request: BrokenRequest) {
     let cx = Arc::clone(cx);
--- a/crates/serving/src/entry/online/quarantine.rs
+++ b/crates/serving/src/entry/online/quarantine.rs
@@ -75,12 +75,12 @@
         }
     }
 
-    /// Records that a target has begun to answer.
+    /// Records that a target has answered, or goes on to.
     pub(in super::super) fn prove_features(&self) {
         crash_reports::prove(&self.cx, &self.features);
     }
 
-    /// Records a possible crash of a target that had not begun to answer, as evidence against its features.
+    /// Records a possible crash of a target that had not proved the features of the request sound, as evidence against its features.
     pub(in super::super) fn record_if_crash(&self, slot: &Slot, error: &UpstreamError) {
         if error.is_possible_crash() {
             let request = BrokenRequest {
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -61,6 +61,10 @@
 /// still sends bytes after this time is not silent but faulty.
 const MAX_EVENT_TIME: Millis = Millis(3_000);
 
+/// Time from the first event of a target to an event that proves the features of the request sound. A target
+/// that crashes as it begins to answer may have sent some events.
+const PROOF_DELAY: Millis = Millis(500);
+
 /// Stream in progress.
 struct ForwardedStream {
     request: ActiveRequest,
@@ -76,8 +80,10 @@
     silence: Silence,
     /// When the first bytes of an incomplete event arrived.
     partial_since: Option<Millis>,
-    /// Whether the current target has sent an event.
-    has_event: bool,
+    /// When the current target sent its first event.
+    target_event_at: Option<Millis>,
+    /// Whether the current target has proved the features of the request sound.
+    is_proved: bool,
     /// Longest time between two events.
     longest_pause: Millis,
 }
@@ -124,7 +130,8 @@
         source: Some(Source::new(slot, response)),
         splitter,
         last_event_at: None,
-        has_event: false,
+        target_event_at: None,
+        is_proved: false,
         longest_pause: Millis::ZERO,
     };
     if !forwarded.head.status.is_success() {
@@ -266,9 +273,9 @@
     fn record_event(&mut self) {
         let now = self.request.cx.clock.now();
         self.silence.record_progress(now);
-        if !self.has_event {
-            self.has_event = true;
-            self.request.prove_features();
+        let first_at = *self.target_event_at.get_or_insert(now);
+        if now >= first_at + PROOF_DELAY {
+            self.prove_features();
         }
         match self.last_event_at {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
@@ -280,7 +287,16 @@
         self.last_event_at = Some(now);
     }
 
+    fn prove_features(&mut self) {
+        if !std::mem::replace(&mut self.is_proved, true) {
+            self.request.prove_features();
+        }
+    }
+
     fn finish(&mut self) {
+        if self.target_event_at.is_some() {
+            self.prove_features();
+        }
         if let Some(source) = self.source.take() {
             let request = &self.request;
             log::debug!(
@@ -307,7 +323,7 @@
         let error = UpstreamError::may_have_run(failure);
         // Closed first, so that the first target stops before a second one starts.
         drop(source.conn);
-        if !self.has_event {
+        if !self.is_proved {
             self.request.record_if_crash(&source.slot, &error);
         }
         self.request.handle_failure(&source.slot, &error)?;
@@ -334,7 +350,8 @@
             self.head = response.head.clone();
         }
         self.silence = self.request.silence();
-        self.has_event = false;
+        self.target_event_at = None;
+        self.is_proved = false;
         self.source = Some(Source::new(slot, response));
         Ok(())
     }
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -41,7 +41,7 @@
     now + EVIDENCE_LIFETIME
 }
 
-/// A request that was cut off by a crash of its target before its first event.
+/// A request that was cut off by a crash of its target before or soon after its first event.
 #[record]
 pub struct CrashReport {
     /// Start of the target that crashed.
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -24,7 +24,10 @@
 };
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{
+    StreamExt as _,
+    stream, //
+};
 use http::{
     HeaderMap,
     Method,
@@ -92,6 +95,8 @@
     pub crashing_parts: &'static [&'static str],
     /// Crashes as it begins to answer a request with one of these bodies, likewise.
     pub crashing_bodies: &'static [&'static str],
+    /// Events that it sends before it crashes.
+    pub events_before_crash: usize,
     /// Says in every answer that it leaves.
     pub leaving: bool,
 }
@@ -107,6 +112,7 @@
             poisoned: None,
             crashing_parts: &[],
             crashing_bodies: &[],
+            events_before_crash: 0,
             leaving: false,
         }
     }
@@ -471,11 +477,11 @@
     let running = Running { shared, number };
     let mut crashing_parts = behaviour.crashing_parts.iter();
     if let Some(part) = crashing_parts.find(|part| has_shared_part(&head.headers, part)) {
-        return crash(running, &id, part);
+        return crash(running, &id, part, behaviour.events_before_crash);
     }
     let mut crashing_bodies = behaviour.crashing_bodies.iter();
     if let Some(deadly) = crashing_bodies.find(|deadly| body == deadly.as_bytes()) {
-        return crash(running, &id, deadly);
+        return crash(running, &id, deadly, behaviour.events_before_crash);
     }
     let path = head.uri.path();
     if behaviour.poisoned.is_some_and(|end| path.ends_with(end)) {
@@ -497,8 +503,8 @@
     ids.any(|part| part == Some(id))
 }
 
-/// Begins a response, and crashes before its first event.
-fn crash(running: Running, id: &str, cause: &'static str) -> Response<Body> {
+/// Begins a response, and crashes after some of its events.
+fn crash(running: Running, id: &str, cause: &'static str, events: usize) -> Response<Body> {
     let shared = Arc::clone(&running.shared);
     tokio::spawn(async move {
         tokio::time::sleep(CRASH_DELAY).await;
@@ -509,7 +515,9 @@
             shared.crash.notify_one();
         }
     });
-    let body = StreamBody::new(stream::pending::<io::Result<Frame<Bytes>>>());
+    let events = (1..=events).map(|number| Ok(Frame::data(event(id, number).into())));
+    let events = events.collect::<Vec<io::Result<Frame<Bytes>>>>();
+    let body = StreamBody::new(stream::iter(events).chain(stream::pending()));
     signed(Response::new(body.boxed_unsync()), id)
 }
 
