--- a/crates/serving/src/crash_reports.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// Records a request whose connection broke before it had proved its features sound, and reports it to the leader if its
-/// target crashed.
+/// Records a request whose connection broke before it had proved its features sound, and reports it to the
+/// leader if its target crashed.
 pub(crate) fn record_broken(cx: &Arc<Cx>, request: BrokenRequest) {
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
--- a/crates/serving/src/entry/online/quarantine.rs
+++ b/crates/serving/src/entry/online/quarantine.rs
@@ -80,7 +80,8 @@
         crash_reports::prove(&self.cx, &self.features);
     }
 
-    /// Records a possible crash of a target that had not proved the features of the request sound, as evidence against its features.
+    /// Records a possible crash of a target that had not proved the features of the request sound, as evidence
+    /// against them.
     pub(in super::super) fn record_if_crash(&self, slot: &Slot, error: &UpstreamError) {
         if error.is_possible_crash() {
             let request = BrokenRequest {
--- a/crates/serving/src/quarantine/mod.rs
+++ b/crates/serving/src/quarantine/mod.rs
@@ -6,8 +6,8 @@
 //! response to any request with it in between, is quarantined: requests with it are refused before they reach
 //! a target.
 //!
-//! Entries report requests that a crash cut off before or soon after their first event to the leader, which decides
-//! ([`QuarantineManager`]), sends the result to all instances ([`FeatureGuard`]), and records it in the
+//! Entries report requests that a crash cut off before or soon after their first event to the leader, which
+//! decides ([`QuarantineManager`]), sends the result to all instances ([`FeatureGuard`]), and records it in the
 //! replicated log. An entry without a leader decides by what it sees itself.
 //!
 //! # Invariants
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -162,12 +162,15 @@
         let change = self
             .manager()
             .next_change(core.membership(), &retiring, is_synced, now);
-        if matches!(change, Some(Change::AddLearner { .. })) && self.is_snapshot_stale() {
-            return self.write_snapshot();
+        if matches!(change, Some(Change::AddLearner { .. })) && self.renew_snapshot() {
+            return;
         }
         if let Some(change) = change {
             let joining = match &change {
-                Change::Promote(id) | Change::Replace { new: id, .. } => core.progress_of(*id),
+                Change::Promote(id) | Change::Replace { new: id, .. } => {
+                    let core = self.core.as_ref();
+                    core.and_then(|core| core.progress_of(*id))
+                }
                 Change::AddLearner { .. } | Change::Remove(_) => None,
             };
             log::info!(change:? = change, progress = joining.as_deref(); "group change proposed");
@@ -177,10 +180,13 @@
         }
     }
 
-    /// Whether the log has grown so far, or a snapshot is being written, that a store should not join yet.
-    fn is_snapshot_stale(&self) -> bool {
+    /// Starts a snapshot if the log has grown so far that a store should not join yet. True while one is being
+    /// written.
+    fn renew_snapshot(&mut self) -> bool {
+        if self.log_bytes >= MAX_JOIN_LOG_BYTES {
+            self.write_snapshot();
+        }
         self.snapshot_running
-            || (self.log_bytes >= MAX_JOIN_LOG_BYTES && self.cx.clock.now() >= self.snapshot_at)
     }
 
     pub(super) fn snapshot_if_due(&mut self) {
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -565,24 +565,29 @@
     /// Lets a refused item wait. Only its first refusal counts against the target, which may be full: an item
     /// that is refused again and again says nothing about others.
     fn record_refusal(&mut self, run: &Run, now: Millis) {
-        let targets: Vec<_> = {
-            let targets = self.cx.targets();
-            let service = targets
-                .record(run.target)
-                .map(|record| record.service.clone());
-            let records = targets
-                .records()
-                .filter(|record| Some(&record.service) == service.as_ref() && record.takes_work());
-            records.map(TargetRecord::key).collect()
-        };
+        let targets = self.targets_beside(run.target);
         let progress = self.progress.entry(run.key).or_default();
-        let backoff = progress.refusals.record(run.target, targets);
+        let backoff = match targets {
+            Some(targets) => progress.refusals.record(run.target, targets),
+            // The target has left: that says nothing about the others.
+            None => RETRY_BACKOFF,
+        };
         progress.retry_at = now + backoff;
         if progress.refusals.is_first() {
             self.cooldowns.insert(run.target, now + TARGET_COOLDOWN);
         }
     }
 
+    /// The targets of the same service that take work; `None` if the target is not known any more.
+    fn targets_beside(&self, target: TargetKey) -> Option<Vec<TargetKey>> {
+        let targets = self.cx.targets();
+        let service = &targets.record(target)?.service;
+        let records = targets
+            .records()
+            .filter(|record| record.service == *service && record.takes_work());
+        Some(records.map(TargetRecord::key).collect())
+    }
+
     /// Counts a failed run, and finishes the item as errored after the last allowed one. The local
     /// count is ahead of the replicated one, which a slow disk delays.
     fn record_failure(&mut self, job: String, key: ItemKey) {
