capacity: the measured rate of the slowest link is in the log

Change: the leader records the rate when it has measured all links, or has measured another one by a quarter. The limit goes by the recorded rate.

--- a/crates/serving/src/capacity.rs
+++ b/crates/serving/src/capacity.rs
@@ -19,6 +19,14 @@
 /// Minimum time for the transfer.
 const MIN_TRANSFER_TIME: Millis = Millis(1_000);
 
+/// Change of the measured rate from which on it is recorded, as a divisor of the recorded one.
+const RECORDED_CHANGE_DIVISOR: u64 = 4;
+
+/// Whether a measured rate differs enough from the recorded one to be recorded.
+pub fn is_new_rate(recorded: Option<u64>, measured: u64) -> bool {
+    recorded.is_none_or(|recorded| recorded.abs_diff(measured) > recorded / RECORDED_CHANGE_DIVISOR)
+}
+
 /// Returns the maximum size of the state in bytes, such that a store votes within `recovery`. `link_rate` is
 /// the measured rate of the slowest link to a voter in bytes per ms.
 pub fn max_state_bytes(recovery: Millis, link_rate: Option<u64>) -> u64 {
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -148,6 +148,8 @@
         /// Position of the item in its job.
         item: u32,
     },
+    /// Records the rate of the slowest link between a leader and a voter, in bytes per ms.
+    NoteLinkRate(u64),
 }
 
 /// Outcome of a command.
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -59,13 +59,16 @@
     stores: BTreeMap<InstanceName, IpAddr>,
     /// Quarantined features, and the trials granted to each so far.
     quarantined: BTreeMap<Feature, u32>,
+    /// Rate of the slowest link between a leader and a voter in bytes per ms, as last measured; 0 if unknown.
+    link_rate: u64,
 }
 
 /// Expected size of a result in bytes before there are results.
 const DEFAULT_RESULT_BYTES: u64 = 8 << 10;
 
-/// Encoding of an empty map, with which [`State`] ends if no feature is quarantined.
-const EMPTY_MAP: u8 = 0;
+/// Encodings of what snapshots of earlier versions lack at their end: the link rate, and the map of quarantined
+/// features before it.
+const MISSING_FIELDS: [&[u8]; 2] = [&[0], &[0, 0]];
 
 impl State {
     /// Applies a command.
@@ -119,6 +122,10 @@
                 self.quarantined.extend(entries);
                 CommandOutcome::Done
             }
+            Command::NoteLinkRate(rate) => {
+                self.link_rate = rate;
+                CommandOutcome::Done
+            }
             Command::Release(features) => {
                 for feature in features {
                     self.quarantined.remove(&feature);
@@ -231,6 +238,11 @@
         &self.quarantined
     }
 
+    /// Rate of the slowest link between a leader and a voter, in bytes per ms; `None` if it was never measured.
+    pub fn link_rate(&self) -> Option<u64> {
+        (self.link_rate > 0).then_some(self.link_rate)
+    }
+
     /// Instances that are being retired.
     pub fn retiring(&self) -> &BTreeSet<InstanceName> {
         &self.retiring
@@ -250,9 +262,12 @@
 
     fn restore(data: &[u8]) -> Result<Self, postcard::Error> {
         postcard::from_bytes(data).or_else(|error| {
-            // A snapshot of a version that knew no quarantined features ends before them.
-            let extended = [data, &[EMPTY_MAP]].concat();
-            postcard::from_bytes(&extended).map_err(|_| error)
+            let mut extended = MISSING_FIELDS
+                .iter()
+                .map(|missing| [data, *missing].concat());
+            extended
+                .find_map(|extended| postcard::from_bytes(&extended).ok())
+                .ok_or(error)
         })
     }
 }
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -212,17 +212,25 @@
     pub(crate) fn has_capacity(&self, bytes: u64) -> bool {
         let published = self.published();
         let settings = &self.cx.settings;
-        let limit = capacity::max_state_bytes(settings.bounds.loss_recovery, published.link_rate);
+        let limit =
+            capacity::max_state_bytes(settings.bounds.loss_recovery, published.state.link_rate());
         let expected = published.state.expected_output_bytes();
         let needed = published.stored_bytes + expected + bytes;
         if needed > limit {
             log::info!(
                 stored = published.stored_bytes, expected, new = bytes, limit,
-                link_bytes_per_ms = published.link_rate; "state has no capacity for a job");
+                link_bytes_per_ms = published.state.link_rate(); "state has no capacity for a job");
         }
         needed <= limit
     }
 
+    /// The measured rate of the slowest link to a voter, if it differs from the recorded one.
+    pub(crate) fn new_link_rate(&self) -> Option<u64> {
+        let published = self.published();
+        let measured = published.link_rate?;
+        capacity::is_new_rate(published.state.link_rate(), measured).then_some(measured)
+    }
+
     /// Proposes a command and waits until it has been applied.
     ///
     /// # Errors
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -208,6 +208,10 @@
         if now >= self.remove_at {
             self.remove_at = now + REMOVE_INTERVAL;
             self.remove_expired_jobs(now);
+            // Leaders that have not measured all links, and those after this one, use the recorded rate.
+            if let Some(rate) = self.replica.new_link_rate() {
+                self.propose(Command::NoteLinkRate(rate), Vec::new());
+            }
         }
     }
 
--- a/crates/serving/tests/all/capacity.rs
+++ b/crates/serving/tests/all/capacity.rs
@@ -7,6 +7,7 @@
 use yuccaseam_serving::capacity::{
     JOIN_OVERHEAD,
     MIN_LINK_RATE,
+    is_new_rate,
     max_state_bytes, //
 };
 
@@ -30,3 +31,11 @@
     let unknown = max_state_bytes(recovery, None);
     assert!(max_state_bytes(recovery, Some(10 * MIN_LINK_RATE)) > 5 * unknown);
 }
+
+#[test]
+fn rate_is_recorded_when_it_has_changed() {
+    assert!(is_new_rate(None, 1));
+    assert!(!is_new_rate(Some(4_000), 4_900));
+    assert!(is_new_rate(Some(4_000), 5_100));
+    assert!(is_new_rate(Some(4_000), 2_900));
+}
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -230,16 +230,18 @@
     assert_eq!(recorded, [(&kept, &2)]);
 }
 
-/// Guards against a store that cannot read the snapshot of the version before it.
+/// Guards against a store that cannot read the snapshot of an earlier version.
 #[test]
-fn snapshot_without_quarantined_parts_is_restored() {
+fn snapshot_of_an_earlier_version_is_restored() {
     let mut state = State::default();
     state.apply(manifest(4, "four"));
     state.apply(Command::Submit(job("j", &[1, 2])));
     let mut snapshot = state.snapshot();
-    assert_eq!(snapshot.pop(), Some(0), "an empty map at the end");
-    let restored = State::restore(&snapshot).expect("a snapshot of the earlier version");
-    assert_eq!(restored, state);
+    for last in ["an unknown rate", "an empty map"] {
+        assert_eq!(snapshot.pop(), Some(0), "{last} at the end");
+        let restored = State::restore(&snapshot).expect("a snapshot of an earlier version");
+        assert_eq!(restored, state);
+    }
     assert!(State::restore(&snapshot[..snapshot.len() - 1]).is_err());
 }
 
@@ -329,3 +331,16 @@
     let job = state.job("j").expect("the job is there");
     assert_eq!(job.results()[0].finish.text().as_deref(), Some("a"));
 }
+
+/// Guards against jobs that are refused after each change of leader: a new leader has measured no link yet.
+#[test]
+fn link_rate_outlives_a_leader_and_older_snapshots_lack_it() {
+    let mut state = State::default();
+    let older = state.snapshot();
+    assert_eq!(state.link_rate(), None);
+    state.apply(Command::NoteLinkRate(7_000));
+    let restored = State::restore(&state.snapshot()).expect("a snapshot restores");
+    assert_eq!(restored.link_rate(), Some(7_000));
+    let older = State::restore(&older[..older.len() - 1]).expect("an older one restores");
+    assert_eq!(older, State::default());
+}
