capacity: the expected size of the state counts, without its log

Change: the size counts that the state has once all items that wait have results: partial output is part of them, and bodies are gone.

--- a/crates/serving/src/state/job.rs
+++ b/crates/serving/src/state/job.rs
@@ -88,6 +88,13 @@
 }
 
 impl Item {
+    /// Size of its request in bytes.
+    fn input_bytes(&self) -> u64 {
+        let headers = self.headers.iter();
+        let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        (self.id.len() + self.path.len() + self.body.len() + headers) as u64
+    }
+
     /// Size of the data of the events so far.
     pub fn output_bytes(&self) -> usize {
         self.lines.iter().map(String::len).sum()
@@ -204,6 +211,17 @@
         sizes.fold((0, 0), |(count, bytes), size| (count + 1, bytes + size))
     }
 
+    /// Size of its data in bytes, with results of `result_bytes` for the items that wait. The partial output of
+    /// an item becomes part of its result.
+    pub(super) fn expected_bytes(&self, result_bytes: u64) -> u64 {
+        let listed = self.results.iter();
+        let listed = listed.filter_map(|listed| listed.finish.stored_bytes());
+        let items = self.items.iter().map(Item::input_bytes);
+        let waiting = self.waiting();
+        let waiting = waiting.map(|(_, item)| result_bytes.max(item.output_bytes() as u64));
+        listed.chain(items).chain(waiting).sum()
+    }
+
     /// The item with an id, listed or not.
     pub fn item(&self, id: &str) -> Option<&Item> {
         self.items.iter().find(|item| item.id == id)
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -213,14 +213,13 @@
         jobs.map(Job::waiting_tokens).fold(0, u64::saturating_add)
     }
 
-    /// Size of the results that the waiting items are expected to have, in bytes: each the mean of the
-    /// results so far. The tokens of an item only limit its result, and may be far more than any target has.
-    pub fn expected_output_bytes(&self) -> u64 {
-        let waiting: usize = self.jobs.values().map(|job| job.waiting().count()).sum();
+    /// Size of the jobs in bytes once all items that wait have results, each of the mean size of the results so
+    /// far. The tokens of an item only limit its result, and may be far more than any target has.
+    pub fn expected_bytes(&self) -> u64 {
         let sizes = self.jobs.values().map(Job::completed_sizes);
         let (count, bytes) = sizes.fold((0, 0), |sum, size| (sum.0 + size.0, sum.1 + size.1));
-        let mean = u64::checked_div(bytes, count);
-        waiting as u64 * mean.unwrap_or(DEFAULT_RESULT_BYTES)
+        let mean = u64::checked_div(bytes, count).unwrap_or(DEFAULT_RESULT_BYTES);
+        self.jobs.values().map(|job| job.expected_bytes(mean)).sum()
     }
 
     /// The targets as last recorded. They may have departed since.
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -96,8 +96,6 @@
     /// Whether the state includes everything acknowledged before this leader's term.
     is_current: bool,
     group: Membership,
-    /// Size of the last snapshot and of the log after it.
-    stored_bytes: u64,
     /// Measured rate of the slowest link to a voter, in bytes per ms.
     link_rate: Option<u64>,
 }
@@ -207,18 +205,18 @@
         published.is_current && published.lease_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the state may grow by `bytes`, and by the expected output of the items that wait, so that a
-    /// store with an empty disk still becomes a voter in time.
+    /// Whether the state may grow by `bytes`, beside the results of the items that wait, so that a store with an
+    /// empty disk still becomes a voter in time. It joins with a new snapshot: the log does not count.
     pub(crate) fn has_capacity(&self, bytes: u64) -> bool {
         let published = self.published();
         let settings = &self.cx.settings;
         let limit =
             capacity::max_state_bytes(settings.bounds.loss_recovery, published.state.link_rate());
-        let expected = published.state.expected_output_bytes();
-        let needed = published.stored_bytes + expected + bytes;
+        let expected = published.state.expected_bytes();
+        let needed = expected + bytes;
         if needed > limit {
             log::info!(
-                stored = published.stored_bytes, expected, new = bytes, limit,
+                expected, new = bytes, limit,
                 link_bytes_per_ms = published.state.link_rate(); "state has no capacity for a job");
         }
         needed <= limit
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -255,10 +255,8 @@
         let lease_until = self.core.as_ref().and_then(Core::lease_until);
         let group = self.core.as_ref().map(Core::membership).cloned();
         let link_rate = self.core.as_ref().and_then(Core::link_rate);
-        let stored_bytes = self.snapshot_bytes + self.log_bytes;
         let mut published = self.lock();
         published.link_rate = link_rate;
-        published.stored_bytes = stored_bytes;
         published.leader = leader;
         published.lease_until = lease_until;
         if let Some(group) = group
