--- a/crates/daemon/tests/all/platform/tainted.rs
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -5,6 +5,7 @@
     Instant, //
 };
 
+use futures_util::future::join_all;
 use http::Method;
 use yuccaseam_base::cases;
 use yuccaseam_testing::platform::{
@@ -13,6 +14,7 @@
     HOST,
     ONCE,
     PlatformTarget,
+    RESUMABLE,
     Reply,
     send, //
 };
@@ -36,10 +38,24 @@
 const ITEM_TIME: Duration = Duration::from_secs(6);
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
+/// How long requests come in tests with traffic.
+const TRAFFIC: Duration = Duration::from_secs(16);
+/// Time between two requests that crash targets, in tests with traffic.
+const DEADLY_INTERVAL: Duration = Duration::from_millis(450);
+/// Time between two sound requests, in tests with traffic.
+const SOUND_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after the fifth crash from which sound requests have to be served again.
+const CALM_AFTER: Duration = REACTION_TIME.saturating_mul(2);
+/// Parts of prompts that crash targets, each in requests of its own.
+const UNRELATED: [&str; 6] = ["dea1", "dea2", "dea3", "dea4", "dea5", "dea6"];
 
 impl World {
     /// Sends a request whose prompt has these parts, and one of its own at the end.
     async fn prompt(&self, entry: usize, id: &str, shared: &str) -> Option<Reply> {
+        self.prompt_at(entry, ONCE, id, shared).await
+    }
+
+    async fn prompt_at(&self, entry: usize, prefix: &str, id: &str, shared: &str) -> Option<Reply> {
         let parts = format!("{shared},{:x}:20", fingerprint(id));
         let headers = [
             ("host", HOST),
@@ -48,7 +64,7 @@
             ("prompt-prefix", &parts),
         ];
         let to = self.system.entries[entry].callers();
-        let path = format!("{ONCE}1");
+        let path = format!("{prefix}1");
         let sent = send(to, Method::POST, &path, &headers, "", PATIENCE).await;
         sent.ok()
     }
@@ -138,6 +154,118 @@
     requests_with_a_part_that_crashes_targets_after_some_events_stop_reaching_them(3);
 }
 
+/// What came of a sound request.
+struct Outcome {
+    sent_at: Instant,
+    is_served: bool,
+}
+
+impl World {
+    /// Sends requests with deadly parts, which `deadly` numbers, and sound ones beside them at their own pace.
+    async fn serve_traffic(&self, prefix: &str, deadly: fn(usize) -> &'static str) -> Vec<Outcome> {
+        let count = |interval: Duration| TRAFFIC.as_millis() / interval.as_millis();
+        let deadly_requests = (0..count(DEADLY_INTERVAL) as usize).map(async |number| {
+            tokio::time::sleep(DEADLY_INTERVAL * number as u32).await;
+            let shared = format!("f1:100,{}:60", deadly(number));
+            let id = format!("deadly-{number}");
+            let reply = self.prompt_at(number % 3, prefix, &id, &shared).await;
+            assert!(reply.is_none_or(|reply| !reply.is_whole_success()));
+        });
+        let sound_requests = (0..count(SOUND_INTERVAL) as usize).map(async |number| {
+            tokio::time::sleep(SOUND_INTERVAL * number as u32).await;
+            let sent_at = Instant::now();
+            let id = format!("sound-{number}");
+            let reply = self
+                .prompt_at(number % 3, prefix, &id, "f1:100,51:80")
+                .await;
+            let is_served = reply.is_some_and(|reply| reply.is_whole_success());
+            Outcome { sent_at, is_served }
+        });
+        let (_, sound) = tokio::join!(join_all(deadly_requests), join_all(sound_requests));
+        sound
+    }
+
+    /// When the crash was from which the rule counts.
+    fn fifth_crash(&self) -> Instant {
+        let crashes = self.crashes();
+        let fifth = crashes.get(MAX_CRASHES - 1);
+        *fifth.unwrap_or_else(|| panic!("only {} targets crashed", crashes.len()))
+    }
+}
+
+/// Asserts that sound requests are served, at least as often as the rule asks.
+fn assert_sound_are_served(sound: &[Outcome], from: Instant) {
+    let counted = sound.iter().filter(|outcome| outcome.sent_at >= from);
+    let served = counted.clone().filter(|outcome| outcome.is_served).count();
+    let counted = counted.count();
+    assert!(counted >= 20, "{counted} sound requests count");
+    assert!(
+        served * 2 >= counted,
+        "{served} of {counted} sound requests were served"
+    );
+}
+
+/// Guards against requests with a deadly part that go on to reach targets because these crash late in their
+/// answers, after many events or while other such requests are in flight.
+fn late_crashes(prefix: &str, delay: Duration) {
+    with_world(9, async |world| {
+        world.behave(&Behaviour {
+            events: 20,
+            pause: Duration::from_millis(30),
+            crashing_parts: &[DEADLY],
+            crash_delay: delay,
+            ..Behaviour::default()
+        });
+        let sound = world.serve_traffic(prefix, |_| DEADLY).await;
+        let fifth = world.fifth_crash();
+        let runs = world.targets.iter().flat_map(PlatformTarget::runs);
+        let deadly_runs = runs.filter(|run| run.id.starts_with("deadly-"));
+        let late_runs = deadly_runs.filter(|run| run.at > fifth + REACTION_TIME);
+        let late_runs = late_runs.count();
+        assert!(
+            late_runs <= MAX_LATE_REQUESTS,
+            "{late_runs} requests reached targets too late, {} crashes",
+            world.crashes().len()
+        );
+        assert_sound_are_served(&sound, fifth + CALM_AFTER);
+    });
+}
+
+cases! { late_crashes:
+    requests_with_a_part_that_crashes_targets_late_stop_reaching_them(
+        ONCE, Duration::from_millis(700));
+    requests_with_a_part_that_crashes_targets_late_are_not_resumed_again_and_again(
+        RESUMABLE, Duration::from_millis(700));
+    requests_with_a_part_that_crash_targets_while_others_run_stop_reaching_them(
+        ONCE, Duration::from_millis(2_800));
+}
+
+/// Guards against a quarantine of what sound requests have in common, if targets crash late in their answers to
+/// requests without a deadly part in common.
+#[test]
+fn crashes_without_a_part_in_common_stop_no_sound_requests() {
+    with_world(9, async |world| {
+        world.behave(&Behaviour {
+            events: 20,
+            pause: Duration::from_millis(30),
+            crashing_parts: &UNRELATED,
+            crash_delay: Duration::from_millis(300),
+            ..Behaviour::default()
+        });
+        let sound = world
+            .serve_traffic(ONCE, |number| UNRELATED[number % UNRELATED.len()])
+            .await;
+        assert_sound_are_served(&sound, world.fifth_crash() + CALM_AFTER);
+        for store in &world.system.stores {
+            assert!(
+                !store.log().contains(r#""feature":"f1""#),
+                "{}",
+                store.log()
+            );
+        }
+    });
+}
+
 /// Guards against items that are left lying because a part of their prompts is quarantined, although no target
 /// crashes under them.
 #[test]
--- a/crates/serving/src/crash_reports.rs
+++ b/crates/serving/src/crash_reports.rs
@@ -30,7 +30,7 @@
 /// How long a request waits for the grant of a trial.
 const TRIAL_TIMEOUT: Millis = Millis(300);
 
-/// A request whose connection broke before it had proved its features sound.
+/// A request whose connection broke before the end of its answer.
 pub(crate) struct BrokenRequest {
     pub(crate) target: TargetKey,
     pub(crate) address: SocketAddr,
@@ -60,8 +60,8 @@
     }
 }
 
-/// Records a request whose connection broke before it had proved its features sound, and reports it to the
-/// leader if its target crashed.
+/// Records a request whose connection broke before the end of its answer, and reports it to the leader if its
+/// target crashed.
 pub(crate) fn record_broken(cx: &Arc<Cx>, request: BrokenRequest) {
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
@@ -71,8 +71,7 @@
     });
 }
 
-/// Records that a target has begun to answer a request, and tells the leader if it watches a feature of
-/// the request.
+/// Records that a target has answered a request, and tells the leader if it watches a feature of the request.
 pub(crate) fn prove(cx: &Arc<Cx>, features: &[Feature]) {
     let watched = cx.feature_guard().prove(features, cx.clock.now());
     if !watched.is_empty() {
--- a/crates/serving/src/entry/online/quarantine.rs
+++ b/crates/serving/src/entry/online/quarantine.rs
@@ -75,13 +75,13 @@
         }
     }
 
-    /// Records that a target has answered, or goes on to.
+    /// Records that a target has written a whole answer.
     pub(in super::super) fn prove_features(&self) {
         crash_reports::prove(&self.cx, &self.features);
     }
 
-    /// Records a possible crash of a target that had not proved the features of the request sound, as evidence
-    /// against them.
+    /// Records a possible crash of a target before the end of its answer, as evidence against the features of
+    /// the request.
     pub(in super::super) fn record_if_crash(&self, slot: &Slot, error: &UpstreamError) {
         if error.is_possible_crash() {
             let request = BrokenRequest {
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -61,10 +61,6 @@
 /// still sends bytes after this time is not silent but faulty.
 const MAX_EVENT_TIME: Millis = Millis(3_000);
 
-/// Time from the first event of a target to an event that proves the features of the request sound. A target
-/// that crashes as it begins to answer may have sent some events.
-const PROOF_DELAY: Millis = Millis(500);
-
 /// Stream in progress.
 struct ForwardedStream {
     request: ActiveRequest,
@@ -80,10 +76,6 @@
     silence: Silence,
     /// When the first bytes of an incomplete event arrived.
     partial_since: Option<Millis>,
-    /// When the current target sent its first event.
-    target_event_at: Option<Millis>,
-    /// Whether the current target has proved the features of the request sound.
-    is_proved: bool,
     /// Longest time between two events.
     longest_pause: Millis,
 }
@@ -93,6 +85,8 @@
     slot: Slot,
     /// Whether a stream that ends without an event was broken off.
     requires_events: bool,
+    /// Whether another target wrote the beginning of the answer.
+    is_resumed: bool,
     body: Incoming,
     conn: Connection,
 }
@@ -102,6 +96,7 @@
         Self {
             slot,
             requires_events: response.requires_events(),
+            is_resumed: response.is_resumed,
             body: response.body,
             conn: response.conn,
         }
@@ -130,8 +125,6 @@
         source: Some(Source::new(slot, response)),
         splitter,
         last_event_at: None,
-        target_event_at: None,
-        is_proved: false,
         longest_pause: Millis::ZERO,
     };
     if !forwarded.head.status.is_success() {
@@ -273,10 +266,6 @@
     fn record_event(&mut self) {
         let now = self.request.cx.clock.now();
         self.silence.record_progress(now);
-        let first_at = *self.target_event_at.get_or_insert(now);
-        if now >= first_at + PROOF_DELAY {
-            self.prove_features();
-        }
         match self.last_event_at {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
             None => {
@@ -287,18 +276,13 @@
         self.last_event_at = Some(now);
     }
 
-    fn prove_features(&mut self) {
-        if !std::mem::replace(&mut self.is_proved, true) {
-            self.request.prove_features();
-        }
-    }
-
     fn finish(&mut self) {
-        if self.target_event_at.is_some() {
-            self.prove_features();
-        }
         if let Some(source) = self.source.take() {
             let request = &self.request;
+            // The end of an answer shows nothing of its beginning, which may crash targets.
+            if !source.is_resumed && self.last_event_at.is_some() {
+                request.prove_features();
+            }
             log::debug!(
                 request:% = request.id, longest_pause_ms = self.longest_pause.0; "stream ended");
             metrics::histogram!("yuccaseam_longest_pause_seconds")
@@ -323,9 +307,7 @@
         let error = UpstreamError::may_have_run(failure);
         // Closed first, so that the first target stops before a second one starts.
         drop(source.conn);
-        if !self.is_proved {
-            self.request.record_if_crash(&source.slot, &error);
-        }
+        self.request.record_if_crash(&source.slot, &error);
         self.request.handle_failure(&source.slot, &error)?;
         drop(source.slot);
         if other.is_some() {
@@ -350,8 +332,6 @@
             self.head = response.head.clone();
         }
         self.silence = self.request.silence();
-        self.target_event_at = None;
-        self.is_proved = false;
         self.source = Some(Source::new(slot, response));
         Ok(())
     }
--- a/crates/serving/src/quarantine/evidence.rs
+++ b/crates/serving/src/quarantine/evidence.rs
@@ -17,8 +17,12 @@
 
 /// Consecutive crashes after which a feature is quarantined. Two in a row can be a coincidence.
 const CRASHES_TO_QUARANTINE: usize = 3;
-/// Time after a crash from which a request counts as sent after it. Reports of one moment arrive at
-/// different times.
+/// Crashes that are needed beyond that if the requests were in flight together. What ends many targets one
+/// after the other, such as the loss of a failure domain, cuts off requests that have only their
+/// usual parts in common.
+const FURTHER_OVERLAPPING_CRASHES: usize = 2;
+/// Time after a crash from which a request counts as sent after it, and another crash as a later one. Reports
+/// of one moment arrive at different times.
 const ORDER_MARGIN: Millis = Millis(100);
 /// How long before a crash the next repeat of a whole request may seem to have been sent: an entry sends it
 /// again as soon as its connection breaks, and reports travel for different times.
@@ -41,7 +45,7 @@
     now + EVIDENCE_LIFETIME
 }
 
-/// A request that was cut off by a crash of its target before or soon after its first event.
+/// A request that was cut off by a crash of its target before the end of its answer.
 #[record]
 pub struct CrashReport {
     /// Start of the target that crashed.
@@ -154,12 +158,12 @@
     crashes: VecDeque<Crash>,
     /// Consecutive crashes of each feature, at least one.
     counts: BTreeMap<Feature, usize>,
-    /// When a target last began to answer a request with a feature. Only features of recent crashes.
+    /// When a target last answered a request with a feature. Only features of recent crashes.
     proved_at: BTreeMap<Feature, Millis>,
     /// Features that were in the crashes of a culprit, before it in the prompts, and when the last of these
-    /// crashes was. No target has begun to answer a request with them since.
+    /// crashes was. No target has answered a request with them since.
     passed_over: BTreeMap<Feature, Millis>,
-    /// Culprits that no target has begun to answer since. They are not found a second time.
+    /// Culprits of which no target has answered a request since. They are not found a second time.
     taken: BTreeSet<Feature>,
 }
 
@@ -244,7 +248,7 @@
         position
     }
 
-    /// Records that a target has begun to answer a request with these features.
+    /// Records that a target has answered a request with these features.
     pub fn prove(&mut self, features: &[Feature], now: Millis) {
         let now = evidence_time(now);
         for feature in features {
@@ -359,7 +363,7 @@
             let count = if self.taken.contains(&feature) {
                 0
             } else {
-                self.crashes_in_a_row(feature)
+                self.count_crashes(feature)
             };
             match count {
                 0 => self.counts.remove(&feature),
@@ -368,18 +372,28 @@
         }
     }
 
+    /// Number of crashes that count against a feature.
+    fn count_crashes(&self, feature: Feature) -> usize {
+        let overlapping = self.overlapping_crashes(feature);
+        let overlapping = overlapping.saturating_sub(FURTHER_OVERLAPPING_CRASHES);
+        self.crashes_in_a_row(feature).max(overlapping)
+    }
+
+    /// Crashes since a feature was last proved.
+    fn unproved_crashes(&self, feature: Feature) -> impl Iterator<Item = &Crash> {
+        let proved_at = self.proved_at.get(&feature).copied();
+        let crashes = self.crashes.iter();
+        crashes.filter(move |crash| proved_at.is_none_or(|proved_at| proved_at < crash.at))
+    }
+
     /// Number of crashes since a feature was last proved, each with a request that was sent after the crash
     /// before it. Those of one whole request count once against its prompt parts: it may have crashed its
     /// targets by itself.
     fn crashes_in_a_row(&self, feature: Feature) -> usize {
-        let proved_at = self.proved_at.get(&feature);
         let mut counted = BTreeSet::new();
         let mut count = 0;
         let mut next_sent_at = Millis::ZERO;
-        for crash in &self.crashes {
-            if proved_at.is_some_and(|proved_at| *proved_at >= crash.at) {
-                continue;
-            }
+        for crash in self.unproved_crashes(feature) {
             let mut suspects = crash.suspects(feature).filter(|request| {
                 let whole = request.whole();
                 let is_repeat = whole.is_some_and(|whole| counted.contains(&whole));
@@ -399,6 +413,32 @@
         count
     }
 
+    /// Number of crashes since a feature was last proved, whenever their requests were sent. Simultaneous ones
+    /// count once, and so do those of one whole request against its prompt parts.
+    fn overlapping_crashes(&self, feature: Feature) -> usize {
+        let mut counted = BTreeSet::new();
+        let mut count = 0;
+        let mut next_crash_at = Millis::ZERO;
+        for crash in self.unproved_crashes(feature) {
+            let mut suspects = crash.suspects(feature).filter(|request| {
+                let whole = request.whole();
+                !whole.is_some_and(|whole| counted.contains(&whole))
+            });
+            if crash.at < next_crash_at {
+                continue;
+            }
+            let Some(request) = suspects.next() else {
+                continue;
+            };
+            count += 1;
+            next_crash_at = crash.at + ORDER_MARGIN;
+            if !feature.is_whole_request() {
+                counted.extend(request.whole());
+            }
+        }
+        count
+    }
+
     /// Requests with a feature that crashes are evidence against.
     fn requests_with(&self, feature: Feature) -> impl Iterator<Item = &CutOffRequest> {
         let crashes = self.crashes.iter();
--- a/crates/serving/src/quarantine/guard.rs
+++ b/crates/serving/src/quarantine/guard.rs
@@ -165,7 +165,7 @@
         features.iter().copied().filter(is_refused).collect()
     }
 
-    /// Records a request that a crash cut off before its first event. Returns the report for the leader, if it
+    /// Records a request that a crash cut off. Returns the report for the leader, if it
     /// is evidence, and the features that are quarantined here from now on.
     pub fn record_crash(
         &mut self,
@@ -226,8 +226,8 @@
         culprits
     }
 
-    /// Records that a target has begun to answer a request with these features. Returns those that the leader
-    /// has to know of.
+    /// Records that a target has answered a request with these features. Returns those that the leader has to
+    /// know of.
     pub fn prove(&mut self, features: &[Feature], now: Millis) -> Vec<Feature> {
         if features.is_empty() {
             return Vec::new();
--- a/crates/serving/src/quarantine/manager.rs
+++ b/crates/serving/src/quarantine/manager.rs
@@ -152,8 +152,7 @@
         culprits
     }
 
-    /// Records that a target has begun to answer a request with these features. Returns those that are
-    /// released.
+    /// Records that a target has answered a request with these features. Returns those that are released.
     pub fn prove(&mut self, features: &[Feature], now: Millis) -> Vec<Feature> {
         self.evidence.prove(features, now);
         let features = features.iter().copied();
--- a/crates/serving/src/store/hub/quarantine.rs
+++ b/crates/serving/src/store/hub/quarantine.rs
@@ -60,7 +60,7 @@
         self.send_features(now);
     }
 
-    /// Records that targets have begun to answer requests with these features.
+    /// Records that targets have answered requests with these features.
     pub(in crate::store) fn prove_features(&self, features: &[Feature]) {
         let now = self.cx.clock.now();
         let released = self.inner().quarantine.prove(features, now);
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -105,7 +105,6 @@
     features: Vec<Feature>,
     /// The quarantined feature of which it is a trial.
     trial: Option<Feature>,
-    has_output: bool,
     task: AbortHandle,
 }
 
@@ -435,7 +434,6 @@
             started_at: self.cx.clock.now(),
             features,
             trial,
-            has_output: false,
             task: task.abort_handle(),
         };
         self.runs.insert(run_id, run);
@@ -473,10 +471,7 @@
             } => {
                 // Events of a run that was preempted meanwhile are dropped: the item's next run
                 // repeats them.
-                if let Some(run) = self.runs.get_mut(&run) {
-                    if !std::mem::replace(&mut run.has_output, true) && !run.features.is_empty() {
-                        self.hub.prove_features(&run.features);
-                    }
+                if let Some(run) = self.runs.get(&run) {
                     let progress = self.progress.entry(run.key).or_default();
                     progress.bytes += lines.iter().map(String::len).sum::<usize>();
                     progress.lines.extend(lines);
@@ -515,6 +510,9 @@
         progress.ran += now - run.started_at;
         if matches!(end, RunEnd::Completed) {
             self.times.record(progress.ran);
+            if !run.features.is_empty() {
+                self.hub.prove_features(&run.features);
+            }
         }
         let outcome = match end {
             RunEnd::Completed => "done",
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -160,7 +160,7 @@
     pub(crate) body: Incoming,
     pub(crate) conn: Connection,
     /// Whether the request resumed a stream.
-    is_resumed: bool,
+    pub(crate) is_resumed: bool,
 }
 
 impl UpstreamResponse {
--- a/crates/serving/tests/all/quarantine.rs
+++ b/crates/serving/tests/all/quarantine.rs
@@ -554,3 +554,31 @@
     assert_eq!(leader.quarantined(), [DEADLY]);
     assert!(leader.manager.list(leader.now).suspected.is_empty());
 }
+
+/// One target after another crashes under requests that were all sent before the first crash.
+fn crash_in_flight(leader: &mut Leader, count: u64) -> Vec<Feature> {
+    let started_at = leader.now;
+    let mut culprits = Vec::new();
+    for number in 1..=count {
+        leader.now += GAP;
+        let own = Feature::prompt_part(PromptPart(0xabc0 + u128::from(number)));
+        let parts = [FIRST, DEADLY, own];
+        let report = leader.report(number, &parts, leader.now - started_at);
+        culprits.extend(leader.manager.record_crash(report, leader.now));
+    }
+    culprits
+}
+
+/// Guards against targets that crash so late in their answers that further requests are in flight by then, each
+/// of which counted as sent before the first crash.
+#[test]
+fn crashes_of_requests_in_flight_together_quarantine_their_part() {
+    assert_eq!(crash_in_flight(&mut Leader::new(), 5), [DEADLY]);
+}
+
+/// Guards against a quarantine of what requests have in common, because some targets are lost one after the
+/// other.
+#[test]
+fn some_crashes_of_requests_in_flight_together_are_no_evidence() {
+    assert!(crash_in_flight(&mut Leader::new(), 4).is_empty());
+}
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -25,7 +25,6 @@
 
 use bytes::Bytes;
 use futures_util::{
-    StreamExt as _,
     stream, //
 };
 use http::{
@@ -70,7 +69,7 @@
 const ANNOUNCED: Duration = Duration::from_secs(1);
 /// Requests beyond its slots that a target takes.
 const QUEUED: usize = 24;
-/// Time from a request that crashes a target to the crash.
+/// Default time from a request that crashes a target to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// How long a target that crashed is down.
 const DOWNTIME: Duration = Duration::from_millis(1_000);
@@ -95,8 +94,11 @@
     pub crashing_parts: &'static [&'static str],
     /// Crashes as it begins to answer a request with one of these bodies, likewise.
     pub crashing_bodies: &'static [&'static str],
-    /// Events that it sends before it crashes.
+    /// Events that it sends at once before it crashes.
     pub events_before_crash: usize,
+    /// Time from a request that crashes it to the crash. Until then it sends further events, with its usual
+    /// pause before each.
+    pub crash_delay: Duration,
     /// Says in every answer that it leaves.
     pub leaving: bool,
 }
@@ -113,6 +115,7 @@
             crashing_parts: &[],
             crashing_bodies: &[],
             events_before_crash: 0,
+            crash_delay: CRASH_DELAY,
             leaving: false,
         }
     }
@@ -477,11 +480,11 @@
     let running = Running { shared, number };
     let mut crashing_parts = behaviour.crashing_parts.iter();
     if let Some(part) = crashing_parts.find(|part| has_shared_part(&head.headers, part)) {
-        return crash(running, &id, part, behaviour.events_before_crash);
+        return crash(running, &id, part, after.unwrap_or(0), &behaviour);
     }
     let mut crashing_bodies = behaviour.crashing_bodies.iter();
     if let Some(deadly) = crashing_bodies.find(|deadly| body == deadly.as_bytes()) {
-        return crash(running, &id, deadly, behaviour.events_before_crash);
+        return crash(running, &id, deadly, after.unwrap_or(0), &behaviour);
     }
     let path = head.uri.path();
     if behaviour.poisoned.is_some_and(|end| path.ends_with(end)) {
@@ -504,10 +507,17 @@
 }
 
 /// Begins a response, and crashes after some of its events.
-fn crash(running: Running, id: &str, cause: &'static str, events: usize) -> Response<Body> {
+fn crash(
+    running: Running,
+    id: &str,
+    cause: &'static str,
+    after: usize,
+    behaviour: &Behaviour,
+) -> Response<Body> {
     let shared = Arc::clone(&running.shared);
+    let delay = behaviour.crash_delay;
     tokio::spawn(async move {
-        tokio::time::sleep(CRASH_DELAY).await;
+        tokio::time::sleep(delay).await;
         drop(running);
         if !shared.is_down.swap(true, Ordering::Relaxed) {
             let at = Instant::now();
@@ -515,10 +525,27 @@
             shared.crash.notify_one();
         }
     });
-    let events = (1..=events).map(|number| Ok(Frame::data(event(id, number).into())));
-    let events = events.collect::<Vec<io::Result<Frame<Bytes>>>>();
-    let body = StreamBody::new(stream::iter(events).chain(stream::pending()));
-    signed(Response::new(body.boxed_unsync()), id)
+    // With the default delay, a target that sends no events at once sends none.
+    let sends_on = delay > CRASH_DELAY;
+    let at_once = after + behaviour.events_before_crash;
+    let (request_id, id, pause) = (id, id.to_owned(), behaviour.pause);
+    let pieces = stream::unfold(after + 1, move |number| {
+        let id = id.clone();
+        async move {
+            if number > at_once {
+                if !sends_on {
+                    std::future::pending::<()>().await;
+                }
+                tokio::time::sleep(pause).await;
+            }
+            let piece = Frame::data(Bytes::from(event(&id, number)));
+            Some((Ok::<_, io::Error>(piece), number + 1))
+        }
+    });
+    signed(
+        Response::new(StreamBody::new(pieces).boxed_unsync()),
+        request_id,
+    )
 }
 
 fn events(running: Running, id: &str, after: usize, behaviour: Behaviour) -> Response<Body> {
