--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -6,6 +6,7 @@
 mod deadly;
 mod floods;
 mod framing;
+mod full_disks;
 mod jobs;
 mod lifecycle;
 mod limits;
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -59,22 +59,32 @@
     ///
     /// Fails if either is damaged or inaccessible.
     pub fn open(folder: &DataFolder) -> anyhow::Result<Self> {
-        let mut log = Log::open(folder, LogOptions::default()).context("cannot open the log")?;
+        let log = Log::open(folder, LogOptions::default()).context("cannot open the log")?;
         let snapshots = Snapshots::open(folder).context("cannot open the snapshots")?;
         snapshots.check_covers(&log)?;
         for path in snapshots.damaged() {
             log::warn!("damaged snapshot {}", path.display());
         }
-        if let Some(meta) = snapshots.latest() {
-            // An earlier process may have crashed between installing the snapshot and dropping the
-            // entries that it covers.
-            log.drop_prefix(meta.position)?;
-        }
-        Ok(Self {
+        let mut disk = Self {
             log,
             snapshots,
             receiver: None,
-        })
+        };
+        disk.drop_covered()?;
+        Ok(disk)
+    }
+
+    /// Drops the log entries that the latest snapshot covers. A crash or a full disk may have come between
+    /// its installation and that.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of the journal.
+    pub(crate) fn drop_covered(&mut self) -> Result<(), JournalError> {
+        match self.snapshots.latest() {
+            Some(meta) => self.log.drop_prefix(meta.position),
+            None => Ok(()),
+        }
     }
 
     /// Reads the state from which the core and the state machine start.
@@ -161,7 +171,8 @@
         self.log.sync()
     }
 
-    /// Writes and installs a new snapshot and drops the log entries that it covers.
+    /// Writes and installs a new snapshot and drops the log entries that it covers. On a full disk they may
+    /// stay until the next snapshot.
     ///
     /// # Errors
     ///
@@ -180,7 +191,12 @@
         writer.write(&prefix)?;
         writer.write(state)?;
         let meta = self.snapshots.install(writer.seal()?)?;
-        self.log.drop_prefix(meta.position)?;
+        match self.log.drop_prefix(meta.position) {
+            Err(error @ JournalError::Full { .. }) => {
+                log::warn!("log entries that a snapshot covers are kept: {error}");
+            }
+            dropped => dropped?,
+        }
         Ok(Snapshot {
             id: snapshot_id(meta),
             membership: members.clone(),
@@ -229,7 +245,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the errors of the journal, and fails if the received bytes do not match the offered
+    /// Returns the errors of the journal: the snapshot may be installed by then, and the log be behind it until
+    /// [`Self::drop_covered`]. Fails if the received bytes do not match the offered
     /// snapshot.
     pub(crate) fn install(&mut self) -> Result<(), JournalError> {
         let receiver = self.receiver.take().ok_or(JournalError::WrongSnapshot)?;
--- a/crates/replica/src/disk_thread.rs
+++ b/crates/replica/src/disk_thread.rs
@@ -10,7 +10,8 @@
         Receiver,
         Sender, //
     },
-    thread, //
+    thread,
+    time::Duration, //
 };
 
 use anyhow::Context as _;
@@ -32,6 +33,9 @@
 
 use crate::Disk;
 
+/// Time from a write that failed on a full disk until the state is restored. Each restoration reads all of it.
+const RELOAD_DELAY: Duration = Duration::from_millis(100);
+
 /// Request to the disk thread.
 pub enum DiskRequest {
     /// Write and sync.
@@ -178,7 +182,10 @@
                 self.disk.write_snapshot(position, &members, &state)?;
                 self.reload()?;
             }
-            DiskRequest::Reload => self.reload()?,
+            DiskRequest::Reload => {
+                thread::sleep(RELOAD_DELAY);
+                self.reload()?;
+            }
         }
         Ok(())
     }
@@ -217,9 +224,10 @@
     }
 
     /// Restores the state from disk. Entries written before the disk was full are synced first, so
-    /// that they count.
+    /// that they count. What a full disk has interrupted is completed.
     fn reload(&mut self) -> anyhow::Result<()> {
         self.disk.sync()?;
+        self.disk.drop_covered()?;
         self.is_full = false;
         let restored = self.disk.restore()?;
         self.reply(DiskReply::Restored(Box::new(restored)));
--- a/crates/replica/tests/all/main.rs
+++ b/crates/replica/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the disk thread, one file per topic.
 
 mod full_disk;
+mod writes_on_a_full_disk;
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -158,7 +158,16 @@
         };
         let mut driver = Driver::new(id, Arc::clone(cx), requests, folder, shared);
         driver.start_core(restored);
-        tokio::spawn(driver.run(rx));
+        let driver = tokio::spawn(driver.run(rx));
+        tokio::spawn(async move {
+            // Without its replica, a process that runs on would take the place of a store for good.
+            if let Err(error) = driver.await
+                && error.is_panic()
+            {
+                log::error!(error:% = error; "replica failed; process exits");
+                std::process::exit(1);
+            }
+        });
         log::info!(disk:% = id; "replica started");
         Ok(Arc::new(Self {
             cx: Arc::clone(cx),
--- a/crates/serving/src/store/replica/driver.rs
+++ b/crates/serving/src/store/replica/driver.rs
@@ -301,10 +301,15 @@
         }
     }
 
-    /// Restarts the core from the disk, as after a crash. Writes in progress may still take effect.
+    /// Restarts the core from the disk, as after a crash. Writes in progress may still take effect. As long as
+    /// the disk is full, the restart or the next write fails again.
     fn on_full(&mut self) {
         self.refuse_until = self.cx.clock.now() + DISK_FULL_BACKOFF;
         self.core = None;
+        if self.snapshot_running {
+            // The disk ignores requests until the restart.
+            self.on_snapshot_not_written();
+        }
         for (_, waiter) in std::mem::take(&mut self.waiters) {
             waiter.fail_unknown();
         }
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -227,7 +227,7 @@
         });
     }
 
-    /// Counts the log that a failed snapshot would have covered again.
+    /// Counts the log that a failed snapshot would have covered again, and tries again later.
     pub(super) fn on_snapshot_not_written(&mut self) {
         self.snapshot_running = false;
         self.log_bytes += std::mem::take(&mut self.covered_log_bytes);
