replica: syncs of writes before a restart are not reported after it

Writes, the failure on a full disk and the restart of the core may share one batch of the disk thread; the sync at the end of the batch was reported to the new core, with the number of a write of the core before it. The new core counts its writes from the start, so it could take some of its own for synced, and acknowledge entries that a loss of power takes away.

The restart now forgets the number. The test holds the disk until all three are queued; it failed before ("a sync was reported").

--- a/crates/replica/src/disk_thread.rs
+++ b/crates/replica/src/disk_thread.rs
@@ -183,6 +183,8 @@
                 self.reload()?;
             }
             DiskRequest::Reload => {
+                // The core that waits for these writes to be synced is no more.
+                *written_seq = None;
                 thread::sleep(RELOAD_DELAY);
                 self.reload()?;
             }
--- a/crates/replica/tests/all/writes_on_a_full_disk.rs
+++ b/crates/replica/tests/all/writes_on_a_full_disk.rs
@@ -60,6 +60,8 @@
 
 /// Longest time to a reply of the disk thread.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// How long a reply that must not come is waited for.
+const QUIET: Duration = Duration::from_millis(200);
 /// Entries in the log before the disk is full.
 const ENTRIES: u64 = 6;
 /// Last entry that the replica's own snapshot covers.
@@ -396,3 +398,21 @@
     truncation_on_a_full_disk_leaves_a_replica_that_goes_on(Operation::Truncation);
     join_on_a_full_disk_leaves_a_replica_that_goes_on(Operation::Join);
 }
+
+/// Guards against a new core that takes its own writes as synced, because the disk reports the sync of a write of
+/// the core before it.
+#[test]
+fn syncs_of_writes_before_a_restart_are_not_reported_after_it() {
+    let mut replica = Replica::start();
+    let gate = Arc::clone(&replica.space.gate);
+    let closed = gate.lock().expect("no thread panics with the gate");
+    replica.space.set(2);
+    replica.append(None, 1, 1);
+    replica.append(None, 2, 2);
+    replica.send(DiskRequest::Reload);
+    drop(closed);
+    assert!(matches!(replica.reply(), DiskReply::Full));
+    assert!(matches!(replica.reply(), DiskReply::Restored(_)));
+    let reply = replica.replies.recv_timeout(QUIET);
+    assert!(reply.is_err(), "a sync was reported");
+}
