--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod capacity;
 mod control;
+mod cut_heads;
 mod deadly;
 mod floods;
 mod framing;
