--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -360,6 +360,11 @@
         self.log.membership()
     }
 
+    /// Membership as of the last committed entry. A later change may still be undone by another leader.
+    pub fn committed_membership(&self) -> &Membership {
+        self.log.membership_at(self.commit)
+    }
+
     /// Term of an entry and membership as of it, for the metadata of a snapshot; `None` if the
     /// entry is not in memory.
     pub fn term_and_membership_at(&self, index: Index) -> Option<(Term, &Membership)> {
--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -54,6 +54,32 @@
     other_follower_fails_right_after_a_replacement(|leader| others(leader).1);
 }
 
+/// Guards against a store that is reported as retired although another leader may still undo its removal.
+#[test]
+fn removal_that_is_not_committed_is_not_in_the_committed_membership() {
+    let mut group = Group::new(3, 33);
+    group.write();
+    let leader = group.wait_for_leader();
+    let (lost, other) = others(leader);
+    let old = group.replicas[lost].id;
+    group.lose_disk(lost);
+    let new = add_learner(&mut group, lost);
+    group.run(Millis::from_secs(1));
+    group.replicas[other].sync_blocked = true;
+    group.change(leader, Change::Replace { old, new });
+    group.run_until("the old voter is removed", |group| {
+        let core = group.core(leader).expect("it runs");
+        !core.membership().contains(old)
+    });
+    let core = group.core(leader).expect("it runs");
+    assert!(core.committed_membership().contains(old));
+    group.replicas[other].sync_blocked = false;
+    group.run_until("the removal is committed", |group| {
+        let core = group.core(leader).expect("it runs");
+        !core.committed_membership().contains(old)
+    });
+}
+
 /// The learner of a replacement loses its disk after the removal of the old voter and before its own
 /// promotion: the group could not be changed any more, and a second lost disk ended the service.
 #[test]
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -96,6 +96,8 @@
     /// Whether the state includes everything acknowledged before this leader's term.
     is_current: bool,
     group: Membership,
+    /// The group as of the last committed change.
+    committed_group: Membership,
     /// Measured rate of the slowest link to a voter, in bytes per ms.
     link_rate: Option<u64>,
 }
@@ -294,11 +296,12 @@
             .can_retire(name, &retiring, self.cx.clock.now())
     }
 
-    /// Whether an instance is no longer a member of the group, so that it holds no data that must
-    /// survive.
+    /// Whether an instance is no longer a member of the group, and its removal is committed, so that it holds no
+    /// data that must survive.
     pub(crate) fn has_left_group(&self, name: &InstanceName) -> bool {
         let published = self.published();
-        let mut members = published.group.iter();
+        let groups = [&published.group, &published.committed_group];
+        let mut members = groups.into_iter().flat_map(Membership::iter);
         members.all(|(_, member)| member.name != *name)
     }
 }
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -259,6 +259,12 @@
         published.link_rate = link_rate;
         published.leader = leader;
         published.lease_until = lease_until;
+        let committed = self.core.as_ref().map(Core::committed_membership);
+        if let Some(committed) = committed
+            && published.committed_group != *committed
+        {
+            published.committed_group.clone_from(committed);
+        }
         if let Some(group) = group
             && published.group != group
         {
