--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -54,16 +54,21 @@
     other_follower_fails_right_after_a_replacement(|leader| others(leader).1);
 }
 
-/// Guards against a store that is reported as retired although another leader may still undo its removal.
-#[test]
-fn removal_that_is_not_committed_is_not_in_the_committed_membership() {
-    let mut group = Group::new(3, 33);
-    group.write();
+/// The removal of a voter, which the last follower does not let commit.
+struct Removal {
+    leader: usize,
+    lost: usize,
+    other: usize,
+    old: DiskId,
+}
+
+/// Replaces a lost disk up to the removal of the old voter, which is not committed.
+fn begin_removal(group: &mut Group) -> Removal {
     let leader = group.wait_for_leader();
     let (lost, other) = others(leader);
     let old = group.replicas[lost].id;
     group.lose_disk(lost);
-    let new = add_learner(&mut group, lost);
+    let new = add_learner(group, lost);
     group.run(Millis::from_secs(1));
     group.replicas[other].sync_blocked = true;
     group.change(leader, Change::Replace { old, new });
@@ -71,6 +76,22 @@
         let core = group.core(leader).expect("it runs");
         !core.membership().contains(old)
     });
+    Removal {
+        leader,
+        lost,
+        other,
+        old,
+    }
+}
+
+/// Guards against a store that is reported as retired although another leader may still undo its removal.
+#[test]
+fn removal_that_is_not_committed_is_not_in_the_committed_membership() {
+    let mut group = Group::new(3, 33);
+    group.write();
+    let Removal {
+        leader, other, old, ..
+    } = begin_removal(&mut group);
     let core = group.core(leader).expect("it runs");
     assert!(core.committed_membership().contains(old));
     group.replicas[other].sync_blocked = false;
@@ -86,18 +107,12 @@
 fn replacement_ends_if_its_learner_is_lost() {
     let mut group = Group::new(3, 31);
     group.write();
-    let leader = group.wait_for_leader();
-    let (lost, other) = others(leader);
-    let old = group.replicas[lost].id;
-    group.lose_disk(lost);
-    let new = add_learner(&mut group, lost);
-    group.run(Millis::from_secs(1));
-    group.replicas[other].sync_blocked = true;
-    group.change(leader, Change::Replace { old, new });
-    group.run_until("the old voter is removed", |group| {
-        let core = group.core(leader).expect("it runs");
-        !core.membership().contains(old)
-    });
+    let Removal {
+        leader,
+        lost,
+        other,
+        ..
+    } = begin_removal(&mut group);
     group.lose_disk(lost);
     group.run(Millis::from_secs(1));
     group.replicas[other].sync_blocked = false;
