tests: the other target is full before a stream's target falls silent

Traced: the streams that fill the other target reached it more than 1.5 s after the first one fell silent, so that it had a free slot; the entry moved the stream there, as it should, where 40 slow events come, and the caller's time of 5 s ran out.

The streams now run before the one that meets the silent target gets the last slot, so that the premise always holds. What is asserted is unchanged.

--- a/crates/daemon/tests/all/platform/silent.rs
+++ b/crates/daemon/tests/all/platform/silent.rs
@@ -216,19 +216,25 @@
 #[test]
 fn a_stream_whose_target_is_silent_while_others_are_full_is_not_cut() {
     with_world(2, async |world| {
-        world.behave(&silent(SilenceBefore::Event(3), LONG));
-        let first = world.ask("s1", RESUMABLE);
-        let target = world.target_of("s1").await;
         let long = Behaviour {
             events: 40,
             pause: Duration::from_millis(100),
             ..Behaviour::default()
         };
         world.behave(&long);
-        // The streams fill the other target and what is left of the silent one.
+        // The streams leave one slot, so that there is none for a stream that moves.
         let fill: Vec<_> = (0..SLOTS * 2 - 1)
             .map(|number| world.ask(&format!("fill-{number}"), ONCE))
             .collect();
+        let running = || world.targets.iter().flat_map(PlatformTarget::running);
+        let until = Instant::now() + PATIENCE;
+        while running().count() < fill.len() {
+            assert!(Instant::now() < until, "{} run", running().count());
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        world.behave(&silent(SilenceBefore::Event(3), LONG));
+        let first = world.ask("s1", RESUMABLE);
+        let target = world.target_of("s1").await;
         let reply = first.await.expect("the call ends");
         assert!(reply.is_whole_success(), "{reply:?}");
         assert_eq!(reply.body, expected_events("s1", 5));
