--- a/crates/serving/src/quarantine/mod.rs
+++ b/crates/serving/src/quarantine/mod.rs
@@ -6,8 +6,9 @@
 //! whole answer to any request with it in between, is quarantined: requests with it are refused before they
 //! reach a target.
 //!
-//! Entries report requests that a crash cut off to the leader, which decides ([`QuarantineManager`]), sends the result to all instances ([`FeatureGuard`]), and records it in the
-//! replicated log. An entry without a leader decides by what it sees itself.
+//! Entries report requests that a crash cut off to the leader, which decides ([`QuarantineManager`]), sends the
+//! result to all instances ([`FeatureGuard`]), and records it in the replicated log. An entry without a leader
+//! decides by what it sees itself.
 //!
 //! # Invariants
 //!
