--- a/crates/daemon/tests/all/platform/tainted.rs
+++ b/crates/daemon/tests/all/platform/tainted.rs
@@ -16,6 +16,7 @@
     PlatformTarget,
     RESUMABLE,
     Reply,
+    SAFE,
     send, //
 };
 
@@ -236,6 +237,8 @@
         ONCE, Duration::from_millis(700));
     requests_with_a_part_that_crashes_targets_late_are_not_resumed_again_and_again(
         RESUMABLE, Duration::from_millis(700));
+    one_shot_requests_with_a_part_that_crashes_targets_late_stop_reaching_them(
+        SAFE, Duration::from_millis(700));
     requests_with_a_part_that_crash_targets_while_others_run_stop_reaching_them(
         ONCE, Duration::from_millis(2_800));
 }
