--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -15,7 +15,7 @@
 pub use arena::{EntityKey, PrimaryMap};
 pub use machine::Machine;
 pub use millis::{Clock, Millis};
-pub use place::{FailureDomain, InstanceName, Region, TargetName};
+pub use place::{FailureDomain, InstanceName, Region, TargetName, TeamName};
 pub use refusal::{Reason, Refusal};
 pub use verdict::Verdict;
 pub use yuccaseam_derive::{key, record, value};
--- a/crates/base/src/place.rs
+++ b/crates/base/src/place.rs
@@ -1,4 +1,4 @@
-//! Names of instances, failure domains, regions and targets.
+//! Names of instances, failure domains, regions, targets and teams.
 
 use std::fmt;
 
@@ -44,4 +44,6 @@
     Region;
     /// Name of a target: one worker of a model engine or one copy of a plain service.
     TargetName;
+    /// Name of a team: callers that share API keys and a quota.
+    TeamName;
 }
