waves: items that can wait start only where they keep their slots

Cause: callers come in waves.

If it comes in waves, items that can wait start only in the room that the peak leaves, on as few targets as possible. Runs that are nearly done are preempted last.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
-//! [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
+//! [`silence`], [`state`], [`targets`], [`waves`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -36,6 +36,7 @@
 pub mod targets;
 mod test_hooks;
 mod upstream;
+pub mod waves;
 
 pub use run::run;
 pub use store::{
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -13,7 +13,13 @@
     value, //
 };
 
-use crate::targets::TargetKey;
+use crate::{
+    targets::TargetKey,
+    waves::{
+        ItemRoom,
+        SlotUse, //
+    },
+};
 
 /// Slots of a target that items leave free when they start, for callers that arrive before the
 /// runner receives their load.
@@ -30,6 +36,9 @@
 /// Time for which a new leader starts no items: entries take up to this long to detect the new
 /// leader and report their load.
 const START_DELAY: Millis = Millis(600);
+/// An item is nearly done if it is expected to run no longer than this. Its slot becomes free as soon as that
+/// of a preempted one is used.
+const NEARLY_DONE_WINDOW: Millis = Millis(300);
 /// An item is urgent if its job is due within this time: about twice its run.
 const URGENT_WINDOW: Millis = Millis(9_000);
 
@@ -136,12 +145,13 @@
     leading_for >= START_DELAY
 }
 
-/// Plans the next scheduling step. `refuses` states whether a target has refused an item and is not to be
-/// tried again yet.
+/// Plans the next scheduling step. `peak` is the demand of callers at the peak of their last waves, if they
+/// come in waves. `refuses` states whether a target has refused an item and is not to be tried again yet.
 pub fn plan<F>(
     waiting: &[WaitingItem],
     running: &[RunningItem],
     capacities: &[TargetCapacity],
+    peak: Option<u32>,
     refuses: F,
     now: Millis,
 ) -> Plan
@@ -155,11 +165,18 @@
     }
     let mut free = Vec::new();
     let mut has_runs = false;
+    let mut slot_use = SlotUse::default();
     for capacity in capacities {
         let runs = runs_by_target.remove(&capacity.target).unwrap_or_default();
         let continuing = pause_excess_runs(capacity, runs, now, &mut plan.pause);
         has_runs |= continuing > 0;
         let taken = capacity.online + continuing;
+        if capacity.accepts {
+            slot_use.slots += capacity.slots;
+            slot_use.reserved += PREEMPTION_RESERVED_SLOTS.min(max_reserved(capacity.slots));
+            slot_use.callers += capacity.online;
+            slot_use.items += continuing;
+        }
         if capacity.accepts && taken < capacity.slots {
             free.push(FreeSlots {
                 free: capacity.slots - taken,
@@ -168,10 +185,57 @@
             });
         }
     }
-    assign_slots(waiting, free, has_runs, refuses, now, &mut plan.start);
+    let room = peak.map(|peak| ItemRoom::beside(peak, &slot_use));
+    let slots = ItemSlots {
+        free,
+        has_runs,
+        room,
+    };
+    assign_slots(waiting, slots, refuses, now, &mut plan.start);
     plan
 }
 
+/// Slots that items may take.
+struct ItemSlots {
+    /// Free slots of each target.
+    free: Vec<FreeSlots>,
+    /// Whether items run already.
+    has_runs: bool,
+    /// Room for items that can wait, if callers come in waves.
+    room: Option<ItemRoom>,
+}
+
+impl ItemSlots {
+    /// Takes a slot that leaves `reserved` others free, at a target that `refuses` does not exclude. Items
+    /// spread over all targets, but share few beside waves of callers: those then fill the other targets
+    /// first, and cut no item.
+    fn take<F>(&mut self, reserved: u32, refuses: F) -> Option<TargetKey>
+    where
+        F: Fn(TargetKey) -> bool,
+    {
+        self.free.sort_unstable_by(|a, b| b.cmp(a));
+        let usable = |slots: &&mut FreeSlots| slots.has_room(reserved) && !refuses(slots.target);
+        let slots = if self.room.is_some() {
+            self.free.iter_mut().rev().find(usable)?
+        } else {
+            self.free.iter_mut().find(usable)?
+        };
+        slots.free -= 1;
+        let target = slots.target;
+        self.free.retain(|slots| slots.free > 0);
+        Some(target)
+    }
+
+    /// Whether an item may start now. One that can wait starts only if it keeps its slot through the
+    /// next wave.
+    fn admits(&mut self, item: &WaitingItem, now: Millis) -> bool {
+        match &mut self.room {
+            Some(room) if can_wait(item, now) => room.take(),
+            _ => true,
+        }
+    }
+}
+
 /// Free slots of a target.
 #[value]
 #[derive(Copy, PartialOrd, Ord)]
@@ -194,8 +258,8 @@
     slots / MAX_RESERVED_DIVISOR
 }
 
-/// Pauses runs that exceed the slots left by callers, the last due first, and returns the number of
-/// runs that continue.
+/// Pauses runs that exceed the slots left by callers, the last due first but those that are nearly done last
+/// of all, and returns the number of runs that continue.
 fn pause_excess_runs(
     capacity: &TargetCapacity,
     mut runs: Vec<&RunningItem>,
@@ -203,16 +267,17 @@
     pause: &mut Vec<ItemKey>,
 ) -> u32 {
     let free = capacity.slots.saturating_sub(capacity.online);
+    let is_nearly_done = |run: &RunningItem| run.remaining <= NEARLY_DONE_WINDOW;
     let urgent = runs
         .iter()
-        .filter(|run| is_urgent(run.due_at, run.remaining, now))
+        .filter(|run| is_nearly_done(run) || is_urgent(run.due_at, run.remaining, now))
         .count();
     let reserved = PREEMPTION_RESERVED_SLOTS.min(max_reserved(capacity.slots));
     let max_runs = free.saturating_sub(reserved) as usize;
     let max_runs = max_runs.max(urgent.min(free as usize));
     runs.sort_by_key(|run| {
         let is_late = !can_be_on_time(run.due_at, run.remaining, now);
-        (is_late, run.due_at, run.key)
+        (!is_nearly_done(run), is_late, run.due_at, run.key)
     });
     let kept = runs.len().min(max_runs);
     pause.extend(runs.drain(kept..).map(|run| run.key));
@@ -242,13 +307,17 @@
     can_be_on_time(due_at, remaining, now) && due_at <= now + URGENT_WINDOW
 }
 
-/// Assigns free slots to items, the first due first, on the target with the most free slots that has not
-/// refused the item. If nothing runs and nothing else starts, an item that is late uses the reserve: it must not
-/// wait for as long as callers come.
+/// Whether an item is on time also if it starts a little later.
+fn can_wait(item: &WaitingItem, now: Millis) -> bool {
+    can_be_on_time(item.due_at, item.remaining, now) && item.due_at > now + PRESSING_WINDOW
+}
+
+/// Assigns free slots to items, the first due first, at targets that have not refused the item. If nothing runs
+/// and nothing else starts, an item that is late uses the reserve: it must not wait for as long as callers
+/// come.
 fn assign_slots<F>(
     waiting: &[WaitingItem],
-    mut free: Vec<FreeSlots>,
-    has_runs: bool,
+    mut slots: ItemSlots,
     refuses: F,
     now: Millis,
     starts: &mut Vec<(ItemKey, TargetKey)>,
@@ -270,21 +339,19 @@
         )
     });
     for item in queue {
-        let reserved = if is_late(item) && !has_runs && starts.is_empty() {
+        if slots.free.is_empty() {
+            return;
+        }
+        if !slots.admits(item, now) {
+            continue;
+        }
+        let reserved = if is_late(item) && !slots.has_runs && starts.is_empty() {
             PREEMPTION_RESERVED_SLOTS
         } else {
             reserved_slots(item, now)
         };
-        free.sort_unstable_by(|a, b| b.cmp(a));
-        if free.is_empty() {
-            return;
+        if let Some(target) = slots.take(reserved, |target| refuses(item.key, target)) {
+            starts.push((item.key, target));
         }
-        let mut usable = free.iter_mut().filter(|target| target.has_room(reserved));
-        let Some(slots) = usable.find(|slots| !refuses(item.key, slots.target)) else {
-            continue;
-        };
-        slots.free -= 1;
-        starts.push((item.key, slots.target));
-        free.retain(|slots| slots.free > 0);
     }
 }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -58,6 +58,10 @@
         TargetRecord, //
     },
     upstream::Failure,
+    waves::{
+        CallerWaves,
+        SAMPLE_INTERVAL, //
+    },
 };
 
 use super::{
@@ -133,6 +137,9 @@
     runs: HashMap<u64, Run>,
     next_run: u64,
     cooldowns: HashMap<TargetKey, Millis>,
+    /// Demand of callers on each service with targets.
+    waves: HashMap<String, CallerWaves>,
+    sample_at: Millis,
     remove_at: Millis,
     persist_at: Millis,
 }
@@ -151,6 +158,8 @@
         runs: HashMap::new(),
         next_run: 0,
         cooldowns: HashMap::new(),
+        waves: HashMap::new(),
+        sample_at: Millis::ZERO,
         remove_at: Millis::ZERO,
         persist_at: Millis::ZERO,
     };
@@ -180,8 +189,10 @@
             self.runs.clear();
             self.progress.clear();
             self.jobs.clear();
+            self.waves.clear();
             return;
         }
+        self.sample_waves(now);
         let replica = Arc::clone(&self.replica);
         let waiting = replica.read(|state| self.waiting(state, now));
         self.abort_stale_runs();
@@ -306,6 +317,27 @@
         });
     }
 
+    /// Records the demand of callers on each service.
+    fn sample_waves(&mut self, now: Millis) {
+        if now < self.sample_at {
+            return;
+        }
+        self.sample_at = now + SAMPLE_INTERVAL;
+        let online = self.hub.online(now);
+        let targets = self.cx.targets();
+        let mut callers = BTreeMap::<&str, u32>::new();
+        for record in targets.records().filter(|record| !record.left) {
+            let requests = online.get(&record.key()).copied().unwrap_or(0);
+            *callers.entry(&record.service).or_default() += requests;
+        }
+        self.waves
+            .retain(|service, _| callers.contains_key(service.as_str()));
+        for (service, callers) in callers {
+            let waves = self.waves.entry(service.to_owned()).or_default();
+            waves.record(now, callers);
+        }
+    }
+
     fn schedule(
         &mut self,
         service: &str,
@@ -351,7 +383,10 @@
             let progress = self.progress.get(&key);
             progress.is_some_and(|progress| progress.refusals.is_refused_by(target))
         };
-        let plan = plan(&waiting, &running, &capacities, refuses, now);
+        let slots = capacities.iter().map(|capacity| capacity.slots).sum();
+        let waves = self.waves.get(service);
+        let peak = waves.and_then(|waves| waves.peak(slots));
+        let plan = plan(&waiting, &running, &capacities, peak, refuses, now);
         for key in plan.pause {
             let job = self.jobs.job_id(key.job);
             log::info!(job, item = key.item; "batch item preempted");
--- a/crates/serving/tests/all/schedule.rs
+++ b/crates/serving/tests/all/schedule.rs
@@ -63,7 +63,7 @@
     capacities: &[TargetCapacity],
     now: Millis,
 ) -> Plan {
-    schedule::plan(waiting, running, capacities, |_, _| false, now)
+    schedule::plan(waiting, running, capacities, None, |_, _| false, now)
 }
 
 fn check_starts(online: u32, due_at: Millis, expected: usize) {
@@ -210,7 +210,7 @@
     };
     let refuses = |key, target| key == item(1) && target == TargetKey(1);
     let queue = [waiting(1, DUE_LATE), waiting(2, DUE_LATE)];
-    let plan = schedule::plan(&queue, &[], &[small, large], refuses, NOW);
+    let plan = schedule::plan(&queue, &[], &[small, large], None, refuses, NOW);
     let expected = [(item(1), TargetKey(2)), (item(2), TargetKey(1))];
     assert_eq!(plan.start, expected);
 }
