teams: callers are authenticated by the keys of the manifest

Cause: the manifest of the newest deployments holds teams with API keys. Requests ran without a key, and targets were shown the caller's key and whatever team it named itself.

Change: RouteTable holds a TeamDirectory, which refuses a manifest in which teams share a key or a name. With teams in the manifest, a request needs the key of one unless its route is public, else it gets a 401, once its route is found. The key and the caller's own team name are removed; the target is told the team that holds the key. Without teams nothing changes.

--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -25,6 +25,7 @@
     BatchCall,
     Repeatability,
     Route,
+    Team,
     headers, //
 };
 
@@ -38,7 +39,7 @@
 };
 
 use super::{
-    batch,
+    authentication, batch,
     http_server::{
         Connections,
         DEFAULT_LIMITS,
@@ -82,7 +83,7 @@
 }
 
 async fn handle(cx: Arc<Cx>, req: Request<Incoming>, arrived_at: Millis) -> HttpResponse {
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
     let Some(table) = wait_for_table(&cx, &head, arrived_at).await else {
         let retry_after = retry_after_startup(cx.clock.now(), rand::random());
         log::info!(
@@ -95,7 +96,11 @@
         .unwrap_or_default()
         .to_owned();
     let Some(route) = table.find(&host, head.uri.path()) else {
-        return handle_unrouted(&cx, &table, &host, &head, arrived_at).await;
+        return handle_unrouted(&cx, &table, &host, head, body, arrived_at).await;
+    };
+    let team = match authentication::authenticate(&table, &mut head, Some(route)) {
+        Ok(team) => team,
+        Err(error) => return authentication::refuse(error, &head, body, &table).await,
     };
     let body = match read_body_in_time(&head, body, route, &table).await {
         Ok(body) => body,
@@ -121,6 +126,7 @@
                 body,
                 arrived_at,
                 manifest: table.version(),
+                team,
             };
             online::serve(cx, route.clone(), request).await
         }
@@ -132,15 +138,19 @@
     cx: &Cx,
     table: &RouteTable,
     host: &str,
-    head: &Parts,
+    mut head: Parts,
+    body: Incoming,
     arrived_at: Millis,
 ) -> HttpResponse {
-    let path = head.uri.path();
-    if let Some(call) = BatchCall::parse(&head.method, path, head.uri.query()) {
-        return batch::call(cx, call, head, arrived_at).await;
+    if let Some(call) = BatchCall::parse(&head.method, head.uri.path(), head.uri.query()) {
+        return match authentication::authenticate(table, &mut head, None) {
+            Ok(_) => batch::call(cx, call, &head, arrived_at).await,
+            Err(error) => authentication::refuse(error, &head, body, table).await,
+        };
     }
+    let path = head.uri.path();
     log::info!(
-        request = request_id(head), why = "no_route", manifest = table.version(), host, path;
+        request = request_id(&head), why = "no_route", manifest = table.version(), host, path;
         "request refused");
     text(StatusCode::NOT_FOUND, "no route for this host and path")
 }
@@ -202,6 +212,8 @@
     pub(super) arrived_at: Millis,
     /// Version of the manifest that the route was taken from.
     pub(super) manifest: u64,
+    /// Team of the caller, if any.
+    pub(super) team: Option<Arc<Team>>,
 }
 
 impl ReceivedRequest {
@@ -211,7 +223,7 @@
     }
 }
 
-fn request_id(head: &Parts) -> &str {
+pub(super) fn request_id(head: &Parts) -> &str {
     headers::text(&head.headers, &headers::REQUEST_ID).unwrap_or("-")
 }
 
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP servers for callers, targets and operators.
 
+mod authentication;
 mod batch;
 mod control;
 mod exchange;
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -42,6 +42,7 @@
 };
 use yuccaseam_platform::{
     Route,
+    Team,
     headers, //
 };
 
@@ -61,6 +62,7 @@
         SilenceStep, //
     },
     targets::TargetKey,
+    teams::set_team,
     upstream::{
         CallLimits,
         Failure,
@@ -134,6 +136,8 @@
 pub(super) struct ActiveRequest {
     pub(super) cx: Arc<Cx>,
     pub(super) route: Route,
+    /// Team of the caller, if any.
+    pub(super) team: Option<Arc<Team>>,
     pub(super) id: String,
     /// Version of the manifest that the route was taken from.
     manifest: u64,
@@ -184,7 +188,11 @@
         let time_left = headers::millis(&req.head.headers, &headers::TIME_LEFT);
         let caller_timeout = time_left.unwrap_or(route.timeout);
         let mut head = req.head;
+        // Before the team is set: a caller may list any header as hop-by-hop.
         headers::strip_hop_by_hop(&mut head.headers);
+        if let Some(team) = &req.team {
+            set_team(&mut head.headers, team);
+        }
         let whole_request = Feature::whole_request(&head, &req.body);
         Some(Self {
             whole_request,
@@ -206,6 +214,7 @@
             sent_at: Millis::ZERO,
             first_event_at: None,
             is_persistent: false,
+            team: req.team,
             route,
         })
     }
@@ -214,6 +223,11 @@
         self.cx.clock.now()
     }
 
+    /// Name of the caller's team, for log lines.
+    fn team_name(&self) -> Option<&str> {
+        self.team.as_ref().map(|team| team.name.as_str())
+    }
+
     fn verdict(&self) -> Verdict {
         if self.runs == 0 {
             Verdict::NotRun
@@ -238,7 +252,8 @@
         };
         metrics::counter!("yuccaseam_given_up_total", "reason" => reason).increment(1);
         log::info!(
-            request:% = self.id, route:% = self.route.name, outcome = "given_up", why = reason,
+            request:% = self.id, route:% = self.route.name, team = self.team_name(),
+            outcome = "given_up", why = reason,
             verdict = failure.verdict.code(), runs = self.runs, rejections = self.rejections,
             manifest = self.manifest, loads_age_ms = self.cx.balancer().loads_age(self.now()).0,
             took_ms = (self.now() - self.arrived_at).0; "request ended");
@@ -515,8 +530,8 @@
         metrics::counter!("yuccaseam_answers_total", "outcome" => outcome).increment(1);
         metrics::histogram!("yuccaseam_answer_seconds").record(took.duration().as_secs_f64());
         log::info!(
-            request:% = self.id, route:% = self.route.name, target_name:% = slot.choice.name,
-            status = status.as_u16(), believed_online = slot.choice.load.online,
+            request:% = self.id, route:% = self.route.name, team = self.team_name(),
+            target_name:% = slot.choice.name, status = status.as_u16(), believed_online = slot.choice.load.online,
             believed_batch = slot.choice.load.batch, loads_age_ms = slot.choice.loads_age.0,
             manifest = self.manifest, runs = self.runs, outcome,
             waited_ms = (self.sent_at - self.arrived_at).0,
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -4,6 +4,7 @@
 //!
 //! - Every destination of a route names a service of the same manifest.
 //! - A request matches the route of its host with the longest prefix, or none.
+//! - The teams of the table are those of the same manifest.
 
 use std::{
     collections::{
@@ -14,7 +15,10 @@
     fmt, //
 };
 
-use yuccaseam_base::value;
+use yuccaseam_base::{
+    TeamName,
+    value, //
+};
 use yuccaseam_platform::{
     ClientLimits,
     Destination,
@@ -23,6 +27,8 @@
     Service, //
 };
 
+use crate::teams::TeamDirectory;
+
 /// Error of a manifest that cannot take effect.
 #[value]
 pub enum ManifestError {
@@ -50,6 +56,21 @@
         /// Name of the route.
         route: String,
     },
+    /// Two teams share a key.
+    SharedKey {
+        /// Names of the teams.
+        teams: [TeamName; 2],
+    },
+    /// Two teams have the same name.
+    DuplicateTeam {
+        /// Name of both teams.
+        team: TeamName,
+    },
+    /// The name of a team cannot be sent as a header value.
+    InvalidTeamName {
+        /// Name of the team.
+        team: TeamName,
+    },
 }
 
 impl fmt::Display for ManifestError {
@@ -66,6 +87,13 @@
             }
             Self::ZeroWeight { route } => write!(f, "the weights of route {route} add up to 0"),
             Self::ZeroTimeout { route } => write!(f, "the timeout of route {route} is 0"),
+            Self::SharedKey {
+                teams: [one, other],
+            } => write!(f, "the teams {one} and {other} share a key"),
+            Self::DuplicateTeam { team } => write!(f, "two teams have the name {team}"),
+            Self::InvalidTeamName { team } => {
+                write!(f, "the team name {team:?} is no valid header value")
+            }
         }
     }
 }
@@ -79,6 +107,8 @@
     /// Indices of the routes of each host, longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     services: HashMap<String, usize>,
+    /// `None` if requests need no key.
+    teams: Option<TeamDirectory>,
 }
 
 impl RouteTable {
@@ -87,7 +117,7 @@
     /// # Errors
     ///
     /// Returns an error if the manifest cannot take effect.
-    pub fn new(manifest: Manifest) -> Result<Self, ManifestError> {
+    pub fn new(mut manifest: Manifest) -> Result<Self, ManifestError> {
         let names = manifest.services.iter().enumerate();
         let services: HashMap<_, _> = names
             .map(|(index, service)| (service.name.clone(), index))
@@ -109,10 +139,12 @@
             host_routes
                 .sort_by_key(|&index| std::cmp::Reverse(manifest.routes[index].path_prefix.len()));
         }
+        let teams = manifest.teams.take().map(TeamDirectory::new).transpose()?;
         Ok(Self {
             manifest,
             by_host,
             services,
+            teams,
         })
     }
 
@@ -126,6 +158,11 @@
         &self.manifest.limits
     }
 
+    /// Teams of callers. `None` if requests need no key.
+    pub fn teams(&self) -> Option<&TeamDirectory> {
+        self.teams.as_ref()
+    }
+
     /// Finds the route of a request.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -20,4 +20,5 @@
 mod state;
 mod support;
 mod targets;
+mod teams;
 mod trials;
