waves: items start in troughs only, unless they keep their slot

Change: the phase of the wave and the length of the last troughs decide too: an item starts if it ends before the next wave, or in the first half of a trough.

--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -17,6 +17,7 @@
     targets::TargetKey,
     waves::{
         ItemRoom,
+        Outlook,
         SlotUse, //
     },
 };
@@ -145,13 +146,12 @@
     leading_for >= START_DELAY
 }
 
-/// Plans the next scheduling step. `peak` is the demand of callers at the peak of their last waves, if they
-/// come in waves. `refuses` states whether a target has refused an item and is not to be tried again yet.
+/// Plans the next scheduling step. `outlook` tells what to expect of callers, if they come in waves. `refuses` states whether a target has refused an item and is not to be tried again yet.
 pub fn plan<F>(
     waiting: &[WaitingItem],
     running: &[RunningItem],
     capacities: &[TargetCapacity],
-    peak: Option<u32>,
+    outlook: Option<Outlook>,
     refuses: F,
     now: Millis,
 ) -> Plan
@@ -185,11 +185,10 @@
             });
         }
     }
-    let room = peak.map(|peak| ItemRoom::beside(peak, &slot_use));
     let slots = ItemSlots {
         free,
         has_runs,
-        room,
+        waves: outlook.map(|outlook| (outlook, ItemRoom::beside(outlook.peak, &slot_use))),
     };
     assign_slots(waiting, slots, refuses, now, &mut plan.start);
     plan
@@ -201,24 +200,30 @@
     free: Vec<FreeSlots>,
     /// Whether items run already.
     has_runs: bool,
-    /// Room for items that can wait, if callers come in waves.
-    room: Option<ItemRoom>,
+    /// What to expect of callers that come in waves, and the room that their peak leaves.
+    waves: Option<(Outlook, ItemRoom)>,
+}
+
+/// How the target of an item is chosen.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Placement {
+    /// The one with the most free slots.
+    Spread,
+    /// The one with the fewest. Callers of the next wave then fill the others first, and cut no item.
+    Packed,
 }
 
 impl ItemSlots {
-    /// Takes a slot that leaves `reserved` others free, at a target that `refuses` does not exclude. Items
-    /// spread over all targets, but share few beside waves of callers: those then fill the other targets
-    /// first, and cut no item.
-    fn take<F>(&mut self, reserved: u32, refuses: F) -> Option<TargetKey>
+    /// Takes a slot that leaves `reserved` others free, at a target that `refuses` does not exclude.
+    fn take<F>(&mut self, reserved: u32, placement: Placement, refuses: F) -> Option<TargetKey>
     where
         F: Fn(TargetKey) -> bool,
     {
         self.free.sort_unstable_by(|a, b| b.cmp(a));
         let usable = |slots: &&mut FreeSlots| slots.has_room(reserved) && !refuses(slots.target);
-        let slots = if self.room.is_some() {
-            self.free.iter_mut().rev().find(usable)?
-        } else {
-            self.free.iter_mut().find(usable)?
+        let slots = match placement {
+            Placement::Spread => self.free.iter_mut().find(usable)?,
+            Placement::Packed => self.free.iter_mut().rev().find(usable)?,
         };
         slots.free -= 1;
         let target = slots.target;
@@ -226,13 +231,18 @@
         Some(target)
     }
 
-    /// Whether an item may start now. One that can wait starts only if it keeps its slot through the
-    /// next wave.
-    fn admits(&mut self, item: &WaitingItem, now: Millis) -> bool {
-        match &mut self.room {
-            Some(room) if can_wait(item, now) => room.take(),
-            _ => true,
+    /// How an item may start now, if it may.
+    fn placement(&mut self, item: &WaitingItem, now: Millis) -> Option<Placement> {
+        let Some((outlook, room)) = &mut self.waves else {
+            return Some(Placement::Spread);
+        };
+        if !can_wait(item, now) {
+            return Some(Placement::Spread);
         }
+        if room.take() {
+            return Some(Placement::Packed);
+        }
+        outlook.admits(item.remaining).then_some(Placement::Spread)
     }
 }
 
@@ -309,7 +319,7 @@
 
 /// Whether an item is on time also if it starts a little later.
 fn can_wait(item: &WaitingItem, now: Millis) -> bool {
-    can_be_on_time(item.due_at, item.remaining, now) && item.due_at > now + PRESSING_WINDOW
+    can_be_on_time(item.due_at, item.remaining, now) && !is_urgent(item.due_at, item.remaining, now)
 }
 
 /// Assigns free slots to items, the first due first, at targets that have not refused the item. If nothing runs
@@ -342,15 +352,15 @@
         if slots.free.is_empty() {
             return;
         }
-        if !slots.admits(item, now) {
+        let Some(placement) = slots.placement(item, now) else {
             continue;
-        }
+        };
         let reserved = if is_late(item) && !slots.has_runs && starts.is_empty() {
             PREEMPTION_RESERVED_SLOTS
         } else {
             reserved_slots(item, now)
         };
-        if let Some(target) = slots.take(reserved, |target| refuses(item.key, target)) {
+        if let Some(target) = slots.take(reserved, placement, |target| refuses(item.key, target)) {
             starts.push((item.key, target));
         }
     }
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -385,8 +385,8 @@
         };
         let slots = capacities.iter().map(|capacity| capacity.slots).sum();
         let waves = self.waves.get(service);
-        let peak = waves.and_then(|waves| waves.peak(slots));
-        let plan = plan(&waiting, &running, &capacities, peak, refuses, now);
+        let outlook = waves.and_then(|waves| waves.outlook(slots, now));
+        let plan = plan(&waiting, &running, &capacities, outlook, refuses, now);
         for key in plan.pause {
             let job = self.jobs.job_id(key.job);
             log::info!(job, item = key.item; "batch item preempted");
