runner: a gap in one item's output stops no other item

Cause: the output of all running items is proposed in one command. If one item has a gap, as each item of a job has that its caller ends, the outcome of the command is a gap, and the runner took all items in it as not persisted: it aborted some 200 runs, which began again elsewhere.

Change: after a gap the runner asks the state which items lack their output. Those of jobs that have ended, and those that took effect, go on. Persisting and the sampling of demand are files of their own.

--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -6,7 +6,9 @@
 //! - A result is proposed only if the stream of its item was complete.
 //! - A run that resumes after event n sends n as its last event id.
 
+mod demand;
 mod job_views;
+mod persistence;
 mod progress;
 mod quarantine;
 mod stream;
@@ -47,9 +49,7 @@
         plan, //
     },
     state::{
-        Advance,
         Command,
-        CommandOutcome,
         FinishedItem,
         Output, //
     },
@@ -58,10 +58,7 @@
         TargetRecord, //
     },
     upstream::Failure,
-    waves::{
-        CallerWaves,
-        SAMPLE_INTERVAL, //
-    },
+    waves::CallerWaves,
 };
 
 use super::{
@@ -317,27 +314,6 @@
         });
     }
 
-    /// Records the demand of callers on each service.
-    fn sample_waves(&mut self, now: Millis) {
-        if now < self.sample_at {
-            return;
-        }
-        self.sample_at = now + SAMPLE_INTERVAL;
-        let online = self.hub.online(now);
-        let targets = self.cx.targets();
-        let mut callers = BTreeMap::<&str, u32>::new();
-        for record in targets.records().filter(|record| !record.left) {
-            let requests = online.get(&record.key()).copied().unwrap_or(0);
-            *callers.entry(&record.service).or_default() += requests;
-        }
-        self.waves
-            .retain(|service, _| callers.contains_key(service.as_str()));
-        for (service, callers) in callers {
-            let waves = self.waves.entry(service.to_owned()).or_default();
-            waves.record(now, callers);
-        }
-    }
-
     fn schedule(
         &mut self,
         service: &str,
@@ -474,28 +450,6 @@
         self.runs.insert(run_id, run);
     }
 
-    /// Proposes the output received so far, so that another leader can resume from there.
-    fn persist_output(&mut self) {
-        let mut advances = Vec::new();
-        let mut keys = Vec::new();
-        for (key, progress) in &mut self.progress {
-            if progress.lines.is_empty() || progress.retry_at == Millis::MAX {
-                continue;
-            }
-            if let Some(job) = self.jobs.job_id(key.job) {
-                advances.push(Advance {
-                    job: job.to_owned(),
-                    item: key.item,
-                    output: progress.take_output(),
-                });
-                keys.push(*key);
-            }
-        }
-        if !advances.is_empty() {
-            self.propose(Command::Advance(advances), keys);
-        }
-    }
-
     /// Handles a report. True if a slot may have become free.
     fn handle_report(&mut self, report: Report) -> bool {
         match report {
@@ -642,27 +596,6 @@
         self.propose(Command::FailedRun { job, item }, Vec::new());
     }
 
-    /// Proposes a command. Items whose output did not take effect resume from the replicated state.
-    fn propose(&self, command: Command, keys: Vec<ItemKey>) {
-        let replica = Arc::clone(&self.replica);
-        let reports = self.reports.clone();
-        tokio::spawn(async move {
-            match replica.propose(command).await {
-                Ok(CommandOutcome::Done) => {}
-                Ok(outcome) => {
-                    log::warn!(outcome:? = outcome, items = keys.len(); "item output discarded");
-                    // The runner runs until the process exits.
-                    let _ = reports.send(Report::NotPersisted(keys));
-                }
-                Err(error) => {
-                    log::warn!(error:? = error, items = keys.len(); "item output not persisted");
-                    // The runner runs until the process exits.
-                    let _ = reports.send(Report::NotPersisted(keys));
-                }
-            }
-        });
-    }
-
     /// Removes settled jobs whose results have expired.
     fn remove_expired_jobs(&mut self, now: Millis) {
         let lifetime = self.cx.settings.bounds.result_lifetime + EXTRA_RETENTION;
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -167,6 +167,37 @@
     assert_eq!(repeated, CommandOutcome::Gap);
 }
 
+/// One proposal holds the output of hundreds of items. Those of a job that ends meanwhile, and items that
+/// are behind, say nothing about the others.
+#[test]
+fn only_items_that_are_behind_lack_output() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("open", &[1, 1, 1])));
+    state.apply(Command::Submit(job("ended", &[1])));
+    let end = Command::End {
+        job: "ended".to_owned(),
+    };
+    state.apply(end);
+    state.apply(finish("open", 2, Some(output(None, &["x"], "1"))));
+    let outputs = [
+        ("open", 0, None),
+        ("open", 1, Some("9")),
+        ("ended", 0, None),
+    ];
+    let advances = outputs.map(|(job, item, after)| Advance {
+        job: job.to_owned(),
+        item,
+        output: output(after, &["a"], "12"),
+    });
+    let outcome = state.apply(Command::Advance(advances.to_vec()));
+    assert_eq!(outcome, CommandOutcome::Gap);
+    let lacks = |job, item| state.lacks_output(job, item, Some("12"));
+    assert!(lacks("open", 1));
+    assert!(!lacks("open", 0) && !lacks("open", 2) && !lacks("ended", 0) && !lacks("gone", 0));
+    // Later output has taken effect meanwhile.
+    assert!(!state.lacks_output("open", 0, Some("9")));
+}
+
 #[test]
 fn result_keeps_its_position_and_content() {
     let mut state = State::default();
