batch: jobs belong to the team that submitted them

Cause: whoever knew the id of a job could read or end it, the limit of waiting tokens was shared by all callers, and items carried whatever credentials and team their caller wrote into them.

Change: with teams in the manifest, entries send requests about jobs as HubRequest::ForTeam; the state keeps the team of each job (SubmitForTeam, EndForTeam), answers other teams as if there were no such job, and counts the tokens of the team alone. A job id that another team uses is refused with 409. Items are sent with the name of the job's team and without credentials.

--- a/crates/serving/src/entry/batch.rs
+++ b/crates/serving/src/entry/batch.rs
@@ -10,6 +10,7 @@
     Route,
     Submission,
     SubmittedItem,
+    Team,
     headers, //
 };
 
@@ -49,6 +50,7 @@
     host: &str,
     head: &Parts,
     body: &[u8],
+    team: Option<&Team>,
     arrived_at: Millis,
 ) -> HttpResponse {
     let Some(id) = headers::text(&head.headers, &headers::REQUEST_ID) else {
@@ -69,10 +71,13 @@
         items: submission.items.into_iter().map(NewItem::from).collect(),
     };
     let reply = cx
-        .call_leader(&HubRequest::Submit(job), arrived_at + CALL_TIMEOUT)
+        .call_leader(
+            &on_behalf_of(team, HubRequest::Submit(job)),
+            arrived_at + CALL_TIMEOUT,
+        )
         .await;
     let outcome = outcome_code(reply.as_ref());
-    log::info!(request = id, items, outcome, took_ms = (cx.clock.now() - arrived_at).0;
+    log::info!(request = id, team = team.map(|team| team.name.as_str()), items, outcome, took_ms = (cx.clock.now() - arrived_at).0;
         "batch job submitted");
     match reply {
         Some(link::HubReply::Done) => empty(StatusCode::ACCEPTED),
@@ -87,10 +92,24 @@
         Some(link::HubReply::NoCapacity) => {
             refusal("stores have no capacity for the job", CAPACITY_RETRY_AFTER)
         }
+        Some(link::HubReply::NotFound) => {
+            text(StatusCode::CONFLICT, "job id is used by another team")
+        }
         other => failed_call_response(other),
     }
 }
 
+/// Request about a job, on behalf of the caller's team if there is one.
+fn on_behalf_of(team: Option<&Team>, request: HubRequest) -> HubRequest {
+    match team {
+        Some(team) => HubRequest::ForTeam {
+            team: team.name.clone(),
+            request: Box::new(request),
+        },
+        None => request,
+    }
+}
+
 impl From<SubmittedItem> for NewItem {
     fn from(item: SubmittedItem) -> Self {
         Self {
@@ -108,6 +127,7 @@
     cx: &Cx,
     call: BatchCall,
     head: &Parts,
+    team: Option<&Team>,
     arrived_at: Millis,
 ) -> HttpResponse {
     let wait = headers::millis(&head.headers, &headers::WAIT).unwrap_or_default();
@@ -121,6 +141,7 @@
         BatchCall::End { job } => HubRequest::EndJob(job),
     };
     let is_read = !matches!(request, HubRequest::EndJob(_));
+    let request = on_behalf_of(team, request);
     match cx.call_leader(&request, arrived_at + CALL_TIMEOUT).await {
         Some(link::HubReply::Unknown) if is_read => {
             refusal("no quorum replied in time", LEADER_RETRY_AFTER)
@@ -145,6 +166,7 @@
         Some(link::HubReply::Done) => "accepted",
         Some(link::HubReply::OverLimit) => "over_limit",
         Some(link::HubReply::NoCapacity) => "no_capacity",
+        Some(link::HubReply::NotFound) => "other_team",
         Some(_) => "unknown",
         None => "no_leader",
     }
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -114,7 +114,7 @@
     }
     match route.repeatability {
         Repeatability::Batch if head.method == Method::POST => {
-            batch::submit(&cx, route, &host, &head, &body, arrived_at).await
+            batch::submit(&cx, route, &host, &head, &body, team.as_deref(), arrived_at).await
         }
         Repeatability::Batch => text(
             StatusCode::METHOD_NOT_ALLOWED,
@@ -144,7 +144,7 @@
 ) -> HttpResponse {
     if let Some(call) = BatchCall::parse(&head.method, head.uri.path(), head.uri.query()) {
         return match authentication::authenticate(table, &mut head, None) {
-            Ok(_) => batch::call(cx, call, &head, arrived_at).await,
+            Ok(team) => batch::call(cx, call, &head, team.as_deref(), arrived_at).await,
             Err(error) => authentication::refuse(error, &head, body, table).await,
         };
     }
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -191,7 +191,7 @@
         // Before the team is set: a caller may list any header as hop-by-hop.
         headers::strip_hop_by_hop(&mut head.headers);
         if let Some(team) = &req.team {
-            set_team(&mut head.headers, team);
+            set_team(&mut head.headers, &team.name);
         }
         let whole_request = Feature::whole_request(&head, &req.body);
         Some(Self {
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -11,6 +11,7 @@
     FailureDomain,
     InstanceName,
     TargetName,
+    TeamName,
     record, //
 };
 
@@ -84,6 +85,14 @@
     ProveFeatures(Vec<Feature>),
     /// Ask for the trial of a quarantined feature. [`HubReply::NotFound`] if none is due.
     TryFeature(Feature),
+    /// A request about a job on behalf of a team. Jobs of other teams are unknown to it. Sent only if the
+    /// manifest has teams: an instance of the version before cannot decode it.
+    ForTeam {
+        /// The team.
+        team: TeamName,
+        /// [`Self::Submit`], [`Self::Results`], [`Self::ItemBody`] or [`Self::EndJob`].
+        request: Box<HubRequest>,
+    },
 }
 
 /// The reply to a request.
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -8,6 +8,7 @@
 use yuccaseam_base::{
     InstanceName,
     Millis,
+    TeamName,
     record, //
 };
 
@@ -150,6 +151,20 @@
     },
     /// Records the rate of the slowest link between a leader and a voter, in bytes per ms.
     NoteLinkRate(u64),
+    /// As [`Command::Submit`], for a team: the limit of the route holds for the jobs of this team alone.
+    SubmitForTeam {
+        /// Team that the job belongs to from now on.
+        team: TeamName,
+        /// The job.
+        job: NewJob,
+    },
+    /// As [`Command::End`], unless the job belongs to another team.
+    EndForTeam {
+        /// Team that ends the job.
+        team: TeamName,
+        /// Id of the job.
+        job: String,
+    },
 }
 
 /// Outcome of a command.
@@ -160,7 +175,7 @@
     Done,
     /// The tokens of the job exceed the limit. Nothing of it runs.
     OverLimit,
-    /// There is no such job.
+    /// There is no such job, or it belongs to another team.
     UnknownJob,
     /// Some output does not follow the output in the state. The rest took effect.
     Gap,
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -6,6 +6,7 @@
 //! - The version of the manifest never decreases.
 //! - A job is accepted once; a result keeps its position and content until the job is removed.
 //! - An item is listed at most once.
+//! - A job never changes its team.
 
 mod command;
 mod job;
@@ -40,6 +41,7 @@
     InstanceName,
     Machine,
     TargetName,
+    TeamName,
     record, //
 };
 
@@ -61,21 +63,24 @@
     quarantined: BTreeMap<Feature, u32>,
     /// Rate of the slowest link between a leader and a voter in bytes per ms, as last measured; 0 if unknown.
     link_rate: u64,
+    /// Teams of jobs, by job id. A job that was accepted without teams has none.
+    job_teams: BTreeMap<String, TeamName>,
 }
 
 /// Expected size of a result in bytes before there are results.
 const DEFAULT_RESULT_BYTES: u64 = 8 << 10;
 
-/// Encodings of what snapshots of earlier versions lack at their end: the link rate, and the map of quarantined
-/// features before it.
-const MISSING_FIELDS: [&[u8]; 2] = [&[0], &[0, 0]];
+/// Encodings of what snapshots of earlier versions lack at their end: the teams of jobs, the link rate before
+/// them, and the map of quarantined features before that.
+const MISSING_FIELDS: [&[u8]; 3] = [&[0], &[0, 0], &[0, 0, 0]];
 
 impl State {
     /// Applies a command.
     pub fn apply(&mut self, command: Command) -> CommandOutcome {
         match command {
             Command::PutManifest(manifest) => self.put_manifest(manifest),
-            Command::Submit(job) => self.submit(job),
+            Command::Submit(job) => self.submit(None, job),
+            Command::SubmitForTeam { team, job } => self.submit(Some(team), job),
             Command::Advance(advances) => self.advance(advances),
             Command::Finish(finished) => self.finish(finished),
             Command::FailedRun { job, item } => {
@@ -90,16 +95,12 @@
                 }
                 CommandOutcome::Done
             }
-            Command::End { job } => match self.jobs.get_mut(&job) {
-                Some(job) => {
-                    job.end();
-                    CommandOutcome::Done
-                }
-                None => CommandOutcome::UnknownJob,
-            },
+            Command::End { job } => self.end(&job, None),
+            Command::EndForTeam { team, job } => self.end(&job, Some(&team)),
             Command::Forget { jobs } => {
                 for job in jobs {
                     self.jobs.remove(&job);
+                    self.job_teams.remove(&job);
                 }
                 CommandOutcome::Done
             }
@@ -143,23 +144,42 @@
         CommandOutcome::Done
     }
 
-    fn submit(&mut self, new: NewJob) -> CommandOutcome {
+    fn submit(&mut self, team: Option<TeamName>, new: NewJob) -> CommandOutcome {
         if self.jobs.contains_key(&new.id) {
-            return CommandOutcome::Done;
+            return match self.job_for(&new.id, team.as_ref()) {
+                Some(_) => CommandOutcome::Done,
+                None => CommandOutcome::UnknownJob,
+            };
         }
         let job = Job::from(new);
         if let Some(limit) = job.waiting_limit
             && self
-                .waiting_tokens(&job.route)
+                .waiting_tokens(&job.route, team.as_ref())
                 .saturating_add(job.waiting_tokens())
                 > limit
         {
             return CommandOutcome::OverLimit;
         }
+        if let Some(team) = team {
+            self.job_teams.insert(job.id.clone(), team);
+        }
         self.jobs.insert(job.id.clone(), job);
         CommandOutcome::Done
     }
 
+    fn end(&mut self, id: &str, team: Option<&TeamName>) -> CommandOutcome {
+        if !self.is_accessible(id, team) {
+            return CommandOutcome::UnknownJob;
+        }
+        match self.jobs.get_mut(id) {
+            Some(job) => {
+                job.end();
+                CommandOutcome::Done
+            }
+            None => CommandOutcome::UnknownJob,
+        }
+    }
+
     fn record_target(&mut self, record: TargetRecord) {
         if record.left {
             self.targets.remove(&record.name);
@@ -202,14 +222,37 @@
         self.jobs.get(id)
     }
 
+    /// Returns the job with an id, unless it has been removed or belongs to another team.
+    pub fn job_for(&self, id: &str, team: Option<&TeamName>) -> Option<&Job> {
+        self.job(id).filter(|_| self.is_accessible(id, team))
+    }
+
+    /// Team of a job. `None` if it was accepted without teams.
+    pub fn team_of(&self, id: &str) -> Option<&TeamName> {
+        self.job_teams.get(id)
+    }
+
+    /// Whether a caller may have a job: one of its team, or any caller if either has no team. Without teams in
+    /// force, whoever knows the id of a job may have it.
+    fn is_accessible(&self, id: &str, team: Option<&TeamName>) -> bool {
+        match (self.team_of(id), team) {
+            (Some(owner), Some(team)) => owner == team,
+            (None, _) | (_, None) => true,
+        }
+    }
+
     /// All jobs that have not been removed.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
         self.jobs.values()
     }
 
-    /// Sum of the tokens of the items that wait on a route, at most the largest value.
-    pub fn waiting_tokens(&self, route: &str) -> u64 {
-        let jobs = self.jobs.values().filter(|job| job.route == route);
+    /// Sum of the tokens of the items that wait on a route, at most the largest value: those of a team, or of
+    /// all callers if no team is given.
+    pub fn waiting_tokens(&self, route: &str, team: Option<&TeamName>) -> u64 {
+        let jobs = self
+            .jobs
+            .values()
+            .filter(|job| job.route == route && (team.is_none() || self.team_of(&job.id) == team));
         jobs.map(Job::waiting_tokens).fold(0, u64::saturating_add)
     }
 
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -23,7 +23,8 @@
 use tokio::sync::mpsc;
 use yuccaseam_base::{
     InstanceName,
-    Millis, //
+    Millis,
+    TeamName, //
 };
 
 use crate::{
@@ -33,7 +34,8 @@
         Handler,
         HubReply,
         HubRequest,
-        LeaderFrame, //
+        LeaderFrame,
+        PageRequest, //
     },
     state::{
         Command,
@@ -96,7 +98,7 @@
         }
     }
 
-    async fn submit(&self, mut job: NewJob) -> HubReply {
+    async fn submit(&self, mut job: NewJob, team: Option<TeamName>) -> HubReply {
         let is_new = self.replica.read(|state| state.job(&job.id).is_none());
         if is_new && self.is_leader() {
             self.apply_route_limits(&mut job);
@@ -104,7 +106,31 @@
                 return HubReply::NoCapacity;
             }
         }
-        self.propose(Command::Submit(job)).await
+        self.propose(match team {
+            Some(team) => Command::SubmitForTeam { team, job },
+            None => Command::Submit(job),
+        })
+        .await
+    }
+
+    async fn results(&self, request: &PageRequest, team: Option<&TeamName>) -> HubReply {
+        let wait = Millis(request.wait_ms).min(MAX_RESULTS_WAIT);
+        let page = pages::read(&self.replica, request, team, wait).await;
+        page.unwrap_or_else(|| self.not_leader())
+    }
+
+    /// Handles a request about a job on behalf of a team.
+    async fn handle_for_team(&self, team: TeamName, request: HubRequest) -> HubReply {
+        match request {
+            HubRequest::Submit(job) => self.submit(job, Some(team)).await,
+            HubRequest::Results(request) => self.results(&request, Some(&team)).await,
+            HubRequest::ItemBody { job, item } => self.item_body(&job, &item, Some(&team)).await,
+            HubRequest::EndJob(job) => self.propose(Command::EndForTeam { team, job }).await,
+            _ => {
+                log::warn!(team:%; "request on behalf of a team is not about a job");
+                HubReply::NotFound
+            }
+        }
     }
 
     /// Replaces the limits of a job by those of the newest manifest: an instance that was frozen may still
@@ -140,12 +166,12 @@
         HubReply::Manifest(self.replica.read(|state| state.manifest().cloned()))
     }
 
-    async fn item_body(&self, job: &str, item: &str) -> HubReply {
+    async fn item_body(&self, job: &str, item: &str, team: Option<&TeamName>) -> HubReply {
         if !self.replica.read_barrier().await {
             return self.not_leader();
         }
         let body = self.replica.read(|state| {
-            let item = state.job(job)?.item(item)?;
+            let item = state.job_for(job, team)?.item(item)?;
             (!item.is_listed()).then(|| item.body.clone())
         });
         body.map_or(HubReply::NotFound, HubReply::Body)
@@ -189,16 +215,11 @@
             HubRequest::Gossip(entries) => HubReply::Gossip(self.cx.merge_stores(entries)),
             HubRequest::PutManifest(manifest) => self.propose(Command::PutManifest(manifest)).await,
             HubRequest::GetManifest => self.manifest().await,
-            HubRequest::Submit(job) => self.submit(job).await,
-            HubRequest::Results(request) => {
-                let wait = Millis(request.wait_ms).min(MAX_RESULTS_WAIT);
-                match pages::read(&self.replica, &request, wait).await {
-                    Some(reply) => reply,
-                    None => self.not_leader(),
-                }
-            }
-            HubRequest::ItemBody { job, item } => self.item_body(&job, &item).await,
+            HubRequest::Submit(job) => self.submit(job, None).await,
+            HubRequest::Results(request) => self.results(&request, None).await,
+            HubRequest::ItemBody { job, item } => self.item_body(&job, &item, None).await,
             HubRequest::EndJob(job) => self.propose(Command::End { job }).await,
+            HubRequest::ForTeam { team, request } => self.handle_for_team(team, *request).await,
             HubRequest::StartRetiring(instance) => self.start_retiring(instance).await,
             HubRequest::GetRetiring(instance) => self.get_retiring(&instance).await,
             HubRequest::ReportCrashes(_)
--- a/crates/serving/src/store/pages.rs
+++ b/crates/serving/src/store/pages.rs
@@ -1,6 +1,9 @@
 //! Paged reads of the results of batch jobs.
 
-use yuccaseam_base::Millis;
+use yuccaseam_base::{
+    Millis,
+    TeamName, //
+};
 use yuccaseam_platform::{
     ItemOutcome,
     ListedResult,
@@ -28,6 +31,7 @@
 pub(super) async fn read(
     replica: &Replica,
     request: &PageRequest,
+    team: Option<&TeamName>,
     wait: Millis,
 ) -> Option<HubReply> {
     let deadline = tokio::time::Instant::now() + wait.duration();
@@ -36,7 +40,7 @@
         if !replica.holds_lease() && !replica.read_barrier().await {
             return None;
         }
-        let (reply, is_final) = replica.read(|state| page(state, request));
+        let (reply, is_final) = replica.read(|state| page(state, request, team));
         if is_final || tokio::time::timeout_at(deadline, changed).await.is_err() {
             return Some(reply);
         }
@@ -44,8 +48,8 @@
 }
 
 /// Current reply, and whether it is final: a wait would not change it for the reader.
-fn page(state: &State, request: &PageRequest) -> (HubReply, bool) {
-    let Some(job) = state.job(&request.job) else {
+fn page(state: &State, request: &PageRequest, team: Option<&TeamName>) -> (HubReply, bool) {
+    let Some(job) = state.job_for(&request.job, team) else {
         return (HubReply::NotFound, true);
     };
     let page = page_of(job, request.after);
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -78,6 +78,7 @@
     Arrived,
     Report,
     RunEnd,
+    RunsFor,
     build_request, //
 };
 
@@ -392,10 +393,16 @@
             last_id: last_id.as_deref().and_then(parse_event_id),
             bytes: progress.bytes,
         };
+        let has_teams = self.cx.table().is_some_and(|table| table.teams().is_some());
         let prepared = self.replica.read(|state| {
+            let runs_for = match state.team_of(job_id) {
+                Some(team) => RunsFor::Team(team),
+                None if has_teams => RunsFor::Nobody,
+                None => RunsFor::Anyone,
+            };
             let job = state.job(job_id)?;
             let item = job.items().get(key.item as usize)?;
-            let req = build_request(&job.host, item, target, last_id.as_deref())?;
+            let req = build_request(&job.host, item, runs_for, target, last_id.as_deref())?;
             Some((req, Feature::of_item(&item.headers)))
         });
         let Some((req, features)) = prepared else {
--- a/crates/serving/src/store/runner/stream.rs
+++ b/crates/serving/src/store/runner/stream.rs
@@ -15,7 +15,10 @@
     Full, //
 };
 use tokio::sync::mpsc;
-use yuccaseam_base::Millis;
+use yuccaseam_base::{
+    Millis,
+    TeamName, //
+};
 use yuccaseam_platform::headers;
 
 use crate::{
@@ -30,6 +33,10 @@
         TargetKey,
         TargetRecord, //
     },
+    teams::{
+        remove_credentials,
+        set_team, //
+    },
     upstream::{
         CallLimits,
         Failure, //
@@ -81,10 +88,22 @@
     TargetDrains(TargetKey),
 }
 
+/// For whom an item runs.
+#[derive(Clone, Copy)]
+pub(super) enum RunsFor<'a> {
+    /// No teams are in force, and the job was accepted without: the item's headers are sent as they are.
+    Anyone,
+    /// Teams are in force, and the job was accepted without.
+    Nobody,
+    /// The team of the job.
+    Team(&'a TeamName),
+}
+
 /// Builds the request of a run. `None` if the item's path, headers or ids are not valid in HTTP.
 pub(super) fn build_request(
     host: &str,
     item: &Item,
+    runs_for: RunsFor<'_>,
     target: &TargetRecord,
     last_id: Option<&str>,
 ) -> Option<Request<Full<bytes::Bytes>>> {
@@ -103,6 +122,12 @@
         let value = HeaderValue::from_str(value).ok()?;
         req.headers_mut().insert(name, value);
     }
+    if !matches!(runs_for, RunsFor::Anyone) {
+        remove_credentials(req.headers_mut());
+    }
+    if let RunsFor::Team(team) = runs_for {
+        set_team(req.headers_mut(), team);
+    }
     let id = HeaderValue::from_str(&item.id).ok()?;
     req.headers_mut().insert(headers::REQUEST_ID, id);
     Some(req)
--- a/crates/serving/src/teams.rs
+++ b/crates/serving/src/teams.rs
@@ -123,12 +123,12 @@
 }
 
 /// Names the team of a request to the target.
-pub fn set_team(fields: &mut HeaderMap, team: &Team) {
-    match HeaderValue::from_bytes(team.name.as_str().as_bytes()) {
+pub fn set_team(fields: &mut HeaderMap, team: &TeamName) {
+    match HeaderValue::from_bytes(team.as_str().as_bytes()) {
         Ok(name) => drop(fields.insert(headers::TEAM, name)),
         // Unexpected: names are validated before a manifest takes effect.
         Err(error) => {
-            log::error!(team:% = team.name, error:% = error; "team name not sent to the target");
+            log::error!(team:%, error:% = error; "team name not sent to the target");
         }
     }
 }
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -8,7 +8,8 @@
 };
 use yuccaseam_base::{
     Machine as _,
-    Millis, //
+    Millis,
+    TeamName, //
 };
 use yuccaseam_platform::PromptPart;
 use yuccaseam_serving::{
@@ -121,7 +122,7 @@
         CommandOutcome::Done
     );
     assert_eq!(state.jobs().count(), 1);
-    assert_eq!(state.waiting_tokens("h.example/b/"), 80);
+    assert_eq!(state.waiting_tokens("h.example/b/", None), 80);
 }
 
 #[test]
@@ -189,7 +190,7 @@
     };
     assert_eq!(state.apply(end.clone()), CommandOutcome::Done);
     assert_eq!(state.apply(end), CommandOutcome::Done);
-    assert_eq!(state.waiting_tokens("h.example/b/"), 0);
+    assert_eq!(state.waiting_tokens("h.example/b/", None), 0);
     assert_eq!(state.apply(finish("j", 0, None)), CommandOutcome::Gap);
     let unknown = Command::End {
         job: "k".to_owned(),
@@ -237,7 +238,7 @@
     state.apply(manifest(4, "four"));
     state.apply(Command::Submit(job("j", &[1, 2])));
     let mut snapshot = state.snapshot();
-    for last in ["an unknown rate", "an empty map"] {
+    for last in ["no teams of jobs", "an unknown rate", "an empty map"] {
         assert_eq!(snapshot.pop(), Some(0), "{last} at the end");
         let restored = State::restore(&snapshot).expect("a snapshot of an earlier version");
         assert_eq!(restored, state);
@@ -265,7 +266,7 @@
         state.apply(Command::Submit(unlimited)),
         CommandOutcome::Done
     );
-    assert_eq!(state.waiting_tokens("h.example/b/"), u64::MAX);
+    assert_eq!(state.waiting_tokens("h.example/b/", None), u64::MAX);
 }
 
 /// Guards against a few items with very many tokens that make the state count as full.
@@ -351,6 +352,80 @@
     state.apply(Command::NoteLinkRate(7_000));
     let restored = State::restore(&state.snapshot()).expect("a snapshot restores");
     assert_eq!(restored.link_rate(), Some(7_000));
-    let older = State::restore(&older[..older.len() - 1]).expect("an older one restores");
+    // The teams of jobs came after the rate.
+    let older = State::restore(&older[..older.len() - 2]).expect("an older one restores");
     assert_eq!(older, State::default());
 }
+
+fn submit_for(team: &str, job: NewJob) -> Command {
+    let team = team.into();
+    Command::SubmitForTeam { team, job }
+}
+
+#[test]
+fn job_is_unknown_to_other_teams() {
+    let mut state = State::default();
+    let (red, blue) = (TeamName::from("red"), TeamName::from("blue"));
+    state.apply(submit_for("red", job("j", &[40])));
+    assert!(state.job_for("j", Some(&red)).is_some());
+    assert!(state.job_for("j", Some(&blue)).is_none());
+    let again = state.apply(submit_for("blue", job("j", &[40])));
+    assert_eq!(again, CommandOutcome::UnknownJob);
+    let again = state.apply(submit_for("red", job("j", &[40])));
+    assert_eq!(again, CommandOutcome::Done);
+    let end_for = |team| Command::EndForTeam {
+        team,
+        job: "j".to_owned(),
+    };
+    assert_eq!(state.apply(end_for(blue)), CommandOutcome::UnknownJob);
+    assert!(!state.job("j").expect("the job").is_ended());
+    assert_eq!(state.apply(end_for(red)), CommandOutcome::Done);
+    assert!(state.job("j").expect("the job").is_ended());
+}
+
+/// Load: a team fills the route; another team sends a small job.
+#[test]
+fn limit_of_waiting_tokens_holds_for_each_team() {
+    let mut state = State::default();
+    let over = CommandOutcome::OverLimit;
+    assert_eq!(
+        state.apply(submit_for("red", job("j", &[90]))),
+        CommandOutcome::Done
+    );
+    assert_eq!(state.apply(submit_for("red", job("k", &[20]))), over);
+    assert_eq!(
+        state.apply(submit_for("blue", job("l", &[100]))),
+        CommandOutcome::Done
+    );
+    assert_eq!(state.apply(submit_for("blue", job("m", &[1]))), over);
+    // A job without a team counts all that wait.
+    assert_eq!(state.apply(Command::Submit(job("n", &[1]))), over);
+}
+
+#[test]
+fn teams_of_jobs_outlive_a_snapshot_and_are_forgotten_with_them() {
+    let mut state = State::default();
+    state.apply(submit_for("red", job("j", &[1])));
+    state.apply(Command::Submit(job("k", &[1])));
+    let mut state = State::restore(&state.snapshot()).expect("a snapshot restores");
+    assert_eq!(state.team_of("j"), Some(&TeamName::from("red")));
+    assert_eq!(state.team_of("k"), None);
+    let jobs = vec!["j".to_owned(), "k".to_owned()];
+    state.apply(Command::Forget { jobs });
+    assert_eq!(state, State::default());
+}
+
+/// Guards against results that no caller can read any more once teams are put into force.
+#[test]
+fn job_accepted_without_teams_is_open_to_any_team() {
+    let mut state = State::default();
+    state.apply(Command::Submit(job("j", &[1])));
+    // An entry of the version before wrote the log and the snapshot.
+    let older = state.snapshot();
+    let older = older
+        .strip_suffix(&[0])
+        .expect("no teams of jobs at the end");
+    let state = State::restore(older).expect("a snapshot of the version before");
+    assert!(state.job_for("j", Some(&"red".into())).is_some());
+    assert!(state.job_for("j", None).is_some());
+}
--- a/crates/serving/tests/all/teams.rs
+++ b/crates/serving/tests/all/teams.rs
@@ -109,7 +109,7 @@
     let team = teams.authenticate(&fields, None).expect("a valid key");
     remove_credentials(&mut fields);
     assert!(fields.is_empty());
-    set_team(&mut fields, &team.expect("a team"));
+    set_team(&mut fields, &team.expect("a team").name);
     assert_eq!(
         fields.get(headers::TEAM),
         Some(&HeaderValue::from_static("red"))
