batch: teams take turns among items that are due alike

Cause: items get slots by due time alone, so that the thousand items of one team held back the few of another until they were late.

Change: team_turns orders the items within a window of one run by how many of their team run or stand before them. Items due more than the window earlier go first as before, and with one team or none nothing changes.

With the teams hidden from take_turns, few_items_of_one_team_are_on_time_beside_a_thousand_of_another serves 3 of 8 in time and few_items_are_on_time_beside_a_team_that_never_pauses 0 of 6.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
-//! [`silence`], [`state`], [`targets`], [`teams`], [`GroupManager`]) do no I/O and read no clock.
+//! [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`],
+//! [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -34,6 +35,7 @@
 pub mod state;
 mod store;
 pub mod targets;
+pub mod team_turns;
 pub mod teams;
 mod test_hooks;
 mod upstream;
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -13,7 +13,13 @@
     value, //
 };
 
-use crate::targets::TargetKey;
+use crate::{
+    targets::TargetKey,
+    team_turns::{
+        TeamNumber,
+        take_turns, //
+    },
+};
 
 /// Slots of a target that items leave free when they start, for callers that arrive before the
 /// runner receives their load.
@@ -61,6 +67,8 @@
     pub remaining: Millis,
     /// Whether all targets have refused it.
     pub is_refused: bool,
+    /// Team of its job, if any.
+    pub team: Option<TeamNumber>,
 }
 
 /// An item that is running.
@@ -75,6 +83,8 @@
     pub due_at: Millis,
     /// Time that it is expected to run still.
     pub remaining: Millis,
+    /// Team of its job, if any.
+    pub team: Option<TeamNumber>,
 }
 
 /// Capacity of a target for items.
@@ -168,7 +178,8 @@
             });
         }
     }
-    assign_slots(waiting, free, has_runs, refuses, now, &mut plan.start);
+    let queue = queue_of(waiting, running, now);
+    assign_slots(&queue, free, has_runs, refuses, now, &mut plan.start);
     plan
 }
 
@@ -242,19 +253,17 @@
     can_be_on_time(due_at, remaining, now) && due_at <= now + URGENT_WINDOW
 }
 
-/// Assigns free slots to items, the first due first, on the target with the most free slots that has not
-/// refused the item. If nothing runs and nothing else starts, an item that is late uses the reserve: it must not
-/// wait for as long as callers come.
-fn assign_slots<F>(
-    waiting: &[WaitingItem],
-    mut free: Vec<FreeSlots>,
-    has_runs: bool,
-    refuses: F,
+/// Waiting items in the order in which they get slots: the first due first, and among those due alike the teams
+/// in turn.
+fn queue_of<'a>(
+    waiting: &'a [WaitingItem],
+    running: &[RunningItem],
     now: Millis,
-    starts: &mut Vec<(ItemKey, TargetKey)>,
-) where
-    F: Fn(ItemKey, TargetKey) -> bool,
-{
+) -> Vec<&'a WaitingItem> {
+    let mut running_of_teams = BTreeMap::<_, usize>::new();
+    for run in running {
+        *running_of_teams.entry(run.team).or_default() += 1;
+    }
     let is_late = |item: &WaitingItem| !can_be_on_time(item.due_at, item.remaining, now);
     let mut queue: Vec<_> = waiting.iter().collect();
     // Items that will be late in any case lose little by waiting longer, so they come after those that
@@ -269,6 +278,29 @@
             item.key,
         )
     });
+    let classes = queue.chunk_by(|a, b| (a.is_refused, is_late(a)) == (b.is_refused, is_late(b)));
+    let in_turn = classes.map(|class| {
+        take_turns(class.to_vec(), &running_of_teams, |item| {
+            (item.team, item.due_at)
+        })
+    });
+    in_turn.flatten().collect()
+}
+
+/// Assigns free slots to items in the order of the queue, on the target with the most free slots that has not
+/// refused the item. If nothing runs and nothing else starts, an item that is late uses the reserve: it must not
+/// wait for as long as callers come.
+fn assign_slots<F>(
+    queue: &[&WaitingItem],
+    mut free: Vec<FreeSlots>,
+    has_runs: bool,
+    refuses: F,
+    now: Millis,
+    starts: &mut Vec<(ItemKey, TargetKey)>,
+) where
+    F: Fn(ItemKey, TargetKey) -> bool,
+{
+    let is_late = |item: &WaitingItem| !can_be_on_time(item.due_at, item.remaining, now);
     for item in queue {
         let reserved = if is_late(item) && !has_runs && starts.is_empty() {
             PREEMPTION_RESERVED_SLOTS
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -224,9 +224,9 @@
         };
         let mut abandoned = Vec::new();
         for job in state.jobs().filter(|job| !job.is_settled()) {
-            let view = self
-                .jobs
-                .get_or_insert(job, now, self.cx.test_hooks.unix_now());
+            let unix_now = self.cx.test_hooks.unix_now();
+            let team = state.team_of(&job.id);
+            let view = self.jobs.get_or_insert(job, team, now, unix_now);
             for (index, item) in job.waiting() {
                 let key = ItemKey {
                     job: view.number,
@@ -275,6 +275,7 @@
                             item.last_id.is_some(),
                         ),
                         is_refused,
+                        team: view.team,
                     });
                 }
             }
@@ -323,6 +324,7 @@
                 due_at: item.map_or(now + DEFAULT_COMPLETION_OBJECTIVE, |item| item.due_at),
                 remaining: item
                     .map_or(Millis::ZERO, |item| item.remaining - (now - run.started_at)),
+                team: item.and_then(|item| item.team),
             }
         });
         let running: Vec<_> = running.collect();
@@ -642,7 +644,9 @@
         let replica = Arc::clone(&self.replica);
         let removable: Vec<_> = replica.read(|state| {
             let expired = state.jobs().filter(|job| {
-                let first_seen_at = self.jobs.get_or_insert(job, now, unix_now).first_seen_at;
+                let team = state.team_of(&job.id);
+                let view = self.jobs.get_or_insert(job, team, now, unix_now);
+                let first_seen_at = view.first_seen_at;
                 job.is_settled() && now > first_seen_at + lifetime
             });
             expired.map(|job| job.id.clone()).collect()
--- a/crates/serving/src/store/runner/job_views.rs
+++ b/crates/serving/src/store/runner/job_views.rs
@@ -2,9 +2,15 @@
 
 use std::collections::HashMap;
 
-use yuccaseam_base::Millis;
+use yuccaseam_base::{
+    Millis,
+    TeamName, //
+};
 
-use crate::state::Job;
+use crate::{
+    state::Job,
+    team_turns::TeamNumber, //
+};
 
 /// Completion objective of a route that sets none.
 pub(super) const DEFAULT_COMPLETION_OBJECTIVE: Millis = Millis(18_000);
@@ -18,6 +24,8 @@
     pub(super) first_seen_at: Millis,
     /// Age of the job at `first_seen_at`, as far as the clocks of the two instances agree.
     age_when_seen: Millis,
+    /// Team of the job, if any.
+    pub(super) team: Option<TeamNumber>,
 }
 
 impl JobView {
@@ -38,18 +46,31 @@
     by_id: HashMap<String, JobView>,
     ids: HashMap<u64, String>,
     next_number: u64,
+    teams: HashMap<TeamName, TeamNumber>,
 }
 
 impl JobViews {
-    /// View of a job, created on the first call. `unix_now` is the time since the Unix epoch.
-    pub(super) fn get_or_insert(&mut self, job: &Job, now: Millis, unix_now: Millis) -> &JobView {
+    /// View of a job of a team, created on the first call. `unix_now` is the time since the Unix epoch.
+    pub(super) fn get_or_insert(
+        &mut self,
+        job: &Job,
+        team: Option<&TeamName>,
+        now: Millis,
+        unix_now: Millis,
+    ) -> &JobView {
+        let teams = &mut self.teams;
         self.by_id.entry(job.id.clone()).or_insert_with(|| {
+            let team = team.map(|team| {
+                let next = TeamNumber(teams.len() as u32);
+                *teams.entry(team.clone()).or_insert(next)
+            });
             self.next_number += 1;
             self.ids.insert(self.next_number, job.id.clone());
             JobView {
                 number: self.next_number,
                 first_seen_at: now,
                 age_when_seen: (unix_now - job.submitted_at).min(MAX_ASSUMED_AGE),
+                team,
             }
         })
     }
@@ -63,5 +84,6 @@
     pub(super) fn clear(&mut self) {
         self.by_id.clear();
         self.ids.clear();
+        self.teams.clear();
     }
 }
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -20,5 +20,6 @@
 mod state;
 mod support;
 mod targets;
+mod team_turns;
 mod teams;
 mod trials;
--- a/crates/serving/tests/all/schedule.rs
+++ b/crates/serving/tests/all/schedule.rs
@@ -36,6 +36,7 @@
         started: false,
         remaining: RUN,
         is_refused: false,
+        team: None,
     }
 }
 
@@ -45,6 +46,7 @@
         target: TargetKey(1),
         due_at,
         remaining: Millis(1_000),
+        team: None,
     }
 }
 
