teams: keys are tested with real processes, and unconfirmed keys get a 503

Cause: an entry without recent contact with the leader may not know the newest keys; a 401 is final for a caller.

Change: an unknown key at an entry that has heard nothing of the leader for 1 s is refused with 503 and a short Retry-After in place of 401. The stand-in targets record team and credentials of each run.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -9,6 +9,7 @@
 mod framing;
 mod full_disks;
 mod jobs;
+mod keys;
 mod lifecycle;
 mod limits;
 mod misbehaving;
--- a/crates/journal/src/storage.rs
+++ b/crates/journal/src/storage.rs
@@ -4,12 +4,17 @@
     fmt,
     fs::{
         self,
+        DirBuilder,
         File,
         OpenOptions,
         TryLockError, //
     },
     io,
-    os::unix::fs::FileExt,
+    os::unix::fs::{
+        DirBuilderExt,
+        FileExt,
+        OpenOptionsExt, //
+    },
     path::Path,
     sync::Arc, //
 };
@@ -71,13 +76,21 @@
 /// A lock that is held until it is dropped.
 pub trait StorageLock: fmt::Debug + Send + Sync {}
 
-/// The file system of the operating system.
+/// Permissions of created files. Logs may hold secrets, such as API keys.
+const FILE_MODE: u32 = 0o600;
+/// Permissions of created folders.
+const FOLDER_MODE: u32 = 0o700;
+
+/// The file system of the operating system. What it creates is readable by its own user only.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Disk;
 
 impl Storage for Disk {
     fn create_folder(&self, folder: &Path) -> io::Result<()> {
-        fs::create_dir_all(folder)
+        DirBuilder::new()
+            .recursive(true)
+            .mode(FOLDER_MODE)
+            .create(folder)
     }
 
     fn create(&self, file: &Path) -> io::Result<Arc<dyn StorageFile>> {
@@ -86,6 +99,7 @@
             .write(true)
             .create(true)
             .truncate(true)
+            .mode(FILE_MODE)
             .open(file)?;
         Ok(Arc::new(file))
     }
@@ -123,6 +137,7 @@
             .write(true)
             .create(true)
             .truncate(false)
+            .mode(FILE_MODE)
             .open(file)?;
         match file.try_lock() {
             Ok(()) => Ok(Some(Box::new(file))),
--- a/crates/serving/src/entry/authentication.rs
+++ b/crates/serving/src/entry/authentication.rs
@@ -21,6 +21,7 @@
 };
 
 use crate::{
+    cx::Cx,
     routes::RouteTable,
     teams::{
         KeyError,
@@ -32,10 +33,14 @@
     front::request_id,
     response::{
         HttpResponse,
+        refusal,
         text, //
     },
 };
 
+/// Retry delay for a request whose key is unknown here and may be known elsewhere: most other instances take it
+/// at once.
+const UNKNOWN_KEY_RETRY_AFTER: Millis = Millis(100);
 /// Longest time that the body of a refused request is read, so that the connection can be used again.
 const MAX_DISCARD_TIME: Millis = Millis(1_000);
 
@@ -57,23 +62,39 @@
 /// Refuses a request without a valid key. The body is read and discarded first: if it were left on the
 /// connection, the connection would be closed, and a request that follows on it lost.
 pub(super) async fn refuse(
+    cx: &Cx,
     error: KeyError,
     head: &Parts,
     body: Incoming,
     table: &RouteTable,
 ) -> HttpResponse {
-    let reason = error.code();
+    let contact_age = cx.balancer().loads_age(cx.clock.now());
+    let is_final = error.is_final(contact_age);
+    let reason = if is_final {
+        error.code()
+    } else {
+        "unconfirmed_key"
+    };
     metrics::counter!("yuccaseam_refused_total", "reason" => reason).increment(1);
     log::info!(
-        request = request_id(head), why = reason, manifest = table.version(), path = head.uri.path();
+        request = request_id(head), why = reason, manifest = table.version(), path = head.uri.path(),
+        contact_age_ms = contact_age.0;
         "request refused");
     let discarded = discard(body, table.limits().body_bytes);
     let is_read = timeout(MAX_DISCARD_TIME.duration(), discarded).await;
-    let mut response = text(StatusCode::UNAUTHORIZED, "no valid API key");
-    let fields = response.headers_mut();
-    fields.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Token"));
+    let mut response = if is_final {
+        let mut response = text(StatusCode::UNAUTHORIZED, "no valid API key");
+        let scheme = HeaderValue::from_static("Token");
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+        response
+    } else {
+        refusal("API key is not known here yet", UNKNOWN_KEY_RETRY_AFTER)
+    };
     if is_read != Ok(true) {
-        fields.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
     }
     response
 }
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -100,7 +100,7 @@
     };
     let team = match authentication::authenticate(&table, &mut head, Some(route)) {
         Ok(team) => team,
-        Err(error) => return authentication::refuse(error, &head, body, &table).await,
+        Err(error) => return authentication::refuse(&cx, error, &head, body, &table).await,
     };
     let body = match read_body_in_time(&head, body, route, &table).await {
         Ok(body) => body,
@@ -145,7 +145,7 @@
     if let Some(call) = BatchCall::parse(&head.method, head.uri.path(), head.uri.query()) {
         return match authentication::authenticate(table, &mut head, None) {
             Ok(team) => batch::call(cx, call, &head, team.as_deref(), arrived_at).await,
-            Err(error) => authentication::refuse(error, &head, body, table).await,
+            Err(error) => authentication::refuse(cx, error, &head, body, table).await,
         };
     }
     let path = head.uri.path();
--- a/crates/serving/src/teams.rs
+++ b/crates/serving/src/teams.rs
@@ -15,7 +15,10 @@
     HeaderValue,
     header, //
 };
-use yuccaseam_base::TeamName;
+use yuccaseam_base::{
+    Millis,
+    TeamName, //
+};
 use yuccaseam_platform::{
     ApiKey,
     Route,
@@ -25,6 +28,10 @@
 
 use crate::routes::ManifestError;
 
+/// Time without a message of the leader after which a newer manifest may be in force elsewhere. The leader sends
+/// a message every 200 ms.
+pub const MAX_CONTACT_AGE: Millis = Millis(1_000);
+
 /// Teams of one manifest, indexed by key and by name.
 #[derive(Debug)]
 pub struct TeamDirectory {
@@ -114,6 +121,12 @@
             Self::Unknown => "unknown_key",
         }
     }
+
+    /// Whether the request is refused for good. A key that is unknown here may be in a newer manifest if the
+    /// leader has sent nothing for `contact_age`; another instance may know it.
+    pub fn is_final(self, contact_age: Millis) -> bool {
+        self == Self::Missing || contact_age <= MAX_CONTACT_AGE
+    }
 }
 
 /// Removes what only this system may read or set: the caller's key and the name of its team.
--- a/crates/serving/tests/all/teams.rs
+++ b/crates/serving/tests/all/teams.rs
@@ -5,7 +5,10 @@
     HeaderValue,
     header, //
 };
-use yuccaseam_base::cases;
+use yuccaseam_base::{
+    Millis,
+    cases, //
+};
 use yuccaseam_platform::{
     Manifest,
     headers, //
@@ -14,6 +17,7 @@
     routes::RouteTable,
     teams::{
         KeyError,
+        MAX_CONTACT_AGE,
         priority,
         remove_credentials,
         set_team, //
@@ -129,3 +133,12 @@
     let of = |name: &str| priority(teams.team(&name.into()).map(AsRef::as_ref), &route);
     assert_eq!([of("red"), of("blue"), of("none")], [2, 7, 7]);
 }
+
+/// An entry that is cut off, frozen or starting does not know the newest keys.
+#[test]
+fn unknown_key_is_refused_for_good_only_in_contact_with_the_leader() {
+    let later = MAX_CONTACT_AGE + Millis(1);
+    assert!(KeyError::Unknown.is_final(MAX_CONTACT_AGE));
+    assert!(!KeyError::Unknown.is_final(later));
+    assert!(KeyError::Missing.is_final(later));
+}
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -160,6 +160,10 @@
     pub time_left: Option<u64>,
     /// When it reached the target.
     pub at: Instant,
+    /// The team that it was sent for.
+    pub team: Option<String>,
+    /// The credentials that came with it.
+    pub credentials: Option<String>,
 }
 
 /// One crash of a target.
@@ -473,6 +477,8 @@
         after,
         time_left: text(&head.headers, "deadline-ms").and_then(|text| text.parse().ok()),
         at: Instant::now(),
+        team: text(&head.headers, "tenant").map(str::to_owned),
+        credentials: text(&head.headers, "authorization").map(str::to_owned),
     };
     let number = shared.next.fetch_add(1, Ordering::Relaxed);
     lock(&shared.runs).push(run);
