upstream: a response whose status is none is invalid

Cause: a final response with status 101 was passed on to the caller as the target's answer, empty and with its signature; any three digits from 100 on counted as a status. On the own interface a service's 101 was passed on, too.

Change: a status outside of 200 to 599 makes a response invalid, after which the target may have run the request.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -8,6 +8,7 @@
         Read, //
     },
     net::SocketAddr,
+    ops::RangeInclusive,
 };
 
 use ureq::{
@@ -33,6 +34,9 @@
 /// How long a target may send nothing before its call fails.
 const READ_TIMEOUT: Millis = Millis::from_secs(30);
 
+/// Statuses of final responses. The HTTP library accepts others.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// HTTP client for calls to targets.
 pub(crate) struct Upstream {
     agent: Agent,
@@ -123,6 +127,11 @@
             .agent
             .run(req)
             .map_err(|error| call_failure(call.address, &error))?;
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            let detail = format!("target at {}: invalid status {status:03}", call.address);
+            return Err(Refusal::may_have_run(Reason::TargetFailed, detail));
+        }
         let content_type = response
             .headers()
             .get("content-type")
@@ -130,7 +139,7 @@
             .unwrap_or("application/octet-stream")
             .to_owned();
         Ok(TargetResponse {
-            status: response.status().as_u16(),
+            status,
             content_type,
             body: Box::new(response.into_body().into_reader()),
         })
--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -13,6 +13,7 @@
 mod lifecycle;
 mod limits;
 mod misbehaving;
+mod odd_answers;
 mod odd_entries;
 mod online;
 mod power;
--- a/crates/daemon/tests/all/platform/raw_target.rs
+++ b/crates/daemon/tests/all/platform/raw_target.rs
@@ -185,7 +185,8 @@
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut is_closed = false;
     while let Some((run, body_bytes)) = read_head(&mut reader)? {
-        if !run.path.ends_with("/unread") {
+        let read_late = bytes_read_late(&run.path);
+        if !run.path.ends_with("/unread") && read_late.is_none() {
             io::copy(&mut reader.by_ref().take(body_bytes), &mut io::sink())?;
         }
         if is_closed {
@@ -194,6 +195,19 @@
         }
         let answer = answer(&record(log, run));
         stream.write_all(answer.bytes.as_bytes())?;
+        if let Some(bytes) = read_late {
+            let bytes = match answer.end {
+                End::Framed => body_bytes,
+                End::Close | End::Reset => bytes,
+            };
+            io::copy(&mut reader.by_ref().take(bytes), &mut io::sink())?;
+            match answer.end {
+                End::Framed => continue,
+                // What the entry still sends is answered with a reset.
+                End::Close => return stream.shutdown(Shutdown::Both),
+                End::Reset => return reset(stream, handle),
+            }
+        }
         match answer.end {
             End::Framed => {}
             End::Close => {
@@ -209,6 +223,12 @@
     Ok(())
 }
 
+/// Bytes of the body that a target reads only after it has answered, before it ends the connection: the
+/// number at the end of a path after `/late-`. All of the body, if the connection is kept.
+fn bytes_read_late(path: &str) -> Option<u64> {
+    path.rsplit_once("/late-")?.1.parse().ok()
+}
+
 /// Adds a run to the log, with the number of earlier ones.
 fn record(log: &Mutex<Log>, mut run: RawRun) -> RawRun {
     let mut log = lock(log);
--- a/crates/daemon/tests/all/responses.rs
+++ b/crates/daemon/tests/all/responses.rs
@@ -53,7 +53,10 @@
 /// that closing the connection resets it.
 fn respond(mut stream: TcpStream) -> io::Result<()> {
     let head = read_until(&mut stream, "\r\n\r\n")?;
-    let head_of_response = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
+    let status = head.strip_prefix("POST /status-");
+    let status = status.and_then(|rest| rest.split(' ').next());
+    let status = status.unwrap_or("200");
+    let head_of_response = format!("HTTP/1.1 {status} S\r\nContent-Type: application/json\r\n\r\n");
     stream.write_all(head_of_response.as_bytes())?;
     if head.starts_with("POST /reset ") || head.starts_with("POST /v1/completions ") {
         stream.write_all(&RESPONSE.as_bytes()[..RESPONSE.len() / 2])?;
@@ -119,7 +122,22 @@
     }
 }
 
-/// Guards against the same in a generation that is not streamed.
+/// Guards against a status that no caller can understand.
+#[test]
+fn response_with_an_odd_status_is_not_passed_on() {
+    let (cluster, _announcer) = start(Kind::Service {
+        service: SERVICE.to_owned(),
+    });
+    let caller = cluster.caller(0);
+    for status in ["000", "099", "101", "600", "999"] {
+        let path = format!("/services/{SERVICE}/status-{status}");
+        let odd = caller.post(&path, &json!({})).expect("a response");
+        assert_eq!(odd.status, 502, "{status}: {odd:?}");
+        assert_eq!(odd.verdict().as_deref(), Some("may_have_run"), "{odd:?}");
+    }
+}
+
+/// Guards against the same as above in a generation that is not streamed.
 #[test]
 fn generation_without_length_that_is_reset_is_not_whole() {
     let (cluster, _announcer) = start(Kind::Engine {
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -4,7 +4,7 @@
 //!
 //! - Each error states whether the target may have run the request. A request has not run if none of
 //!   its bytes were written.
-//! - A response whose request id differs from that of the request is an error.
+//! - A response whose request id differs from that of the request, or whose status is none, is an error.
 //! - A connection is reused only after a complete response that is no rejection, and is closed when its
 //!   call is dropped.
 
@@ -12,6 +12,7 @@
     collections::HashMap,
     fmt,
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{
         Arc,
         Mutex, //
@@ -66,6 +67,10 @@
 /// Largest number of idle connections kept to one target.
 const MAX_IDLE_PER_TARGET: usize = 8;
 
+/// Statuses of final responses. The HTTP library accepts three digits from 100 to 999, and takes a 101 for the
+/// end of a response although nothing was upgraded.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Largest read buffer of a connection, and so the largest head of a response, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -76,7 +81,7 @@
     Unreachable,
     /// The connection broke before the response was complete.
     Broken,
-    /// The response belongs to another request, or is a success without a signature.
+    /// The response belongs to another request, has a status that is none, or is a success without a signature.
     InvalidResponse,
     /// No response, or no further part of it, arrived in time.
     TimedOut,
@@ -351,7 +356,8 @@
             Err(_) => return Err(UpstreamError::may_have_run(Failure::TimedOut)),
         };
         let (head, body) = response.into_parts();
-        if id.is_some() && head.headers.get(headers::REQUEST_ID) != id.as_ref() {
+        let is_of_request = id.is_none() || head.headers.get(headers::REQUEST_ID) == id.as_ref();
+        if !is_of_request || !FINAL_STATUSES.contains(&head.status.as_u16()) {
             return Err(UpstreamError::may_have_run(Failure::InvalidResponse));
         }
         conn.keep_alive = if headers::closes_connection(&head.headers) {
