upstream: an early close is not the end of an answer

Cause: a target that answers an upload at once, without a length, and closes with most of it unread sends the end of the stream before the reset. The part that it had sent was passed on as a complete answer.

Change: CloseCheck makes the end of a stream in use by a call an error if not all of the last write was accepted or if a reset follows within 2 ms.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod admission;
 pub mod balance;
 pub mod capacity;
+mod close_check;
 mod crash_reports;
 mod cx;
 mod entry;
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -5,6 +5,8 @@
 //! - Each error states whether the target may have run the request. A request has not run if none of
 //!   its bytes were written.
 //! - A response whose request id differs from that of the request, or whose status is none, is an error.
+//! - A response that ends with its connection is complete only if the connection was not reset and the request
+//!   was written as a whole.
 //! - A connection is reused only after a complete response that is no rejection, and is closed when its
 //!   call is dropped.
 
@@ -50,7 +52,13 @@
 };
 use yuccaseam_platform::headers;
 
-use crate::fair_stream::FairStream;
+use crate::{
+    close_check::{
+        CloseCheck,
+        InUse, //
+    },
+    fair_stream::FairStream,
+};
 
 /// Time-out for opening a connection to a target of the same region: many round trips. Another target
 /// can be tried while the response can still be on time.
@@ -133,6 +141,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    in_use: InUse,
     expires_at: Millis,
     idle_since: Millis,
 }
@@ -198,6 +207,7 @@
 pub(crate) struct Connection {
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    in_use: InUse,
     address: SocketAddr,
     upstream: Arc<Upstream>,
     keep_alive: Millis,
@@ -213,10 +223,12 @@
             self.task.abort();
             return;
         }
+        self.in_use.set(false);
         let now = self.upstream.clock.now();
         let idle = IdleConnection {
             sender,
             task: self.task.clone(),
+            in_use: self.in_use.clone(),
             expires_at: now + self.keep_alive,
             idle_since: now,
         };
@@ -292,9 +304,13 @@
             .map_err(|_| unreachable())?;
         // If this fails, small writes are only slower.
         let _ = stream.set_nodelay(true);
+        let in_use = InUse::default();
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(FairStream::new(stream)))
+            .handshake(TokioIo::new(FairStream::new(CloseCheck::new(
+                stream,
+                in_use.clone(),
+            ))))
             .await;
         let (sender, conn) = handshake.map_err(|_| unreachable())?;
         // `sender` reports the end of the connection.
@@ -302,6 +318,7 @@
         Ok(Connection {
             sender: Some(sender),
             task: task.abort_handle(),
+            in_use,
             address,
             upstream: Arc::clone(self),
             keep_alive: DEFAULT_KEEP_ALIVE,
@@ -336,12 +353,14 @@
             Some(idle) => Connection {
                 sender: Some(idle.sender),
                 task: idle.task,
+                in_use: idle.in_use,
                 address,
                 upstream: Arc::clone(self),
                 keep_alive: DEFAULT_KEEP_ALIVE,
             },
             None => self.connect(address, limits.connect_timeout()).await?,
         };
+        conn.in_use.set(true);
         let id = req.headers().get(headers::REQUEST_ID).cloned();
         let is_resumed = req.headers().contains_key(headers::LAST_EVENT_ID);
         let Some(sender) = conn.sender.as_mut() else {
