quota: deciding code for quotas over all entries

Cause: a team's rate and burst count over all entries, and nothing counted them.

Change: the leader's ledger leases tokens of a bucket a team; an entry's purse asks, waits and spends. Absent entries spend their shares, together at a deputy if they reach each other.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,7 +5,7 @@
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
-//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
+//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`quota`], [`routes`], [`schedule`],
 //! [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
@@ -13,6 +13,7 @@
 pub mod capacity;
 mod crash_reports;
 mod cx;
+mod deputies;
 mod entry;
 pub mod events;
 mod fair_stream;
@@ -25,6 +26,7 @@
 mod neighbours;
 pub mod orphans;
 pub mod quarantine;
+pub mod quota;
 pub mod refusals;
 mod relay;
 pub mod routes;
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod orphans;
 mod overload;
 mod quarantine;
+mod quota;
 mod refusals;
 mod routes;
 mod schedule;
