quota: entries ask the leader for tokens

Cause: the deciding code was not connected.

Change: questions and answers on the follow stream, HubRequest::AskDeputy for absent entries, the wait of a request in entry/quota.rs.

--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -54,6 +54,10 @@
     },
     neighbours::Neighbours,
     quarantine::FeatureGuard,
+    quota::{
+        Ledger,
+        Purse, //
+    },
     relay::Relay,
     routes::RouteTable,
     state::StoredManifest,
@@ -84,6 +88,12 @@
     pub(crate) manifest_changed: Notify,
     /// Wakes one request that waits for a slot, when a request of this instance has ended.
     pub(crate) slot_released: Notify,
+    /// Wakes the task that asks the leader for tokens of quotas.
+    pub(crate) quota_wanted: Notify,
+    /// Set when the connection to the leader is lost.
+    pub(crate) leader_lost: Notify,
+    /// Wakes requests that wait for a token of a quota.
+    pub(crate) quota_answered: Notify,
     /// Set when a planned stop begins.
     pub(crate) stopping: AtomicBool,
     /// Set when a planned stop has closed idle connections. What is read from then on could only be cut off.
@@ -98,6 +108,8 @@
     service_times: Mutex<HashMap<String, ServiceTimes>>,
     queue_credits: Mutex<HashMap<String, QueueCredits>>,
     feature_guard: Mutex<FeatureGuard>,
+    quota_purse: Mutex<Purse>,
+    deputy_ledger: Mutex<Ledger>,
     leader: Mutex<Option<IpAddr>>,
     leader_sender: Mutex<Option<mpsc::Sender<FollowerMessage>>>,
     started_at: Millis,
@@ -134,6 +146,9 @@
             neighbours: Neighbours::new(settings.first_port, started_at),
             manifest_changed: Notify::new(),
             slot_released: Notify::new(),
+            quota_wanted: Notify::new(),
+            quota_answered: Notify::new(),
+            leader_lost: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             seeds: Mutex::new(seed_ips(&settings)),
@@ -146,6 +161,8 @@
             service_times: Mutex::default(),
             queue_credits: Mutex::default(),
             feature_guard: Mutex::default(),
+            quota_purse: Mutex::new(Purse::new(rand::random())),
+            deputy_ledger: Mutex::new(Ledger::deputy()),
             leader: Mutex::default(),
             leader_sender: Mutex::default(),
             started_at,
@@ -190,6 +207,23 @@
         lock(&self.feature_guard)
     }
 
+    /// Tokens of teams' quotas that this instance holds.
+    pub(crate) fn quota_purse(&self) -> MutexGuard<'_, Purse> {
+        lock(&self.quota_purse)
+    }
+
+    /// Shares of absent entries whose deputy this instance is.
+    pub(crate) fn deputy_ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.deputy_ledger)
+    }
+
+    /// Whether the manifest in force has quotas.
+    pub(crate) fn has_quotas(&self) -> bool {
+        lock(&self.table)
+            .as_ref()
+            .is_some_and(|table| table.quotas().next().is_some())
+    }
+
     /// How long a service takes. `objective` is that of the route, from which the times are assumed
     /// while no request has been recorded.
     pub(crate) fn service_times(&self, service: &str, objective: Millis) -> ServiceTimes {
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod head_timeout;
 mod http_server;
 mod online;
+mod quota;
 mod response;
 mod stream;
 
--- a/crates/serving/src/entry/response.rs
+++ b/crates/serving/src/entry/response.rs
@@ -53,7 +53,16 @@
 
 /// 503 response with `Retry-After`, for a request that has not run and will not run.
 pub(super) fn refusal(reason: &'static str, retry_after: Millis) -> HttpResponse {
-    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    refusal_with_status(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after)
+}
+
+/// Response with `Retry-After`, for a request that has not run and will not run.
+pub(super) fn refusal_with_status(
+    status: StatusCode,
+    reason: &'static str,
+    retry_after: Millis,
+) -> HttpResponse {
+    let mut response = text(status, reason);
     let value = headers::retry_after_value(retry_after);
     response.headers_mut().insert(header::RETRY_AFTER, value);
     response
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -53,6 +53,10 @@
         encode,
         pause, //
     },
+    quota::{
+        self,
+        HEARTBEAT_INTERVAL, //
+    },
     targets::TargetRecord,
 };
 
@@ -86,6 +90,8 @@
 const GOSSIP_INTERVAL: Millis = Millis(1_500);
 /// Time after the start of a process in which stores are exchanged more often.
 const STARTUP_PHASE: Millis = Millis::from_secs(3);
+/// Time in which requests are gathered that need tokens of quotas.
+const ASK_INTERVAL: Millis = Millis(5);
 /// Time limit for the leader to confirm that all followers were notified of a draining or
 /// leaving target.
 const CONFIRM_TIMEOUT: Millis = Millis(800);
@@ -288,6 +294,7 @@
     let why = tokio::select! {
         why = receive(cx, notifications, &mut incoming) => why,
         () = report_loads(cx, &tx) => "the stream to the leader closed",
+        () = ask_quotas(cx, &tx, connection) => "the stream to the leader closed",
         () = wait_for_direct(cx, connection) => "a direct connection is available",
     };
     log::warn!(leader:% = ip, why; "leader connection lost");
@@ -296,6 +303,15 @@
         cx.balancer().reset_batch_loads();
     }
     cx.feature_guard().end_connection();
+    if direct {
+        let lost = if why == NO_MESSAGE {
+            quota::Connection::Silent
+        } else {
+            quota::Connection::Ended
+        };
+        connect_purse(cx, lost);
+        cx.leader_lost.notify_one();
+    }
     cx.relay.set_direct(false);
     cx.set_leader(None);
     cx.set_leader_sender(None);
@@ -352,6 +368,10 @@
                     crash_reports::report_recent_crashes(cx);
                 }
             }
+            Ok(LeaderMessage::Quotas(answer)) => {
+                cx.quota_purse().apply(&answer, cx.clock.now());
+                cx.quota_answered.notify_waiters();
+            }
             Err(_) => return "a message from the leader is malformed",
         }
     }
@@ -389,3 +409,33 @@
         pause(LOAD_REPORT_INTERVAL * (1 + neighbours / NEIGHBOURS_PER_INTERVAL)).await;
     }
 }
+
+/// Tells the entry's purse whether the leader can be asked, and the requests that wait for an answer.
+fn connect_purse(cx: &Cx, connection: quota::Connection) {
+    let now = cx.clock.now();
+    cx.quota_purse().set_connection(connection, now);
+    cx.quota_answered.notify_waiters();
+}
+
+/// Asks the leader for tokens of quotas, if the manifest has any. An instance without callers needs none, and a
+/// relayed connection gets none.
+async fn ask_quotas(cx: &Cx, tx: &mpsc::Sender<FollowerMessage>, connection: Connection) {
+    if cx.settings.callers.is_none() || connection == Connection::Relayed {
+        return std::future::pending().await;
+    }
+    connect_purse(cx, quota::Connection::Open);
+    loop {
+        let wanted = cx.quota_wanted.notified();
+        if cx.has_quotas() {
+            let ask = cx.quota_purse().next_ask(cx.clock.now());
+            if let Some(ask) = ask
+                && tx.send(FollowerMessage::AskQuotas(ask)).await.is_err()
+            {
+                return;
+            }
+        }
+        pause(ASK_INTERVAL).await;
+        // On wake-up and on time-out alike, the purse decides what is due.
+        let _ = timeout((HEARTBEAT_INTERVAL - ASK_INTERVAL).duration(), wanted).await;
+    }
+}
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -22,6 +22,10 @@
         Feature,
         FeatureList, //
     },
+    quota::{
+        QuotaAnswer,
+        QuotaAsk, //
+    },
     state::{
         NewJob,
         StoredManifest, //
@@ -84,6 +88,13 @@
     ProveFeatures(Vec<Feature>),
     /// Ask for the trial of a quarantined feature. [`HubReply::NotFound`] if none is due.
     TryFeature(Feature),
+    /// Ask a deputy for tokens of teams' quotas. [`HubReply::Quotas`] answers.
+    AskDeputy {
+        /// Address of the entry that asks.
+        entry: IpAddr,
+        /// What it asks for.
+        ask: QuotaAsk,
+    },
 }
 
 /// The reply to a request.
@@ -113,6 +124,8 @@
     Retired(bool),
     /// The stores have no capacity for the job. None of its items runs.
     NoCapacity,
+    /// Tokens of teams' quotas.
+    Quotas(QuotaAnswer),
 }
 
 /// A message of a follower to the leader.
@@ -151,6 +164,9 @@
     /// A response of this start of a target said that it drains. A leader of the version before ignores
     /// the message.
     Drains(TargetKey),
+    /// Asks for tokens of teams' quotas. Answered by [`LeaderMessage::Quotas`]. A leader of the version
+    /// before ignores the message.
+    AskQuotas(QuotaAsk),
 }
 
 /// A message of the leader to its followers.
@@ -170,6 +186,8 @@
     /// Features that are quarantined or suspected. Sent to followers that accept it, on connection and
     /// after each change.
     Features(FeatureList),
+    /// Tokens of teams' quotas. Sent only to a follower that asked.
+    Quotas(QuotaAnswer),
 }
 
 /// An encoded [`LeaderMessage`]. Encoded once, also if it goes to many followers.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     cx::Cx,
+    deputies,
     follow::PendingNotifications,
     link::{
         FollowerMessage,
@@ -71,7 +72,7 @@
         let mut inner = self.inner();
         if matches!(
             message,
-            LeaderMessage::Neighbours(_) | LeaderMessage::Noted(_)
+            LeaderMessage::Neighbours(_) | LeaderMessage::Noted(_) | LeaderMessage::Quotas(_)
         ) {
             return;
         }
@@ -140,6 +141,9 @@
                 let reply = self.cx.call_leader_directly(&request, deadline).await;
                 reply.unwrap_or(HubReply::NotLeader(None))
             }
+            HubRequest::AskDeputy { entry, ask } => {
+                deputies::answer(&self.cx, entry, &ask).map_or(HubReply::NotFound, HubReply::Quotas)
+            }
             _ => HubReply::NotLeader(self.cx.leader()),
         }
     }
@@ -172,6 +176,8 @@
             }
             // The leader counts only the loads of its direct followers.
             FollowerMessage::Hello { .. } | FollowerMessage::Loads(_) => return,
+            // The leader leaves an entry that it does not hear its share.
+            FollowerMessage::AskQuotas(_) => return,
             FollowerMessage::Draining { record, notice } => (notice, Departure::Draining(record)),
             FollowerMessage::Leaving { name, notice } => (notice, Departure::Leaving(name)),
         };
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -14,11 +14,15 @@
     fmt, //
 };
 
-use yuccaseam_base::value;
+use yuccaseam_base::{
+    TeamName,
+    value, //
+};
 use yuccaseam_platform::{
     ClientLimits,
     Destination,
     Manifest,
+    RequestQuota,
     Route,
     Service, //
 };
@@ -126,6 +130,12 @@
         &self.manifest.limits
     }
 
+    /// Quotas of the teams that have one.
+    pub fn quotas(&self) -> impl Iterator<Item = (&TeamName, RequestQuota)> {
+        let teams = self.manifest.teams.iter().flatten();
+        teams.filter_map(|team| Some((&team.name, team.quota?)))
+    }
+
     /// Finds the route of a request.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     cx::Cx,
+    deputies,
     entry::{
         self,
         Connections, //
@@ -97,6 +98,7 @@
     tokio::spawn(follow::gossip(Arc::clone(&cx)));
     if cx.settings.callers.is_some() {
         neighbours::start(&cx, internal_address)?;
+        tokio::spawn(deputies::run(Arc::clone(&cx)));
     }
     let own_store = store.clone();
     let is_leader = move || own_store.as_ref().is_some_and(|store| store.is_leader());
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -1,6 +1,7 @@
 //! The leader's followers: collects their loads and announcements, and sends them updates.
 
 mod quarantine;
+mod quota;
 
 use std::{
     collections::{
@@ -47,6 +48,7 @@
         FeatureList,
         QuarantineManager, //
     },
+    quota::Ledger,
     state::Command,
     targets::{
         AnnouncementOutcome,
@@ -123,6 +125,8 @@
     quarantine: QuarantineManager,
     /// Features as last sent to followers.
     sent_features: FeatureList,
+    /// Quotas of teams.
+    quotas: Ledger,
     /// Version of the manifest last sent to followers.
     sent_version: u64,
     /// When this instance became leader and loaded the recorded targets. `None` if it does not
@@ -205,9 +209,12 @@
     }
 
     pub(crate) fn unfollow(&self, follower: u64) {
-        let removed = self.inner().followers.remove(&follower);
-        if removed.is_some_and(|removed| removed.entry.is_some()) {
-            self.inner().neighbours_changed = true;
+        let now = self.cx.clock.now();
+        let mut inner = self.inner();
+        let removed = inner.followers.remove(&follower);
+        if let Some(entry) = removed.and_then(|removed| removed.entry) {
+            inner.neighbours_changed = true;
+            inner.quotas.leave(entry.ip, now);
         }
     }
 
@@ -274,6 +281,7 @@
             }
             FollowerMessage::AcceptsFeatures => self.send_features_to(follower),
             FollowerMessage::Drains(target) => self.mark_draining(target),
+            FollowerMessage::AskQuotas(ask) => self.answer_quotas(follower, &ask),
             FollowerMessage::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
                     follower.loads = loads;
@@ -504,6 +512,7 @@
         inner.all_targets = None;
         inner.domains.clear();
         inner.fanout = LoadFanout::default();
+        inner.quotas = Ledger::new(now);
         for record in targets.records() {
             inner.set_domain(record);
         }
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -219,7 +219,9 @@
             HubRequest::TryFeature(feature) if self.hub.grant_trial(feature) => HubReply::Done,
             HubRequest::TryFeature(_) => HubReply::NotFound,
             HubRequest::Leads if self.is_leader() => HubReply::Done,
-            HubRequest::Leads | HubRequest::PassOn(_) => self.not_leader(),
+            HubRequest::Leads | HubRequest::PassOn(_) | HubRequest::AskDeputy { .. } => {
+                self.not_leader()
+            }
         }
     }
 
