quota: requests of teams spend tokens before they look for a slot

Change: a request of a team with a quota, not on a public route, spends a token after its body is read, or gets 429 (over quota) or 503 (nobody answered).

--- a/crates/serving/src/entry/quota.rs
+++ b/crates/serving/src/entry/quota.rs
@@ -44,13 +44,7 @@
         loop {
             let answered = cx.quota_answered.notified();
             let now = cx.clock.now();
-            let mut purse = cx.quota_purse();
-            let take = purse.take(self.team, &limit, &mut ticket, now);
-            let is_ask_due = purse.wants_to_ask(self.team);
-            drop(purse);
-            if is_ask_due {
-                cx.quota_wanted.notify_one();
-            }
+            let take = self.take(cx, &limit, &mut ticket, now);
             match take {
                 Take::Granted(source) => {
                     count(source.name());
@@ -67,6 +61,16 @@
         }
     }
 
+    /// Takes a token, and wakes the task that asks the leader if it is to ask.
+    fn take(&self, cx: &Cx, limit: &Limit, ticket: &mut Ticket, now: Millis) -> Take {
+        let mut purse = cx.quota_purse();
+        let take = purse.take(self.team, limit, ticket, now);
+        if purse.wants_to_ask(self.team) {
+            cx.quota_wanted.notify_one();
+        }
+        take
+    }
+
     fn refuse(&self, cx: &Cx, denial: Denial, retry_after: Millis) -> HttpResponse {
         let (why, status) = match denial {
             Denial::OverQuota => ("over_quota", StatusCode::TOO_MANY_REQUESTS),
--- a/crates/serving/src/quota/ledger.rs
+++ b/crates/serving/src/quota/ledger.rs
@@ -311,10 +311,8 @@
             self.counted = None;
         }
         // What an entry knows later is what this leader has told it.
-        if is_new || self.role == Role::Deputy {
-            if reported >= self.reported.0 {
-                self.reported = (reported, now + FLEET_MEMORY);
-            }
+        if (is_new || self.role == Role::Deputy) && reported >= self.reported.0 {
+            self.reported = (reported, now + FLEET_MEMORY);
         }
         if let Some((fleet, until)) = self.counted
             && now < until
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -4,6 +4,7 @@
 //!
 //! - Every destination of a route names a service of the same manifest.
 //! - A request matches the route of its host with the longest prefix, or none.
+//! - The teams of the table are those of the same manifest.
 
 use std::{
     collections::{
@@ -27,6 +28,8 @@
     Service, //
 };
 
+use crate::teams::TeamDirectory;
+
 /// Error of a manifest that cannot take effect.
 #[value]
 pub enum ManifestError {
@@ -54,6 +57,21 @@
         /// Name of the route.
         route: String,
     },
+    /// Two teams share a key.
+    SharedKey {
+        /// Names of the teams.
+        teams: [TeamName; 2],
+    },
+    /// Two teams have the same name.
+    DuplicateTeam {
+        /// Name of both teams.
+        team: TeamName,
+    },
+    /// The name of a team cannot be sent as a header value.
+    InvalidTeamName {
+        /// Name of the team.
+        team: TeamName,
+    },
 }
 
 impl fmt::Display for ManifestError {
@@ -70,6 +88,13 @@
             }
             Self::ZeroWeight { route } => write!(f, "the weights of route {route} add up to 0"),
             Self::ZeroTimeout { route } => write!(f, "the timeout of route {route} is 0"),
+            Self::SharedKey {
+                teams: [one, other],
+            } => write!(f, "the teams {one} and {other} share a key"),
+            Self::DuplicateTeam { team } => write!(f, "two teams have the name {team}"),
+            Self::InvalidTeamName { team } => {
+                write!(f, "the team name {team:?} is no valid header value")
+            }
         }
     }
 }
@@ -83,6 +108,8 @@
     /// Indices of the routes of each host, longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     services: HashMap<String, usize>,
+    /// `None` if requests need no key.
+    teams: Option<TeamDirectory>,
 }
 
 impl RouteTable {
@@ -91,7 +118,7 @@
     /// # Errors
     ///
     /// Returns an error if the manifest cannot take effect.
-    pub fn new(manifest: Manifest) -> Result<Self, ManifestError> {
+    pub fn new(mut manifest: Manifest) -> Result<Self, ManifestError> {
         let names = manifest.services.iter().enumerate();
         let services: HashMap<_, _> = names
             .map(|(index, service)| (service.name.clone(), index))
@@ -113,10 +140,12 @@
             host_routes
                 .sort_by_key(|&index| std::cmp::Reverse(manifest.routes[index].path_prefix.len()));
         }
+        let teams = manifest.teams.take().map(TeamDirectory::new).transpose()?;
         Ok(Self {
             manifest,
             by_host,
             services,
+            teams,
         })
     }
 
@@ -130,9 +159,14 @@
         &self.manifest.limits
     }
 
+    /// Teams of callers. `None` if requests need no key.
+    pub fn teams(&self) -> Option<&TeamDirectory> {
+        self.teams.as_ref()
+    }
+
     /// Quotas of the teams that have one.
     pub fn quotas(&self) -> impl Iterator<Item = (&TeamName, RequestQuota)> {
-        let teams = self.manifest.teams.iter().flatten();
+        let teams = self.teams.iter().flat_map(TeamDirectory::iter);
         teams.filter_map(|team| Some((&team.name, team.quota?)))
     }
 
