--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -15,6 +15,7 @@
 mod odd_entries;
 mod online;
 mod power;
+mod quotas;
 mod raw_target;
 mod refusals;
 mod refused_items;
--- a/crates/serving/tests/all/quota.rs
+++ b/crates/serving/tests/all/quota.rs
@@ -33,6 +33,8 @@
     Purse,
     QuotaAnswer,
     QuotaAsk,
+    QuotaGrant,
+    QuotaWant,
     Take,
     Ticket, //
 };
@@ -607,3 +609,70 @@
     transfer_of_leadership_costs_no_requests(transfer_in_waves, 980);
     cut_off_domain_spends_its_share(cut_domain_in_waves, 800);
 }
+
+/// An entry freezes for this time, before or after the answer to its question comes.
+fn tokens_end_in_freeze(before_answer: Millis, after_answer: Millis) {
+    let (limit, team) = (
+        Limit::new(quota_of(LARGEST), BOUNDS),
+        TeamName("a".to_owned()),
+    );
+    let mut purse = Purse::new(1);
+    purse.set_connection(Connection::Open, Millis::ZERO);
+    let mut now = Millis(10_000);
+    let mut ticket = Ticket::default();
+    assert!(matches!(
+        purse.take(&team, &limit, &mut ticket, now),
+        Take::Wait(_)
+    ));
+    let ask = purse.next_ask(now).expect("a request waits");
+    let answer = QuotaAnswer {
+        number: ask.number,
+        fleet: 1_000,
+        grants: vec![QuotaGrant {
+            waiting: 1,
+            expected: 2,
+            room_in_ms: None,
+        }],
+    };
+    now += before_answer;
+    purse.apply(&answer, now);
+    now += after_answer;
+    let take = purse.take(&team, &limit, &mut Ticket::default(), now);
+    assert!(matches!(take, Take::Wait(_)), "{take:?}");
+}
+
+cases! { tokens_end_in_freeze:
+    tokens_that_are_held_end_in_freeze(Millis(10), Millis(1_000));
+    answer_that_waited_for_frozen_entry_is_void(Millis(1_000), Millis::ZERO);
+}
+
+#[test]
+fn tokens_ahead_and_at_once_stay_within_the_bucket() {
+    let (limit, team) = (
+        Limit::new(quota_of(LARGEST), BOUNDS),
+        TeamName("a".to_owned()),
+    );
+    let mut leader = Ledger::new(Millis::ZERO);
+    leader.set_limits(1, [(team.clone(), limit)]);
+    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let mut ask = |waiting, expected, now| {
+        let wants = vec![QuotaWant {
+            team: team.clone(),
+            waiting,
+            expected,
+        }];
+        let ask = QuotaAsk {
+            number: 1,
+            fleet: 1,
+            wants,
+        };
+        let answer = leader.answer(ip, &ask, Millis(now));
+        answer.grants[0].waiting + answer.grants[0].expected
+    };
+    let ahead = ask(0, 1_000, 10_000);
+    assert!(ahead > 20, "{ahead} of a full bucket");
+    let at_once = ask(1_000, 0, 10_900);
+    // The burst, an eighth of the overage and a quarter of the slack.
+    let bucket = 192 + (192 * 5 + 192) / 10 / 8 + 20 / 4;
+    assert!(ahead + at_once <= bucket, "{ahead} and {at_once}");
+}
