quota: entries that reach one with a leader take its tokens

Cause: an entry that follows the leader through a relay, or has just started and reaches only other entries, spent a fraction of the quota or nothing.

Change: it asks an entry that is connected to the leader, which takes the tokens as if the requests were its own.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -32,6 +32,10 @@
         Some(age) => format!(" (load reports were {age} ms old)"),
         None => String::new(),
     };
+    let answer = match end.number("answer_age_ms") {
+        Some(age) => format!("the leader's last answer was {age} ms old"),
+        None => "the leader had never answered".to_owned(),
+    };
     match why {
         "no_manifest" => format!(
             "the entry had no manifest yet, {} ms after its start",
@@ -41,6 +45,15 @@
             "manifest {} has no route for it",
             end.number("manifest").unwrap_or(0)
         ),
+        "over_quota" => format!(
+            "team {} had used up its quota of manifest {} ({answer})",
+            end.text("team").unwrap_or("-"),
+            end.number("manifest").unwrap_or(0)
+        ),
+        "quota_unknown" => format!(
+            "nobody said whether team {} had room in its quota ({answer})",
+            end.text("team").unwrap_or("-")
+        ),
         "queue_full" => format!("every target of its service was full{loads}"),
         "no_target" => format!("no target of its service accepted work{loads}"),
         "targets_full" => format!("the targets {targets} rejected it"),
--- a/crates/cli/tests/all/explain.rs
+++ b/crates/cli/tests/all/explain.rs
@@ -40,6 +40,14 @@
         r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"no_manifest","up_for_ms":310}"#,
         "the entry had no manifest yet, 310 ms after its start"
     );
+    refusal_of_a_team_over_its_quota(
+        r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"over_quota","team":"a","tokens":0,"answer_age_ms":12,"manifest":3,"come_back_ms":80}"#,
+        "team a had used up its quota of manifest 3 (the leader's last answer was 12 ms old)"
+    );
+    refusal_because_nobody_knew_the_quota(
+        r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"quota_unknown","team":"a","tokens":0,"manifest":3,"come_back_ms":700}"#,
+        "nobody said whether team a had room in its quota (the leader had never answered)"
+    );
     refusal_because_of_a_quarantined_prompt_part(
         concat!(
             r#"edge-1 {"time_ms":1050,"level":"INFO","message":"a feature of the request is quarantined","request":"r1","feature":"d00d"}"#,
--- a/crates/daemon/tests/all/platform/quotas.rs
+++ b/crates/daemon/tests/all/platform/quotas.rs
@@ -7,6 +7,7 @@
 
 use http::Method;
 use tokio::{
+    runtime::Runtime,
     task::JoinSet,
     time::{
         MissedTickBehavior,
@@ -15,7 +16,7 @@
     },
 };
 use yuccaseam_testing::{
-    Signal,
+    Shape, Shapes, Signal,
     platform::{
         HOST,
         PlatformSystem,
@@ -202,3 +203,45 @@
         assert!(tally.served >= RATE * 3 / 2, "{tally:?}");
     });
 }
+
+/// An entry that reaches no store takes the tokens of one that does.
+#[test]
+fn entry_cut_off_from_stores_serves_a_team_within_its_quota() {
+    let runtime = Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let system = PlatformSystem::start_behind_relays(3, 3);
+        let target = PlatformTarget::start("engine-0", "llm", "a1", 8, system.control()).await;
+        assert!(system.put_manifest(1).await, "a manifest is accepted");
+        assert!(system.wait_until_serving().await, "every entry serves");
+        let world = World {
+            system,
+            targets: vec![target.expect("a target starts")],
+        };
+        world.limit().await;
+        for store in 3..6 {
+            for relay in [world.system.relay(0, store), world.system.relay(store, 0)] {
+                let cut = Shape {
+                    cut: true,
+                    ..Shape::default()
+                };
+                relay.set(Shapes {
+                    forward: cut,
+                    backward: cut,
+                });
+            }
+        }
+        let until = Instant::now() + Duration::from_secs(10);
+        let entry = &world.system.entries[0];
+        while !entry.log().contains("asking a deputy for tokens of quotas") {
+            assert!(Instant::now() < until, "{}", entry.log());
+            sleep(Duration::from_millis(50)).await;
+        }
+        let mut served = 0;
+        for number in 0..30 {
+            let id = format!("cut-{number}");
+            served += usize::from(world.order_as(0, "k-limited", &id).await == Some(200));
+            sleep(Duration::from_millis(60)).await;
+        }
+        assert!(served >= 27, "{served} of 30");
+    });
+}
--- a/crates/serving/src/entry/quota.rs
+++ b/crates/serving/src/entry/quota.rs
@@ -1,7 +1,6 @@
 //! Quotas of teams: whether a request of a caller may run.
 
 use http::StatusCode;
-use tokio::time::timeout;
 use yuccaseam_base::{
     Millis,
     TeamName, //
@@ -10,11 +9,10 @@
 
 use crate::{
     cx::Cx,
+    deputies,
     quota::{
         Denial,
-        Limit,
-        Take,
-        Ticket, //
+        Limit, //
     },
 };
 
@@ -40,37 +38,15 @@
     /// Returns the response to the caller if there is no token.
     pub(super) async fn spend_token(&self, cx: &Cx) -> Result<(), HttpResponse> {
         let limit = Limit::new(self.quota, cx.settings.quota_bounds);
-        let mut ticket = Ticket::default();
-        loop {
-            let answered = cx.quota_answered.notified();
-            let now = cx.clock.now();
-            let take = self.take(cx, &limit, &mut ticket, now);
-            match take {
-                Take::Granted(source) => {
-                    count(source.name());
-                    return Ok(());
-                }
-                Take::Wait(until) => {
-                    // On wake-up and on time-out alike, the purse decides again.
-                    let _ = timeout((until - now).duration(), answered).await;
-                }
-                Take::Denied(denial, retry_after) => {
-                    return Err(self.refuse(cx, denial, retry_after));
-                }
+        match deputies::acquire(cx, self.team, &limit).await {
+            Ok(source) => {
+                count(source.name());
+                Ok(())
             }
+            Err((denial, retry_after)) => Err(self.refuse(cx, denial, retry_after)),
         }
     }
 
-    /// Takes a token, and wakes the task that asks the leader if it is to ask.
-    fn take(&self, cx: &Cx, limit: &Limit, ticket: &mut Ticket, now: Millis) -> Take {
-        let mut purse = cx.quota_purse();
-        let take = purse.take(self.team, limit, ticket, now);
-        if purse.wants_to_ask(self.team) {
-            cx.quota_wanted.notify_one();
-        }
-        take
-    }
-
     fn refuse(&self, cx: &Cx, denial: Denial, retry_after: Millis) -> HttpResponse {
         let (why, status) = match denial {
             Denial::OverQuota => ("over_quota", StatusCode::TOO_MANY_REQUESTS),
--- a/crates/serving/src/quota/purse.rs
+++ b/crates/serving/src/quota/purse.rs
@@ -81,7 +81,7 @@
     Ended,
     /// The leader may still count this entry as present.
     Silent,
-    /// The leader counts this entry as absent, and a deputy hears it.
+    /// Another entry answers in place of the leader.
     Deputy,
 }
 
@@ -197,6 +197,8 @@
     seed: u64,
     accounts: HashMap<TeamName, Account>,
     connection: Connection,
+    /// Whether the last connection to the leader has ended, and not only become silent.
+    has_ended: bool,
     /// When the connection was last opened or lost.
     connection_since: Millis,
     next_number: u64,
@@ -219,6 +221,7 @@
             seed,
             accounts: HashMap::new(),
             connection: Connection::Silent,
+            has_ended: false,
             connection_since: Millis::ZERO,
             next_number: 1,
             answered: 0,
@@ -235,6 +238,9 @@
         if self.connection == connection {
             return;
         }
+        if connection != Connection::Deputy {
+            self.has_ended = connection == Connection::Ended;
+        }
         self.connection = connection;
         self.connection_since = now;
         self.unanswered.clear();
@@ -244,10 +250,13 @@
 
     /// Whether the leader leaves this entry its share, of which a deputy may be asked.
     pub fn is_absent(&self, now: Millis) -> bool {
-        let delay = match self.connection {
-            Connection::Open => return false,
-            Connection::Silent => ABSENCE_DELAY,
-            Connection::Ended | Connection::Deputy => Millis::ZERO,
+        if self.connection == Connection::Open {
+            return false;
+        }
+        let delay = if self.has_ended {
+            Millis::ZERO
+        } else {
+            ABSENCE_DELAY
         };
         let is_in = |at| now >= at + delay && now < at + SHARE_LIFETIME;
         self.fleet > 0 && self.sent_at.is_some_and(is_in)
@@ -344,9 +353,10 @@
         self.accounts.get(team).is_some_and(Account::wants_to_ask)
     }
 
-    /// Returns the next question, if one is due: what requests wait for, or a sign that this entry
+    /// Returns the next question, without the number of entries while this one has no share to spend, if one is due: what requests wait for, or a sign that this entry
     /// is there.
     pub fn next_ask(&mut self, now: Millis) -> Option<QuotaAsk> {
+        let has_share = self.connection == Connection::Open || self.is_absent(now);
         self.accounts
             .retain(|_, account| now < account.last_request + ACCOUNT_LIFETIME);
         let is_deputy = self.connection == Connection::Deputy;
@@ -384,7 +394,7 @@
         });
         Some(QuotaAsk {
             number,
-            fleet: self.fleet,
+            fleet: if has_share { self.fleet } else { 0 },
             wants,
         })
     }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -141,9 +141,9 @@
                 let reply = self.cx.call_leader_directly(&request, deadline).await;
                 reply.unwrap_or(HubReply::NotLeader(None))
             }
-            HubRequest::AskDeputy { entry, ask } => {
-                deputies::answer(&self.cx, entry, &ask).map_or(HubReply::NotFound, HubReply::Quotas)
-            }
+            HubRequest::AskDeputy { entry, ask } => deputies::answer(&self.cx, entry, &ask)
+                .await
+                .map_or(HubReply::NotFound, HubReply::Quotas),
             _ => HubReply::NotLeader(self.cx.leader()),
         }
     }
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -164,6 +164,11 @@
         self.teams.as_ref()
     }
 
+    /// Quota of a team, if it has one.
+    pub fn quota(&self, team: &TeamName) -> Option<RequestQuota> {
+        self.teams.as_ref()?.team(team)?.quota
+    }
+
     /// Quotas of the teams that have one.
     pub fn quotas(&self) -> impl Iterator<Item = (&TeamName, RequestQuota)> {
         let teams = self.teams.iter().flat_map(TeamDirectory::iter);
