--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -21,5 +21,6 @@
 mod state;
 mod support;
 mod targets;
+mod team_turns;
 mod teams;
 mod trials;
