--- a/crates/serving/tests/all/quota.rs
+++ b/crates/serving/tests/all/quota.rs
@@ -676,3 +676,54 @@
     let bucket = 192 + (192 * 5 + 192) / 10 / 8 + 20 / 4;
     assert!(ahead + at_once <= bucket, "{ahead} and {at_once}");
 }
+
+/// A leader that is silent may still count the entry as present; one that has closed the connection does not.
+fn share_is_spent_after(lost: Connection, delay: Millis) {
+    let team = TeamName("a".to_owned());
+    let mut leader = Ledger::new(Millis::ZERO);
+    leader.set_limits(1, [(team, Limit::new(quota_of(LARGEST), BOUNDS))]);
+    let mut purse = Purse::new(1);
+    let now = Millis(10_000);
+    purse.set_connection(Connection::Open, now);
+    let ask = purse.next_ask(now).expect("the first sign is due");
+    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    purse.apply(&leader.answer(ip, &ask, now), now);
+    purse.set_connection(lost, now);
+    assert!(delay == Millis::ZERO || !purse.is_absent(now + delay - Millis(1)));
+    assert!(purse.is_absent(now + delay));
+    assert!(!purse.is_absent(now + Millis(50_000)));
+}
+
+cases! { share_is_spent_after:
+    share_is_spent_once_a_silent_leader_leaves_it(Connection::Silent, Millis(1_500));
+    share_is_spent_at_once_if_the_connection_has_ended(Connection::Ended, Millis::ZERO);
+}
+
+/// All entries lose the leader at once, and each gets requests of the smallest team.
+#[test]
+fn entries_without_answers_together_spend_their_part_of_the_overage() {
+    let (limit, team) = (
+        Limit::new(quota_of(SMALLEST), BOUNDS),
+        TeamName("a".to_owned()),
+    );
+    let now = Millis(10_000);
+    let mut spent = 0;
+    for entry in 0..320 {
+        let mut purse = Purse::new(entry);
+        purse.set_connection(Connection::Open, now);
+        let ask = purse.next_ask(now).expect("the first sign is due");
+        let answer = QuotaAnswer {
+            number: ask.number,
+            fleet: 320,
+            grants: Vec::new(),
+        };
+        purse.apply(&answer, now);
+        purse.set_connection(Connection::Silent, now);
+        for _ in 0..3 {
+            let take = purse.take(&team, &limit, &mut Ticket::default(), now);
+            spent += usize::from(matches!(take, Take::Granted(_)));
+        }
+    }
+    // An eighth of the overage is 2.6 requests.
+    assert!((1..=9).contains(&spent), "{spent}");
+}
