--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -17,6 +17,7 @@
 mod odd_entries;
 mod online;
 mod power;
+mod quotas;
 mod raw_target;
 mod refusals;
 mod refused_items;
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -46,6 +46,7 @@
         listen, //
     },
     online,
+    quota::LimitedRequest,
     response::{
         HttpResponse,
         refusal,
@@ -121,6 +122,20 @@
             "batch jobs must be submitted by POST",
         ),
         _ => {
+            let limited = team.as_deref().filter(|_| !route.is_public);
+            if let Some(team) = limited
+                && let Some(quota) = team.quota
+            {
+                let limited = LimitedRequest {
+                    id: request_id(&head),
+                    team: &team.name,
+                    quota,
+                    manifest: table.version(),
+                };
+                if let Err(response) = limited.spend_token(&cx).await {
+                    return response;
+                }
+            }
             let request = ReceivedRequest {
                 head,
                 body,
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -23,6 +23,10 @@
         Feature,
         FeatureList, //
     },
+    quota::{
+        QuotaAnswer,
+        QuotaAsk, //
+    },
     state::{
         NewJob,
         StoredManifest, //
@@ -93,6 +97,13 @@
         /// [`Self::Submit`], [`Self::Results`], [`Self::ItemBody`] or [`Self::EndJob`].
         request: Box<HubRequest>,
     },
+    /// Ask a deputy for tokens of teams' quotas. [`HubReply::Quotas`] answers.
+    AskDeputy {
+        /// Address of the entry that asks.
+        entry: IpAddr,
+        /// What it asks for.
+        ask: QuotaAsk,
+    },
 }
 
 /// The reply to a request.
@@ -122,6 +133,8 @@
     Retired(bool),
     /// The stores have no capacity for the job. None of its items runs.
     NoCapacity,
+    /// Tokens of teams' quotas.
+    Quotas(QuotaAnswer),
 }
 
 /// A message of a follower to the leader.
@@ -160,6 +173,9 @@
     /// A response of this start of a target said that it drains. A leader of the version before ignores
     /// the message.
     Drains(TargetKey),
+    /// Asks for tokens of teams' quotas. Answered by [`LeaderMessage::Quotas`]. A leader of the version
+    /// before ignores the message.
+    AskQuotas(QuotaAsk),
 }
 
 /// A message of the leader to its followers.
@@ -179,6 +195,8 @@
     /// Features that are quarantined or suspected. Sent to followers that accept it, on connection and
     /// after each change.
     Features(FeatureList),
+    /// Tokens of teams' quotas. Sent only to a follower that asked.
+    Quotas(QuotaAnswer),
 }
 
 /// An encoded [`LeaderMessage`]. Encoded once, also if it goes to many followers.
--- a/crates/serving/src/teams.rs
+++ b/crates/serving/src/teams.rs
@@ -79,6 +79,11 @@
         self.by_name.get(name)
     }
 
+    /// All teams, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Team> {
+        self.by_name.values().map(Arc::as_ref)
+    }
+
     /// Decides whose request this is. `None` if it is nobody's, on a public route; `route` is `None` for a
     /// call about a job.
     ///
