admit: the fair queue holds any requests of any flows

Cause: requests that wait at an entry of the users' platform are to be served in fair order of their teams, and the queue knew permits only.

Change: FairQueue is generic over flow and request, and tells the next request and the place of one that waits. The gate uses it as before.

Measured: cargo test -p yuccaseam-admit, 51 passed.

--- a/crates/admit/src/backlog.rs
+++ b/crates/admit/src/backlog.rs
@@ -47,7 +47,7 @@
 /// Waiting online requests.
 #[derive(Debug, Default)]
 pub(crate) struct Backlog {
-    queue: FairQueue,
+    queue: FairQueue<FlowKey, PermitId>,
     service: ServiceRate,
 }
 
@@ -69,7 +69,7 @@
     }
 
     pub(crate) fn remove(&mut self, request: &Request) {
-        self.queue.remove(flow(request), request.permit);
+        self.queue.remove(&flow(request), request.permit);
     }
 
     /// Adds a request without checking its deadline or the queue's bound.
@@ -95,7 +95,7 @@
     ) -> EnqueueOutcome {
         let flow = flow(request);
         let allowed = request.deadline - now;
-        let wait = self.service.wait(self.queue.ahead_of(flow) + 1, cfg.slots);
+        let wait = self.service.wait(self.queue.ahead_of(&flow) + 1, cfg.slots);
         if allowed == Millis::ZERO || wait.is_some_and(|wait| wait > allowed) {
             let excess = wait.unwrap_or(Millis::ZERO) - allowed;
             return EnqueueOutcome::Refused(self.refusal(Reason::DeadlinePassed, excess));
@@ -116,14 +116,14 @@
     /// Handles a full queue: displaces the newest request of the longest flow if the flow of
     /// `request` has less than its share.
     fn displace(&mut self, request: &Request, cfg: &Settings) -> EnqueueOutcome {
-        let own_waiting = self.queue.waiting(flow(request));
+        let own_waiting = self.queue.waiting(&flow(request));
         let until_free_slot = self.service.wait(1, cfg.slots).unwrap_or(Millis::ZERO);
         let longest = self.queue.newest_of_longest();
         let Some((longest, newest)) = longest else {
             return EnqueueOutcome::Refused(self.refusal(Reason::QueueFull, until_free_slot));
         };
-        if longest == flow(request) || self.queue.waiting(longest) <= own_waiting + 1 {
-            let alone = self.queue.waiting(longest) == self.len();
+        if longest == flow(request) || self.queue.waiting(&longest) <= own_waiting + 1 {
+            let alone = self.queue.waiting(&longest) == self.len();
             let reason = if alone || longest != flow(request) {
                 Reason::QueueFull
             } else {
@@ -131,9 +131,9 @@
             };
             return EnqueueOutcome::Refused(self.refusal(reason, until_free_slot));
         }
-        self.queue.remove(longest, newest);
+        self.queue.remove(&longest, newest);
         self.push(request, cfg);
-        let drain_time = self.service.wait(self.queue.waiting(longest), cfg.slots);
+        let drain_time = self.service.wait(self.queue.waiting(&longest), cfg.slots);
         let terms = self.refusal(Reason::TeamOverShare, drain_time.unwrap_or(Millis::ZERO));
         EnqueueOutcome::Displaced(newest, terms)
     }
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -6,7 +6,7 @@
 //! an online arrival is also the one that pauses batch.
 //!
 //! The crate also contains the decisions about failed calls: [`RetryBudget`], [`Backoff`],
-//! [`Breaker`] and [`Retries`], which combines them.
+//! [`Breaker`] and [`Retries`], which combines them, and the [`FairQueue`] of requests that wait.
 
 mod arrivals;
 mod backlog;
@@ -26,6 +26,7 @@
 pub use event::{
     Action, Class, Entry, Event, LoadReport, PermitId, Request, RunId, TargetState, Team,
 };
+pub use fair::{FairQueue, Lane};
 pub use gate::{Gate, Snapshot};
 pub use retry::{Backoff, BackoffSettings, BudgetSettings, Retries, RetryBudget, RetryDecision};
 pub use settings::{Balance, Settings};
