shares: slots that are short go to teams by priority and weight

Cause: when callers want more slots of a service than there are, one team that sends many times its usual made all others late: every entry decides alone and for each request alike.

Change: deciding code without I/O. Entries count arrivals by team and priority; the leader computes weighted max-min shares and lists the flows beyond theirs with the part that fits; entries give the rest only slots to spare, or refuse it at once. Requests that wait at one entry do so in fair order. Not in use yet.

--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Time for which a request occupies its slot.
+    pub fn occupancy(&self) -> Millis {
+        self.occupancy
+    }
+
     /// Records a request that found a free slot.
     pub fn record(&mut self, response: Millis, occupancy: Millis) {
         let average = |old: Millis, sample: Millis| {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
-//! [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
+//! [`shares`], [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -30,6 +30,7 @@
 pub mod routes;
 mod run;
 pub mod schedule;
+pub mod shares;
 pub mod silence;
 pub mod state;
 mod store;
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod refusals;
 mod routes;
 mod schedule;
+mod shares;
 mod silence;
 mod state;
 mod support;
