shares: entries report demand, the leader lists teams beyond their share

Cause: the deciding code of the shares was not in use.

Waiting requests of teams are woken in fair order. Requests have no team yet: nothing changes.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -42,6 +42,13 @@
             end.number("manifest").unwrap_or(0)
         ),
         "queue_full" => format!("every target of its service was full{loads}"),
+        "team_over_share" => {
+            let team = own.iter().find_map(|line| line.text("team"));
+            format!(
+                "slots were short, and team {} sent more than its share",
+                team.unwrap_or("-")
+            )
+        }
         "no_target" => format!("no target of its service accepted work{loads}"),
         "targets_full" => format!("the targets {targets} rejected it"),
         "request_quarantined" => {
--- a/crates/cli/tests/all/explain.rs
+++ b/crates/cli/tests/all/explain.rs
@@ -36,6 +36,14 @@
         r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request ended","request":"r1","outcome":"given_up","why":"queue_full","loads_age_ms":35,"took_ms":60}"#,
         "every target of its service was full (load reports were 35 ms old)"
     );
+    refusal_of_a_team_beyond_its_share(
+        concat!(
+            r#"edge-1 {"time_ms":1001,"level":"INFO","message":"request beyond its team's share","request":"r1","team":"acme","priority":0,"fits_permille":210}"#,
+            "\n",
+            r#"edge-1 {"time_ms":1001,"level":"INFO","message":"request ended","request":"r1","outcome":"given_up","why":"team_over_share","took_ms":1}"#
+        ),
+        "slots were short, and team acme sent more than its share"
+    );
     refusal_by_an_entry_without_a_manifest(
         r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"no_manifest","up_for_ms":310}"#,
         "the entry had no manifest yet, 310 ms after its start"
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -312,6 +312,17 @@
         views.map(|view| view.remote.online + view.neighbours).sum()
     }
 
+    /// Callers' requests at the targets of a service that take work, in percent of their slots.
+    pub fn fill_percent(&self, service: &str) -> u32 {
+        let views = self.views.values();
+        let usable =
+            views.filter(|view| view.record.service == service && view.record.takes_work());
+        let (online, slots) = usable.fold((0, 0), |(online, slots), view| {
+            (online + view.load().online, slots + view.record.slots)
+        });
+        (online * 100).checked_div(slots).unwrap_or(0)
+    }
+
     /// Requests of this instance, sorted by target, for the leader. Also removes departed targets
     /// without requests.
     pub fn load_report(&mut self) -> Vec<(TargetKey, u32)> {
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -42,6 +42,7 @@
         Balancer,
         Location, //
     },
+    entry::EntryShares,
     link::{
         AddressBook,
         CallError,
@@ -80,6 +81,7 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) neighbours: Neighbours,
     pub(crate) relay: Relay,
+    pub(crate) shares: EntryShares,
     /// Wakes requests that wait for the manifest.
     pub(crate) manifest_changed: Notify,
     /// Wakes one request that waits for a slot, when a request of this instance has ended.
@@ -131,6 +133,7 @@
             links: Links::new(test_hooks.relay_port.unwrap_or(settings.first_port)),
             upstream: Arc::new(Upstream::new(clock)),
             relay: Relay::default(),
+            shares: EntryShares::default(),
             neighbours: Neighbours::new(settings.first_port, started_at),
             manifest_changed: Notify::new(),
             slot_released: Notify::new(),
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -8,11 +8,13 @@
 mod http_server;
 mod online;
 mod response;
+mod shares;
 mod stream;
 
 pub(crate) use control::serve as serve_control;
 pub(crate) use front::serve as serve_callers;
 pub(crate) use http_server::Connections;
+pub(crate) use shares::EntryShares;
 
 use std::sync::Arc;
 
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -77,6 +77,7 @@
         full_body,
         refusal, //
     },
+    shares::ShareRank,
     stream,
 };
 
@@ -152,6 +153,8 @@
     tried: Vec<TargetKey>,
     /// Targets that sent an invalid response, and are not tried again.
     faulty: Vec<TargetKey>,
+    /// Standing among the teams, once the request has asked for a slot. `None` without a team.
+    share_rank: Option<ShareRank>,
     rejections: usize,
     /// Number of targets that may have run the request.
     runs: u32,
@@ -201,6 +204,7 @@
             trial: None,
             tried: Vec::new(),
             faulty: Vec::new(),
+            share_rank: None,
             rejections: 0,
             runs: 0,
             sent_at: Millis::ZERO,
--- a/crates/serving/src/entry/online/slot.rs
+++ b/crates/serving/src/entry/online/slot.rs
@@ -16,10 +16,20 @@
         Choice, //
     },
     cx::Cx,
+    shares::{
+        Flow,
+        Standing,
+        decide_beyond_share,
+        has_turn, //
+    },
     targets::TargetKey,
 };
 
 use super::{
+    super::shares::{
+        ShareRank,
+        Waiter, //
+    },
     ActiveRequest,
     RequestFailure, //
 };
@@ -69,7 +79,9 @@
         self.cx.balancer().end_request(self.choice.key);
         self.cx.neighbours.publish_count(&self.cx, self.choice.key);
         self.cx.add_queue_credit(&self.service);
-        self.cx.slot_released.notify_one();
+        if !self.cx.shares.wake_first(&self.service) {
+            self.cx.slot_released.notify_one();
+        }
     }
 }
 
@@ -78,6 +90,8 @@
     /// until its deadline, and tries targets again, unless all of them are faulty.
     pub(super) async fn acquire_slot(&mut self) -> Result<Slot, RequestFailure> {
         let queued_at = self.now();
+        self.rank_by_share();
+        let mut waiter: Option<Waiter> = None;
         loop {
             let now = self.now();
             if now >= self.deadline {
@@ -92,19 +106,12 @@
                 self.tried.clone_from(&self.faulty);
             }
             let wake = self.cx.slot_released.notified();
-            let times = self.cx.service_times(&self.service, self.route.objective);
-            let slot_request = SlotRequest {
-                waited: if self.is_persistent {
-                    Millis::ZERO
-                } else {
-                    now - queued_at
-                },
-                objective: self.route.objective,
-                timeout: self.route.timeout,
-                caller_timeout: self.caller_timeout,
-            };
-            let has_credit = self.cx.has_queue_credit(&self.service);
-            match decide(&slot_request, best.as_ref(), &times, has_credit) {
+            let slot_request = self.slot_request(if self.is_persistent {
+                Millis::ZERO
+            } else {
+                now - queued_at
+            });
+            match self.decide(&slot_request, best.as_ref(), waiter.as_ref()) {
                 Decision::Send => {
                     if let Some(choice) = best {
                         return Ok(Slot::new(&self.cx, &self.service, choice));
@@ -113,7 +120,7 @@
                 Decision::Wait => {}
                 Decision::Refuse if self.is_persistent => {}
                 Decision::Refuse if best.is_none() => return Err(self.fail("no_target")),
-                Decision::Refuse => return Err(self.fail("queue_full")),
+                Decision::Refuse => return Err(self.refuse_when_full(&slot_request)),
             }
             let remaining = if self.is_persistent {
                 self.deadline - now
@@ -121,11 +128,95 @@
                 slot_request.max_wait() - slot_request.waited
             };
             let delay = slot_request.recheck_delay(rand::random()).min(remaining);
+            if waiter.is_none()
+                && let Some(rank) = &self.share_rank
+            {
+                waiter = Some(Waiter::join(&self.cx, &self.service, rank));
+            }
             // On wake-up and on time-out alike, the loop decides again.
-            let _ = timeout(delay.duration(), wake).await;
+            let _ = match &waiter {
+                Some(waiter) => timeout(delay.duration(), waiter.woken()).await,
+                None => timeout(delay.duration(), wake).await,
+            };
+        }
+    }
+
+    /// Ranks the request among those that wait, once: one that a target failed, or whose response has begun,
+    /// is no longer bound by its team's share.
+    fn rank_by_share(&mut self) {
+        let is_first = self.share_rank.is_none() && self.tried.is_empty() && !self.is_persistent;
+        let flow = self.flow();
+        let Some(flow) = flow.filter(|_| is_first) else {
+            self.share_rank = None;
+            return;
+        };
+        let times = self.cx.service_times(&self.service, self.route.objective);
+        let is_retry = self.slot_request(Millis::ZERO).is_retry();
+        let (occupancy, now) = (times.occupancy(), self.now());
+        let shares = &self.cx.shares;
+        let standing = shares.arrive(&self.service, &flow, occupancy, is_retry, now);
+        self.share_rank = Some(ShareRank { flow, standing });
+    }
+
+    /// Requests of the same team and priority.
+    fn flow(&self) -> Option<Flow> {
+        None
+    }
+
+    fn slot_request(&self, waited: Millis) -> SlotRequest {
+        SlotRequest {
+            waited,
+            objective: self.route.objective,
+            timeout: self.route.timeout,
+            caller_timeout: self.caller_timeout,
         }
     }
 
+    fn decide(
+        &self,
+        slot_request: &SlotRequest,
+        best: Option<&Choice>,
+        waiter: Option<&Waiter>,
+    ) -> Decision {
+        let rank = self.share_rank.as_ref();
+        let decision = if rank.is_some_and(|rank| rank.standing == Standing::Beyond) {
+            decide_beyond_share(slot_request, best)
+        } else {
+            let times = self.cx.service_times(&self.service, self.route.objective);
+            let has_credit = self.cx.has_queue_credit(&self.service);
+            decide(slot_request, best, &times, has_credit)
+        };
+        if decision != Decision::Send {
+            return decision;
+        }
+        let (Some(rank), Some(best)) = (rank, best) else {
+            return decision;
+        };
+        if has_turn(self.cx.shares.ahead(rank, &self.service, waiter), best) {
+            Decision::Send
+        } else if slot_request.waited < slot_request.max_wait() {
+            Decision::Wait
+        } else {
+            Decision::Refuse
+        }
+    }
+
+    /// Refuses the request because the targets are full.
+    fn refuse_when_full(&self, slot_request: &SlotRequest) -> RequestFailure {
+        let beyond = self.share_rank.as_ref();
+        let Some(rank) = beyond.filter(|rank| rank.standing == Standing::Beyond) else {
+            return self.fail("queue_full");
+        };
+        let is_retry = slot_request.is_retry();
+        let shares = &self.cx.shares;
+        let permille = shares.refuse(&self.service, &rank.flow, is_retry, self.now());
+        log::info!(
+            request:% = self.id, service:% = self.service, team:% = rank.flow.team,
+            priority = rank.flow.priority, fits_permille = permille, is_retry;
+            "request beyond its team's share");
+        self.fail("team_over_share")
+    }
+
     fn best_target(&self, excluded: &[TargetKey]) -> Option<Choice> {
         let balancer = self.cx.balancer();
         balancer.choose(&self.service, excluded, rand::random(), self.now())
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -53,6 +53,10 @@
         encode,
         pause, //
     },
+    shares::{
+        REPORT_FILL_PERCENT,
+        SHARES_INTERVAL, //
+    },
     targets::TargetRecord,
 };
 
@@ -285,9 +289,14 @@
     // A failure also ends the stream of the leader.
     let _ = tx.send(hello).await;
     let _ = tx.send(FollowerMessage::AcceptsFeatures).await;
+    cx.shares.reset_leader();
+    if cx.settings.callers.is_some() {
+        let _ = tx.send(FollowerMessage::AcceptsShares).await;
+    }
     let why = tokio::select! {
         why = receive(cx, notifications, &mut incoming) => why,
         () = report_loads(cx, &tx) => "the stream to the leader closed",
+        () = report_demand(cx, &tx, connection) => "the stream to the leader closed",
         () = wait_for_direct(cx, connection) => "a direct connection is available",
     };
     log::warn!(leader:% = ip, why; "leader connection lost");
@@ -345,6 +354,7 @@
                     .set_peers(neighbourhood.ips.into_iter().collect());
             }
             Ok(LeaderMessage::Noted(notice)) => notifications.confirm(notice),
+            Ok(LeaderMessage::Shares(list)) => cx.shares.apply(&list, cx.clock.now()),
             Ok(LeaderMessage::Features(list)) => {
                 cx.feature_guard().apply(list);
                 if !has_features {
@@ -389,3 +399,20 @@
         pause(LOAD_REPORT_INTERVAL * (1 + neighbours / NEIGHBOURS_PER_INTERVAL)).await;
     }
 }
+
+/// Reports the requests that arrive here to the leader, while a service is nearly full.
+async fn report_demand(cx: &Cx, tx: &mpsc::Sender<FollowerMessage>, connection: Connection) {
+    if connection == Connection::Relayed {
+        return std::future::pending().await;
+    }
+    loop {
+        pause(SHARES_INTERVAL).await;
+        let fill_percent = |service: &str| cx.balancer().fill_percent(service);
+        let demands = cx
+            .shares
+            .report(fill_percent, REPORT_FILL_PERCENT, cx.clock.now());
+        if !demands.is_empty() && tx.send(FollowerMessage::Demand(demands)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -22,6 +22,10 @@
         Feature,
         FeatureList, //
     },
+    shares::{
+        ServiceDemand,
+        ServiceShares, //
+    },
     state::{
         NewJob,
         StoredManifest, //
@@ -151,6 +155,11 @@
     /// A response of this start of a target said that it drains. A leader of the version before ignores
     /// the message.
     Drains(TargetKey),
+    /// The follower understands [`LeaderMessage::Shares`]. One of the version before would drop the connection.
+    AcceptsShares,
+    /// Requests that arrived at the follower, by service. Sent to a leader that has sent
+    /// [`LeaderMessage::Shares`].
+    Demand(Vec<ServiceDemand>),
 }
 
 /// A message of the leader to its followers.
@@ -170,6 +179,8 @@
     /// Features that are quarantined or suspected. Sent to followers that accept it, on connection and
     /// after each change.
     Features(FeatureList),
+    /// Flows beyond their share. Sent to followers that accept it, on connection and while there are any.
+    Shares(Vec<ServiceShares>),
 }
 
 /// An encoded [`LeaderMessage`]. Encoded once, also if it goes to many followers.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -43,6 +43,8 @@
     followers: HashMap<u64, mpsc::Sender<LeaderFrame>>,
     /// Followers that understand lists of features.
     accept_features: HashSet<u64>,
+    /// Followers that understand lists of flows beyond their share.
+    accept_shares: HashSet<u64>,
 }
 
 /// Instances that follow the leader through this entry.
@@ -80,15 +82,20 @@
         }
         let frame = LeaderFrame::from(message);
         let is_features = matches!(message, LeaderMessage::Features(_));
+        let is_shares = matches!(message, LeaderMessage::Shares(_));
         let Inner {
             followers,
             accept_features,
+            accept_shares,
             ..
         } = &mut *inner;
         followers.retain(|id, tx| {
-            (is_features && !accept_features.contains(id)) || tx.try_send(frame.clone()).is_ok()
+            (is_features && !accept_features.contains(id))
+                || (is_shares && !accept_shares.contains(id))
+                || tx.try_send(frame.clone()).is_ok()
         });
         accept_features.retain(|id| followers.contains_key(id));
+        accept_shares.retain(|id| followers.contains_key(id));
     }
 
     fn add(&self, tx: mpsc::Sender<LeaderFrame>, initial: Vec<LeaderMessage>) -> Option<u64> {
@@ -115,6 +122,11 @@
         }
     }
 
+    /// Records that a follower understands lists of flows beyond their share.
+    fn accept_shares(&self, follower: u64) {
+        self.inner().accept_shares.insert(follower);
+    }
+
     fn get(&self, follower: u64) -> Option<mpsc::Sender<LeaderFrame>> {
         self.inner().followers.get(&follower).cloned()
     }
@@ -170,8 +182,11 @@
                 let list = self.cx.feature_guard().list().clone();
                 return self.cx.relay.accept_features(follower, list);
             }
-            // The leader counts only the loads of its direct followers.
-            FollowerMessage::Hello { .. } | FollowerMessage::Loads(_) => return,
+            FollowerMessage::AcceptsShares => return self.cx.relay.accept_shares(follower),
+            // The leader counts only the loads and the demand of its direct followers.
+            FollowerMessage::Hello { .. }
+            | FollowerMessage::Loads(_)
+            | FollowerMessage::Demand(_) => return,
             FollowerMessage::Draining { record, notice } => (notice, Departure::Draining(record)),
             FollowerMessage::Leaving { name, notice } => (notice, Departure::Leaving(name)),
         };
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -23,6 +23,8 @@
     Service, //
 };
 
+use crate::shares::ShareWeights;
+
 /// Error of a manifest that cannot take effect.
 #[value]
 pub enum ManifestError {
@@ -79,6 +81,7 @@
     /// Indices of the routes of each host, longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     services: HashMap<String, usize>,
+    share_weights: ShareWeights,
 }
 
 impl RouteTable {
@@ -109,7 +112,9 @@
             host_routes
                 .sort_by_key(|&index| std::cmp::Reverse(manifest.routes[index].path_prefix.len()));
         }
+        let teams = manifest.teams.as_deref().unwrap_or_default();
         Ok(Self {
+            share_weights: ShareWeights::new(teams),
             manifest,
             by_host,
             services,
@@ -126,6 +131,11 @@
         &self.manifest.limits
     }
 
+    /// Weights of the teams.
+    pub fn share_weights(&self) -> &ShareWeights {
+        &self.share_weights
+    }
+
     /// Finds the route of a request.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -1,6 +1,7 @@
 //! The leader's followers: collects their loads and announcements, and sends them updates.
 
 mod quarantine;
+mod shares;
 
 use std::{
     collections::{
@@ -57,6 +58,8 @@
 
 use super::Replica;
 
+use shares::HubShares;
+
 /// How often the leader sends changed loads.
 const TICK_INTERVAL: Millis = Millis(40);
 /// How often the leader sends a message to a follower if no load changes.
@@ -85,6 +88,8 @@
     sent_at: Millis,
     /// Whether it understands lists of features.
     accepts_features: bool,
+    /// Whether it understands lists of flows beyond their share.
+    accepts_shares: bool,
 }
 
 impl Follower {
@@ -123,6 +128,8 @@
     quarantine: QuarantineManager,
     /// Features as last sent to followers.
     sent_features: FeatureList,
+    /// Shares of services among teams.
+    shares: HubShares,
     /// Version of the manifest last sent to followers.
     sent_version: u64,
     /// When this instance became leader and loaded the recorded targets. `None` if it does not
@@ -187,6 +194,7 @@
             group: None,
             sent_at: Millis::ZERO,
             accepts_features: false,
+            accepts_shares: false,
         };
         inner.followers.insert(id, follower);
         Some(id)
@@ -274,6 +282,8 @@
             }
             FollowerMessage::AcceptsFeatures => self.send_features_to(follower),
             FollowerMessage::Drains(target) => self.mark_draining(target),
+            FollowerMessage::AcceptsShares => self.accept_shares(follower),
+            FollowerMessage::Demand(demands) => self.record_demand(follower, demands),
             FollowerMessage::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
                     follower.loads = loads;
@@ -444,6 +454,7 @@
         if !is_leader {
             let mut inner = self.inner();
             inner.leader_since = None;
+            inner.shares = HubShares::default();
             inner.followers.clear();
             return;
         }
@@ -465,6 +476,7 @@
         }
         self.send_neighbours();
         self.send_loads(now);
+        self.send_shares(now);
     }
 
     /// Takes note of the items that a leader which vanished has left running.
