--- a/crates/serving/src/entry/online/slot.rs
+++ b/crates/serving/src/entry/online/slot.rs
@@ -23,6 +23,7 @@
         has_turn, //
     },
     targets::TargetKey,
+    teams, //
 };
 
 use super::{
@@ -160,7 +161,11 @@
 
     /// Requests of the same team and priority.
     fn flow(&self) -> Option<Flow> {
-        None
+        let team = self.team.as_ref()?;
+        Some(Flow {
+            priority: teams::priority(Some(team), &self.route),
+            team: team.name.clone(),
+        })
     }
 
     fn slot_request(&self, waited: Millis) -> SlotRequest {
