--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -18,6 +18,7 @@
 mod raw_target;
 mod refusals;
 mod refused_items;
+mod shares;
 mod silent;
 mod tainted;
 
