shares: the reserve counts what others may have sent in the meantime

Cause: the spare slots of a request beyond its share left out the margin that a request within it sees, so at targets of other failure domains the last slot that the latter could take was given to the former.

Change: spare slots are the free ones after the margin, and those of items.

--- a/crates/serving/src/shares/guard.rs
+++ b/crates/serving/src/shares/guard.rs
@@ -137,10 +137,10 @@
 /// Decides on a request beyond its team's share, given its best target. One that a slot is spare for is
 /// sent; a caller with another attempt is refused at once otherwise, and one without waits.
 pub fn decide_beyond_share(request: &SlotRequest, best: Option<&Choice>) -> Decision {
+    // What others may have sent in the meantime is off the free slots, and may be off those that items hold.
     let spare = best.map_or(0, |best| match best.availability {
-        Availability::Free | Availability::AfterPreemption => {
-            best.slots.saturating_sub(best.load.online)
-        }
+        Availability::Free => best.free_slots + best.load.batch,
+        Availability::AfterPreemption => best.load.batch.saturating_sub(1),
         Availability::Full => 0,
     });
     let needed = best.map_or(1, |best| BEYOND_SHARE_FREE_SLOTS.min(best.slots));
