shares: fewer slots are shared out where chance takes more of them

Cause: of 24 slots the shares took 90 percent, so that chance filled all of them often and the quiet team was refused for a fourth of its requests.

Change: one and a half standard deviations of the requests in progress stay free beside the shares, at least 10 percent.

--- a/crates/serving/src/shares/manager.rs
+++ b/crates/serving/src/shares/manager.rs
@@ -19,8 +19,10 @@
     },
 };
 
-/// Part of the slots that are shared out, in percent. A queue forms before the last ones are taken.
+/// Part of the slots that are shared out at most, in percent. A queue forms before the last ones are taken.
 const SHARED_PERCENT: f64 = 90.0;
+/// Standard deviations of the requests in progress that are kept free beside the shares.
+const RESERVE_DEVIATIONS: f64 = 1.5;
 /// One request, in the unit of the parts that fit.
 const WHOLE: u32 = 1_000;
 /// Standard deviations of the number of arrivals that chance explains.
@@ -37,6 +39,13 @@
     mean + CHANCE_DEVIATIONS * mean.sqrt() + CHANCE_ARRIVALS
 }
 
+/// Slots that are shared out. The fewer there are, the larger the part that chance takes at times.
+fn shared_slots(slots: u32) -> f64 {
+    let slots = f64::from(slots);
+    let beside_chance = slots - RESERVE_DEVIATIONS * slots.sqrt();
+    beside_chance.clamp(0.0, slots * SHARED_PERCENT / 100.0)
+}
+
 /// Arrivals in a second, from the recent ones if these show a jump.
 fn rate(arrivals: Arrivals) -> f64 {
     let recent = f64::from(arrivals.recent);
@@ -112,7 +121,7 @@
             demand: arrivals * self.slots_per_arrival,
         });
         let flows: Vec<_> = flows.collect();
-        let shares = allocate(f64::from(slots) * SHARED_PERCENT / 100.0, &flows);
+        let shares = allocate(shared_slots(slots), &flows);
         let mut beyond = Vec::new();
         for ((flow, arrivals), (share, wanted)) in self.peaks.iter().zip(shares.iter().zip(&flows))
         {
