--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`quota`], [`routes`], [`schedule`],
-//! [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
+//! [`shares`], [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
 //! [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
@@ -34,6 +34,7 @@
 pub mod routes;
 mod run;
 pub mod schedule;
+pub mod shares;
 pub mod silence;
 pub mod state;
 mod store;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -27,6 +27,10 @@
         QuotaAnswer,
         QuotaAsk, //
     },
+    shares::{
+        ServiceDemand,
+        ServiceShares, //
+    },
     state::{
         NewJob,
         StoredManifest, //
@@ -176,6 +180,11 @@
     /// Asks for tokens of teams' quotas. Answered by [`LeaderMessage::Quotas`]. A leader of the version
     /// before ignores the message.
     AskQuotas(QuotaAsk),
+    /// The follower understands [`LeaderMessage::Shares`]. One of the version before would drop the connection.
+    AcceptsShares,
+    /// Requests that arrived at the follower, by service. Sent to a leader that has sent
+    /// [`LeaderMessage::Shares`].
+    Demand(Vec<ServiceDemand>),
 }
 
 /// A message of the leader to its followers.
@@ -197,6 +206,8 @@
     Features(FeatureList),
     /// Tokens of teams' quotas. Sent only to a follower that asked.
     Quotas(QuotaAnswer),
+    /// Flows beyond their share. Sent to followers that accept it, on connection and while there are any.
+    Shares(Vec<ServiceShares>),
 }
 
 /// An encoded [`LeaderMessage`]. Encoded once, also if it goes to many followers.
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -28,7 +28,10 @@
     Service, //
 };
 
-use crate::teams::TeamDirectory;
+use crate::{
+    shares::ShareWeights,
+    teams::TeamDirectory, //
+};
 
 /// Error of a manifest that cannot take effect.
 #[value]
@@ -108,6 +111,7 @@
     /// Indices of the routes of each host, longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     services: HashMap<String, usize>,
+    share_weights: ShareWeights,
     /// `None` if requests need no key.
     teams: Option<TeamDirectory>,
 }
@@ -140,8 +144,10 @@
             host_routes
                 .sort_by_key(|&index| std::cmp::Reverse(manifest.routes[index].path_prefix.len()));
         }
+        let share_weights = ShareWeights::new(manifest.teams.as_deref().unwrap_or_default());
         let teams = manifest.teams.take().map(TeamDirectory::new).transpose()?;
         Ok(Self {
+            share_weights,
             manifest,
             by_host,
             services,
@@ -159,6 +165,11 @@
         &self.manifest.limits
     }
 
+    /// Weights of the teams.
+    pub fn share_weights(&self) -> &ShareWeights {
+        &self.share_weights
+    }
+
     /// Teams of callers. `None` if requests need no key.
     pub fn teams(&self) -> Option<&TeamDirectory> {
         self.teams.as_ref()
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -2,6 +2,7 @@
 
 mod quarantine;
 mod quota;
+mod shares;
 
 use std::{
     collections::{
@@ -59,6 +60,8 @@
 
 use super::Replica;
 
+use shares::HubShares;
+
 /// How often the leader sends changed loads.
 const TICK_INTERVAL: Millis = Millis(40);
 /// How often the leader sends a message to a follower if no load changes.
@@ -87,6 +90,8 @@
     sent_at: Millis,
     /// Whether it understands lists of features.
     accepts_features: bool,
+    /// Whether it understands lists of flows beyond their share.
+    accepts_shares: bool,
 }
 
 impl Follower {
@@ -127,6 +132,8 @@
     sent_features: FeatureList,
     /// Quotas of teams.
     quotas: Ledger,
+    /// Shares of services among teams.
+    shares: HubShares,
     /// Version of the manifest last sent to followers.
     sent_version: u64,
     /// When this instance became leader and loaded the recorded targets. `None` if it does not
@@ -191,6 +198,7 @@
             group: None,
             sent_at: Millis::ZERO,
             accepts_features: false,
+            accepts_shares: false,
         };
         inner.followers.insert(id, follower);
         Some(id)
@@ -282,6 +290,8 @@
             FollowerMessage::AcceptsFeatures => self.send_features_to(follower),
             FollowerMessage::Drains(target) => self.mark_draining(target),
             FollowerMessage::AskQuotas(ask) => self.answer_quotas(follower, &ask),
+            FollowerMessage::AcceptsShares => self.accept_shares(follower),
+            FollowerMessage::Demand(demands) => self.record_demand(follower, demands),
             FollowerMessage::Loads(loads) => {
                 if let Some(follower) = self.inner().followers.get_mut(&follower) {
                     follower.loads = loads;
@@ -452,6 +462,7 @@
         if !is_leader {
             let mut inner = self.inner();
             inner.leader_since = None;
+            inner.shares = HubShares::default();
             inner.followers.clear();
             return;
         }
@@ -473,6 +484,7 @@
         }
         self.send_neighbours();
         self.send_loads(now);
+        self.send_shares(now);
     }
 
     /// Takes note of the items that a leader which vanished has left running.
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod refusals;
 mod routes;
 mod schedule;
+mod shares;
 mod silence;
 mod state;
 mod support;
