--- a/crates/soak/tests/all/quarantine.rs
+++ b/crates/soak/tests/all/quarantine.rs
@@ -37,6 +37,8 @@
         after: None,
         time_left: None,
         at,
+        team: None,
+        credentials: None,
     };
     (0..count).map(run).collect()
 }
