--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -41,6 +41,17 @@
             "manifest {} has no route for it",
             end.number("manifest").unwrap_or(0)
         ),
+        "missing_key" => "it had no API key, and its route is not public".to_owned(),
+        "unknown_key" => format!(
+            "no team of manifest {} has its API key",
+            end.number("manifest").unwrap_or(0)
+        ),
+        "unconfirmed_key" => format!(
+            "no team of manifest {} has its API key, and the entry had not heard of the leader for \
+             {} ms, so that a newer manifest may have it",
+            end.number("manifest").unwrap_or(0),
+            end.number("contact_age_ms").unwrap_or(0)
+        ),
         "queue_full" => format!("every target of its service was full{loads}"),
         "no_target" => format!("no target of its service accepted work{loads}"),
         "targets_full" => format!("the targets {targets} rejected it"),
--- a/crates/cli/tests/all/explain.rs
+++ b/crates/cli/tests/all/explain.rs
@@ -40,6 +40,14 @@
         r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"no_manifest","up_for_ms":310}"#,
         "the entry had no manifest yet, 310 ms after its start"
     );
+    refusal_of_an_unknown_key(
+        r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"unknown_key","manifest":7,"contact_age_ms":40}"#,
+        "no team of manifest 7 has its API key"
+    );
+    refusal_of_a_key_that_may_be_newer(
+        r#"edge-1 {"time_ms":1060,"level":"INFO","message":"request refused","request":"r1","why":"unconfirmed_key","manifest":7,"contact_age_ms":4000}"#,
+        "no team of manifest 7 has its API key, and the entry had not heard of the leader for 4000 ms"
+    );
     refusal_because_of_a_quarantined_prompt_part(
         concat!(
             r#"edge-1 {"time_ms":1050,"level":"INFO","message":"a feature of the request is quarantined","request":"r1","feature":"d00d"}"#,
