--- a/crates/journal/tests/all/folder.rs
+++ b/crates/journal/tests/all/folder.rs
@@ -1,6 +1,9 @@
 //! Lock and identity of the data folder.
 
-use std::fs;
+use std::{
+    fs,
+    os::unix::fs::PermissionsExt as _, //
+};
 
 use assert_matches::assert_matches;
 use tempfile::tempdir;
@@ -71,3 +74,17 @@
         Err(JournalError::Corrupt { .. })
     );
 }
+
+/// Logs hold what their users stored, secrets among it.
+#[test]
+fn folder_and_files_are_accessible_to_their_own_user_only() {
+    let dir = tempdir().unwrap();
+    let folder = dir.path().join("data");
+    let _held = DataFolder::open(&folder).unwrap();
+    let mode = |path| fs::metadata(path).unwrap().permissions().mode() & 0o777;
+    assert_eq!(mode(folder.clone()), 0o700);
+    for entry in fs::read_dir(&folder).unwrap() {
+        let path = entry.unwrap().path();
+        assert_eq!(mode(path.clone()), 0o600, "{}", path.display());
+    }
+}
