--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -54,6 +54,17 @@
             "nobody said whether team {} had room in its quota ({answer})",
             end.text("team").unwrap_or("-")
         ),
+        "missing_key" => "it had no API key, and its route is not public".to_owned(),
+        "unknown_key" => format!(
+            "no team of manifest {} has its API key",
+            end.number("manifest").unwrap_or(0)
+        ),
+        "unconfirmed_key" => format!(
+            "no team of manifest {} has its API key, and the entry had not heard of the leader for \
+             {} ms, so that a newer manifest may have it",
+            end.number("manifest").unwrap_or(0),
+            end.number("contact_age_ms").unwrap_or(0)
+        ),
         "queue_full" => format!("every target of its service was full{loads}"),
         "team_over_share" => {
             let team = own.iter().find_map(|line| line.text("team"));
