--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,12 +6,13 @@
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`quota`], [`routes`], [`schedule`],
-//! [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`],
+//! [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
 //! [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
 pub mod capacity;
+mod close_check;
 mod crash_reports;
 mod cx;
 mod deputies;
@@ -41,6 +42,7 @@
 pub mod teams;
 mod test_hooks;
 mod upstream;
+pub mod waves;
 
 pub use run::run;
 pub use store::{
--- a/crates/serving/src/store/runner.rs
+++ b/crates/serving/src/store/runner.rs
@@ -6,7 +6,9 @@
 //! - A result is proposed only if the stream of its item was complete.
 //! - A run that resumes after event n sends n as its last event id.
 
+mod demand;
 mod job_views;
+mod persistence;
 mod progress;
 mod quarantine;
 mod stream;
@@ -47,9 +49,7 @@
         plan, //
     },
     state::{
-        Advance,
         Command,
-        CommandOutcome,
         FinishedItem,
         Output, //
     },
@@ -58,6 +58,7 @@
         TargetRecord, //
     },
     upstream::Failure,
+    waves::CallerWaves,
 };
 
 use super::{
@@ -134,6 +135,9 @@
     runs: HashMap<u64, Run>,
     next_run: u64,
     cooldowns: HashMap<TargetKey, Millis>,
+    /// Demand of callers on each service with targets.
+    waves: HashMap<String, CallerWaves>,
+    sample_at: Millis,
     remove_at: Millis,
     persist_at: Millis,
 }
@@ -152,6 +156,8 @@
         runs: HashMap::new(),
         next_run: 0,
         cooldowns: HashMap::new(),
+        waves: HashMap::new(),
+        sample_at: Millis::ZERO,
         remove_at: Millis::ZERO,
         persist_at: Millis::ZERO,
     };
@@ -181,8 +187,10 @@
             self.runs.clear();
             self.progress.clear();
             self.jobs.clear();
+            self.waves.clear();
             return;
         }
+        self.sample_waves(now);
         let replica = Arc::clone(&self.replica);
         let waiting = replica.read(|state| self.waiting(state, now));
         self.abort_stale_runs();
@@ -354,7 +362,10 @@
             let progress = self.progress.get(&key);
             progress.is_some_and(|progress| progress.refusals.is_refused_by(target))
         };
-        let plan = plan(&waiting, &running, &capacities, refuses, now);
+        let slots = capacities.iter().map(|capacity| capacity.slots).sum();
+        let waves = self.waves.get(service);
+        let outlook = waves.and_then(|waves| waves.outlook(slots, now));
+        let plan = plan(&waiting, &running, &capacities, outlook, refuses, now);
         for key in plan.pause {
             let job = self.jobs.job_id(key.job);
             log::info!(job, item = key.item; "batch item preempted");
@@ -448,28 +459,6 @@
         self.runs.insert(run_id, run);
     }
 
-    /// Proposes the output received so far, so that another leader can resume from there.
-    fn persist_output(&mut self) {
-        let mut advances = Vec::new();
-        let mut keys = Vec::new();
-        for (key, progress) in &mut self.progress {
-            if progress.lines.is_empty() || progress.retry_at == Millis::MAX {
-                continue;
-            }
-            if let Some(job) = self.jobs.job_id(key.job) {
-                advances.push(Advance {
-                    job: job.to_owned(),
-                    item: key.item,
-                    output: progress.take_output(),
-                });
-                keys.push(*key);
-            }
-        }
-        if !advances.is_empty() {
-            self.propose(Command::Advance(advances), keys);
-        }
-    }
-
     /// Handles a report. True if a slot may have become free.
     fn handle_report(&mut self, report: Report) -> bool {
         match report {
@@ -616,27 +605,6 @@
         self.propose(Command::FailedRun { job, item }, Vec::new());
     }
 
-    /// Proposes a command. Items whose output did not take effect resume from the replicated state.
-    fn propose(&self, command: Command, keys: Vec<ItemKey>) {
-        let replica = Arc::clone(&self.replica);
-        let reports = self.reports.clone();
-        tokio::spawn(async move {
-            match replica.propose(command).await {
-                Ok(CommandOutcome::Done) => {}
-                Ok(outcome) => {
-                    log::warn!(outcome:? = outcome, items = keys.len(); "item output discarded");
-                    // The runner runs until the process exits.
-                    let _ = reports.send(Report::NotPersisted(keys));
-                }
-                Err(error) => {
-                    log::warn!(error:? = error, items = keys.len(); "item output not persisted");
-                    // The runner runs until the process exits.
-                    let _ = reports.send(Report::NotPersisted(keys));
-                }
-            }
-        });
-    }
-
     /// Removes settled jobs whose results have expired.
     fn remove_expired_jobs(&mut self, now: Millis) {
         let lifetime = self.cx.settings.bounds.result_lifetime + EXTRA_RETENTION;
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -24,3 +24,4 @@
 mod team_turns;
 mod teams;
 mod trials;
+mod waves;
--- a/crates/serving/tests/all/team_turns.rs
+++ b/crates/serving/tests/all/team_turns.rs
@@ -107,7 +107,7 @@
                 accepts: true,
             })
             .collect();
-        for (key, target) in plan(&waiting, &running, &capacities, |_, _| false, now).start {
+        for (key, target) in plan(&waiting, &running, &capacities, None, |_, _| false, now).start {
             started.insert(key.item, (now, target));
             let (team, _, due_at) = items[key.item as usize];
             if now + RUN <= due_at {
