tests: callers that use up a process

Bodies are collected without a bound over all connections, chunks are kept one by one, connections are not counted, and answers that callers do not read are held for as long as they like.

--- a/crates/testing/src/platform/mod.rs
+++ b/crates/testing/src/platform/mod.rs
@@ -11,7 +11,8 @@
 };
 pub use system::{
     Instance,
-    PlatformSystem, //
+    PlatformSystem,
+    Resources, //
 };
 pub use target::{
     Behaviour,
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -75,6 +75,11 @@
         SocketAddr::new(self.ip, CONTROL_PORT)
     }
 
+    /// Where the readiness of an entry is probed.
+    pub fn readiness(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READY_PORT)
+    }
+
     /// Where metrics are served.
     pub fn metrics(&self) -> SocketAddr {
         SocketAddr::new(self.ip, PEER_PORT + 1)
@@ -93,6 +98,16 @@
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
+    /// Number of open descriptors of the process; `None` if it does not run.
+    pub fn descriptors(&self) -> Option<usize> {
+        let process = self.process.as_ref()?;
+        Some(
+            fs::read_dir(format!("/proc/{}/fd", process.id()))
+                .ok()?
+                .count(),
+        )
+    }
+
     /// Starts the process.
     pub fn start(&mut self) {
         let (clock, disk) = (self.seam("clock"), self.seam("disk"));
@@ -159,6 +174,15 @@
     }
 }
 
+/// Resources that the settings of a process name. Nothing enforces them.
+#[derive(Clone, Copy, Debug)]
+pub struct Resources {
+    /// Memory, in MiB.
+    pub memory_mb: u64,
+    /// Open descriptors.
+    pub descriptors: u64,
+}
+
 /// Entries and stores as processes. All are killed when it is dropped.
 pub struct PlatformSystem {
     /// The entries.
@@ -179,7 +203,16 @@
     ///
     /// If files cannot be written or processes not started.
     pub fn start(entries: usize, stores: usize) -> Self {
-        Self::start_as(entries, stores, false)
+        Self::start_as(entries, stores, false, None)
+    }
+
+    /// Starts a system whose settings name the resources of each process.
+    ///
+    /// # Panics
+    ///
+    /// As [`PlatformSystem::start`].
+    pub fn start_with(entries: usize, stores: usize, resources: Resources) -> Self {
+        Self::start_as(entries, stores, false, Some(resources))
     }
 
     /// Starts a system whose instances reach each other through relays, and whose clocks and disks can
@@ -189,10 +222,15 @@
     ///
     /// As [`PlatformSystem::start`].
     pub fn start_behind_relays(entries: usize, stores: usize) -> Self {
-        Self::start_as(entries, stores, true)
+        Self::start_as(entries, stores, true, None)
     }
 
-    fn start_as(entries: usize, stores: usize, with_relays: bool) -> Self {
+    fn start_as(
+        entries: usize,
+        stores: usize,
+        with_relays: bool,
+        resources: Option<Resources>,
+    ) -> Self {
         let folder = tempfile::tempdir().expect("a folder can be made");
         let network = Network::reserve();
         let ip = |at: usize| IpAddr::V4(network.ip(1 + at as u8));
@@ -231,7 +269,7 @@
             .chain(&mut system.entries)
             .enumerate()
         {
-            write_settings(instance, DOMAINS[at % DOMAINS.len()], &seeds, true);
+            write_settings(instance, DOMAINS[at % DOMAINS.len()], &seeds, resources);
             instance.start();
         }
         system
@@ -429,7 +467,12 @@
     }
 }
 
-fn write_settings(instance: &Instance, domain: &str, seeds: &[SocketAddr], first: bool) {
+fn write_settings(
+    instance: &Instance,
+    domain: &str,
+    seeds: &[SocketAddr],
+    resources: Option<Resources>,
+) {
     let listen = if instance.is_store {
         json!({})
     } else {
@@ -441,7 +484,7 @@
     };
     let data = instance.settings.with_extension("data");
     fs::create_dir_all(&data).expect("a folder can be made");
-    let settings = json!({
+    let mut settings = json!({
         "node_name": instance.name,
         "serves": if instance.is_store { ["storage"] } else { ["edge"] },
         "ip": instance.ip,
@@ -451,11 +494,15 @@
         "listen": listen,
         "port_range": [PEER_PORT, PEER_PORT + 15],
         "seeds": seeds,
-        "bootstrap": first,
+        "bootstrap": true,
         "data_dir": instance.is_store.then_some(data),
         "heartbeat_ms": 300,
         "fault_tolerance": { "machines": 1 },
         "bounds": { "grace_s": 8, "drain_ms": 2_500, "config_apply_ms": 2_500, "status_ttl_s": 120 },
     });
+    if let Some(resources) = resources {
+        settings["limits"] =
+            json!({ "memory_mb": resources.memory_mb, "max_fds": resources.descriptors });
+    }
     fs::write(&instance.settings, settings.to_string()).expect("settings can be written");
 }
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -101,6 +101,8 @@
     pub crash_delay: Duration,
     /// Says in every answer that it leaves.
     pub leaving: bool,
+    /// Least length of an answer that is no stream.
+    pub answer_bytes: usize,
 }
 
 impl Default for Behaviour {
@@ -117,6 +119,7 @@
             events_before_crash: 0,
             crash_delay: CRASH_DELAY,
             leaving: false,
+            answer_bytes: 0,
         }
     }
 }
@@ -493,7 +496,10 @@
     behaviour.pause_before(SilenceBefore::Head).await;
     if path.starts_with(SAFE) {
         tokio::time::sleep(behaviour.pause).await;
-        return signed(plain(StatusCode::OK, &format!("answer to {id}")), &id);
+        let mut answer = format!("answer to {id}");
+        let padding = behaviour.answer_bytes.saturating_sub(answer.len());
+        answer.push_str(&" ".repeat(padding));
+        return signed(plain(StatusCode::OK, &answer), &id);
     }
     signed(events(running, &id, after.unwrap_or(0), behaviour), &id)
 }
