serving: what callers make a process hold is bounded

Cause: bodies of requests and control calls, and answers that are passed on whole, were collected frame by frame without a bound over all connections; each chunk kept a buffer of its own; connections were not counted; a caller that did not read kept its connection, its answer and its target's slot for ever; the control listener read 16 MiB for any call.

Change: `intake` divides the memory and the descriptors that the settings name into pools for bodies and answers, a number of connections, and the jobs that the leader replicates at a time. Data is read into one buffer that holds its room until the last use. Large data gets room in turn; a part is kept for small data; slow bodies give way when others wait; idle connections give way to new ones. Refusals come before a target has seen the request. After the last response the connection is read for a while, so that a 413 reaches its caller. A caller that does not read loses its connection after 5 s; a target that cuts off what is not read is not taken for crashed or failed, and time in which it was not read is not its silence.

Found by the slow readers' tests: after pipelined requests the idle time-out never ran, since the HTTP library does not read again if its last read found nothing. `an_idle_connection..after_an_answer..` failed on the old code.

--- a/crates/daemon/tests/all/platform/limits.rs
+++ b/crates/daemon/tests/all/platform/limits.rs
@@ -201,6 +201,38 @@
     });
 }
 
+/// A connection on which a request was answered must not be held for ever either.
+#[test]
+fn a_connection_that_is_idle_after_an_answer_is_closed_after_the_idle_timeout() {
+    with_world(1, async |world| {
+        set_idle_timeout(&world, 2, 1_000).await;
+        let entry = world.system.entries[0].callers();
+        let unrouted = "GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n".to_owned();
+        let served = format!(
+            "POST {SAFE}1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: idle\r\n\
+             Content-Length: 4\r\n\r\nbody"
+        );
+        for request in [
+            unrouted.clone(),
+            served.clone(),
+            unrouted.repeat(3),
+            served.repeat(3),
+        ] {
+            let mut caller = tokio::net::TcpStream::connect(entry)
+                .await
+                .expect("a connection opens");
+            caller
+                .write_all(request.as_bytes())
+                .await
+                .expect("a request is sent");
+            let mut answer = Vec::new();
+            let ended = tokio::time::timeout(PATIENCE, caller.read_to_end(&mut answer)).await;
+            ended.expect("it is closed").expect("without a reset");
+            assert!(answer.starts_with(b"HTTP/1.1 "), "{answer:?}");
+        }
+    });
+}
+
 /// Guards against issue 28: the time for the head of a request ran while the response to the one before it
 /// was sent, so that the connection ended although the rest of the head was on its way.
 #[test]
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -42,6 +42,7 @@
         Balancer,
         Location, //
     },
+    intake::Intake,
     link::{
         AddressBook,
         CallError,
@@ -78,6 +79,7 @@
     pub(crate) test_hooks: TestHooks,
     pub(crate) links: Links,
     pub(crate) upstream: Arc<Upstream>,
+    pub(crate) intake: Intake,
     pub(crate) neighbours: Neighbours,
     pub(crate) relay: Relay,
     /// Wakes requests that wait for the manifest.
@@ -130,6 +132,7 @@
         Self {
             links: Links::new(test_hooks.relay_port.unwrap_or(settings.first_port)),
             upstream: Arc::new(Upstream::new(clock)),
+            intake: Intake::new(clock, settings.limits),
             relay: Relay::default(),
             neighbours: Neighbours::new(settings.first_port, started_at),
             manifest_changed: Notify::new(),
--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -10,10 +10,6 @@
     Request,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt as _,
-    Limited, //
-};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use yuccaseam_base::{
@@ -31,6 +27,7 @@
 use crate::{
     cx::Cx,
     follow::PendingNotifications,
+    intake::ReadLimits,
     link::{
         FollowerMessage,
         HubReply,
@@ -42,6 +39,7 @@
 };
 
 use super::{
+    front::unread_body,
     http_server::{
         Connections,
         DEFAULT_LIMITS,
@@ -55,8 +53,12 @@
     },
 };
 
-/// Largest request body, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Largest manifest, in bytes, where the memory allows it.
+const MAX_MANIFEST_BYTES: usize = 16 << 20;
+/// Largest body of a call that carries no manifest, in bytes.
+const MAX_SMALL_BODY_BYTES: usize = 1 << 20;
+/// Memory for each byte of a manifest while it is decoded and stored.
+const MANIFEST_BYTES_PER_BYTE: u64 = 6;
 /// Time-out for the body of a call. Those of targets are small, and manifests come within a second.
 const BODY_TIMEOUT: Millis = Millis(8_000);
 /// Time-out of an operator's call to the leader.
@@ -92,9 +94,20 @@
     let Some(call) = ControlCall::parse(req.method(), req.uri().path()) else {
         return text(StatusCode::NOT_FOUND, "no such call");
     };
-    let body = Limited::new(req.into_body(), MAX_BODY_BYTES).collect();
+    let limits = ReadLimits {
+        max_bytes: match call {
+            ControlCall::PutManifest => {
+                let room = cx.intake.limits.bodies.large() / MANIFEST_BYTES_PER_BYTE;
+                MAX_MANIFEST_BYTES.min(room as usize)
+            }
+            _ => MAX_SMALL_BODY_BYTES,
+        },
+        bytes_per_byte: MANIFEST_BYTES_PER_BYTE,
+        max_wait: BODY_TIMEOUT,
+    };
+    let body = cx.intake.bodies.read(req.into_body(), limits);
     let body = match timeout(BODY_TIMEOUT.duration(), body).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Err(_) => {
             log::warn!(limit_ms = BODY_TIMEOUT.0; "body of a control call not received in time");
             return text(
@@ -102,11 +115,9 @@
                 "request body not received in time",
             );
         }
-        Ok(Err(_)) => {
-            return text(
-                StatusCode::BAD_REQUEST,
-                "request body is malformed or too large",
-            );
+        Ok(Err(error)) => {
+            log::warn!(why = error.code(); "body of a control call not read");
+            return unread_body(error);
         }
     };
     match call {
--- a/crates/serving/src/entry/front.rs
+++ b/crates/serving/src/entry/front.rs
@@ -7,17 +7,13 @@
 
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Method,
     Request,
     StatusCode,
     header,
     request::Parts, //
 };
-use http_body_util::{
-    BodyExt as _,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use yuccaseam_base::Millis;
@@ -31,9 +27,14 @@
 use crate::{
     admission::{
         MAX_MANIFEST_WAIT,
+        retry_after,
         retry_after_startup, //
     },
     cx::Cx,
+    intake::{
+        ReadError,
+        ReadLimits, //
+    },
     routes::RouteTable,
 };
 
@@ -54,6 +55,10 @@
 
 /// Part of a caller's time that is reserved for serving the request once the manifest is known.
 const MIN_SERVE_TIME: Millis = Millis(150);
+/// Longest wait for room for a body: a caller whose request is refused may be served elsewhere.
+const MAX_WAIT_FOR_ROOM: Millis = Millis(1_000);
+/// Memory for each byte of a job while it is decoded and sent to the leader. Its items may be very short.
+const JOB_BYTES_PER_BYTE: u64 = 6;
 /// Retry delay for a request that arrived too late in a planned stop: other instances take it at once.
 const STOPPING_RETRY_AFTER: Millis = Millis(50);
 
@@ -97,7 +102,7 @@
     let Some(route) = table.find(&host, head.uri.path()) else {
         return handle_unrouted(&cx, &table, &host, &head, arrived_at).await;
     };
-    let body = match read_body_in_time(&head, body, route, &table).await {
+    let body = match read_body_in_time(&head, body, route, &table, &cx).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -151,11 +156,21 @@
     body: Incoming,
     route: &Route,
     table: &RouteTable,
+    cx: &Cx,
 ) -> Result<Bytes, HttpResponse> {
     let time_left = headers::millis(&head.headers, &headers::TIME_LEFT).unwrap_or(route.timeout);
-    let read = read_body(body, table.limits().body_bytes);
+    let limits = ReadLimits {
+        max_bytes: table.limits().body_bytes,
+        bytes_per_byte: if route.repeatability == Repeatability::Batch {
+            JOB_BYTES_PER_BYTE
+        } else {
+            1
+        },
+        max_wait: MAX_WAIT_FOR_ROOM,
+    };
+    let read = cx.intake.bodies.read(body, limits);
     let read = match timeout(time_left.min(route.timeout).duration(), read).await {
-        Ok(read) => read,
+        Ok(read) => read.map_err(unread_body),
         Err(_) => Err(text(
             StatusCode::REQUEST_TIMEOUT,
             "request body not received in time",
@@ -169,6 +184,23 @@
     read
 }
 
+/// Response to a request whose body was not read. The rest of the body is not read either.
+pub(super) fn unread_body(error: ReadError) -> HttpResponse {
+    metrics::counter!("yuccaseam_unread_bodies_total", "reason" => error.code()).increment(1);
+    let mut response = match error {
+        ReadError::TooLarge => text(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "request body exceeds the size limit",
+        ),
+        ReadError::Broken => text(StatusCode::BAD_REQUEST, "request body is malformed"),
+        ReadError::NoRoom => refusal("no room for the request body", retry_after(rand::random())),
+        ReadError::TooSlow => refusal("request body came too slowly", retry_after(rand::random())),
+    };
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 /// Returns the route table in force. If there is none, a retry waits for it, because its caller has
 /// no attempt left.
 async fn wait_for_table(cx: &Cx, head: &Parts, arrived_at: Millis) -> Option<Arc<RouteTable>> {
@@ -214,14 +246,3 @@
 fn request_id(head: &Parts) -> &str {
     headers::text(&head.headers, &headers::REQUEST_ID).unwrap_or("-")
 }
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, HttpResponse> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(text(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "request body exceeds the size limit",
-        )),
-        Err(_) => Err(text(StatusCode::BAD_REQUEST, "request body is malformed")),
-    }
-}
--- a/crates/serving/src/entry/head_timeout.rs
+++ b/crates/serving/src/entry/head_timeout.rs
@@ -42,13 +42,26 @@
 };
 use yuccaseam_base::Millis;
 
-use crate::fair_stream::FairStream;
+use crate::{
+    fair_stream::FairStream,
+    intake::MAX_PAUSE, //
+};
 
-use super::http_server::ConnectionLimits;
+use super::{
+    http_server::{
+        ConnectionLimits,
+        OpenConnection, //
+    },
+    unread::{
+        UNREAD_TIMEOUT,
+        Unread, //
+    },
+};
 
 /// Tracks whether a connection is processing a request or between two requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone)]
 pub(super) struct HeadState {
+    connection: Arc<OpenConnection>,
     /// Whether a head has been read whose response is not complete.
     in_request: Arc<AtomicBool>,
     /// Number of heads that have been read.
@@ -56,15 +69,25 @@
 }
 
 impl HeadState {
+    pub(super) fn new(connection: Arc<OpenConnection>) -> Self {
+        Self {
+            connection,
+            in_request: Arc::default(),
+            requests: Arc::default(),
+        }
+    }
+
     /// Records that the head of a request has been read.
     pub(super) fn request_started(&self) {
         self.requests.fetch_add(1, Ordering::Relaxed);
         self.in_request.store(true, Ordering::Relaxed);
+        self.connection.request_started();
     }
 
     /// Records that the whole response has been passed to the HTTP library: the next bytes begin a head.
     pub(super) fn response_ended(&self) {
         self.in_request.store(false, Ordering::Relaxed);
+        self.connection.response_ended();
     }
 
     fn is_in_request(&self) -> bool {
@@ -97,6 +120,7 @@
     /// Number of heads that had been read when `awaited` was set.
     requests: u64,
     timer: Pin<Box<Sleep>>,
+    unread: Unread,
 }
 
 impl<L> HeadTimeout<L>
@@ -114,6 +138,24 @@
             awaited: None,
             requests: 0,
             timer: Box::pin(sleep_until(Instant::now())),
+            unread: Unread::new(),
+        }
+    }
+
+    /// The stream itself, to end it.
+    pub(super) fn into_inner(self) -> FairStream<TcpStream> {
+        self.stream
+    }
+
+    /// Updates what is awaited after requests have begun and ended.
+    fn update_awaited(&mut self) {
+        let requests = self.state.requests();
+        // There may have been no read since the head before, if bytes of the next one came with it.
+        let is_next_head = std::mem::replace(&mut self.requests, requests) != requests;
+        if self.state.is_in_request() {
+            self.awaited = None;
+        } else if is_next_head || self.awaited.is_none() {
+            self.awaited = Some((Awaited::FirstByte, Instant::now()));
         }
     }
 
@@ -152,14 +194,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let requests = self.state.requests();
-        // There may have been no read since the head before, if bytes of the next one came with it.
-        let is_next_head = std::mem::replace(&mut self.requests, requests) != requests;
-        if self.state.is_in_request() {
-            self.awaited = None;
-        } else if is_next_head || self.awaited.is_none() {
-            self.awaited = Some((Awaited::FirstByte, Instant::now()));
-        }
+        self.update_awaited();
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if read.is_ready() {
@@ -180,20 +215,60 @@
     }
 }
 
+impl<L> HeadTimeout<L> {
+    /// Passes on the result of a write, unless the client has not read for too long.
+    fn track_written(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        match written {
+            Poll::Ready(Ok(bytes)) => {
+                self.unread.record_written(bytes);
+                Poll::Ready(Ok(bytes))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => {
+                let connection = &self.state.connection;
+                let limit = || {
+                    if connection.are_answers_short() {
+                        MAX_PAUSE
+                    } else {
+                        UNREAD_TIMEOUT
+                    }
+                };
+                ready!(self.unread.poll_expired(cx, limit));
+                metrics::counter!("yuccaseam_connections_closed_total", "reason" => "unread")
+                    .increment(1);
+                log::info!("connection closed: its client does not read");
+                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+            }
+        }
+    }
+}
+
 impl<L> AsyncWrite for HeadTimeout<L>
 where
-    L: Unpin,
+    L: Fn() -> ConnectionLimits + Unpin,
 {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.track_written(cx, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        // The HTTP library does not read after a response if a read during the request found nothing. The
+        // timer then wakes it to read.
+        self.update_awaited();
+        if self.poll_expired(cx).is_ready() {
+            cx.waker().wake_by_ref();
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -205,7 +280,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.track_written(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/serving/src/entry/http_server.rs
+++ b/crates/serving/src/entry/http_server.rs
@@ -1,14 +1,17 @@
 //! HTTP server with graceful shutdown at a planned stop.
 
 use std::{
-    future::Future,
+    collections::HashMap,
+    convert::Infallible,
+    future::{
+        Future,
+        poll_fn, //
+    },
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{
-            AtomicUsize,
-            Ordering, //
-        },
+        Mutex,
+        MutexGuard, //
     },
 };
 
@@ -21,16 +24,32 @@
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
     net::{
         TcpListener,
         TcpStream, //
     },
-    sync::watch, //
+    sync::{
+        Notify,
+        watch, //
+    },
+    time::timeout, //
 };
 use yuccaseam_base::Millis;
 use yuccaseam_platform::ClientLimits;
 
-use crate::link::pause;
+use crate::{
+    cx::Cx,
+    fair_stream::FairStream,
+    intake::{
+        ConnectionId,
+        ConnectionTable, //
+    },
+    link::pause, //
+};
 
 use super::{
     exchange::Exchange,
@@ -51,6 +70,12 @@
 const MIN_READ_BUFFER_BYTES: usize = 8_192;
 /// Pause after a failed accept, for instance with too many open files.
 const ACCEPT_BACKOFF: Millis = Millis(20);
+/// Pause between checks for room for a new connection.
+const ADMIT_INTERVAL: Millis = Millis(100);
+/// How long, and how many bytes of, what a client sends after the last response is read.
+const LINGER_TIME: Millis = Millis(1_000);
+const MAX_LINGER_BYTES: usize = 4 << 20;
+const LINGER_BUFFER_BYTES: usize = 2_048;
 
 /// Limits on one client connection.
 #[derive(Clone, Copy, Debug)]
@@ -75,15 +100,62 @@
 
 /// Tracks the open connections of this process and closes them at a planned stop.
 pub(crate) struct Connections {
+    cx: Arc<Cx>,
     closing: watch::Sender<bool>,
-    open: AtomicUsize,
+    table: Mutex<ConnectionTable>,
+    /// How to tell an idle connection that it is to be closed.
+    close_one: Mutex<HashMap<ConnectionId, Arc<Notify>>>,
+    /// Wakes a listener when a connection has ended.
+    ended: Notify,
 }
 
 impl Connections {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(cx: &Arc<Cx>) -> Self {
         Self {
+            cx: Arc::clone(cx),
             closing: watch::Sender::new(false),
-            open: AtomicUsize::new(0),
+            table: Mutex::new(ConnectionTable::new(cx.intake.limits.connections)),
+            close_one: Mutex::default(),
+            ended: Notify::new(),
+        }
+    }
+
+    fn table(&self) -> MutexGuard<'_, ConnectionTable> {
+        self.table.lock().expect("no thread panics with the lock")
+    }
+
+    fn close_one(&self) -> MutexGuard<'_, HashMap<ConnectionId, Arc<Notify>>> {
+        let close_one = self.close_one.lock();
+        close_one.expect("no thread panics with the lock")
+    }
+
+    /// Waits until there is room for a new connection. Idle ones are closed for it.
+    async fn admit(self: &Arc<Self>) -> OpenConnection {
+        loop {
+            let ended = self.ended.notified();
+            if let Some(id) = self.table().open(self.cx.clock.now()) {
+                let close = Arc::new(Notify::new());
+                self.close_one().insert(id, Arc::clone(&close));
+                let connections = Arc::clone(self);
+                return OpenConnection {
+                    connections,
+                    id,
+                    close,
+                };
+            }
+            let selected = self.table().select_for_close();
+            if let Some(id) = selected {
+                metrics::counter!("yuccaseam_connections_closed_total", "reason" => "too_many")
+                    .increment(1);
+                log::debug!(open = self.open(); "idle connection closed for a new one");
+                if let Some(close) = self.close_one().get(&id) {
+                    close.notify_one();
+                }
+            } else {
+                self.cx.intake.bodies.evict_slow();
+            }
+            // On wake-up and on time-out alike, the loop checks again.
+            let _ = timeout(ADMIT_INTERVAL.duration(), ended).await;
         }
     }
 
@@ -94,7 +166,50 @@
 
     /// Number of open connections.
     pub(crate) fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
+        self.table().len()
+    }
+}
+
+/// Connection that counts as open until it is dropped.
+pub(super) struct OpenConnection {
+    connections: Arc<Connections>,
+    id: ConnectionId,
+    close: Arc<Notify>,
+}
+
+impl OpenConnection {
+    /// Records that the head of a request has been read.
+    pub(super) fn request_started(&self) {
+        self.connections.table().record_request(self.id);
+    }
+
+    /// Records that the whole response has been passed to the HTTP library.
+    pub(super) fn response_ended(&self) {
+        let now = self.connections.cx.clock.now();
+        self.connections.table().record_idle(self.id, now);
+    }
+
+    /// Whether others wait for the room that unread answers take.
+    pub(super) fn are_answers_short(&self) -> bool {
+        self.connections.cx.intake.answers.is_short()
+    }
+
+    /// Ends when the connection is to be closed for another one.
+    async fn selected_for_close(&self) {
+        loop {
+            self.close.notified().await;
+            if self.connections.table().confirm_close(self.id) {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.table().close(self.id);
+        self.connections.close_one().remove(&self.id);
+        self.connections.ended.notify_waiters();
     }
 }
 
@@ -130,8 +245,17 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let (connections, handler) = (Arc::clone(&connections), Arc::clone(&handler));
-                    tokio::spawn(serve(stream, connections, limits.clone(), handler));
+                    let connection = tokio::select! {
+                        connection = connections.admit() => connection,
+                        () = wait_for_close(&mut closing) => return,
+                    };
+                    let connection = Arc::new(connection);
+                    tokio::spawn(serve(
+                        stream,
+                        connection,
+                        limits.clone(),
+                        Arc::clone(&handler),
+                    ));
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "cannot accept connection");
@@ -145,7 +269,7 @@
 
 async fn serve<L, H, F>(
     stream: TcpStream,
-    connections: Arc<Connections>,
+    connection: Arc<OpenConnection>,
     limits: L,
     handler: Arc<H>,
 ) where
@@ -153,33 +277,51 @@
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = HttpResponse> + Send + 'static,
 {
-    connections.open.fetch_add(1, Ordering::Relaxed);
     // If this fails, small writes are only slower.
     let _ = stream.set_nodelay(true);
-    let state = HeadState::default();
+    let state = HeadState::new(Arc::clone(&connection));
     let service = service_fn(|req| {
         let exchange = Exchange::new(&req, state.clone());
         let response = handler(req);
-        async move { Ok::<_, std::convert::Infallible>(exchange.respond(response.await)) }
+        Box::pin(async move { Ok::<_, Infallible>(exchange.respond(response.await)) })
     });
     let max_head_bytes = limits().max_head_bytes;
     let stream = HeadTimeout::new(stream, state.clone(), limits);
-    let conn = http1::Builder::new()
+    let mut conn = http1::Builder::new()
         // `HeadTimeout` runs the timers.
         .header_read_timeout(None)
         .max_buf_size(max_head_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(conn);
-    let mut closing = connections.closing.subscribe();
-    tokio::select! {
-        // Not logged: clients may close connections at any time.
-        result = conn.as_mut() => drop(result),
+    let mut closing = connection.connections.closing.subscribe();
+    // Results are not logged: clients may close connections at any time.
+    let result = tokio::select! {
+        result = poll_fn(|cx| conn.poll_without_shutdown(cx)) => result,
+        () = connection.selected_for_close() => return,
         () = wait_for_close(&mut closing) => {
-            conn.as_mut().graceful_shutdown();
-            drop(conn.await);
+            Pin::new(&mut conn).graceful_shutdown();
+            poll_fn(|cx| conn.poll_without_shutdown(cx)).await
+        }
+    };
+    if result.is_ok() {
+        let stream = conn.into_parts().io.into_inner();
+        let _ = timeout(LINGER_TIME.duration(), linger(stream.into_inner())).await;
+    }
+}
+
+/// Ends a connection. What the client still sends is read for a while: if it were left unread, the client's
+/// copy of the last response would be lost.
+async fn linger(mut stream: FairStream<TcpStream>) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut buf = [0; LINGER_BUFFER_BYTES];
+    let mut bytes = 0;
+    while bytes < MAX_LINGER_BYTES {
+        match stream.read(&mut buf).await {
+            Ok(0) | Err(_) => return,
+            Ok(length) => bytes += length,
         }
     }
-    connections.open.fetch_sub(1, Ordering::Relaxed);
 }
 
 async fn wait_for_close(closing: &mut watch::Receiver<bool>) {
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod online;
 mod response;
 mod stream;
+mod unread;
 
 pub(crate) use control::serve as serve_control;
 pub(crate) use front::serve as serve_callers;
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -30,11 +30,8 @@
     header,
     request::Parts, //
 };
-use http_body_util::{
-    BodyExt as _,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use tokio::time::timeout;
 use yuccaseam_base::{
     Millis,
@@ -52,6 +49,10 @@
         Choice, //
     },
     cx::Cx,
+    intake::{
+        ReadError,
+        ReadLimits, //
+    },
     link::pause,
     quarantine::Feature,
     routes::choose_destination,
@@ -440,7 +441,10 @@
             whole_request:% = self.whole_request,
             prompt_parts = headers::text(&self.head.headers, &headers::PROMPT_PARTS);
             "request failed at the target");
-        slot.record_failure();
+        // A target does well to cut off what is not read.
+        if error.failure != Failure::Unread {
+            slot.record_failure();
+        }
         self.tried.push(slot.choice.key);
         if error.failure == Failure::InvalidResponse {
             self.faulty.push(slot.choice.key);
@@ -454,17 +458,35 @@
         Ok(())
     }
 
+    /// Reads an answer that is passed on whole.
+    pub(super) fn read_answer(
+        &self,
+        body: Incoming,
+    ) -> impl Future<Output = Result<Bytes, ReadError>> + use<> {
+        let limits = ReadLimits {
+            max_bytes: MAX_BUFFERED_BYTES,
+            bytes_per_byte: 1,
+            max_wait: self.deadline - self.now(),
+        };
+        let answers = Arc::clone(&self.cx.intake.answers);
+        async move { answers.read(body, limits).await }
+    }
+
     /// Serves a request whose response is buffered, not streamed.
     async fn buffered_response(&mut self) -> Result<HttpResponse, RequestFailure> {
         loop {
             let (slot, response) = self.call(None, None).await?;
             let status = response.head.status;
             let remaining = self.deadline - self.now();
-            let body = Limited::new(response.body, MAX_BUFFERED_BYTES).collect();
+            let body = self.read_answer(response.body);
             let body = match timeout(remaining.duration(), body).await {
-                Ok(Ok(body)) => body.to_bytes(),
-                Ok(Err(_)) => {
-                    let error = UpstreamError::may_have_run(Failure::Broken);
+                Ok(Ok(body)) => body,
+                Ok(Err(error)) => {
+                    let failure = match error {
+                        ReadError::NoRoom | ReadError::TooSlow => Failure::Unread,
+                        ReadError::TooLarge | ReadError::Broken => Failure::Broken,
+                    };
+                    let error = UpstreamError::may_have_run(failure);
                     self.record_if_crash(&slot, &error);
                     self.handle_failure(&slot, &error)?;
                     continue;
--- a/crates/serving/src/entry/stream.rs
+++ b/crates/serving/src/entry/stream.rs
@@ -13,7 +13,6 @@
 use futures_util::stream;
 use http_body_util::{
     BodyExt as _,
-    Limited,
     StreamBody, //
 };
 use hyper::body::{
@@ -30,6 +29,7 @@
         InvalidEvent,
         parse_event_id, //
     },
+    intake::SlowReader,
     silence::{
         Silence,
         SilenceStep, //
@@ -45,7 +45,6 @@
 use super::{
     online::{
         ActiveRequest,
-        MAX_BUFFERED_BYTES,
         RequestFailure,
         Slot,
         response_with_body, //
@@ -74,6 +73,8 @@
     /// Time since the current target last completed an event, or its response began. Bytes that complete
     /// no event do not count as progress.
     silence: Silence,
+    /// Pauses of the caller, and when the last one ended.
+    reader: SlowReader,
     /// When the first bytes of an incomplete event arrived.
     partial_since: Option<Millis>,
     /// Longest time between two events.
@@ -120,6 +121,7 @@
     let mut forwarded = ForwardedStream {
         head: response.head.clone(),
         silence: request.silence(),
+        reader: SlowReader::default(),
         partial_since: None,
         request,
         source: Some(Source::new(slot, response)),
@@ -138,8 +140,12 @@
     let frames = stream::unfold((Some(first), forwarded), |(first, mut forwarded)| async {
         let events = match first {
             Some(first) => Ok(first),
-            None => forwarded.next_events().await.transpose()?,
+            None => {
+                forwarded.record_read();
+                forwarded.next_events().await.transpose()?
+            }
         };
+        forwarded.reader.record_passed(forwarded.now());
         let frame = events.map(Frame::data);
         let frame = frame.map_err(|error| BodyError::from(error.reason()));
         Some((frame, (None, forwarded)))
@@ -161,7 +167,7 @@
             source.slot.record_failure();
         }
         let remaining = self.request.deadline - self.request.cx.clock.now();
-        let body = Limited::new(source.body, MAX_BUFFERED_BYTES).collect();
+        let body = self.request.read_answer(source.body);
         let body = timeout(remaining.duration(), body).await;
         let Ok(Ok(body)) = body else {
             return Err(self.request.fail_after_run("broken"));
@@ -172,7 +178,7 @@
         source.conn.release();
         self.request
             .log_response(&source.slot, head.status, "failed_by_target");
-        Ok(response_with_body(head, full_body(body.to_bytes())))
+        Ok(response_with_body(head, full_body(body)))
     }
 
     /// Returns the next events for the caller, or `None` after the regular end of the stream.
@@ -263,8 +269,22 @@
         Some(ReadOutcome::Failed(Failure::InvalidResponse))
     }
 
+    fn now(&self) -> Millis {
+        self.request.cx.clock.now()
+    }
+
+    /// Records that the caller has read what was passed on. The target was not read in the meantime, and so
+    /// not silent.
+    fn record_read(&mut self) {
+        let now = self.now();
+        if self.reader.record_read(now) {
+            self.silence.record_progress(now);
+            self.partial_since = None;
+        }
+    }
+
     fn record_event(&mut self) {
-        let now = self.request.cx.clock.now();
+        let now = self.now();
         self.silence.record_progress(now);
         match self.last_event_at {
             Some(previous) => self.longest_pause = self.longest_pause.max(now - previous),
@@ -304,6 +324,10 @@
         let Some(source) = self.source.take() else {
             return Err(self.request.fail(failure.code()));
         };
+        let failure = match failure {
+            Failure::Broken if self.reader.may_have_been_cut_off(self.now()) => Failure::Unread,
+            failure => failure,
+        };
         let error = UpstreamError::may_have_run(failure);
         // Closed first, so that the first target stops before a second one starts.
         drop(source.conn);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,8 +4,8 @@
 //! persists the durable state. The stores replicate one log. Their leader tracks all targets and
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
-//! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
-//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
+//! The decision modules ([`admission`], [`balance`], [`health`], [`intake`],
+//! [`leader_search`], [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
 //! [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
@@ -18,6 +18,7 @@
 mod fair_stream;
 mod follow;
 pub mod health;
+pub mod intake;
 pub mod leader_search;
 mod link;
 pub mod load_fanout;
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -79,7 +79,7 @@
         instance:% = settings.instance, domain:% = settings.domain, store = settings.is_store,
         first_start = settings.is_first_start; "starting");
     let cx = Arc::new(Cx::new(settings));
-    let connections = Arc::new(Connections::new());
+    let connections = Arc::new(Connections::new(&cx));
     let notifications = Arc::new(PendingNotifications::default());
     let internal_address = SocketAddr::new(cx.settings.ip, cx.settings.first_port);
     let store = if cx.settings.is_store {
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -97,6 +97,12 @@
     }
 
     async fn submit(&self, mut job: NewJob) -> HubReply {
+        // No promise that the job does not run: an earlier attempt to submit it may be in progress.
+        let Some(_submission) = self.cx.intake.submissions.begin(job.stored_bytes()) else {
+            metrics::counter!("yuccaseam_jobs_put_off_total").increment(1);
+            log::warn!(job = job.id.as_str(); "job not replicated: too many are in progress");
+            return HubReply::Unknown;
+        };
         let is_new = self.replica.read(|state| state.job(&job.id).is_none());
         if is_new && self.is_leader() {
             self.apply_route_limits(&mut job);
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -80,6 +80,9 @@
     InvalidResponse,
     /// No response, or no further part of it, arrived in time.
     TimedOut,
+    /// The response was cut off while this instance did not read it, for want of room or because its caller
+    /// did not read.
+    Unread,
 }
 
 impl Failure {
@@ -90,6 +93,7 @@
             Self::Broken => "broken",
             Self::InvalidResponse => "wrong_answer",
             Self::TimedOut => "silent",
+            Self::Unread => "unread",
         }
     }
 }
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod group;
 mod health;
 mod herd;
+mod intake;
 mod leader_search;
 mod load_fanout;
 mod neighbourhood;
