serving: connections that are ending, and callers that read slowly, give way to new connections

Cause: a connection that lingered after its last response was selected for a new one, which then waited up to 1 s; with all connections in use by callers that pause, new ones waited 5 s. Change: lingering ends at once when the connection is selected; while all connections have requests, a pause in reading of 500 ms is the limit, as it is while answers wait for room.

--- a/crates/serving/src/entry/head_timeout.rs
+++ b/crates/serving/src/entry/head_timeout.rs
@@ -231,7 +231,7 @@
             Poll::Pending => {
                 let connection = &self.state.connection;
                 let limit = || {
-                    if connection.are_answers_short() {
+                    if connection.is_awaited() {
                         MAX_PAUSE
                     } else {
                         UNREAD_TIMEOUT
--- a/crates/serving/src/entry/http_server.rs
+++ b/crates/serving/src/entry/http_server.rs
@@ -9,9 +9,11 @@
     },
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard, //
+        Arc, Mutex, MutexGuard,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
     },
 };
 
@@ -107,6 +109,8 @@
     close_one: Mutex<HashMap<ConnectionId, Arc<Notify>>>,
     /// Wakes a listener when a connection has ended.
     ended: Notify,
+    /// Whether a new connection waits for one that has a request.
+    is_short: AtomicBool,
 }
 
 impl Connections {
@@ -117,6 +121,7 @@
             table: Mutex::new(ConnectionTable::new(cx.intake.limits.connections)),
             close_one: Mutex::default(),
             ended: Notify::new(),
+            is_short: AtomicBool::new(false),
         }
     }
 
@@ -136,6 +141,7 @@
             if let Some(id) = self.table().open(self.cx.clock.now()) {
                 let close = Arc::new(Notify::new());
                 self.close_one().insert(id, Arc::clone(&close));
+                self.is_short.store(false, Ordering::Relaxed);
                 let connections = Arc::clone(self);
                 return OpenConnection {
                     connections,
@@ -152,6 +158,7 @@
                     close.notify_one();
                 }
             } else {
+                self.is_short.store(true, Ordering::Relaxed);
                 self.cx.intake.bodies.evict_slow();
             }
             // On wake-up and on time-out alike, the loop checks again.
@@ -189,9 +196,10 @@
         self.connections.table().record_idle(self.id, now);
     }
 
-    /// Whether others wait for the room that unread answers take.
-    pub(super) fn are_answers_short(&self) -> bool {
-        self.connections.cx.intake.answers.is_short()
+    /// Whether others wait for the room that unread answers take, or for a connection.
+    pub(super) fn is_awaited(&self) -> bool {
+        let connections = &self.connections;
+        connections.is_short.load(Ordering::Relaxed) || connections.cx.intake.answers.is_short()
     }
 
     /// Ends when the connection is to be closed for another one.
@@ -304,7 +312,12 @@
     };
     if result.is_ok() {
         let stream = conn.into_parts().io.into_inner();
-        let _ = timeout(LINGER_TIME.duration(), linger(stream.into_inner())).await;
+        let lingering = timeout(LINGER_TIME.duration(), linger(stream.into_inner()));
+        tokio::select! {
+            // The client gets the response or not: there is nothing left to do.
+            _ = lingering => {}
+            () = connection.selected_for_close() => {}
+        }
     }
 }
 
