--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,13 +4,15 @@
 //! persists the durable state. The stores replicate one log. Their leader tracks all targets and
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
-//! The decision modules ([`admission`], [`balance`], [`health`], [`intake`],
-//! [`leader_search`], [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
-//! [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
+//! The decision modules ([`admission`], [`balance`], [`health`], [`intake`], [`leader_search`],
+//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
+//! [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
+//! [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
 pub mod capacity;
+mod close_check;
 mod crash_reports;
 mod cx;
 mod entry;
@@ -35,8 +37,11 @@
 pub mod state;
 mod store;
 pub mod targets;
+pub mod team_turns;
+pub mod teams;
 mod test_hooks;
 mod upstream;
+pub mod waves;
 
 pub use run::run;
 pub use store::{
