--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -43,6 +43,7 @@
         Location, //
     },
     entry::EntryShares,
+    intake::Intake,
     link::{
         AddressBook,
         CallError,
@@ -83,6 +84,7 @@
     pub(crate) test_hooks: TestHooks,
     pub(crate) links: Links,
     pub(crate) upstream: Arc<Upstream>,
+    pub(crate) intake: Intake,
     pub(crate) neighbours: Neighbours,
     pub(crate) relay: Relay,
     pub(crate) shares: EntryShares,
@@ -144,6 +146,7 @@
         Self {
             links: Links::new(test_hooks.relay_port.unwrap_or(settings.first_port)),
             upstream: Arc::new(Upstream::new(clock)),
+            intake: Intake::new(clock, settings.limits),
             relay: Relay::default(),
             shares: EntryShares::default(),
             neighbours: Neighbours::new(settings.first_port, started_at),
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod response;
 mod shares;
 mod stream;
+mod unread;
 
 pub(crate) use control::serve as serve_control;
 pub(crate) use front::serve as serve_callers;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,7 +4,7 @@
 //! persists the durable state. The stores replicate one log. Their leader tracks all targets and
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
-//! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
+//! The decision modules ([`admission`], [`balance`], [`health`], [`intake`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`quota`], [`routes`], [`schedule`],
 //! [`shares`], [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
 //! [`GroupManager`]) do no I/O and read no clock.
@@ -21,6 +21,7 @@
 mod fair_stream;
 mod follow;
 pub mod health;
+pub mod intake;
 pub mod leader_search;
 mod link;
 pub mod load_fanout;
--- a/crates/serving/tests/all/waves.rs
+++ b/crates/serving/tests/all/waves.rs
@@ -51,7 +51,7 @@
     let mut now = Millis::ZERO;
     while now < end {
         waves.record(now, callers_at(now, mean));
-        now = now + SAMPLE_INTERVAL;
+        now += SAMPLE_INTERVAL;
     }
     waves
 }
@@ -227,7 +227,7 @@
             let (due_at, remaining) = waiting.remove(&key).expect("it waits");
             running.insert(key, (target, due_at, now + remaining));
         }
-        now = now + STEP;
+        now += STEP;
     }
     tally
 }
