--- a/crates/serving/src/shares/allocation.rs
+++ b/crates/serving/src/shares/allocation.rs
@@ -30,7 +30,7 @@
 /// Returns the share of each flow, in slots. The shares add up to the demand or to the capacity, whichever
 /// is less.
 ///
-/// Each flow gets its floor. Then the flows get up to [`PRIORITY_SHARES`] weighted shares each, by priority;
+/// Each flow gets its floor. Then the flows get up to one and a half weighted shares each, by priority;
 /// what is left goes to all by weight, so that no flow gets precedence for all that it sends.
 pub fn allocate(capacity: f64, flows: &[FlowDemand]) -> Vec<f64> {
     let total: f64 = flows.iter().map(|flow| flow.demand).sum();
