serving: targets are placed by their pace, where they report it

Cause: the fourth figure of a target's load header says how long work takes there, and was not read. Requests were spread by counts alone, also over targets of very different speed.

Change: crates/serving/src/pace keeps the reported pace of each target (lasting and momentary part, bounded by what complete answers took, fading with age) and learns how the times of a service depend on it. The balancer adds the expected delay and slot time to the cost of a target; admission uses the times at the chosen target. Neighbours tell each other an unusual pace behind the existing datagram, which older entries ignore. One pass over the targets instead of four. Not measured yet.

--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -14,9 +14,12 @@
     value, //
 };
 
-use crate::balance::{
-    Availability,
-    Choice, //
+use crate::{
+    balance::{
+        Availability,
+        Choice, //
+    },
+    pace::PaceTimes, //
 };
 
 /// Most requests that may queue at a target beyond its slots. A target rejects requests beyond some
@@ -134,6 +137,8 @@
     response: Millis,
     /// Time for which a request occupies its slot.
     occupancy: Millis,
+    /// How both depend on the pace of the target, where targets report it.
+    by_pace: PaceTimes,
 }
 
 impl ServiceTimes {
@@ -142,9 +147,35 @@
         Self {
             response: Millis(objective.0 / 4),
             occupancy: objective * 3,
+            by_pace: PaceTimes::default(),
         }
     }
 
+    /// Records a complete answer of a target with a known pace, in percent, in addition to
+    /// [`Self::record`].
+    pub fn record_pace(&mut self, pace: u32, response: Millis, occupancy: Millis) {
+        self.by_pace.record(pace, response, occupancy);
+    }
+
+    /// How the times depend on the pace of the target.
+    pub fn by_pace(&self) -> &PaceTimes {
+        &self.by_pace
+    }
+
+    /// Times at a target with this pace, in percent.
+    pub fn at_pace(mut self, pace: Option<u32>) -> Self {
+        if let Some(pace) = pace.filter(|_| self.by_pace.is_known()) {
+            self.response = self.by_pace.response_at(pace);
+            self.occupancy = self.by_pace.occupancy_at(pace);
+        }
+        self
+    }
+
+    /// Expected time until the response begins at a target with a free slot.
+    pub fn response(&self) -> Millis {
+        self.response
+    }
+
     /// Records a request that found a free slot.
     pub fn record(&mut self, response: Millis, occupancy: Millis) {
         let average = |old: Millis, sample: Millis| {
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -4,7 +4,8 @@
 //! entries of its region, which report each request at once) and those of all others, as last sent
 //! by the leader. Loads within the neighbourhood are therefore exact. Among other targets of
 //! similar cost, jitter decides, because every entry sees the same stale loads. Near targets are
-//! preferred until they are nearly full.
+//! preferred until they are nearly full. Where targets report their pace, a target costs less the
+//! sooner its response is expected and the sooner it frees the slot (see [`crate::pace`]).
 
 use std::{
     collections::HashMap,
@@ -21,6 +22,10 @@
 
 use crate::{
     health::Health,
+    pace::{
+        PaceCost,
+        TargetPace, //
+    },
     targets::{
         TargetKey,
         TargetRecord, //
@@ -104,6 +109,22 @@
     pub same_region: bool,
     /// Time since the leader last sent loads.
     pub loads_age: Millis,
+    /// Expected pace of the target, in percent of the usual time. `None` if the service's targets report
+    /// no pace.
+    pub pace: Option<u32>,
+}
+
+/// A request that needs a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement<'a> {
+    /// Service that the request is for.
+    pub service: &'a str,
+    /// Targets that are not to be chosen.
+    pub tried: &'a [TargetKey],
+    /// Breaks ties; uniform over all values.
+    pub draw: u64,
+    /// What the pace of a target costs the request.
+    pub pace: PaceCost,
 }
 
 /// How far the known load of a target can be relied on.
@@ -124,6 +145,7 @@
     /// Requests of the neighbours.
     neighbours: u32,
     local: u32,
+    pace: TargetPace,
 }
 
 impl View {
@@ -147,6 +169,15 @@
         self.record.slots.saturating_sub(taken)
     }
 
+    /// Expected pace of a request. `None` if the pace is not compared.
+    fn expected_pace(&self, cost: &PaceCost, now: Millis) -> Option<u32> {
+        if cost.is_known() {
+            self.pace.expected(cost.momentary_percent(), now)
+        } else {
+            None
+        }
+    }
+
     fn availability(&self, accuracy: Accuracy) -> Availability {
         if self.free_slots(accuracy) > 0 {
             Availability::Free
@@ -263,6 +294,7 @@
             remote: Load::default(),
             neighbours,
             local: 0,
+            pace: TargetPace::default(),
         };
         self.views.insert(key, view);
     }
@@ -323,7 +355,8 @@
         report
     }
 
-    /// Chooses the best target of a service; `None` if no target takes work. `draw` breaks ties.
+    /// Chooses the best target of a service by counts alone; `None` if no target takes work. `draw` breaks
+    /// ties.
     pub fn choose(
         &self,
         service: &str,
@@ -331,64 +364,126 @@
         draw: u64,
         now: Millis,
     ) -> Option<Choice> {
-        let is_usable = |view: &&View| view.record.service == service && view.record.takes_work();
-        let is_unhealthy = |view: &View| self.health.is_avoided(&view.record.name, now);
-        let count = self.views.values().filter(is_usable).count();
-        let avoided = self
-            .views
-            .values()
-            .filter(is_usable)
-            .filter(|view| is_unhealthy(view));
-        let can_avoid = avoided.count() * 100 <= count * MAX_AVOIDED_PERCENT;
-        let preemptible = self.loads_age(now) <= MAX_LOADS_AGE;
-        let accuracy = |view: &View| Accuracy {
-            preemptible,
-            margin: if view.remote.online == 0
-                || self.is_exact(self.location.distance(&view.record.domain))
-            {
-                0
-            } else {
-                STALE_LOAD_MARGIN
-            },
+        let placement = Placement {
+            service,
+            tried,
+            draw,
+            pace: PaceCost::default(),
         };
-        let rank = |view: &View| {
-            let load = view.load();
-            let key = view.record.key();
-            let full = view.availability(accuracy(view)) == Availability::Full;
-            let has_trial = load.online > 0 && self.health.is_on_probation(&view.record.name, now);
-            let avoided = can_avoid && (has_trial || is_unhealthy(view));
-            let jitter = key
-                .0
-                .wrapping_add(draw)
-                .wrapping_mul(FIBONACCI_HASH_MULTIPLIER)
-                >> 32;
-            let distance = self.location.distance(&view.record.domain);
-            let jitter = jitter % self.max_jitter(distance);
-            let cost = load_cost(load, view.record.slots, preemptible) + distance + jitter;
-            (avoided, full, cost)
+        self.place(&placement, now)
+    }
+
+    /// Chooses the best target for a request; `None` if no target takes work.
+    pub fn place(&self, placement: &Placement<'_>, now: Millis) -> Option<Choice> {
+        let preemptible = self.loads_age(now) <= MAX_LOADS_AGE;
+        let mut count = 0;
+        let mut avoided_count = 0;
+        // The best target if none is avoided, and if those are that should be.
+        let mut best: Option<((bool, i64), &View)> = None;
+        let mut best_avoiding: Option<((bool, bool, i64), &View)> = None;
+        let usable = self.views.iter().filter(|(_, view)| {
+            view.record.takes_work() && view.record.service == placement.service
+        });
+        for (key, view) in usable {
+            let name = &view.record.name;
+            count += 1;
+            let unhealthy = self.health.is_avoided(name, now);
+            avoided_count += usize::from(unhealthy);
+            if placement.tried.contains(key) {
+                continue;
+            }
+            let has_trial = view.load().online > 0 && self.health.is_on_probation(name, now);
+            let full = view.availability(self.accuracy(view, preemptible)) == Availability::Full;
+            let cost = self.cost(*key, view, placement, preemptible, now);
+            if best.is_none_or(|(rank, _)| (full, cost) < rank) {
+                best = Some(((full, cost), view));
+            }
+            let rank = (unhealthy || has_trial, full, cost);
+            if best_avoiding.is_none_or(|(best, _)| rank < best) {
+                best_avoiding = Some((rank, view));
+            }
+        }
+        let best = if avoided_count * 100 <= count * MAX_AVOIDED_PERCENT {
+            best_avoiding?.1
+        } else {
+            best?.1
         };
-        let best = self
-            .views
-            .values()
-            .filter(is_usable)
-            .filter(|view| !tried.contains(&view.record.key()))
-            .min_by_key(|view| rank(view))?;
+        let accuracy = self.accuracy(best, preemptible);
         Some(Choice {
             key: best.record.key(),
             name: best.record.name.clone(),
             address: best.record.address,
             slots: best.record.slots,
-            availability: best.availability(accuracy(best)),
+            availability: best.availability(accuracy),
             load: best.load(),
-            free_slots: best.free_slots(accuracy(best)),
-            queued: best
-                .fixed_load(accuracy(best))
-                .saturating_sub(best.record.slots),
+            free_slots: best.free_slots(accuracy),
+            queued: best.fixed_load(accuracy).saturating_sub(best.record.slots),
             same_region: self.location.distance(&best.record.domain) < OTHER_REGION_COST,
             loads_age: self.loads_age(now),
+            pace: best.expected_pace(&placement.pace, now),
         })
     }
 
+    fn accuracy(&self, view: &View, preemptible: bool) -> Accuracy {
+        let is_exact = || self.is_exact(self.location.distance(&view.record.domain));
+        Accuracy {
+            preemptible,
+            margin: if view.remote.online == 0 || is_exact() {
+                0
+            } else {
+                STALE_LOAD_MARGIN
+            },
+        }
+    }
+
+    fn cost(
+        &self,
+        key: TargetKey,
+        view: &View,
+        placement: &Placement<'_>,
+        preemptible: bool,
+        now: Millis,
+    ) -> i64 {
+        let jitter = key
+            .0
+            .wrapping_add(placement.draw)
+            .wrapping_mul(FIBONACCI_HASH_MULTIPLIER)
+            >> 32;
+        let distance = self.location.distance(&view.record.domain);
+        let jitter = jitter % self.max_jitter(distance);
+        let cost = load_cost(view.load(), view.record.slots, preemptible) + distance + jitter;
+        let pace = view.expected_pace(&placement.pace, now);
+        let pace_cost = pace.map_or(0, |pace| placement.pace.of(pace));
+        i64::try_from(cost).unwrap_or(i64::MAX / 2) + pace_cost
+    }
+
+    /// Records the pace that a target reported to this instance, in percent of the usual time. Returns
+    /// whether the neighbours should learn of it.
+    pub fn record_pace(&mut self, key: TargetKey, percent: u32, now: Millis) -> bool {
+        let view = self.views.get_mut(&key);
+        view.is_some_and(|view| view.pace.record_report(percent, now))
+    }
+
+    /// Records the pace that a target reported to a neighbour.
+    pub fn record_neighbour_pace(&mut self, key: TargetKey, percent: u32, now: Millis) {
+        if let Some(view) = self.views.get_mut(&key) {
+            view.pace.record_neighbour_report(percent, now);
+        }
+    }
+
+    /// Records the pace that a complete answer of a target shows.
+    pub fn record_measured_pace(&mut self, key: TargetKey, percent: u32) {
+        if let Some(view) = self.views.get_mut(&key) {
+            view.pace.record_answer(percent);
+        }
+    }
+
+    /// Expected pace of a request that a target begins now. `None` if nothing is known of the target.
+    pub fn expected_pace(&self, key: TargetKey, cost: &PaceCost, now: Millis) -> Option<u32> {
+        let view = self.views.get(&key)?;
+        view.pace.expected(cost.momentary_percent(), now)
+    }
+
     /// Sets whether the neighbours are all entries of the region.
     pub fn set_whole_region(&mut self, whole_region: bool) {
         self.whole_region = whole_region;
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -29,7 +29,8 @@
 };
 use yuccaseam_platform::{
     Manifest,
-    NodeSettings, //
+    NodeSettings,
+    headers::ReportedLoad, //
 };
 
 use crate::{
@@ -53,6 +54,7 @@
         pause, //
     },
     neighbours::Neighbours,
+    pace::PaceCost,
     quarantine::FeatureGuard,
     relay::Relay,
     routes::RouteTable,
@@ -71,6 +73,17 @@
 /// Pause before the next attempt to call the leader.
 const CALL_BACKOFF: Millis = Millis(60);
 
+/// Times of a complete answer to a request that found a free slot.
+pub(crate) struct Answer {
+    pub(crate) target: TargetKey,
+    /// Pace of the target, in percent of the usual time, if it reports one.
+    pub(crate) pace: Option<u32>,
+    /// Time from sending the request until the response began.
+    pub(crate) response: Millis,
+    /// Time for which the request occupied its slot.
+    pub(crate) occupancy: Millis,
+}
+
 /// State shared by all components of a process.
 pub(crate) struct Cx {
     pub(crate) settings: NodeSettings,
@@ -217,17 +230,41 @@
     }
 
     /// Records a request that found a free slot.
-    pub(crate) fn record_service_times(
-        &self,
-        service: &str,
-        objective: Millis,
-        response: Millis,
-        occupancy: Millis,
-    ) {
+    pub(crate) fn record_service_times(&self, service: &str, objective: Millis, answer: &Answer) {
         let mut times = lock(&self.service_times);
         let times = times.entry(service.to_owned());
         let times = times.or_insert_with(|| ServiceTimes::assumed(objective));
-        times.record(response, occupancy);
+        times.record(answer.response, answer.occupancy);
+        if let Some(pace) = answer.pace {
+            times.record_pace(pace, answer.response, answer.occupancy);
+        }
+        let measured = times.by_pace().measured_pace(answer.occupancy);
+        if times.by_pace().is_known() {
+            self.balancer()
+                .record_measured_pace(answer.target, measured);
+        }
+    }
+
+    /// Records the load that a target reported with an answer, and tells the neighbours if its pace is
+    /// not the one that they know. Returns the pace that is expected from now on, in percent of the usual
+    /// time, if the target reports one.
+    pub(crate) fn record_reported_load(
+        &self,
+        key: TargetKey,
+        load: ReportedLoad,
+        cost: &PaceCost,
+    ) -> Option<u32> {
+        let percent = load.pace_percent?;
+        let now = self.clock.now();
+        let mut balancer = self.balancer();
+        let is_news = balancer.record_pace(key, percent, now);
+        let expected = balancer.expected_pace(key, cost, now);
+        drop(balancer);
+        if is_news {
+            metrics::counter!("yuccaseam_pace_reports_sent_total").increment(1);
+            self.neighbours.publish_pace(key, percent);
+        }
+        expected
     }
 
     /// Route table of the manifest in force, if any.
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -51,7 +51,10 @@
         Availability,
         Choice, //
     },
-    cx::Cx,
+    cx::{
+        Answer,
+        Cx, //
+    },
     link::pause,
     quarantine::Feature,
     routes::choose_destination,
@@ -159,6 +162,8 @@
     sent_at: Millis,
     /// When the first events of a stream were forwarded.
     pub(super) first_event_at: Option<Millis>,
+    /// Pace that the target of the last response reported, in percent of the usual time.
+    pace: Option<u32>,
     /// Whether targets are tried until the deadline: the caller has the head of a response, or a target was
     /// left that might still have responded.
     pub(super) is_persistent: bool,
@@ -205,6 +210,7 @@
             runs: 0,
             sent_at: Millis::ZERO,
             first_event_at: None,
+            pace: None,
             is_persistent: false,
             route,
         })
@@ -302,10 +308,8 @@
             let upstream = Arc::clone(&self.cx.upstream);
             let call = upstream.call(address, req, limits);
             let outcome = self.wait_for_head(&current, call).await;
-            if let HeadOutcome::Arrived(response) = &outcome
-                && headers::is_leaving(&response.head.headers)
-            {
-                self.cx.report_draining(current.choice.key);
+            if let HeadOutcome::Arrived(response) = &outcome {
+                self.read_target_state(&current, &response.head.headers);
             }
             match outcome {
                 HeadOutcome::Arrived(response) if response.is_rejection() => {
@@ -335,6 +339,18 @@
         }
     }
 
+    /// Records what a target says of itself in the head of a response.
+    fn read_target_state(&mut self, slot: &Slot, fields: &HeaderMap) {
+        if headers::is_leaving(fields) {
+            self.cx.report_draining(slot.choice.key);
+        }
+        let load = headers::reported_load(fields);
+        self.pace = load.and_then(|load| {
+            let cost = self.pace_cost();
+            self.cx.record_reported_load(slot.choice.key, load, &cost)
+        });
+    }
+
     /// Time without a response after which a target with free slots is reported as failed.
     fn suspicion_timeout(&self) -> Millis {
         MIN_SUSPICION_TIMEOUT.max(self.route.objective * 3)
@@ -502,12 +518,20 @@
         }
         let now = self.now();
         let response_at = self.first_event_at.unwrap_or(now);
-        self.cx.record_service_times(
-            &self.service,
-            self.route.objective,
-            response_at - self.sent_at,
-            now - self.sent_at,
-        );
+        let answer = Answer {
+            target: slot.choice.key,
+            pace: self.pace,
+            response: response_at - self.sent_at,
+            occupancy: now - self.sent_at,
+        };
+        if slot.choice.pace.is_some() {
+            let times = self.service_times().at_pace(slot.choice.pace);
+            let error = times.response().0.abs_diff(answer.response.0);
+            metrics::histogram!("yuccaseam_expected_response_error_seconds")
+                .record(Millis(error).duration().as_secs_f64());
+        }
+        self.cx
+            .record_service_times(&self.service, self.route.objective, &answer);
     }
 
     pub(super) fn log_response(&self, slot: &Slot, status: StatusCode, outcome: &'static str) {
@@ -519,6 +543,7 @@
             status = status.as_u16(), believed_online = slot.choice.load.online,
             believed_batch = slot.choice.load.batch, loads_age_ms = slot.choice.loads_age.0,
             manifest = self.manifest, runs = self.runs, outcome,
+            expected_pace_percent = slot.choice.pace, pace_percent = self.pace,
             waited_ms = (self.sent_at - self.arrived_at).0,
             first_event_ms = self.first_event_at.map(|at| (at - self.arrived_at).0),
             took_ms = took.0; "request ended");
--- a/crates/serving/src/entry/online/slot.rs
+++ b/crates/serving/src/entry/online/slot.rs
@@ -8,14 +8,17 @@
 use crate::{
     admission::{
         Decision,
+        ServiceTimes,
         SlotRequest,
         decide, //
     },
     balance::{
         Availability,
-        Choice, //
+        Choice,
+        Placement, //
     },
     cx::Cx,
+    pace::PaceCost,
     targets::TargetKey,
 };
 
@@ -92,7 +95,8 @@
                 self.tried.clone_from(&self.faulty);
             }
             let wake = self.cx.slot_released.notified();
-            let times = self.cx.service_times(&self.service, self.route.objective);
+            let times = self.service_times();
+            let times = times.at_pace(best.as_ref().and_then(|best| best.pace));
             let slot_request = SlotRequest {
                 waited: if self.is_persistent {
                     Millis::ZERO
@@ -127,8 +131,23 @@
     }
 
     fn best_target(&self, excluded: &[TargetKey]) -> Option<Choice> {
+        let placement = Placement {
+            service: &self.service,
+            tried: excluded,
+            draw: rand::random(),
+            pace: self.pace_cost(),
+        };
         let balancer = self.cx.balancer();
-        balancer.choose(&self.service, excluded, rand::random(), self.now())
+        balancer.place(&placement, self.now())
+    }
+
+    pub(super) fn service_times(&self) -> ServiceTimes {
+        self.cx.service_times(&self.service, self.route.objective)
+    }
+
+    /// What the pace of a target costs the request.
+    pub(super) fn pace_cost(&self) -> PaceCost {
+        PaceCost::new(self.service_times().by_pace())
     }
 
     /// Occupies a slot at another target than a silent one, if one is free and the request may be sent
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,8 +5,8 @@
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
-//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
-//! [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
+//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`pace`], [`quarantine`], [`routes`],
+//! [`schedule`], [`silence`], [`state`], [`targets`], [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -24,6 +24,7 @@
 pub mod neighbourhood;
 mod neighbours;
 pub mod orphans;
+pub mod pace;
 pub mod quarantine;
 pub mod refusals;
 mod relay;
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -190,10 +190,21 @@
     postcard::to_stdvec(message).expect("plain data encodes")
 }
 
+/// Error of decoding a message.
+pub(crate) type DecodeError = postcard::Error;
+
 /// Decodes a message.
-pub(crate) fn decode<M>(bytes: &[u8]) -> Result<M, postcard::Error>
+pub(crate) fn decode<M>(bytes: &[u8]) -> Result<M, DecodeError>
 where
     M: DeserializeOwned,
 {
     postcard::from_bytes(bytes)
 }
+
+/// Decodes a message, and returns it and the bytes after it.
+pub(crate) fn decode_prefix<M>(bytes: &[u8]) -> Result<(M, &[u8]), DecodeError>
+where
+    M: DeserializeOwned,
+{
+    postcard::take_from_bytes(bytes)
+}
--- a/crates/serving/src/link/mod.rs
+++ b/crates/serving/src/link/mod.rs
@@ -13,6 +13,7 @@
     pause, //
 };
 pub(crate) use message::{
+    DecodeError,
     FollowerMessage,
     HubReply,
     HubRequest,
@@ -21,6 +22,7 @@
     PageRequest,
     StoreEntry,
     decode,
+    decode_prefix,
     encode, //
 };
 pub(crate) use server::{
--- a/crates/serving/src/neighbours.rs
+++ b/crates/serving/src/neighbours.rs
@@ -1,7 +1,8 @@
 //! Load reports between neighbouring entries, sent as datagrams on every request.
 //!
 //! Datagrams may be lost: each carries absolute counts, and a complete report follows twice a
-//! second.
+//! second. The pace of a target follows a report, where older entries ignore it; it is sent only if it is
+//! not the one that the neighbours expect.
 
 use std::{
     net::{
@@ -25,7 +26,9 @@
     balance::NeighbourReport,
     cx::Cx,
     link::{
+        DecodeError,
         decode,
+        decode_prefix,
         encode,
         pause, //
     },
@@ -87,6 +90,11 @@
         });
     }
 
+    /// Publishes the pace of a target, in percent of the usual time.
+    pub(crate) fn publish_pace(&self, key: TargetKey, percent: u32) {
+        self.send_data(&encode(&(self.empty_report(), vec![(key, percent)])));
+    }
+
     /// Report with the next sequence number and no content.
     fn empty_report(&self) -> NeighbourReport {
         NeighbourReport {
@@ -99,14 +107,17 @@
     }
 
     fn send(&self, report: NeighbourReport) {
+        self.send_data(&encode(&report));
+    }
+
+    fn send_data(&self, data: &[u8]) {
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let data = encode(&report);
         let peers = self.peers.lock().expect("no thread panics with the lock");
         for ip in peers.iter() {
             // The next complete report makes up for a datagram that could not be sent.
-            let _ = socket.send_to(&data, SocketAddr::new(*ip, self.port));
+            let _ = socket.send_to(data, SocketAddr::new(*ip, self.port));
         }
     }
 }
@@ -128,6 +139,17 @@
     Ok(())
 }
 
+/// Decodes a report, and the paces that follow it.
+fn decode_datagram(data: &[u8]) -> Result<(NeighbourReport, Vec<(TargetKey, u32)>), DecodeError> {
+    let (report, rest) = decode_prefix(data)?;
+    let paces = if rest.is_empty() {
+        Vec::new()
+    } else {
+        decode(rest)?
+    };
+    Ok((report, paces))
+}
+
 async fn receive_reports(cx: Arc<Cx>, receiver: tokio::net::UdpSocket) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -139,11 +161,14 @@
                 continue;
             }
         };
-        match decode::<NeighbourReport>(&buf[..len]) {
-            Ok(report) => {
+        match decode_datagram(&buf[..len]) {
+            Ok((report, paces)) => {
                 let now = cx.clock.now();
-                cx.balancer()
-                    .receive_neighbour_report(from.ip(), report, now);
+                let mut balancer = cx.balancer();
+                balancer.receive_neighbour_report(from.ip(), report, now);
+                for (key, percent) in paces {
+                    balancer.record_neighbour_pace(key, percent, now);
+                }
             }
             Err(error) => log::warn!(peer:% = from, error:% = error; "malformed load report"),
         }
