--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -24,7 +24,8 @@
     health::Health,
     pace::{
         PaceCost,
-        TargetPace, //
+        TargetPace,
+        USUAL_PACE, //
     },
     targets::{
         TargetKey,
@@ -453,7 +454,7 @@
         let jitter = jitter % self.max_jitter(distance);
         let cost = load_cost(view.load(), view.record.slots, preemptible) + distance + jitter;
         let pace = view.expected_pace(&placement.pace, now);
-        let pace_cost = pace.map_or(0, |pace| placement.pace.of(pace));
+        let pace_cost = placement.pace.of(pace.unwrap_or(USUAL_PACE));
         i64::try_from(cost).unwrap_or(i64::MAX / 2) + pace_cost
     }
 
--- a/crates/serving/src/entry/online/slot.rs
+++ b/crates/serving/src/entry/online/slot.rs
@@ -147,7 +147,7 @@
 
     /// What the pace of a target costs the request.
     pub(super) fn pace_cost(&self) -> PaceCost {
-        PaceCost::new(self.service_times().by_pace())
+        PaceCost::new(self.service_times().by_pace(), self.route.objective)
     }
 
     /// Occupies a slot at another target than a silent one, if one is free and the request may be sent
--- a/crates/serving/src/pace/cost.rs
+++ b/crates/serving/src/pace/cost.rs
@@ -12,8 +12,9 @@
 
 /// Cost of 1 ms until the first event: a target of another region costs 2,400 and adds 40 ms.
 const RESPONSE_COST_PER_MS: u64 = 60;
-/// Cost of a slot that is held for twice the usual time.
-const DOUBLE_OCCUPANCY_COST: u64 = 1_000;
+/// Part of the objective within which a first event costs nothing, in percent. The rest covers the link,
+/// a wait for a slot, and requests that take longer than most.
+const FREE_RESPONSE_PERCENT: u64 = 25;
 /// Expected time for which a momentary pace lasts.
 const MOMENTARY_TIME: Millis = Millis(600);
 
@@ -21,29 +22,31 @@
 #[value]
 #[derive(Copy, Default)]
 pub struct PaceCost {
-    /// Cost of a pace of twice the usual time. Zero if targets report no pace.
+    /// Cost of a pace that is slower by the usual time. Zero if targets report no pace.
     per_usual_pace: i64,
+    /// Slowest pace that costs nothing, in percent.
+    free_pace: i64,
     /// Part of a request for which a momentary pace holds, in percent.
     momentary_percent: u32,
 }
 
 impl PaceCost {
-    /// Cost for a service with these times.
-    pub fn new(times: &PaceTimes) -> Self {
+    /// Cost for a service with these times, and a route with this objective.
+    pub fn new(times: &PaceTimes, objective: Millis) -> Self {
         if !times.is_known() {
             return Self::default();
         }
+        let usual = times.response_at(USUAL_PACE);
+        let change = (times.response_at(USUAL_PACE * 2) - usual).0 as i64;
+        let free = (objective * FREE_RESPONSE_PERCENT).0 / 100;
+        let spare = free as i64 - usual.0 as i64;
+        let percent = i64::from(USUAL_PACE);
         let occupancy = times.usual_occupancy();
-        let (usual, double) = (USUAL_PACE, USUAL_PACE * 2);
-        let response = times.response_at(double) - times.response_at(usual);
-        let held = times.occupancy_at(double) - occupancy;
-        let cost = response * RESPONSE_COST_PER_MS
-            + Millis((held * DOUBLE_OCCUPANCY_COST).0 / occupancy.0);
-        let momentary = MOMENTARY_TIME * 100;
-        let percent = momentary.0 / (MOMENTARY_TIME + occupancy).0;
+        let momentary = (MOMENTARY_TIME * 100).0 / (MOMENTARY_TIME + occupancy).0;
         Self {
-            per_usual_pace: i64::try_from(cost.0).unwrap_or(i64::MAX),
-            momentary_percent: u32::try_from(percent).unwrap_or(100),
+            per_usual_pace: change * RESPONSE_COST_PER_MS as i64,
+            free_pace: percent + (spare * percent).checked_div(change).unwrap_or(0),
+            momentary_percent: u32::try_from(momentary).unwrap_or(100),
         }
     }
 
@@ -57,9 +60,9 @@
         self.momentary_percent
     }
 
-    /// Cost of a pace. Negative for a target that works faster than usual.
+    /// Cost of a pace.
     pub fn of(&self, pace: u32) -> i64 {
-        let change = i64::from(pace) - i64::from(USUAL_PACE);
-        self.per_usual_pace.saturating_mul(change) / i64::from(USUAL_PACE)
+        let slower = (i64::from(pace) - self.free_pace).max(0);
+        self.per_usual_pace.saturating_mul(slower) / i64::from(USUAL_PACE)
     }
 }
--- a/crates/serving/src/pace/target_pace.rs
+++ b/crates/serving/src/pace/target_pace.rs
@@ -11,10 +11,10 @@
 const MIN_PACE: u32 = 25;
 const MAX_PACE: u32 = 500;
 /// Age up to which a report of the momentary pace holds in full. From then on it fades.
-const FRESH_REPORT_AGE: Millis = Millis(300);
+const FRESH_REPORT_AGE: Millis = Millis(400);
 /// Age at which a report says nothing of the momentary pace any more. A target that is avoided gets
 /// requests again by then.
-const MAX_REPORT_AGE: Millis = Millis(700);
+const MAX_REPORT_AGE: Millis = Millis(800);
 /// Reports over which the lasting pace is averaged.
 const REPORT_WINDOW: u32 = 32;
 /// Complete answers over which the measured pace is averaged.
@@ -49,6 +49,8 @@
     /// What this instance and its neighbours have told each other last.
     shared: Option<PaceSample>,
     reported: Average,
+    /// Smallest pace that neighbours have told. They tell the unusual, which is mostly slow.
+    told: Option<u32>,
     measured: Average,
 }
 
@@ -68,10 +70,8 @@
     /// Records a pace that the target reported to a neighbour.
     pub fn record_neighbour_report(&mut self, percent: u32, now: Millis) {
         let sample = self.apply(percent, now);
-        // Neighbours tell the unusual only, which says little of the lasting pace.
-        if self.reported.percent(1).is_none() {
-            self.reported.record(sample.percent, REPORT_WINDOW);
-        }
+        let told = self.told.unwrap_or(sample.percent);
+        self.told = Some(told.min(sample.percent));
         self.shared = Some(sample);
     }
 
@@ -105,7 +105,7 @@
     /// Pace without momentary changes. `None` if nothing is known.
     fn lasting(&self) -> Option<u32> {
         let measured = self.measured.percent(MIN_ANSWERS);
-        let reported = self.reported.percent(1);
+        let reported = self.reported.percent(1).or(self.told);
         match (reported, measured) {
             (Some(reported), Some(measured)) => {
                 let min = measured * 100 / MAX_LASTING_FACTOR;
--- a/crates/serving/tests/all/support.rs
+++ b/crates/serving/tests/all/support.rs
@@ -35,7 +35,7 @@
 
 /// The balancer of an entry in a failure domain of a system of two regions.
 pub(crate) fn balancer(domain: &str) -> Balancer {
-    let regions = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let regions = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
     let regions: BTreeMap<_, _> = regions
         .into_iter()
         .map(|(domain, region)| (FailureDomain::from(domain), Region::from(region)))
