--- a/crates/serving/src/entry/online/slot.rs
+++ b/crates/serving/src/entry/online/slot.rs
@@ -8,14 +8,17 @@
 use crate::{
     admission::{
         Decision,
+        ServiceTimes,
         SlotRequest,
         decide, //
     },
     balance::{
         Availability,
-        Choice, //
+        Choice,
+        Placement, //
     },
     cx::Cx,
+    pace::PaceCost,
     shares::{
         Flow,
         Standing,
@@ -187,7 +190,8 @@
         let decision = if rank.is_some_and(|rank| rank.standing == Standing::Beyond) {
             decide_beyond_share(slot_request, best)
         } else {
-            let times = self.cx.service_times(&self.service, self.route.objective);
+            let pace = best.and_then(|best| best.pace);
+            let times = self.service_times().at_pace(pace);
             let has_credit = self.cx.has_queue_credit(&self.service);
             decide(slot_request, best, &times, has_credit)
         };
@@ -223,8 +227,23 @@
     }
 
     fn best_target(&self, excluded: &[TargetKey]) -> Option<Choice> {
+        let placement = Placement {
+            service: &self.service,
+            tried: excluded,
+            draw: rand::random(),
+            pace: self.pace_cost(),
+        };
         let balancer = self.cx.balancer();
-        balancer.choose(&self.service, excluded, rand::random(), self.now())
+        balancer.place(&placement, self.now())
+    }
+
+    pub(super) fn service_times(&self) -> ServiceTimes {
+        self.cx.service_times(&self.service, self.route.objective)
+    }
+
+    /// What the pace of a target costs the request.
+    pub(super) fn pace_cost(&self) -> PaceCost {
+        PaceCost::new(self.service_times().by_pace(), self.route.objective)
     }
 
     /// Occupies a slot at another target than a silent one, if one is free and the request may be sent
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,8 +5,8 @@
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
 //! The decision modules ([`admission`], [`balance`], [`health`], [`intake`], [`leader_search`],
-//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`quota`], [`routes`], [`schedule`],
-//! [`shares`], [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
+//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`pace`], [`quarantine`], [`quota`], [`routes`],
+//! [`schedule`], [`shares`], [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
 //! [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
@@ -28,6 +28,7 @@
 pub mod neighbourhood;
 mod neighbours;
 pub mod orphans;
+pub mod pace;
 pub mod quarantine;
 pub mod quota;
 pub mod refusals;
