--- a/crates/serving/src/store/runner/demand.rs
+++ b/crates/serving/src/store/runner/demand.rs
@@ -26,7 +26,10 @@
             .retain(|service, _| callers.contains_key(service.as_str()));
         for (service, callers) in callers {
             let waves = self.waves.entry(service.to_owned()).or_default();
-            waves.record(now, callers);
+            if waves.record(now, callers) {
+                let in_wave = waves.is_in_wave();
+                log::info!(service, callers, in_wave; "demand of callers has changed");
+            }
         }
     }
 }
--- a/crates/serving/src/waves.rs
+++ b/crates/serving/src/waves.rs
@@ -97,8 +97,8 @@
 
 impl CallerWaves {
     /// Records the number of callers' requests in progress. Samples closer than [`SAMPLE_INTERVAL`]
-    /// are merged.
-    pub fn record(&mut self, now: Millis, callers: u32) {
+    /// are merged. Returns whether a wave has begun or ended.
+    pub fn record(&mut self, now: Millis, callers: u32) -> bool {
         while let Some((at, _)) = self.samples.front()
             && *at + MEMORY < now
         {
@@ -108,7 +108,14 @@
             Some((at, last)) if now < *at + SAMPLE_INTERVAL => *last = callers.max(*last),
             _ => self.samples.push_back((now, callers)),
         }
+        let was_in_wave = self.is_in_wave();
         self.advance(now, callers);
+        was_in_wave != self.is_in_wave()
+    }
+
+    /// Whether a wave is under way.
+    pub fn is_in_wave(&self) -> bool {
+        self.progress == Progress::Wave
     }
 
     fn advance(&mut self, now: Millis, callers: u32) {
