shares: a test of the floor, and what is not proved

Cause: no test failed without the floor.

Change: a case with three urgent teams and a less urgent one.

Measured: cargo test of shares, 24 passed.

--- a/crates/serving/tests/all/shares.rs
+++ b/crates/serving/tests/all/shares.rs
@@ -423,6 +423,11 @@
         &[demand(1, 1.0, 10.0), demand(0, 1.0, 10.0)],
         &[2.5, 7.5]
     );
+    the_floor_where_urgent_teams_take_the_rest(
+        10.0,
+        &[demand(1, 1.0, 10.0), demand(0, 1.0, 10.0), demand(0, 1.0, 10.0), demand(0, 1.0, 10.0)],
+        &[0.75, 3.083, 3.083, 3.083]
+    );
     not_all_to_an_urgent_team_that_sends_eight_times_its_usual(
         100.0,
         &[demand(0, 28.0, 160.0), demand(1, 72.0, 58.0)],
