--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -32,6 +32,10 @@
         Some(age) => format!(" (load reports were {age} ms old)"),
         None => String::new(),
     };
+    let answer = match end.number("answer_age_ms") {
+        Some(age) => format!("the leader's last answer was {age} ms old"),
+        None => "the leader had never answered".to_owned(),
+    };
     match why {
         "no_manifest" => format!(
             "the entry had no manifest yet, {} ms after its start",
@@ -41,6 +45,26 @@
             "manifest {} has no route for it",
             end.number("manifest").unwrap_or(0)
         ),
+        "over_quota" => format!(
+            "team {} had used up its quota of manifest {} ({answer})",
+            end.text("team").unwrap_or("-"),
+            end.number("manifest").unwrap_or(0)
+        ),
+        "quota_unknown" => format!(
+            "nobody said whether team {} had room in its quota ({answer})",
+            end.text("team").unwrap_or("-")
+        ),
+        "missing_key" => "it had no API key, and its route is not public".to_owned(),
+        "unknown_key" => format!(
+            "no team of manifest {} has its API key",
+            end.number("manifest").unwrap_or(0)
+        ),
+        "unconfirmed_key" => format!(
+            "no team of manifest {} has its API key, and the entry had not heard of the leader for \
+             {} ms, so that a newer manifest may have it",
+            end.number("manifest").unwrap_or(0),
+            end.number("contact_age_ms").unwrap_or(0)
+        ),
         "queue_full" => format!("every target of its service was full{loads}"),
         "team_over_share" => {
             let team = own.iter().find_map(|line| line.text("team"));
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -29,7 +29,8 @@
 };
 use yuccaseam_platform::{
     Manifest,
-    NodeSettings, //
+    NodeSettings,
+    headers::ReportedLoad, //
 };
 
 use crate::{
@@ -43,6 +44,7 @@
         Location, //
     },
     entry::EntryShares,
+    intake::Intake,
     link::{
         AddressBook,
         CallError,
@@ -54,7 +56,12 @@
         pause, //
     },
     neighbours::Neighbours,
+    pace::PaceCost,
     quarantine::FeatureGuard,
+    quota::{
+        Ledger,
+        Purse, //
+    },
     relay::Relay,
     routes::RouteTable,
     state::StoredManifest,
@@ -72,6 +79,17 @@
 /// Pause before the next attempt to call the leader.
 const CALL_BACKOFF: Millis = Millis(60);
 
+/// Times of a complete answer to a request that found a free slot.
+pub(crate) struct Answer {
+    pub(crate) target: TargetKey,
+    /// Pace of the target, in percent of the usual time, if it reports one.
+    pub(crate) pace: Option<u32>,
+    /// Time from sending the request until the response began.
+    pub(crate) response: Millis,
+    /// Time for which the request occupied its slot.
+    pub(crate) occupancy: Millis,
+}
+
 /// State shared by all components of a process.
 pub(crate) struct Cx {
     pub(crate) settings: NodeSettings,
@@ -79,6 +97,7 @@
     pub(crate) test_hooks: TestHooks,
     pub(crate) links: Links,
     pub(crate) upstream: Arc<Upstream>,
+    pub(crate) intake: Intake,
     pub(crate) neighbours: Neighbours,
     pub(crate) relay: Relay,
     pub(crate) shares: EntryShares,
@@ -86,6 +105,12 @@
     pub(crate) manifest_changed: Notify,
     /// Wakes one request that waits for a slot, when a request of this instance has ended.
     pub(crate) slot_released: Notify,
+    /// Wakes the task that asks the leader for tokens of quotas.
+    pub(crate) quota_wanted: Notify,
+    /// Set when the connection to the leader is lost.
+    pub(crate) leader_lost: Notify,
+    /// Wakes requests that wait for a token of a quota.
+    pub(crate) quota_answered: Notify,
     /// Set when a planned stop begins.
     pub(crate) stopping: AtomicBool,
     /// Set when a planned stop has closed idle connections. What is read from then on could only be cut off.
@@ -100,6 +125,8 @@
     service_times: Mutex<HashMap<String, ServiceTimes>>,
     queue_credits: Mutex<HashMap<String, QueueCredits>>,
     feature_guard: Mutex<FeatureGuard>,
+    quota_purse: Mutex<Purse>,
+    deputy_ledger: Mutex<Ledger>,
     leader: Mutex<Option<IpAddr>>,
     leader_sender: Mutex<Option<mpsc::Sender<FollowerMessage>>>,
     started_at: Millis,
@@ -132,11 +159,15 @@
         Self {
             links: Links::new(test_hooks.relay_port.unwrap_or(settings.first_port)),
             upstream: Arc::new(Upstream::new(clock)),
+            intake: Intake::new(clock, settings.limits),
             relay: Relay::default(),
             shares: EntryShares::default(),
             neighbours: Neighbours::new(settings.first_port, started_at),
             manifest_changed: Notify::new(),
             slot_released: Notify::new(),
+            quota_wanted: Notify::new(),
+            quota_answered: Notify::new(),
+            leader_lost: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             seeds: Mutex::new(seed_ips(&settings)),
@@ -149,6 +180,8 @@
             service_times: Mutex::default(),
             queue_credits: Mutex::default(),
             feature_guard: Mutex::default(),
+            quota_purse: Mutex::new(Purse::new(rand::random())),
+            deputy_ledger: Mutex::new(Ledger::deputy()),
             leader: Mutex::default(),
             leader_sender: Mutex::default(),
             started_at,
@@ -193,6 +226,23 @@
         lock(&self.feature_guard)
     }
 
+    /// Tokens of teams' quotas that this instance holds.
+    pub(crate) fn quota_purse(&self) -> MutexGuard<'_, Purse> {
+        lock(&self.quota_purse)
+    }
+
+    /// Shares of absent entries whose deputy this instance is.
+    pub(crate) fn deputy_ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.deputy_ledger)
+    }
+
+    /// Whether the manifest in force has quotas.
+    pub(crate) fn has_quotas(&self) -> bool {
+        lock(&self.table)
+            .as_ref()
+            .is_some_and(|table| table.quotas().next().is_some())
+    }
+
     /// How long a service takes. `objective` is that of the route, from which the times are assumed
     /// while no request has been recorded.
     pub(crate) fn service_times(&self, service: &str, objective: Millis) -> ServiceTimes {
@@ -220,17 +270,41 @@
     }
 
     /// Records a request that found a free slot.
-    pub(crate) fn record_service_times(
-        &self,
-        service: &str,
-        objective: Millis,
-        response: Millis,
-        occupancy: Millis,
-    ) {
+    pub(crate) fn record_service_times(&self, service: &str, objective: Millis, answer: &Answer) {
         let mut times = lock(&self.service_times);
         let times = times.entry(service.to_owned());
         let times = times.or_insert_with(|| ServiceTimes::assumed(objective));
-        times.record(response, occupancy);
+        times.record(answer.response, answer.occupancy);
+        if let Some(pace) = answer.pace {
+            times.record_pace(pace, answer.response, answer.occupancy);
+        }
+        let measured = times.by_pace().measured_pace(answer.occupancy);
+        if times.by_pace().is_known() {
+            self.balancer()
+                .record_measured_pace(answer.target, measured);
+        }
+    }
+
+    /// Records the load that a target reported with an answer, and tells the neighbours if its pace is
+    /// not the one that they know. Returns the pace that is expected from now on, in percent of the usual
+    /// time, if the target reports one.
+    pub(crate) fn record_reported_load(
+        &self,
+        key: TargetKey,
+        load: ReportedLoad,
+        cost: &PaceCost,
+    ) -> Option<u32> {
+        let percent = load.pace_percent?;
+        let now = self.clock.now();
+        let mut balancer = self.balancer();
+        let is_news = balancer.record_pace(key, percent, now);
+        let expected = balancer.expected_pace(key, cost, now);
+        drop(balancer);
+        if is_news {
+            metrics::counter!("yuccaseam_pace_reports_sent_total").increment(1);
+            self.neighbours.publish_pace(key, percent);
+        }
+        expected
     }
 
     /// Route table of the manifest in force, if any.
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -8,9 +8,11 @@
 mod head_timeout;
 mod http_server;
 mod online;
+mod quota;
 mod response;
 mod shares;
 mod stream;
+mod unread;
 
 pub(crate) use control::serve as serve_control;
 pub(crate) use front::serve as serve_callers;
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -30,11 +30,8 @@
     header,
     request::Parts, //
 };
-use http_body_util::{
-    BodyExt as _,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use tokio::time::timeout;
 use yuccaseam_base::{
     Millis,
@@ -52,7 +49,14 @@
         Availability,
         Choice, //
     },
-    cx::Cx,
+    cx::{
+        Answer,
+        Cx, //
+    },
+    intake::{
+        ReadError,
+        ReadLimits, //
+    },
     link::pause,
     quarantine::Feature,
     routes::choose_destination,
@@ -166,6 +170,8 @@
     sent_at: Millis,
     /// When the first events of a stream were forwarded.
     pub(super) first_event_at: Option<Millis>,
+    /// Pace that the target of the last response reported, in percent of the usual time.
+    pace: Option<u32>,
     /// Whether targets are tried until the deadline: the caller has the head of a response, or a target was
     /// left that might still have responded.
     pub(super) is_persistent: bool,
@@ -194,7 +200,7 @@
         // Before the team is set: a caller may list any header as hop-by-hop.
         headers::strip_hop_by_hop(&mut head.headers);
         if let Some(team) = &req.team {
-            set_team(&mut head.headers, team);
+            set_team(&mut head.headers, &team.name);
         }
         let whole_request = Feature::whole_request(&head, &req.body);
         Some(Self {
@@ -217,6 +223,7 @@
             runs: 0,
             sent_at: Millis::ZERO,
             first_event_at: None,
+            pace: None,
             is_persistent: false,
             team: req.team,
             route,
@@ -321,10 +328,8 @@
             let upstream = Arc::clone(&self.cx.upstream);
             let call = upstream.call(address, req, limits);
             let outcome = self.wait_for_head(&current, call).await;
-            if let HeadOutcome::Arrived(response) = &outcome
-                && headers::is_leaving(&response.head.headers)
-            {
-                self.cx.report_draining(current.choice.key);
+            if let HeadOutcome::Arrived(response) = &outcome {
+                self.read_target_state(&current, &response.head.headers);
             }
             match outcome {
                 HeadOutcome::Arrived(response) if response.is_rejection() => {
@@ -354,6 +359,18 @@
         }
     }
 
+    /// Records what a target says of itself in the head of a response.
+    fn read_target_state(&mut self, slot: &Slot, fields: &HeaderMap) {
+        if headers::is_leaving(fields) {
+            self.cx.report_draining(slot.choice.key);
+        }
+        let load = headers::reported_load(fields);
+        self.pace = load.and_then(|load| {
+            let cost = self.pace_cost();
+            self.cx.record_reported_load(slot.choice.key, load, &cost)
+        });
+    }
+
     /// Time without a response after which a target with free slots is reported as failed.
     fn suspicion_timeout(&self) -> Millis {
         MIN_SUSPICION_TIMEOUT.max(self.route.objective * 3)
@@ -459,7 +476,10 @@
             whole_request:% = self.whole_request,
             prompt_parts = headers::text(&self.head.headers, &headers::PROMPT_PARTS);
             "request failed at the target");
-        slot.record_failure();
+        // A target does well to cut off what is not read.
+        if error.failure != Failure::Unread {
+            slot.record_failure();
+        }
         self.tried.push(slot.choice.key);
         if error.failure == Failure::InvalidResponse {
             self.faulty.push(slot.choice.key);
@@ -473,17 +493,35 @@
         Ok(())
     }
 
+    /// Reads an answer that is passed on whole.
+    pub(super) fn read_answer(
+        &self,
+        body: Incoming,
+    ) -> impl Future<Output = Result<Bytes, ReadError>> + use<> {
+        let limits = ReadLimits {
+            max_bytes: MAX_BUFFERED_BYTES,
+            bytes_per_byte: 1,
+            max_wait: self.deadline - self.now(),
+        };
+        let answers = Arc::clone(&self.cx.intake.answers);
+        async move { answers.read(body, limits).await }
+    }
+
     /// Serves a request whose response is buffered, not streamed.
     async fn buffered_response(&mut self) -> Result<HttpResponse, RequestFailure> {
         loop {
             let (slot, response) = self.call(None, None).await?;
             let status = response.head.status;
             let remaining = self.deadline - self.now();
-            let body = Limited::new(response.body, MAX_BUFFERED_BYTES).collect();
+            let body = self.read_answer(response.body);
             let body = match timeout(remaining.duration(), body).await {
-                Ok(Ok(body)) => body.to_bytes(),
-                Ok(Err(_)) => {
-                    let error = UpstreamError::may_have_run(Failure::Broken);
+                Ok(Ok(body)) => body,
+                Ok(Err(error)) => {
+                    let failure = match error {
+                        ReadError::NoRoom | ReadError::TooSlow => Failure::Unread,
+                        ReadError::TooLarge | ReadError::Broken => Failure::Broken,
+                    };
+                    let error = UpstreamError::may_have_run(failure);
                     self.record_if_crash(&slot, &error);
                     self.handle_failure(&slot, &error)?;
                     continue;
@@ -521,12 +559,20 @@
         }
         let now = self.now();
         let response_at = self.first_event_at.unwrap_or(now);
-        self.cx.record_service_times(
-            &self.service,
-            self.route.objective,
-            response_at - self.sent_at,
-            now - self.sent_at,
-        );
+        let answer = Answer {
+            target: slot.choice.key,
+            pace: self.pace,
+            response: response_at - self.sent_at,
+            occupancy: now - self.sent_at,
+        };
+        if slot.choice.pace.is_some() {
+            let times = self.service_times().at_pace(slot.choice.pace);
+            let error = times.response().0.abs_diff(answer.response.0);
+            metrics::histogram!("yuccaseam_expected_response_error_seconds")
+                .record(Millis(error).duration().as_secs_f64());
+        }
+        self.cx
+            .record_service_times(&self.service, self.route.objective, &answer);
     }
 
     pub(super) fn log_response(&self, slot: &Slot, status: StatusCode, outcome: &'static str) {
@@ -538,6 +584,7 @@
             target_name:% = slot.choice.name, status = status.as_u16(), believed_online = slot.choice.load.online,
             believed_batch = slot.choice.load.batch, loads_age_ms = slot.choice.loads_age.0,
             manifest = self.manifest, runs = self.runs, outcome,
+            expected_pace_percent = slot.choice.pace, pace_percent = self.pace,
             waited_ms = (self.sent_at - self.arrived_at).0,
             first_event_ms = self.first_event_at.map(|at| (at - self.arrived_at).0),
             took_ms = took.0; "request ended");
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,28 +4,33 @@
 //! persists the durable state. The stores replicate one log. Their leader tracks all targets and
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
-//! The decision modules ([`admission`], [`balance`], [`health`], [`leader_search`],
-//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`quarantine`], [`routes`], [`schedule`],
-//! [`shares`], [`silence`], [`state`], [`targets`], [`teams`], [`GroupManager`]) do no I/O and read no
-//! clock.
+//! The decision modules ([`admission`], [`balance`], [`health`], [`intake`], [`leader_search`],
+//! [`load_fanout`], [`neighbourhood`], [`orphans`], [`pace`], [`quarantine`], [`quota`], [`routes`],
+//! [`schedule`], [`shares`], [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
+//! [`GroupManager`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
 pub mod capacity;
+mod close_check;
 mod crash_reports;
 mod cx;
+mod deputies;
 mod entry;
 pub mod events;
 mod fair_stream;
 mod follow;
 pub mod health;
+pub mod intake;
 pub mod leader_search;
 mod link;
 pub mod load_fanout;
 pub mod neighbourhood;
 mod neighbours;
 pub mod orphans;
+pub mod pace;
 pub mod quarantine;
+pub mod quota;
 pub mod refusals;
 mod relay;
 pub mod routes;
@@ -36,9 +41,11 @@
 pub mod state;
 mod store;
 pub mod targets;
+pub mod team_turns;
 pub mod teams;
 mod test_hooks;
 mod upstream;
+pub mod waves;
 
 pub use run::run;
 pub use store::{
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -11,6 +11,7 @@
     FailureDomain,
     InstanceName,
     TargetName,
+    TeamName,
     record, //
 };
 
@@ -22,6 +23,10 @@
         Feature,
         FeatureList, //
     },
+    quota::{
+        QuotaAnswer,
+        QuotaAsk, //
+    },
     shares::{
         ServiceDemand,
         ServiceShares, //
@@ -88,6 +93,21 @@
     ProveFeatures(Vec<Feature>),
     /// Ask for the trial of a quarantined feature. [`HubReply::NotFound`] if none is due.
     TryFeature(Feature),
+    /// A request about a job on behalf of a team. Jobs of other teams are unknown to it. Sent only if the
+    /// manifest has teams: an instance of the version before cannot decode it.
+    ForTeam {
+        /// The team.
+        team: TeamName,
+        /// [`Self::Submit`], [`Self::Results`], [`Self::ItemBody`] or [`Self::EndJob`].
+        request: Box<HubRequest>,
+    },
+    /// Ask a deputy for tokens of teams' quotas. [`HubReply::Quotas`] answers.
+    AskDeputy {
+        /// Address of the entry that asks.
+        entry: IpAddr,
+        /// What it asks for.
+        ask: QuotaAsk,
+    },
 }
 
 /// The reply to a request.
@@ -117,6 +137,8 @@
     Retired(bool),
     /// The stores have no capacity for the job. None of its items runs.
     NoCapacity,
+    /// Tokens of teams' quotas.
+    Quotas(QuotaAnswer),
 }
 
 /// A message of a follower to the leader.
@@ -155,6 +177,9 @@
     /// A response of this start of a target said that it drains. A leader of the version before ignores
     /// the message.
     Drains(TargetKey),
+    /// Asks for tokens of teams' quotas. Answered by [`LeaderMessage::Quotas`]. A leader of the version
+    /// before ignores the message.
+    AskQuotas(QuotaAsk),
     /// The follower understands [`LeaderMessage::Shares`]. One of the version before would drop the connection.
     AcceptsShares,
     /// Requests that arrived at the follower, by service. Sent to a leader that has sent
@@ -179,6 +204,8 @@
     /// Features that are quarantined or suspected. Sent to followers that accept it, on connection and
     /// after each change.
     Features(FeatureList),
+    /// Tokens of teams' quotas. Sent only to a follower that asked.
+    Quotas(QuotaAnswer),
     /// Flows beyond their share. Sent to followers that accept it, on connection and while there are any.
     Shares(Vec<ServiceShares>),
 }
@@ -201,10 +228,21 @@
     postcard::to_stdvec(message).expect("plain data encodes")
 }
 
+/// Error of decoding a message.
+pub(crate) type DecodeError = postcard::Error;
+
 /// Decodes a message.
-pub(crate) fn decode<M>(bytes: &[u8]) -> Result<M, postcard::Error>
+pub(crate) fn decode<M>(bytes: &[u8]) -> Result<M, DecodeError>
 where
     M: DeserializeOwned,
 {
     postcard::from_bytes(bytes)
 }
+
+/// Decodes a message, and returns it and the bytes after it.
+pub(crate) fn decode_prefix<M>(bytes: &[u8]) -> Result<(M, &[u8]), DecodeError>
+where
+    M: DeserializeOwned,
+{
+    postcard::take_from_bytes(bytes)
+}
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     cx::Cx,
+    deputies,
     follow::PendingNotifications,
     link::{
         FollowerMessage,
@@ -73,7 +74,7 @@
         let mut inner = self.inner();
         if matches!(
             message,
-            LeaderMessage::Neighbours(_) | LeaderMessage::Noted(_)
+            LeaderMessage::Neighbours(_) | LeaderMessage::Noted(_) | LeaderMessage::Quotas(_)
         ) {
             return;
         }
@@ -152,6 +153,9 @@
                 let reply = self.cx.call_leader_directly(&request, deadline).await;
                 reply.unwrap_or(HubReply::NotLeader(None))
             }
+            HubRequest::AskDeputy { entry, ask } => deputies::answer(&self.cx, entry, &ask)
+                .await
+                .map_or(HubReply::NotFound, HubReply::Quotas),
             _ => HubReply::NotLeader(self.cx.leader()),
         }
     }
@@ -182,6 +186,8 @@
                 let list = self.cx.feature_guard().list().clone();
                 return self.cx.relay.accept_features(follower, list);
             }
+            // The leader leaves an entry that it does not hear its share.
+            FollowerMessage::AskQuotas(_) => return,
             FollowerMessage::AcceptsShares => return self.cx.relay.accept_shares(follower),
             // The leader counts only the loads and the demand of its direct followers.
             FollowerMessage::Hello { .. }
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -23,6 +23,7 @@
     ClientLimits,
     Destination,
     Manifest,
+    RequestQuota,
     Route,
     Service, //
 };
@@ -174,6 +175,17 @@
         self.teams.as_ref()
     }
 
+    /// Quota of a team, if it has one.
+    pub fn quota(&self, team: &TeamName) -> Option<RequestQuota> {
+        self.teams.as_ref()?.team(team)?.quota
+    }
+
+    /// Quotas of the teams that have one.
+    pub fn quotas(&self) -> impl Iterator<Item = (&TeamName, RequestQuota)> {
+        let teams = self.teams.iter().flat_map(TeamDirectory::iter);
+        teams.filter_map(|team| Some((&team.name, team.quota?)))
+    }
+
     /// Finds the route of a request.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     cx::Cx,
+    deputies,
     entry::{
         self,
         Connections, //
@@ -79,7 +80,7 @@
         instance:% = settings.instance, domain:% = settings.domain, store = settings.is_store,
         first_start = settings.is_first_start; "starting");
     let cx = Arc::new(Cx::new(settings));
-    let connections = Arc::new(Connections::new());
+    let connections = Arc::new(Connections::new(&cx));
     let notifications = Arc::new(PendingNotifications::default());
     let internal_address = SocketAddr::new(cx.settings.ip, cx.settings.first_port);
     let store = if cx.settings.is_store {
@@ -97,6 +98,7 @@
     tokio::spawn(follow::gossip(Arc::clone(&cx)));
     if cx.settings.callers.is_some() {
         neighbours::start(&cx, internal_address)?;
+        tokio::spawn(deputies::run(Arc::clone(&cx)));
     }
     let own_store = store.clone();
     let is_leader = move || own_store.as_ref().is_some_and(|store| store.is_leader());
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -1,6 +1,7 @@
 //! The leader's followers: collects their loads and announcements, and sends them updates.
 
 mod quarantine;
+mod quota;
 mod shares;
 
 use std::{
@@ -48,6 +49,7 @@
         FeatureList,
         QuarantineManager, //
     },
+    quota::Ledger,
     state::Command,
     targets::{
         AnnouncementOutcome,
@@ -128,6 +130,8 @@
     quarantine: QuarantineManager,
     /// Features as last sent to followers.
     sent_features: FeatureList,
+    /// Quotas of teams.
+    quotas: Ledger,
     /// Shares of services among teams.
     shares: HubShares,
     /// Version of the manifest last sent to followers.
@@ -213,9 +217,12 @@
     }
 
     pub(crate) fn unfollow(&self, follower: u64) {
-        let removed = self.inner().followers.remove(&follower);
-        if removed.is_some_and(|removed| removed.entry.is_some()) {
-            self.inner().neighbours_changed = true;
+        let now = self.cx.clock.now();
+        let mut inner = self.inner();
+        let removed = inner.followers.remove(&follower);
+        if let Some(entry) = removed.and_then(|removed| removed.entry) {
+            inner.neighbours_changed = true;
+            inner.quotas.leave(entry.ip, now);
         }
     }
 
@@ -282,6 +289,7 @@
             }
             FollowerMessage::AcceptsFeatures => self.send_features_to(follower),
             FollowerMessage::Drains(target) => self.mark_draining(target),
+            FollowerMessage::AskQuotas(ask) => self.answer_quotas(follower, &ask),
             FollowerMessage::AcceptsShares => self.accept_shares(follower),
             FollowerMessage::Demand(demands) => self.record_demand(follower, demands),
             FollowerMessage::Loads(loads) => {
@@ -516,6 +524,7 @@
         inner.all_targets = None;
         inner.domains.clear();
         inner.fanout = LoadFanout::default();
+        inner.quotas = Ledger::new(now);
         for record in targets.records() {
             inner.set_domain(record);
         }
--- a/crates/serving/src/upstream.rs
+++ b/crates/serving/src/upstream.rs
@@ -4,7 +4,9 @@
 //!
 //! - Each error states whether the target may have run the request. A request has not run if none of
 //!   its bytes were written.
-//! - A response whose request id differs from that of the request is an error.
+//! - A response whose request id differs from that of the request, or whose status is none, is an error.
+//! - A response that ends with its connection is complete only if the connection was not reset and the request
+//!   was written as a whole.
 //! - A connection is reused only after a complete response that is no rejection, and is closed when its
 //!   call is dropped.
 
@@ -12,6 +14,7 @@
     collections::HashMap,
     fmt,
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{
         Arc,
         Mutex, //
@@ -49,7 +52,13 @@
 };
 use yuccaseam_platform::headers;
 
-use crate::fair_stream::FairStream;
+use crate::{
+    close_check::{
+        CloseCheck,
+        InUse, //
+    },
+    fair_stream::FairStream,
+};
 
 /// Time-out for opening a connection to a target of the same region: many round trips. Another target
 /// can be tried while the response can still be on time.
@@ -66,6 +75,10 @@
 /// Largest number of idle connections kept to one target.
 const MAX_IDLE_PER_TARGET: usize = 8;
 
+/// Statuses of final responses. The HTTP library accepts three digits from 100 to 999, and takes a 101 for the
+/// end of a response although nothing was upgraded.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Largest read buffer of a connection, and so the largest head of a response, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -76,10 +89,13 @@
     Unreachable,
     /// The connection broke before the response was complete.
     Broken,
-    /// The response belongs to another request, or is a success without a signature.
+    /// The response belongs to another request, has a status that is none, or is a success without a signature.
     InvalidResponse,
     /// No response, or no further part of it, arrived in time.
     TimedOut,
+    /// The response was cut off while this instance did not read it, for want of room or because its caller
+    /// did not read.
+    Unread,
 }
 
 impl Failure {
@@ -90,6 +106,7 @@
             Self::Broken => "broken",
             Self::InvalidResponse => "wrong_answer",
             Self::TimedOut => "silent",
+            Self::Unread => "unread",
         }
     }
 }
@@ -128,6 +145,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    in_use: InUse,
     expires_at: Millis,
     idle_since: Millis,
 }
@@ -193,6 +211,7 @@
 pub(crate) struct Connection {
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    in_use: InUse,
     address: SocketAddr,
     upstream: Arc<Upstream>,
     keep_alive: Millis,
@@ -208,10 +227,12 @@
             self.task.abort();
             return;
         }
+        self.in_use.set(false);
         let now = self.upstream.clock.now();
         let idle = IdleConnection {
             sender,
             task: self.task.clone(),
+            in_use: self.in_use.clone(),
             expires_at: now + self.keep_alive,
             idle_since: now,
         };
@@ -287,9 +308,13 @@
             .map_err(|_| unreachable())?;
         // If this fails, small writes are only slower.
         let _ = stream.set_nodelay(true);
+        let in_use = InUse::default();
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(FairStream::new(stream)))
+            .handshake(TokioIo::new(FairStream::new(CloseCheck::new(
+                stream,
+                in_use.clone(),
+            ))))
             .await;
         let (sender, conn) = handshake.map_err(|_| unreachable())?;
         // `sender` reports the end of the connection.
@@ -297,6 +322,7 @@
         Ok(Connection {
             sender: Some(sender),
             task: task.abort_handle(),
+            in_use,
             address,
             upstream: Arc::clone(self),
             keep_alive: DEFAULT_KEEP_ALIVE,
@@ -331,12 +357,14 @@
             Some(idle) => Connection {
                 sender: Some(idle.sender),
                 task: idle.task,
+                in_use: idle.in_use,
                 address,
                 upstream: Arc::clone(self),
                 keep_alive: DEFAULT_KEEP_ALIVE,
             },
             None => self.connect(address, limits.connect_timeout()).await?,
         };
+        conn.in_use.set(true);
         let id = req.headers().get(headers::REQUEST_ID).cloned();
         let is_resumed = req.headers().contains_key(headers::LAST_EVENT_ID);
         let Some(sender) = conn.sender.as_mut() else {
@@ -351,7 +379,8 @@
             Err(_) => return Err(UpstreamError::may_have_run(Failure::TimedOut)),
         };
         let (head, body) = response.into_parts();
-        if id.is_some() && head.headers.get(headers::REQUEST_ID) != id.as_ref() {
+        let is_of_request = id.is_none() || head.headers.get(headers::REQUEST_ID) == id.as_ref();
+        if !is_of_request || !FINAL_STATUSES.contains(&head.status.as_u16()) {
             return Err(UpstreamError::may_have_run(Failure::InvalidResponse));
         }
         conn.keep_alive = if headers::closes_connection(&head.headers) {
--- a/crates/serving/tests/all/shares.rs
+++ b/crates/serving/tests/all/shares.rs
@@ -177,6 +177,7 @@
             queued: 1,
             same_region: true,
             loads_age: Millis::ZERO,
+            pace: None,
         }
     }
 
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -101,6 +101,8 @@
     pub crash_delay: Duration,
     /// Says in every answer that it leaves.
     pub leaving: bool,
+    /// Least length of an answer that is no stream.
+    pub answer_bytes: usize,
 }
 
 impl Default for Behaviour {
@@ -117,6 +119,7 @@
             events_before_crash: 0,
             crash_delay: CRASH_DELAY,
             leaving: false,
+            answer_bytes: 0,
         }
     }
 }
@@ -160,6 +163,10 @@
     pub time_left: Option<u64>,
     /// When it reached the target.
     pub at: Instant,
+    /// The team that it was sent for.
+    pub team: Option<String>,
+    /// The credentials that came with it.
+    pub credentials: Option<String>,
 }
 
 /// One crash of a target.
@@ -473,6 +480,8 @@
         after,
         time_left: text(&head.headers, "deadline-ms").and_then(|text| text.parse().ok()),
         at: Instant::now(),
+        team: text(&head.headers, "tenant").map(str::to_owned),
+        credentials: text(&head.headers, "authorization").map(str::to_owned),
     };
     let number = shared.next.fetch_add(1, Ordering::Relaxed);
     lock(&shared.runs).push(run);
@@ -493,7 +502,10 @@
     behaviour.pause_before(SilenceBefore::Head).await;
     if path.starts_with(SAFE) {
         tokio::time::sleep(behaviour.pause).await;
-        return signed(plain(StatusCode::OK, &format!("answer to {id}")), &id);
+        let mut answer = format!("answer to {id}");
+        let padding = behaviour.answer_bytes.saturating_sub(answer.len());
+        answer.push_str(&" ".repeat(padding));
+        return signed(plain(StatusCode::OK, &answer), &id);
     }
     signed(events(running, &id, after.unwrap_or(0), behaviour), &id)
 }
