control: large announcements are read again, as far as memory allows

Cause: calls without a manifest were held to 1 MiB; `platform::odd_entries::service_is_huge` sends a larger announcement and got 413. Change: one limit of 16 MiB for all calls, or a sixth of the room for large bodies if that is less.

--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -53,11 +53,9 @@
     },
 };
 
-/// Largest manifest, in bytes, where the memory allows it.
-const MAX_MANIFEST_BYTES: usize = 16 << 20;
-/// Largest body of a call that carries no manifest, in bytes.
-const MAX_SMALL_BODY_BYTES: usize = 1 << 20;
-/// Memory for each byte of a manifest while it is decoded and stored.
+/// Largest request body, in bytes, where the memory allows it.
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// Memory for each byte of a body, such as a manifest, while it is decoded and stored.
 const MANIFEST_BYTES_PER_BYTE: u64 = 6;
 /// Time-out for the body of a call. Those of targets are small, and manifests come within a second.
 const BODY_TIMEOUT: Millis = Millis(8_000);
@@ -94,14 +92,9 @@
     let Some(call) = ControlCall::parse(req.method(), req.uri().path()) else {
         return text(StatusCode::NOT_FOUND, "no such call");
     };
+    let room = cx.intake.limits.bodies.large() / MANIFEST_BYTES_PER_BYTE;
     let limits = ReadLimits {
-        max_bytes: match call {
-            ControlCall::PutManifest => {
-                let room = cx.intake.limits.bodies.large() / MANIFEST_BYTES_PER_BYTE;
-                MAX_MANIFEST_BYTES.min(room as usize)
-            }
-            _ => MAX_SMALL_BODY_BYTES,
-        },
+        max_bytes: MAX_BODY_BYTES.min(room as usize),
         bytes_per_byte: MANIFEST_BYTES_PER_BYTE,
         max_wait: BODY_TIMEOUT,
     };
