serving: neighbours learn the first pace that a target reports

Cause: an entry recorded the first report before it compared, so it was never news. At 320 entries, most did not know the speed of the targets.

Without the factor that bounds a report, uneven::slow_target_* and pace::false_report_* fail (seen).

Also seen: at a mean demand of 0.08 in place of 0.12, uneven::slow_target_* fails (three of three): until an entry has four answers of a target, only the absolute bounds hold a false report.

--- a/crates/serving/src/pace/target_pace.rs
+++ b/crates/serving/src/pace/target_pace.rs
@@ -59,12 +59,12 @@
     /// should learn of it.
     pub fn record_report(&mut self, percent: u32, now: Millis) -> bool {
         let sample = self.apply(percent, now);
+        let is_news = self.is_news(sample);
         self.reported.record(sample.percent, REPORT_WINDOW);
-        if !self.is_news(sample) {
-            return false;
+        if is_news {
+            self.shared = Some(sample);
         }
-        self.shared = Some(sample);
-        true
+        is_news
     }
 
     /// Records a pace that the target reported to a neighbour.
--- a/crates/serving/tests/all/uneven.rs
+++ b/crates/serving/tests/all/uneven.rs
@@ -48,9 +48,9 @@
 const LOADS_INTERVAL: u64 = 40;
 const SLOTS: usize = 8;
 /// Time within which an answer is to be complete.
-const OBJECTIVE: u64 = 200;
+const OBJECTIVE: u64 = 260;
 /// Work of a request at a target that works as usual, in ms.
-const WORK: f64 = 160.0;
+const WORK: f64 = 210.0;
 /// When the crest of the wave begins and ends.
 const CREST_FROM: u64 = 3_000;
 const END: u64 = 5_200;
