quota: teams within their quota go on while no leader answers

Change: an entry counts the tokens of the leader that a team's requests spent in the last window. While nobody answers, for 2 s at most, it lets requests go on at up to one and a half times that rate, unless the leader has refused the team in the last window.

The bounds of quota::* hold. The new test fails without the check for refused teams (20 requests go on in place of none).

--- a/crates/serving/src/quota/purse.rs
+++ b/crates/serving/src/quota/purse.rs
@@ -23,9 +23,11 @@
     QuotaGrant,
     QuotaWant,
     SHARE_LIFETIME,
+    limit::PARTS_PER_TOKEN,
     spare::{
         Isolation,
-        Spare, //
+        Spare,
+        draw, //
     }, //
 };
 
@@ -38,6 +40,10 @@
 const DEMAND_TIME: Millis = Millis(2_000);
 /// Time without a request after which a team's account is dropped.
 const ACCOUNT_LIFETIME: Millis = Millis(60_000);
+/// Time for which a team's requests go on at the rate of their grants while nobody answers: a change of leaders.
+const MAX_CONTINUATION: Millis = Millis(2_000);
+/// Rate of that in relation to the rate of the grants, in percent. Demand comes in waves.
+const CONTINUATION_PERCENT: u64 = 150;
 /// Largest number of questions without an answer that are remembered.
 const MAX_UNANSWERED: usize = 256;
 
@@ -50,6 +56,8 @@
     Spare,
     /// The leader counts this entry as absent; it is from this entry's share.
     Share,
+    /// No answer came; the team's requests go on as before, since it was within its quota.
+    Continued,
 }
 
 impl Source {
@@ -59,6 +67,7 @@
             Self::Leased => "leased",
             Self::Spare => "spare",
             Self::Share => "share",
+            Self::Continued => "continued",
         }
     }
 }
@@ -133,9 +142,61 @@
     last_request: Millis,
     denied_until: Millis,
     room_at: Millis,
+    /// When the leader last said that the team has no room.
+    denied_at: Option<Millis>,
+    grants: Grants,
     spare: Spare,
 }
 
+/// Tokens of the leader that a team's requests have spent, and what they spend by that rate without it.
+#[derive(Debug, Default)]
+struct Grants {
+    /// Spent tokens, fading over one window.
+    spent: f64,
+    spent_at: Millis,
+    /// When the leader last answered before `continued` requests went on without it.
+    silent_since: Millis,
+    continued: u64,
+}
+
+impl Grants {
+    fn fade(&mut self, window: Millis, now: Millis) {
+        let elapsed = (now - self.spent_at).0 as f64;
+        self.spent *= (-elapsed / window.0.max(1) as f64).exp();
+        self.spent_at = now;
+    }
+
+    /// Records a spent token of the leader.
+    fn record(&mut self, window: Millis, now: Millis) {
+        self.fade(window, now);
+        self.spent += 1.0;
+    }
+
+    /// Whether one more request may go on without the leader, which was last heard at `silent_since`. `draw` is
+    /// below one: fractions of a request are rounded so that the sum over all entries is right.
+    fn continue_one(
+        &mut self,
+        silent_since: Millis,
+        window: Millis,
+        draw: f64,
+        now: Millis,
+    ) -> bool {
+        let silence = now - silent_since;
+        if silence > MAX_CONTINUATION {
+            return false;
+        }
+        if self.silent_since != silent_since {
+            self.fade(window, silent_since);
+            (self.silent_since, self.continued) = (silent_since, 0);
+        }
+        let silent_part = silence.0 as f64 / window.0.max(1) as f64;
+        let allowed = self.spent * silent_part * CONTINUATION_PERCENT as f64 / 100.0;
+        let may_go_on = (self.continued + 1) as f64 <= allowed + draw;
+        self.continued += u64::from(may_go_on);
+        may_go_on
+    }
+}
+
 impl Account {
     fn spend(&mut self, now: Millis) -> bool {
         self.held.retain(|(end, tokens)| now < *end && *tokens > 0);
@@ -177,6 +238,7 @@
         self.add(grant.waiting, asked_at + BRIEF_LEASE);
         self.add(grant.expected, asked_at + LONG_LEASE);
         if let Some(room_in) = grant.room_in_ms.map(|ms| Millis(ms.into())) {
+            self.denied_at = Some(now);
             self.denied_until = now + room_in.clamp(MIN_DENIAL, MAX_DENIAL);
             self.room_at = now + room_in.max(MIN_DENIAL);
         }
@@ -288,6 +350,7 @@
     ) -> Take {
         let isolation = self.isolation(now);
         let can_ask = self.can_ask(now);
+        let answered_at = self.answered_at;
         // The leadership may have been transferred.
         let may_return =
             self.connection == Connection::Ended && now < self.connection_since + MAX_WAIT;
@@ -302,6 +365,7 @@
             now
         });
         if account.spend(now) {
+            account.grants.record(limit.window, now);
             account.is_low = account.held() == 0 && account.expected() > 0;
             return Take::Granted(Source::Leased);
         }
@@ -316,6 +380,16 @@
             }
             return Take::Wait(deadline);
         }
+        if let Some(silent_since) = answered_at
+            && account.denied_at.is_none_or(|at| now >= at + limit.window)
+            && !isolation.is_absent
+        {
+            let draw = draw(team, silent_since.0, isolation.seed) as f64 / PARTS_PER_TOKEN as f64;
+            let grants = &mut account.grants;
+            if grants.continue_one(silent_since, limit.window, draw, now) {
+                return Take::Granted(Source::Continued);
+            }
+        }
         if account.spare.take(team, limit, isolation, now) {
             let source = if isolation.is_absent {
                 Source::Share
--- a/crates/serving/src/quota/spare.rs
+++ b/crates/serving/src/quota/spare.rs
@@ -91,7 +91,7 @@
 }
 
 /// Uniform draw below one token, the same for a team in a window at an entry.
-fn draw(team: &TeamName, window: u64, seed: u64) -> u64 {
+pub(super) fn draw(team: &TeamName, window: u64, seed: u64) -> u64 {
     let mut hasher = DefaultHasher::new();
     (team, window, seed).hash(&mut hasher);
     hasher.finish() % PARTS_PER_TOKEN
--- a/crates/serving/tests/all/quota.rs
+++ b/crates/serving/tests/all/quota.rs
@@ -35,6 +35,7 @@
     QuotaAsk,
     QuotaGrant,
     QuotaWant,
+    Source,
     Take,
     Ticket, //
 };
@@ -727,3 +728,54 @@
     // An eighth of the overage is 2.6 requests.
     assert!((1..=9).contains(&spent), "{spent}");
 }
+
+/// Entries lose the leader after 5 s in which each has sent a request of the team every 800 ms. Returns the
+/// requests that go on in the second after. `has_room` is whether the leader has not refused any.
+fn requests_without_leader(has_room: bool) -> usize {
+    let (limit, team) = (
+        Limit::new(quota_of(LARGEST), BOUNDS),
+        TeamName("a".to_owned()),
+    );
+    let mut leader = Ledger::new(Millis::ZERO);
+    leader.set_limits(1, [(team.clone(), limit)]);
+    let mut purses: Vec<_> = (0..50).map(Purse::new).collect();
+    let mut leased = 0;
+    let mut continued = 0;
+    for step in 0..600 {
+        let now = Millis(10_000 + step * 10);
+        let is_heard = step < 500;
+        for (entry, purse) in (0..).zip(&mut purses) {
+            if step == 0 {
+                purse.set_connection(Connection::Open, now);
+            }
+            let wants = step % 80 == entry;
+            let take = wants.then(|| purse.take(&team, &limit, &mut Ticket::new(), now));
+            continued += usize::from(matches!(take, Some(Take::Granted(Source::Continued))));
+            leased += usize::from(matches!(take, Some(Take::Granted(Source::Leased))));
+            let Some(ask) = purse.next_ask(now) else {
+                continue;
+            };
+            if !is_heard {
+                continue;
+            }
+            let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, entry as u8));
+            let mut answer = leader.answer(ip, &ask, now);
+            for grant in &mut answer.grants {
+                grant.expected = 1;
+                grant.room_in_ms = (!has_room).then_some(1);
+            }
+            purse.apply(&answer, now);
+        }
+    }
+    assert!(leased > 150, "{leased} with the leader");
+    continued
+}
+
+/// Without a leader for a second, a team within its quota goes on; one that has used it up does not.
+#[test]
+fn team_within_its_quota_goes_on_without_a_leader() {
+    // 62.5 requests a second before, and up to half more.
+    let continued = requests_without_leader(true);
+    assert!((20..=93).contains(&continued), "{continued}");
+    assert_eq!(requests_without_leader(false), 0);
+}
