--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -4,8 +4,10 @@
 //! entries of its region, which report each request at once) and those of all others, as last sent
 //! by the leader. Loads within the neighbourhood are therefore exact. Among other targets of
 //! similar cost, jitter decides, because every entry sees the same stale loads. Near targets are
-//! preferred until they are nearly full. Where targets report their pace, a target costs less the
-//! sooner its response is expected and the sooner it frees the slot (see [`crate::pace`]).
+//! preferred until they are nearly full. Where targets report their pace, a target costs more if its
+//! response is expected late for the objective (see [`crate::pace`]).
+
+mod view;
 
 use std::{
     collections::HashMap,
@@ -33,6 +35,11 @@
     },
 };
 
+use view::{
+    Accuracy,
+    View, //
+};
+
 /// Requests in progress at one target.
 #[record]
 #[derive(Copy, Default)]
@@ -128,68 +135,6 @@
     pub pace: PaceCost,
 }
 
-/// How far the known load of a target can be relied on.
-#[derive(Clone, Copy)]
-struct Accuracy {
-    /// Whether the leader preempts batch items for callers.
-    preemptible: bool,
-    /// Requests that others may have sent to the target in the meantime.
-    margin: u32,
-}
-
-#[derive(Debug)]
-struct View {
-    record: TargetRecord,
-    /// Load caused by entries that are not neighbours and by the runner, as last sent by the
-    /// leader.
-    remote: Load,
-    /// Requests of the neighbours.
-    neighbours: u32,
-    local: u32,
-    pace: TargetPace,
-}
-
-impl View {
-    fn load(&self) -> Load {
-        Load {
-            online: self.remote.online + self.neighbours + self.local,
-            batch: self.remote.batch,
-        }
-    }
-
-    /// Requests that hold or wait for slots and cannot be preempted.
-    fn fixed_load(&self, accuracy: Accuracy) -> u32 {
-        let load = self.load();
-        let batch = if accuracy.preemptible { 0 } else { load.batch };
-        load.online + batch + accuracy.margin
-    }
-
-    fn free_slots(&self, accuracy: Accuracy) -> u32 {
-        let load = self.load();
-        let taken = load.online + load.batch + accuracy.margin;
-        self.record.slots.saturating_sub(taken)
-    }
-
-    /// Expected pace of a request. `None` if the pace is not compared.
-    fn expected_pace(&self, cost: &PaceCost, now: Millis) -> Option<u32> {
-        if cost.is_known() {
-            self.pace.expected(cost.momentary_percent(), now)
-        } else {
-            None
-        }
-    }
-
-    fn availability(&self, accuracy: Accuracy) -> Availability {
-        if self.free_slots(accuracy) > 0 {
-            Availability::Free
-        } else if self.fixed_load(accuracy) < self.record.slots {
-            Availability::AfterPreemption
-        } else {
-            Availability::Full
-        }
-    }
-}
-
 /// Location of this instance.
 #[derive(Clone, Debug)]
 pub struct Location {
--- a/crates/serving/src/entry/online.rs
+++ b/crates/serving/src/entry/online.rs
@@ -10,9 +10,11 @@
 //! - A response that has begun is given up only if no target may run the request again, or at the
 //!   caller's deadline.
 
+mod failure;
 mod quarantine;
 mod slot;
 
+pub(super) use failure::RequestFailure;
 pub(super) use slot::Slot;
 
 use std::{
@@ -44,7 +46,6 @@
 };
 
 use crate::{
-    admission::retry_after,
     balance::{
         Availability,
         Choice, //
@@ -79,7 +80,6 @@
     front::ReceivedRequest,
     response::{
         HttpResponse,
-        error_response,
         full_body,
         refusal, //
     },
@@ -103,32 +103,6 @@
 /// Delay until a persistent request that was rejected is sent to another target.
 const REJECTION_DELAY: Millis = Millis(50);
 
-/// Failure of a request that got no usable response from a target.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RequestFailure {
-    verdict: Verdict,
-    timed_out: bool,
-    reason: &'static str,
-    /// When the caller may try again, if the reason decides it.
-    retry_after: Option<Millis>,
-}
-
-impl RequestFailure {
-    /// Stable name for logs and metrics.
-    pub(super) fn reason(self) -> &'static str {
-        self.reason
-    }
-
-    fn into_response(self) -> HttpResponse {
-        if self.verdict == Verdict::NotRun && !self.timed_out {
-            let delay = self.retry_after;
-            let delay = delay.unwrap_or_else(|| retry_after(rand::random()));
-            return refusal(self.reason, delay);
-        }
-        error_response(self.verdict, self.timed_out, self.reason)
-    }
-}
-
 /// What came of waiting for the head of a response.
 enum HeadOutcome {
     Arrived(UpstreamResponse),
