--- a/crates/serving/src/entry/batch.rs
+++ b/crates/serving/src/entry/batch.rs
@@ -77,8 +77,10 @@
         )
         .await;
     let outcome = outcome_code(reply.as_ref());
-    log::info!(request = id, team = team.map(|team| team.name.as_str()), items, outcome, took_ms = (cx.clock.now() - arrived_at).0;
-        "batch job submitted");
+    let team_name = team.map(|team| team.name.as_str());
+    let took = cx.clock.now() - arrived_at;
+    log::info!(
+        request = id, team = team_name, items, outcome, took_ms = took.0; "batch job submitted");
     match reply {
         Some(link::HubReply::Done) => empty(StatusCode::ACCEPTED),
         Some(link::HubReply::OverLimit) => {
--- a/crates/serving/src/quota/purse.rs
+++ b/crates/serving/src/quota/purse.rs
@@ -427,8 +427,8 @@
         self.accounts.get(team).is_some_and(Account::wants_to_ask)
     }
 
-    /// Returns the next question, without the number of entries while this one has no share to spend, if one is due: what requests wait for, or a sign that this entry
-    /// is there.
+    /// Returns the next question if one is due: what requests wait for, or a sign that this entry is there. It
+    /// leaves out the number of entries while this one has no share to spend.
     pub fn next_ask(&mut self, now: Millis) -> Option<QuotaAsk> {
         let has_share = self.connection == Connection::Open || self.is_absent(now);
         self.accounts
--- a/crates/serving/src/schedule.rs
+++ b/crates/serving/src/schedule.rs
@@ -154,7 +154,8 @@
     leading_for >= START_DELAY
 }
 
-/// Plans the next scheduling step. `outlook` tells what to expect of callers, if they come in waves. `refuses` states whether a target has refused an item and is not to be tried again yet.
+/// Plans the next scheduling step. `outlook` tells what to expect of callers, if they come in waves.
+/// `refuses` states whether a target has refused an item and is not to be tried again yet.
 pub fn plan<F>(
     waiting: &[WaitingItem],
     running: &[RunningItem],
