state: output of closed items is no gap

Change: the runner stops all items of a command with a gap, as before. The state drops the output of listed items and of ended jobs, which was the cause of most gaps, without a gap.

--- a/crates/serving/src/state/job.rs
+++ b/crates/serving/src/state/job.rs
@@ -245,6 +245,12 @@
         }
     }
 
+    /// Whether an item is listed, or was not when the job ended.
+    pub(super) fn is_closed(&self, item: u32) -> bool {
+        let item = self.items.get(item as usize);
+        item.is_some_and(|item| self.ended || item.listed)
+    }
+
     /// Appends output. Returns false if it does not follow the stored output.
     pub(super) fn advance(&mut self, item: u32, output: Output) -> bool {
         let ended = self.ended;
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -46,7 +46,6 @@
 };
 
 use crate::{
-    events::parse_event_id,
     quarantine::Feature,
     targets::TargetRecord, //
 };
@@ -193,25 +192,18 @@
         let mut outcome = CommandOutcome::Done;
         for advance in advances {
             let job = self.jobs.get_mut(&advance.job);
-            if !job.is_some_and(|job| job.advance(advance.item, advance.output)) {
+            let is_applied = job.is_some_and(|job| {
+                // The output of an item that nothing can be added to any more is dropped. That says nothing
+                // about the other items in the command.
+                job.is_closed(advance.item) || job.advance(advance.item, advance.output)
+            });
+            if !is_applied {
                 outcome = CommandOutcome::Gap;
             }
         }
         outcome
     }
 
-    /// Whether an item that can still be listed has no output up to the event `last_id`.
-    pub fn lacks_output(&self, job: &str, item: u32, last_id: Option<&str>) -> bool {
-        let Some(job) = self.jobs.get(job).filter(|job| !job.is_ended()) else {
-            return false;
-        };
-        let event = |id: Option<&str>| id.and_then(parse_event_id);
-        let item = job.items().get(item as usize);
-        item.is_some_and(|item| {
-            !item.is_listed() && event(item.last_id.as_deref()) < event(last_id)
-        })
-    }
-
     fn finish(&mut self, finished: FinishedItem) -> CommandOutcome {
         match self.jobs.get_mut(&finished.job) {
             None => CommandOutcome::UnknownJob,
