--- a/crates/serving/src/pace/target_pace.rs
+++ b/crates/serving/src/pace/target_pace.rs
@@ -8,8 +8,8 @@
 use super::average::Average;
 
 /// Smallest and largest pace that is believed, in percent.
-const MIN_PACE: u32 = 25;
-const MAX_PACE: u32 = 500;
+const MIN_PACE_PERCENT: u32 = 25;
+const MAX_PACE_PERCENT: u32 = 500;
 /// Age up to which a report of the momentary pace holds in full. From then on it fades.
 const FRESH_REPORT_AGE: Millis = Millis(400);
 /// Age at which a report says nothing of the momentary pace any more. A target that is avoided gets
@@ -22,12 +22,12 @@
 /// Complete answers from which on the measured pace bounds the reported one.
 const MIN_ANSWERS: u32 = 4;
 /// Largest factor between the reported lasting pace and the measured one, in percent.
-const MAX_LASTING_FACTOR: u32 = 150;
+const MAX_LASTING_PERCENT: u32 = 150;
 /// Largest factor by which work takes longer for a moment, in percent.
-const MAX_SLOWDOWN: u32 = 300;
+const MAX_SLOWDOWN_PERCENT: u32 = 300;
 /// Largest factor by which work is faster for a moment, in percent: the lasting pace is that of an
 /// otherwise idle machine, nearly.
-const MAX_SPEEDUP: u32 = 150;
+const MAX_SPEEDUP_PERCENT: u32 = 150;
 /// Difference from what the neighbours know, in percent of it, from which on they are told.
 const NEWS_PERCENT: u32 = 30;
 
@@ -77,7 +77,7 @@
 
     fn apply(&mut self, percent: u32, now: Millis) -> PaceSample {
         let sample = PaceSample {
-            percent: percent.clamp(MIN_PACE, MAX_PACE),
+            percent: percent.clamp(MIN_PACE_PERCENT, MAX_PACE_PERCENT),
             at: now,
         };
         self.latest = Some(sample);
@@ -98,7 +98,7 @@
 
     /// Records how long a complete answer took, in percent of the usual time.
     pub fn record_answer(&mut self, percent: u32) {
-        let percent = percent.clamp(MIN_PACE, MAX_PACE);
+        let percent = percent.clamp(MIN_PACE_PERCENT, MAX_PACE_PERCENT);
         self.measured.record(percent, ANSWER_WINDOW);
     }
 
@@ -108,8 +108,8 @@
         let reported = self.reported.percent(1).or(self.told);
         match (reported, measured) {
             (Some(reported), Some(measured)) => {
-                let min = measured * 100 / MAX_LASTING_FACTOR;
-                Some(reported.clamp(min, measured * MAX_LASTING_FACTOR / 100))
+                let min = measured * 100 / MAX_LASTING_PERCENT;
+                Some(reported.clamp(min, measured * MAX_LASTING_PERCENT / 100))
             }
             (reported, measured) => reported.or(measured),
         }
@@ -122,8 +122,10 @@
         let Some(latest) = self.latest else {
             return Some(lasting);
         };
-        let min = lasting * 100 / MAX_SPEEDUP;
-        let momentary = latest.percent.clamp(min, lasting * MAX_SLOWDOWN / 100);
+        let min = lasting * 100 / MAX_SPEEDUP_PERCENT;
+        let momentary = latest
+            .percent
+            .clamp(min, lasting * MAX_SLOWDOWN_PERCENT / 100);
         let left = MAX_REPORT_AGE - (now - latest.at).max(FRESH_REPORT_AGE);
         let weight = left.0 * u64::from(momentary_percent) / (MAX_REPORT_AGE - FRESH_REPORT_AGE).0;
         let shift = (i64::from(momentary) - i64::from(lasting)) * weight as i64 / 100;
--- a/crates/serving/src/shares/allocation.rs
+++ b/crates/serving/src/shares/allocation.rs
@@ -4,7 +4,7 @@
 
 /// Part of the average service that each flow gets whatever its priority. Above a quarter, so that no team
 /// is served less than a quarter as often as all.
-const FLOOR: f64 = 0.3;
+const FLOOR_SHARE: f64 = 0.3;
 /// Weighted shares up to which a flow goes before the less urgent ones.
 const PRIORITY_SHARES: f64 = 1.5;
 /// Halvings of the interval that holds the water level of a priority.
@@ -37,9 +37,9 @@
     if total <= capacity {
         return flows.iter().map(|flow| flow.demand).collect();
     }
-    let served = FLOOR * capacity / total;
+    let served = FLOOR_SHARE * capacity / total;
     let mut shares: Vec<_> = flows.iter().map(|flow| flow.demand * served).collect();
-    let mut left = capacity * (1.0 - FLOOR);
+    let mut left = capacity * (1.0 - FLOOR_SHARE);
     let weights: f64 = flows.iter().map(|flow| flow.weight).sum();
     let precedence = |flow: &FlowDemand| FlowDemand {
         demand: flow
--- a/crates/serving/src/waves.rs
+++ b/crates/serving/src/waves.rs
@@ -26,9 +26,9 @@
 const MIN_WAVE_RATIO: u32 = 2;
 /// Part of the slots that a peak must reach, as a divisor. A smaller one leaves room for any item.
 const MIN_PEAK_DIVISOR: u32 = 4;
-/// Demand above the trough from which on a wave has begun, in percent of the peak's.
+/// Demand from which on a wave has begun, in percent of the way from the trough to the peak.
 const WAVE_BEGIN_PERCENT: u32 = 50;
-/// Demand above the trough below which a wave has ended, in percent of the peak's.
+/// Demand below which a wave has ended, in percent of the way from the trough to the peak.
 const WAVE_END_PERCENT: u32 = 40;
 /// Troughs whose length is remembered.
 const MAX_TROUGHS: usize = 3;
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod quarantine;
 mod quota;
+mod quota_purse;
 mod refusals;
 mod routes;
 mod schedule;
