--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -225,21 +225,20 @@
             "node_name": self.name, "role": "store" if self.is_store else "entry",
             "machine_class": "storage" if self.is_store else "edge",
             "serves": ["storage"] if self.is_store else ["edge", "control_plane"],
-            "ip": self.ip, "zone": self.zone, "region": system.regions[self.zone],
-            "zones": system.regions,
+            "ip": self.ip, "zone": self.zone, "region": ZONES[self.zone], "zones": ZONES,
             "listen": {} if self.is_store else {
                 "front": at("front"), "ready": at("ready"), "control": at("control")},
             "port_range": [system.ports["peer"], system.ports["peer"] + 15],
             "seeds": seeds, "bootstrap": is_first, "counts_as_loss": self.is_store,
             "limits": {"cpu_share": 0.5 if self.is_store else 0.25, "cores": 1,
-                       "memory_mb": 300 if self.is_store else 260,
+                       "memory_mb": system.store_memory_mb if self.is_store else system.entry_memory_mb,
                        "max_fds": 8200 if self.is_store else 4100, "link_mbps": 600.0,
                        "disk_mb": 520 if self.is_store else 0},
             "data_dir": self.data if self.is_store else None,
             "discovery": "registration", "entry": "vip", "heartbeat_ms": 1200,
             "contracts": ["base", "drain", "config", "cost", "recover", "batch", "stream", "engine"],
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": BOUNDS, "config_mode": "highest",
+            "fault_tolerance": {"machines": system.tolerance, "zones": 0, "regions": 0},
+            "bounds": system.bounds, "config_mode": "highest",
         }
         with open(self.settings, "w", encoding="utf-8") as file:
             json.dump(settings, file)
@@ -249,7 +248,7 @@
     def start(self):
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env["YUCCASEAM_NODE_FILE"] = self.settings
-        if self.system.proxies is not None:
+        if self.system.proxies is not None and (self.is_store or self.system.all_proxies):
             # The project's own seam for proxies between its processes: the port at which they dial each other.
             env["YUCCASEAM_TEST_RELAY_PORT"] = str(self.system.ports["relay"] + self.number)
         with open(self.log_path, "ab") as log:
@@ -285,14 +284,18 @@
 class System:
     """Entries and stores, in the zones in turn. Entries have the numbers from 0 on, then come the stores."""
 
-    def __init__(self, record, entries=3, stores=3, proxies=False, entry_zones=None, regions=None):
-        self.regions = regions or ZONES
+    def __init__(self, record, entries=3, stores=3, proxies=False, entry_zones=None,
+                 entry_memory_mb=260, store_memory_mb=300, tolerance=1, catch_up_s=4.9):
+        self.entry_memory_mb, self.store_memory_mb, self.tolerance = entry_memory_mb, store_memory_mb, tolerance
+        self.bounds = {**BOUNDS, "catch_up_s": catch_up_s}
         if not os.path.exists(DAEMON):
             raise CannotRun("target/release/yuccaseamd is not built")
         self.record, self.entry_count = record, entries
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = f"127.{random.randint(64, 126)}.{random.randint(1, 254)}"
+        # "stores": only what stores send goes through proxies.
         self.proxies = {} if proxies else None
+        self.all_proxies = proxies != "stores"
         self.ports = self._free_ports(entries + stores)
         zones = list(ZONES)
         places = entry_zones or [zones[n % 3] for n in range(entries)]
@@ -322,7 +325,8 @@
 
     async def start(self):
         if self.proxies is not None:
-            for source in self.all:
+            sources = self.all if self.all_proxies else self.stores
+            for source in sources:
                 for to in self.all:
                     if source is not to:
                         proxy = Proxy((to.ip, self.ports["peer"]))
