--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -265,6 +265,12 @@
             self.signal(signal.SIGKILL)
             self.process.wait()
 
+    def lose_disk(self):
+        """The machine goes down, and comes back with an empty disk when it is started again."""
+        self.kill()
+        shutil.rmtree(self.data)
+        self.write_settings(False)
+
     def memory(self):
         """Largest resident memory so far, in bytes; 0 if the process does not run."""
         if self.process is None or self.process.poll() is not None:
