--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -297,6 +297,8 @@
         if not os.path.exists(DAEMON):
             raise CannotRun("target/release/yuccaseamd is not built")
         self.record, self.entry_count = record, entries
+        # A process and those that it is cut off from when all of them start.
+        self.cut_at_start = None
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = f"127.{random.randint(64, 126)}.{random.randint(1, 254)}"
         # "stores": only what stores send goes through proxies.
@@ -329,7 +331,8 @@
             return ports
         raise CannotRun("no free ports")
 
-    async def start(self):
+    async def start(self, last=None, after=0.0):
+        """Starts all processes, `last` some time after the others."""
         if self.proxies is not None:
             sources = self.all if self.all_proxies else self.stores
             for source in sources:
@@ -338,9 +341,15 @@
                         proxy = Proxy((to.ip, self.ports["peer"]))
                         listen = (to.ip, self.ports["relay"] + source.number)
                         self.proxies[source.name, to.name] = await proxy.start(listen)
+        if self.cut_at_start:
+            self.cut(*self.cut_at_start)
         for process in self.stores + self.entries:
             process.write_settings(True)
-            process.start()
+            if process is not last:
+                process.start()
+        if last is not None:
+            await asyncio.sleep(after)
+            last.start()
         self.record(f"started {', '.join(process.name for process in self.all)}")
 
     def cut(self, one, others):
