serving: open group changes take turns, so that none waits behind a refused one

The next single disk loss, long after the first was made good, ended the group: no job, result or manifest could be read any more.

Cause: GroupManager::next_change returned the first change in the order of the disks' random identities and heard nothing of refusals. The replacement of a sound voter cannot be confirmed while another voter is lost, so it was proposed and refused for as long as that lasted, and the replacement of the lost voter behind it was never proposed. Each try also kept the core from any other change for an election timeout.

Change: all open changes are listed, the most urgent first, and taken in turn (ChangeRotation in quorum). Each voter to be replaced has a store of its own, lost ones choose before those that retire. The core refuses at once what silent members would have to confirm. The leader retires last and transfers leadership every 5 s at most. A refusal is logged once for each change and reason.

Why it works: between two proposals of one change every other open change is proposed, so the reason of one refusal delays others by a step, not for good.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -21,6 +21,7 @@
 mod raw_target;
 mod refusals;
 mod refused_items;
+mod retiring;
 mod shares;
 mod silent;
 mod tainted;
--- a/crates/quorum/src/change.rs
+++ b/crates/quorum/src/change.rs
@@ -27,11 +27,16 @@
     /// Handles a requested change. A change of voters waits until a quorum of the changed group has
     /// acknowledged a heartbeat sent after the request: a group without a reachable quorum could
     /// commit nothing, not even the reversal of the change. A replacement also waits for the learner:
-    /// between its two steps no voter may be lost.
+    /// between its two steps no voter may be lost. If members that the change depends on have been
+    /// silent for an election timeout, it is refused at once: no other change can be made meanwhile.
     pub(crate) fn on_change(&mut self, token: Token, change: Change) {
         let result = self
             .check_can_change()
-            .and_then(|()| self.membership_after(&change));
+            .and_then(|()| self.membership_after(&change))
+            .and_then(|next| {
+                self.check_confirmable(&next, &change, |id| self.is_active(id))?;
+                Ok(next)
+            });
         match (result, &change) {
             (Err(error), _) => self.actions.push(Action::ChangeRefused { token, error }),
             (Ok(next), Change::AddLearner { .. }) => self.append_membership(token, next),
@@ -69,7 +74,7 @@
         };
         let (token, change) = (*token, change.clone());
         let next = match self.membership_after(&change) {
-            Ok(next) if !self.can_change_to(&next, &change, *round) => return,
+            Ok(next) if self.check_round(&next, &change, *round).is_err() => return,
             next => next,
         };
         self.end_change();
@@ -80,18 +85,35 @@
         }
     }
 
-    /// Whether the members on which a change depends have acknowledged its round.
-    fn can_change_to(&self, next: &Membership, change: &Change, round: Round) -> bool {
-        let learner = match *change {
-            Change::Replace { new, .. } => Some(new),
-            _ => None,
-        };
-        let learner_responds = learner.is_none_or(|new| self.acked_round(new) >= round);
-        learner_responds && self.has_quorum_in_round(next, round)
+    /// Checks that the members on which a change depends respond. A learner is added without them.
+    fn check_confirmable<F>(
+        &self,
+        next: &Membership,
+        change: &Change,
+        responds: F,
+    ) -> Result<(), ChangeError>
+    where
+        F: Fn(DiskId) -> bool,
+    {
+        match *change {
+            Change::AddLearner { .. } => Ok(()),
+            _ if !next.is_quorum(&responds) => Err(ChangeError::WouldLoseQuorum {
+                active: next.voters().filter(|&id| responds(id)).count(),
+                needed: next.majority(),
+            }),
+            Change::Replace { new, .. } if !responds(new) => Err(ChangeError::Unresponsive(new)),
+            _ => Ok(()),
+        }
     }
 
-    fn has_quorum_in_round(&self, group: &Membership, round: Round) -> bool {
-        group.is_quorum(|id| self.acked_round(id) >= round)
+    /// Checks that the members on which a change depends have acknowledged its round.
+    fn check_round(
+        &self,
+        next: &Membership,
+        change: &Change,
+        round: Round,
+    ) -> Result<(), ChangeError> {
+        self.check_confirmable(next, change, |id| self.acked_round(id) >= round)
     }
 
     /// Refuses the proposed change if its round found no quorum in time.
@@ -106,21 +128,13 @@
             return;
         }
         let (token, round) = (proposed_change.token, proposed_change.round);
-        let error = match (
-            self.membership_after(&proposed_change.change),
-            &proposed_change.change,
-        ) {
-            (Ok(next), &Change::Replace { new, .. }) if self.has_quorum_in_round(&next, round) => {
-                ChangeError::Unresponsive(new)
-            }
-            (Ok(next), _) => ChangeError::WouldLoseQuorum {
-                active: next
-                    .voters()
-                    .filter(|&id| self.acked_round(id) >= round)
-                    .count(),
-                needed: next.majority(),
-            },
-            (Err(error), _) => error,
+        let change = &proposed_change.change;
+        let checked = self
+            .membership_after(change)
+            .and_then(|next| self.check_round(&next, change, round));
+        // A round that was acknowledged has started the change already.
+        let Err(error) = checked else {
+            return;
         };
         self.end_change();
         self.actions.push(Action::ChangeRefused { token, error });
@@ -194,6 +208,11 @@
         self.refresh_peers();
     }
 
+    /// Whether this replica is a leader that could begin a change now, unless the change itself is refused.
+    pub fn accepts_changes(&self) -> bool {
+        self.check_can_change().is_ok()
+    }
+
     fn check_can_change(&self) -> Result<(), ChangeError> {
         let Role::Leader(state) = &self.role else {
             return Err(ChangeError::NotLeader(self.leader));
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -20,6 +20,7 @@
 mod progress;
 mod reads;
 mod role;
+mod rotation;
 mod timing;
 mod traffic;
 mod transfer;
@@ -71,6 +72,7 @@
     LastEntry, //
 };
 pub use progress::ReplicationStep;
+pub use rotation::ChangeRotation;
 pub use timing::Timing;
 pub use transfer::CHUNK_BYTES;
 pub use wire::{
--- a/crates/quorum/tests/all/main.rs
+++ b/crates/quorum/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod group;
 mod leases;
 mod members;
+mod rotation;
 mod rules;
 mod schedules;
 mod single;
--- a/crates/quorum/tests/all/members.rs
+++ b/crates/quorum/tests/all/members.rs
@@ -259,6 +259,44 @@
     );
 }
 
+/// Guards against a change that cannot be confirmed for as long as a voter is lost, and at each try keeps the leader
+/// from any other change for an election timeout.
+#[test]
+fn change_that_silent_members_would_have_to_confirm_is_refused_at_once() {
+    let mut group = Group::new(3, 34);
+    group.write();
+    let blank = group.add_blank("instance-4");
+    let new = add_learner(&mut group, blank);
+    group.run(Millis::from_secs(1));
+    let leader = group.wait_for_leader();
+    let (dead, alive) = others(leader);
+    group.crash(dead);
+    group.crash(blank);
+    group.run(Millis::from_secs(2));
+    let (dead, alive) = (group.replicas[dead].id, group.replicas[alive].id);
+    let lost_quorum = ChangeError::WouldLoseQuorum {
+        active: 1,
+        needed: 2,
+    };
+    for (change, expected) in [
+        (Change::Remove(alive), lost_quorum),
+        (
+            Change::Promote(new),
+            ChangeError::WouldLoseQuorum {
+                active: 2,
+                needed: 3,
+            },
+        ),
+        (
+            Change::Replace { old: dead, new },
+            ChangeError::Unresponsive(new),
+        ),
+    ] {
+        let token = group.change(leader, change);
+        assert_eq!(group.refused.get(&token), Some(&expected));
+    }
+}
+
 #[test]
 fn instance_does_not_vote_with_two_disks() {
     let mut group = Group::new(3, 27);
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -4,6 +4,14 @@
 //! disk therefore bootstraps a group only at the first start of the whole system, and only if no
 //! store that it knows of has a group and all of them agree on this founder. In every other case it
 //! waits for a leader.
+//!
+//! Invariant of the membership changes: no change waits for another one that is refused or cannot be
+//! confirmed. [`GroupManager::next_change`] takes all open changes in turn (see [`ChangeRotation`]);
+//! each voter that must be replaced has a store of its own. A group with enough stores thus replaces a
+//! lost voter for as long as a quorum responds, whatever its other voters do. Lost voters come before
+//! those that retire, also in the choice of stores.
+
+mod plan;
 
 use std::collections::{
     BTreeMap,
@@ -17,11 +25,14 @@
 };
 use yuccaseam_quorum::{
     Change,
+    ChangeError,
+    ChangeRotation,
     DiskId,
-    MemberRole,
     Membership, //
 };
 
+use plan::Plan;
+
 /// How long the set of known stores must be stable before one bootstraps a group.
 const MIN_STABLE_TIME: Millis = Millis(800);
 /// How long a founder waits for as many stores as a full group has.
@@ -31,6 +42,9 @@
 /// How long a voter may be unresponsive before it is replaced. Longer than a restart, and shorter than
 /// the time after which the loss of another disk must be survived (`catch_up_s` of the platform).
 const STORE_LOSS_TIMEOUT: Millis = Millis(4_000);
+/// Time between two attempts to transfer leadership, during which commands are refused, from a store that
+/// retires.
+const TRANSFER_INTERVAL: Millis = Millis(5_000);
 
 /// Status that a store sent in its hello.
 #[derive(Clone, Debug)]
@@ -58,6 +72,9 @@
     /// The known stores, and the time since which the set is unchanged.
     stable_view: (BTreeSet<InstanceName>, Millis),
     started_at: Millis,
+    rotation: ChangeRotation,
+    /// Earliest time of the next leadership transfer.
+    transfer_at: Millis,
 }
 
 impl GroupManager {
@@ -75,6 +92,8 @@
             stores: BTreeMap::new(),
             stable_view: (BTreeSet::new(), now),
             started_at: now,
+            rotation: ChangeRotation::default(),
+            transfer_at: Millis::ZERO,
         }
     }
 
@@ -125,11 +144,17 @@
         self.present(now).count().min(self.full_size)
     }
 
-    /// Returns the next change by the leader, if any. All future voters become learners first, at
-    /// the same time; then those that keep up with the log according to `is_synced` are made voters one by
-    /// one.
+    /// Forgets what this store knew as the leader.
+    pub fn end_leadership(&mut self) {
+        self.rotation.clear();
+    }
+
+    /// Returns the next change by the leader, if any. All future voters become learners at the same
+    /// time; then those that are synced are made voters one by one.
+    ///
+    /// `is_synced` tells whether a learner responds and keeps up with the log.
     pub fn next_change<F>(
-        &self,
+        &mut self,
         group: &Membership,
         retiring: &BTreeSet<InstanceName>,
         is_synced: F,
@@ -138,89 +163,37 @@
     where
         F: Fn(DiskId) -> bool,
     {
-        if let Some((name, id)) = self.store_with_new_disk(group, retiring, now) {
-            return Some(Change::AddLearner {
-                id,
-                name: name.clone(),
-            });
-        }
-        let voters: Vec<_> = group.voters().collect();
-        for old in voters.iter().copied() {
-            let Some(member) = group.get(old) else {
-                continue;
-            };
-            let Some(new) = self.replacement(old, &member.name, group, retiring, now) else {
-                continue;
-            };
-            if !group.contains(new.1)
-                || (is_synced(new.1) && self.must_leave(old, &member.name, retiring, now))
-            {
-                return Some(join(group, new, Change::Replace { old, new: new.1 }));
-            }
-        }
-        if voters.len() < self.full_size
-            && let Some(new) = self.candidate(group, retiring, now)
-            && (is_synced(new.1) || !group.contains(new.1))
-        {
-            return Some(join(group, new, Change::Promote(new.1)));
+        let plan = Plan {
+            manager: self,
+            group,
+            retiring,
+            is_synced: &is_synced,
+            now,
+        };
+        let open = plan.open_changes();
+        let change = self.rotation.next(open)?;
+        if self.removes_own_disk(&change) {
+            self.transfer_at = now + TRANSFER_INTERVAL;
         }
-        self.unneeded_learner(group, retiring, now)
-            .map(Change::Remove)
+        Some(change)
     }
 
-    /// Finds a store that returned with an empty disk while its lost disk is still a voter.
-    fn store_with_new_disk(
-        &self,
-        group: &Membership,
-        retiring: &BTreeSet<InstanceName>,
-        now: Millis,
-    ) -> Option<(&InstanceName, DiskId)> {
-        let mut present = self.present(now);
-        let (name, status) = present.find(|(name, status)| {
-            let is_lost = group
-                .voter_named(name)
-                .is_some_and(|disk| disk != status.disk);
-            is_lost && !group.contains(status.disk) && !retiring.contains(*name)
-        })?;
-        Some((name, status.disk))
+    /// Whether a change was refused in this leadership.
+    pub fn was_refused(&self, change: &Change) -> bool {
+        self.rotation.was_refused(change)
     }
 
-    /// Returns the replacement of a voter that is unresponsive, lost or retiring; `None` if the voter
-    /// stays, or no store can replace it. It becomes a learner before the voter counts as lost.
-    fn replacement(
-        &self,
-        old: DiskId,
-        name: &InstanceName,
-        group: &Membership,
-        retiring: &BTreeSet<InstanceName>,
-        now: Millis,
-    ) -> Option<(&InstanceName, DiskId)> {
-        let known = self.stores.get_key_value(name);
-        if let Some((name, status)) = known
-            && status.disk != old
-            && now < status.received_at + PRESENCE_TIMEOUT
-            && !retiring.contains(name)
-        {
-            return Some((name, status.disk));
-        }
-        let may_leave = retiring.contains(name) || self.is_silent(old, name, PRESENCE_TIMEOUT, now);
-        may_leave.then(|| self.candidate(group, retiring, now))?
+    /// Records that the core refused a change. Returns whether this is the first time for this reason.
+    pub fn record_refusal(&mut self, change: &Change, error: &ChangeError) -> bool {
+        self.rotation.record_refusal(change, error)
     }
 
-    /// Whether a voter is to be replaced as soon as another store can vote.
-    fn must_leave(
-        &self,
-        disk: DiskId,
-        name: &InstanceName,
-        retiring: &BTreeSet<InstanceName>,
-        now: Millis,
-    ) -> bool {
-        let has_new_disk = self
-            .present(now)
-            .any(|(other, status)| other == name && status.disk != disk);
-        has_new_disk
-            || retiring.contains(name)
-            || self.is_silent(disk, name, STORE_LOSS_TIMEOUT, now)
+    fn removes_own_disk(&self, change: &Change) -> bool {
+        let Change::Replace { old, .. } = change else {
+            return false;
+        };
+        let own = self.stores.get(&self.instance);
+        own.is_some_and(|status| status.disk == *old)
     }
 
     /// Whether a disk has not been heard of for `timeout`, or since the start of this process.
@@ -231,54 +204,6 @@
         is_silent && now > self.started_at + timeout
     }
 
-    /// Chooses the best store to join: learners first, then failure domains with few voters.
-    fn candidate(
-        &self,
-        group: &Membership,
-        retiring: &BTreeSet<InstanceName>,
-        now: Millis,
-    ) -> Option<(&InstanceName, DiskId)> {
-        let voters_in = |domain: &FailureDomain| {
-            let voters = group.voters();
-            voters
-                .filter_map(|disk| self.stores.values().find(|status| status.disk == disk))
-                .filter(|status| status.domain == *domain)
-                .count()
-        };
-        let candidates = self.present(now).filter(|(name, status)| {
-            !group.is_voter(status.disk)
-                && group.voter_named(name).is_none()
-                && !retiring.contains(*name)
-        });
-        candidates
-            .min_by_key(|(name, status)| {
-                let is_learner = group.contains(status.disk);
-                (!is_learner, voters_in(&status.domain), (*name).clone())
-            })
-            .map(|(name, status)| (name, status.disk))
-    }
-
-    /// Finds a learner that is unresponsive or retiring.
-    fn unneeded_learner(
-        &self,
-        group: &Membership,
-        retiring: &BTreeSet<InstanceName>,
-        now: Millis,
-    ) -> Option<DiskId> {
-        let mut learners = group
-            .iter()
-            .filter(|(_, member)| member.role == MemberRole::Learner);
-        let grace_elapsed = now > self.started_at + STORE_LOSS_TIMEOUT;
-        let is_unresponsive = |disk| {
-            let status = self.stores.values().find(|status| status.disk == disk);
-            status.is_none_or(|status| now > status.received_at + STORE_LOSS_TIMEOUT)
-        };
-        let unneeded = learners.find(|(disk, member)| {
-            retiring.contains(&member.name) || (grace_elapsed && is_unresponsive(*disk))
-        });
-        unneeded.map(|(disk, _)| disk)
-    }
-
     /// Whether a store can be retired without leaving too few; `None` if it is unknown.
     pub fn can_retire(
         &self,
@@ -295,14 +220,3 @@
         Some(remaining.count() >= self.full_size)
     }
 }
-
-/// Adds a store as a learner if it is not yet in the group; otherwise returns `vote`.
-fn join(group: &Membership, (name, disk): (&InstanceName, DiskId), vote: Change) -> Change {
-    if group.contains(disk) {
-        return vote;
-    }
-    Change::AddLearner {
-        id: disk,
-        name: name.clone(),
-    }
-}
--- a/crates/serving/src/store/replica/driver.rs
+++ b/crates/serving/src/store/replica/driver.rs
@@ -20,7 +20,7 @@
 use yuccaseam_journal::DataFolder;
 use yuccaseam_quorum::{
     Action,
-    ChangeError,
+    Change,
     Committed,
     Config,
     Core,
@@ -103,6 +103,8 @@
     report_lag_at: Millis,
     /// When a leader was last known, or its absence reported.
     leader_known_at: Millis,
+    /// The change proposed last, until it is refused.
+    proposed_change: Option<(Token, Change)>,
     /// Read barrier of a new leader: its state is current once this completes.
     barrier: Option<Token>,
     was_leader: bool,
@@ -140,6 +142,7 @@
             maintain_at: Millis::ZERO,
             report_lag_at: Millis::ZERO,
             leader_known_at: Millis::ZERO,
+            proposed_change: None,
             barrier: None,
             was_leader: false,
         }
@@ -367,12 +370,7 @@
                     }
                 }
             }
-            Action::ChangeRefused { error, .. } => {
-                log::info!(error:% = error; "group change refused");
-                if error == ChangeError::IsLeader {
-                    self.step(Event::TransferLeadership);
-                }
-            }
+            Action::ChangeRefused { token, error } => self.on_change_refused(token, &error),
             Action::ReadChunk { to, id, offset } => {
                 self.send_to_disk(DiskRequest::ReadChunk { to, id, offset });
             }
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -10,6 +10,7 @@
 use yuccaseam_journal::Position;
 use yuccaseam_quorum::{
     Change,
+    ChangeError,
     Core,
     Event,
     Index,
@@ -158,14 +159,20 @@
             self.report_lag_at = now + LAG_REPORT_INTERVAL;
             report_lagging_learners(core, now);
         }
-        let is_synced = |id| core.keeps_up(id);
+        if !core.accepts_changes() {
+            return;
+        }
+        let is_synced = |id| core.keeps_up(id) && core.is_active(id);
         let change = self
             .manager()
             .next_change(core.membership(), &retiring, is_synced, now);
-        if matches!(change, Some(Change::AddLearner { .. })) && self.renew_snapshot() {
+        let Some(change) = change else {
+            return;
+        };
+        if matches!(change, Change::AddLearner { .. }) && self.renew_snapshot() {
             return;
         }
-        if let Some(change) = change {
+        if !self.manager().was_refused(&change) {
             let joining = match &change {
                 Change::Promote(id) | Change::Replace { new: id, .. } => {
                     let core = self.core.as_ref();
@@ -174,9 +181,25 @@
                 Change::AddLearner { .. } | Change::Remove(_) => None,
             };
             log::info!(change:? = change, progress = joining.as_deref(); "group change proposed");
-            self.next_token += 1;
-            let token = Token(self.next_token);
-            self.step(Event::ChangeMembers { token, change });
+        }
+        self.next_token += 1;
+        let token = Token(self.next_token);
+        self.proposed_change = Some((token, change.clone()));
+        self.step(Event::ChangeMembers { token, change });
+    }
+
+    /// Handles the refusal of a change. Each change is logged once for each reason: it is proposed again for as long
+    /// as the reason lasts.
+    pub(super) fn on_change_refused(&mut self, token: Token, error: &ChangeError) {
+        let proposed = self.proposed_change.take_if(|(other, _)| *other == token);
+        let Some((_, change)) = proposed else {
+            return log::info!(error:% = error; "group change refused");
+        };
+        if self.manager().record_refusal(&change, error) {
+            log::info!(change:? = change, error:% = error; "group change refused");
+        }
+        if *error == ChangeError::IsLeader {
+            self.step(Event::TransferLeadership);
         }
     }
 
@@ -241,6 +264,7 @@
             self.lock().is_current = false;
             self.barrier = None;
             if !is_leader {
+                self.manager().end_leadership();
                 log::info!("leadership lost");
             }
         }
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -5,6 +5,8 @@
 mod deadly_requests;
 mod events;
 mod group;
+mod group_changes;
+mod group_model;
 mod health;
 mod herd;
 mod intake;
