serving: a store that never catches up keeps no other one from joining

A voter that is heard but acknowledges nothing did not count as lost.

Cause: presence was judged by what a store sends, and a learner came before every store that was none.

Change: the leader passes on when each member last acknowledged a message and how far it is. A learner without a response for 1 s, or without progress for 1.5 s, comes after all other stores. A voter that acknowledges nothing for 4 s is replaced like a silent one.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -325,6 +325,15 @@
         state.progress.get(&id)?.contact
     }
 
+    /// Position of a member, which changes while it catches up: the number of entries that it has synced, plus the
+    /// bytes of the snapshot that is being sent to it. `None` as for [`Core::synced_index_of`].
+    pub fn position_of(&self, id: DiskId) -> Option<u64> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        state.progress.get(&id).map(Progress::position)
+    }
+
     /// Step of the replication to a member; `None` as for [`Core::synced_index_of`].
     pub fn replication_step(&self, id: DiskId) -> Option<ReplicationStep> {
         let Role::Leader(state) = &self.role else {
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Position of the follower: entries that it has synced, and bytes of the snapshot that is being sent.
+    pub(crate) fn position(&self) -> u64 {
+        let snapshot_bytes = match &self.mode {
+            Mode::Snapshot(transfer) => transfer.acknowledged(),
+            Mode::Probe { .. } | Mode::Replicate { .. } => 0,
+        };
+        self.matched.0 + snapshot_bytes
+    }
+
     /// Whether the follower needs an entry that is available only in the snapshot.
     pub(crate) fn needs_snapshot(&self, log: &Log) -> bool {
         !matches!(self.mode, Mode::Snapshot(_)) && self.next <= log.base()
--- a/crates/quorum/src/transfer.rs
+++ b/crates/quorum/src/transfer.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Offset up to which the follower has synced the snapshot.
+    pub(crate) fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
     /// Whether no chunk was acknowledged in time, although the follower received what was sent after the
     /// last one: on a slow link a chunk may take longer.
     pub(crate) fn is_stalled(&self, contact: Option<Millis>, now: Millis) -> bool {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -50,5 +50,6 @@
 pub use run::run;
 pub use store::{
     GroupManager,
+    MemberStatus,
     StoreStatus, //
 };
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -7,9 +7,10 @@
 //!
 //! Invariant of the membership changes: no change waits for another one that is refused or cannot be
 //! confirmed. [`GroupManager::next_change`] takes all open changes in turn (see [`ChangeRotation`]);
-//! each voter that must be replaced has a store of its own. A group with enough stores thus replaces a
-//! lost voter for as long as a quorum responds, whatever its other voters do. Lost voters come before
-//! those that retire, also in the choice of stores.
+//! each voter that must be replaced has a store of its own, and a store that does not catch up keeps no
+//! other one from taking its place. A group with enough stores thus replaces a lost voter for as long as
+//! a quorum responds, whatever its other voters and learners do. Lost voters come before those that
+//! retire, also in the choice of stores.
 
 mod plan;
 
@@ -42,6 +43,11 @@
 /// How long a voter may be unresponsive before it is replaced. Longer than a restart, and shorter than
 /// the time after which the loss of another disk must be survived (`catch_up_s` of the platform).
 const STORE_LOSS_TIMEOUT: Millis = Millis(4_000);
+/// How long a learner may be unresponsive before another store is added for the same voter.
+const RESPONSE_TIMEOUT: Millis = Millis(1_000);
+/// How long a learner may receive nothing before another store is added for the same voter. Longer than a
+/// lost packet delays a chunk of a snapshot.
+const CATCH_UP_STALL_TIMEOUT: Millis = Millis(1_500);
 /// Time between two attempts to transfer leadership, during which commands are refused, from a store that
 /// retires.
 const TRANSFER_INTERVAL: Millis = Millis(5_000);
@@ -61,6 +67,23 @@
     pub received_at: Millis,
 }
 
+/// What the leader knows of another member.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberStatus {
+    /// Sending time of the last message that the member has acknowledged; `None` if there is none.
+    pub contact: Option<Millis>,
+    /// Position of the member, which changes while it catches up.
+    pub position: u64,
+}
+
+/// Status of a member, and when it last changed.
+#[derive(Debug)]
+struct Observation {
+    status: MemberStatus,
+    contact_changed_at: Millis,
+    position_changed_at: Millis,
+}
+
 /// Decides on the bootstrap and the membership changes of the group.
 #[derive(Debug)]
 pub struct GroupManager {
@@ -72,6 +95,8 @@
     /// The known stores, and the time since which the set is unchanged.
     stable_view: (BTreeSet<InstanceName>, Millis),
     started_at: Millis,
+    /// The other members, while this store leads.
+    members: BTreeMap<DiskId, Observation>,
     rotation: ChangeRotation,
     /// Earliest time of the next leadership transfer.
     transfer_at: Millis,
@@ -92,6 +117,7 @@
             stores: BTreeMap::new(),
             stable_view: (BTreeSet::new(), now),
             started_at: now,
+            members: BTreeMap::new(),
             rotation: ChangeRotation::default(),
             transfer_at: Millis::ZERO,
         }
@@ -144,8 +170,32 @@
         self.present(now).count().min(self.full_size)
     }
 
+    /// Records the status of all other members, which the leader does before each choice of a change.
+    pub fn observe_members<I>(&mut self, members: I, now: Millis)
+    where
+        I: IntoIterator<Item = (DiskId, MemberStatus)>,
+    {
+        let mut before = std::mem::take(&mut self.members);
+        for (id, status) in members {
+            let mut observation = before.remove(&id).unwrap_or(Observation {
+                status,
+                contact_changed_at: now,
+                position_changed_at: now,
+            });
+            if observation.status.contact != status.contact {
+                observation.contact_changed_at = now;
+            }
+            if observation.status.position != status.position {
+                observation.position_changed_at = now;
+            }
+            observation.status = status;
+            self.members.insert(id, observation);
+        }
+    }
+
     /// Forgets what this store knew as the leader.
     pub fn end_leadership(&mut self) {
+        self.members.clear();
         self.rotation.clear();
     }
 
@@ -196,12 +246,27 @@
         own.is_some_and(|status| status.disk == *old)
     }
 
-    /// Whether a disk has not been heard of for `timeout`, or since the start of this process.
+    /// Whether a disk has not been heard of for `timeout`, or since the start of this process, or has not
+    /// acknowledged anything for that time.
     fn is_silent(&self, disk: DiskId, name: &InstanceName, timeout: Millis, now: Millis) -> bool {
         let status = self.stores.get(name);
         let is_silent =
             status.is_none_or(|status| now > status.received_at + timeout || status.disk != disk);
-        is_silent && now > self.started_at + timeout
+        (is_silent && now > self.started_at + timeout) || self.is_unresponsive(disk, timeout, now)
+    }
+
+    /// Whether a member has not acknowledged anything for `timeout`.
+    fn is_unresponsive(&self, disk: DiskId, timeout: Millis, now: Millis) -> bool {
+        let observation = self.members.get(&disk);
+        observation.is_some_and(|member| now > member.contact_changed_at + timeout)
+    }
+
+    /// Whether a learner does not respond or receives nothing, so that it might never catch up.
+    fn is_stalled(&self, disk: DiskId, now: Millis) -> bool {
+        let observation = self.members.get(&disk);
+        let is_behind = observation
+            .is_some_and(|member| now > member.position_changed_at + CATCH_UP_STALL_TIMEOUT);
+        is_behind || self.is_unresponsive(disk, RESPONSE_TIMEOUT, now)
     }
 
     /// Whether a store can be retired without leaving too few; `None` if it is unknown.
--- a/crates/serving/src/store/group/plan.rs
+++ b/crates/serving/src/store/group/plan.rs
@@ -200,8 +200,9 @@
         matches!(need, Need::Lost(old) if self.name_of(old) == Some(name))
     }
 
-    /// Order of the stores for a need: those that could vote now, then others, and last those that retire. Among equals
-    /// the instance itself comes first, then learners, then failure domains with few voters.
+    /// Order of the stores for a need: those that could vote now, then those that catch up, then others, and last those
+    /// that do not catch up, or retire. Among equals the instance itself comes first, then failure domains with few
+    /// voters.
     fn rank<'n>(
         &self,
         need: Need,
@@ -209,9 +210,11 @@
         status: &StoreStatus,
     ) -> impl Ord + use<'n, F> {
         let is_learner = self.group.contains(status.disk);
+        let is_stalled = is_learner && self.manager.is_stalled(status.disk, self.now);
         (
             self.retiring.contains(name),
             !self.is_ready(status.disk),
+            is_stalled,
             !self.is_own_voter(need, name),
             !is_learner,
             self.voters_in(&status.domain),
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -9,6 +9,7 @@
 
 pub use group::{
     GroupManager,
+    MemberStatus,
     StoreStatus, //
 };
 
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -12,6 +12,7 @@
     Change,
     ChangeError,
     Core,
+    DiskId,
     Event,
     Index,
     Membership,
@@ -21,7 +22,7 @@
 
 use super::{
     super::super::{
-        StoreStatus,
+        MemberStatus, StoreStatus,
         transport::{
             Frame,
             Hello, //
@@ -159,13 +160,15 @@
             self.report_lag_at = now + LAG_REPORT_INTERVAL;
             report_lagging_learners(core, now);
         }
-        if !core.accepts_changes() {
-            return;
-        }
         let is_synced = |id| core.keeps_up(id) && core.is_active(id);
-        let change = self
-            .manager()
-            .next_change(core.membership(), &retiring, is_synced, now);
+        let change = {
+            let mut manager = self.manager();
+            manager.observe_members(member_statuses(core, self.id), now);
+            if !core.accepts_changes() {
+                return;
+            }
+            manager.next_change(core.membership(), &retiring, is_synced, now)
+        };
         let Some(change) = change else {
             return;
         };
@@ -299,6 +302,18 @@
     }
 }
 
+/// What the leader knows of each other member.
+fn member_statuses(core: &Core, own: DiskId) -> impl Iterator<Item = (DiskId, MemberStatus)> {
+    let others = core.membership().iter().map(|(id, _)| id);
+    others.filter(move |id| *id != own).map(|id| {
+        let status = MemberStatus {
+            contact: core.last_contact(id),
+            position: core.position_of(id).unwrap_or_default(),
+        };
+        (id, status)
+    })
+}
+
 /// Logs the progress of all members while one of them cannot become a voter yet. That of the voters
 /// shows whether the learner or the link to its region is late.
 fn report_lagging_learners(core: &Core, now: Millis) {
--- a/crates/serving/tests/all/group_changes.rs
+++ b/crates/serving/tests/all/group_changes.rs
@@ -167,6 +167,9 @@
     frozen_voter_delays_one_that_retires(1, 4,
         &[(NOW, 1, DOWN), (SOON, 2, Fault::Retire), (Millis(3_200), 1, UP)],
         recovers_in(LOSS_RECOVERY, &[2]));
+    silent_voter_is_replaced_beside_one_that_retires(1, 5,
+        &[(NOW, 1, Fault::Becomes(Condition::Unreachable)), (SOON, 2, Fault::Retire)],
+        recovers_in(LOSS_RECOVERY, &[1, 2]));
     voters_retire_beside_a_lost_one(1, 6,
         &[(NOW, 1, DOWN), (SOON, 0, Fault::Retire), (SOON, 2, Fault::Retire)],
         recovers_in(LOSS_RECOVERY + REPLACEMENT, &[0, 1, 2]).with_leader_changes(3));
@@ -179,6 +182,16 @@
     new_leader_replaces_a_wiped_voter(1, 4,
         &[(NOW, 1, DOWN), (SOON, 2, Fault::Retire), (BACK, 1, Fault::Wipe), (Millis(1_300), 2, Fault::Lead)],
         recovers_in(BACK + LOSS_RECOVERY, &[2]).with_leader_changes(2));
+    // Guards against a store that never holds the log and keeps others from joining.
+    learner_that_never_syncs_is_passed_over(1, 5,
+        &[(NOW, 3, Fault::Becomes(Condition::NeverSyncs)), (NOW, 1, DOWN)],
+        recovers_in(Millis(3_000) + LOSS_RECOVERY, &[1]));
+    learner_that_does_not_respond_is_passed_over(1, 5,
+        &[(NOW, 3, Fault::Becomes(Condition::Unreachable)), (NOW, 1, DOWN)],
+        recovers_in(Millis(3_000) + LOSS_RECOVERY, &[1]));
+    wiped_voter_that_never_syncs_is_replaced_by_another(1, 4,
+        &[(NOW, 1, DOWN), (BACK, 1, Fault::Wipe), (BACK, 1, Fault::Becomes(Condition::NeverSyncs))],
+        recovers_in(BACK + LOSS_RECOVERY, &[]));
     // Guards against lost voters whose replacements join one after the other.
     two_voters_gone_for_good_are_replaced_at_once(2, 7,
         &[(NOW, 1, DOWN), (NOW, 2, DOWN)],
--- a/crates/serving/tests/all/group_model.rs
+++ b/crates/serving/tests/all/group_model.rs
@@ -19,6 +19,7 @@
 };
 use yuccaseam_serving::{
     GroupManager,
+    MemberStatus,
     StoreStatus, //
 };
 
@@ -35,12 +36,16 @@
     Up,
     /// Neither sends nor receives.
     Down,
+    /// What it sends arrives, but nothing reaches it.
+    Unreachable,
+    /// Acknowledges heartbeats, but never holds the log.
+    NeverSyncs,
 }
 
 impl Condition {
     /// Whether messages reach the store.
     fn receives(self) -> bool {
-        matches!(self, Self::Up)
+        matches!(self, Self::Up | Self::NeverSyncs)
     }
 }
 
@@ -212,6 +217,24 @@
         }
     }
 
+    fn observe_members(&mut self) {
+        let group = self.group();
+        let own = self.stores[self.leader].disk;
+        let statuses: Vec<_> = group
+            .iter()
+            .filter(|(id, _)| *id != own)
+            .map(|(id, _)| {
+                let status = MemberStatus {
+                    contact: self.responds(id).then_some(self.now),
+                    position: if self.is_synced(id) { self.now.0 } else { 0 },
+                };
+                (id, status)
+            })
+            .collect();
+        let manager = &mut self.stores[self.leader].manager;
+        manager.observe_members(statuses, self.now);
+    }
+
     /// Membership after a change; for a replacement, after its first step.
     fn after(&self, change: &Change) -> Membership {
         let mut group = Membership::default();
@@ -318,6 +341,7 @@
                 self.complete(&pending.change);
             }
         }
+        self.observe_members();
         let group = self.group();
         let synced: BTreeSet<_> = group
             .iter()
