serving: a store that retires does not take the place of a lost voter

No store is left for the lost voter, and the next loss ends the group.

Cause: the decision took a voter for sound until it counted as lost, though the leader knows within a second that it acknowledges nothing.

Change: a sound voter is replaced only while all other voters respond, and members that acknowledge nothing do not count among those that remain.

--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -43,7 +43,8 @@
 /// How long a voter may be unresponsive before it is replaced. Longer than a restart, and shorter than
 /// the time after which the loss of another disk must be survived (`catch_up_s` of the platform).
 const STORE_LOSS_TIMEOUT: Millis = Millis(4_000);
-/// How long a learner may be unresponsive before another store is added for the same voter.
+/// How long a member may be unresponsive before another store is added in place of a learner, and before
+/// sound voters are not replaced any more.
 const RESPONSE_TIMEOUT: Millis = Millis(1_000);
 /// How long a learner may receive nothing before another store is added for the same voter. Longer than a
 /// lost packet delays a chunk of a snapshot.
@@ -261,6 +262,15 @@
         observation.is_some_and(|member| now > member.contact_changed_at + timeout)
     }
 
+    /// Whether a member has acknowledged a message to this leader lately.
+    fn responds(&self, disk: DiskId, now: Millis) -> bool {
+        let observation = self.members.get(&disk);
+        observation.is_none_or(|member| {
+            let contact = member.status.contact;
+            contact.is_some_and(|at| now < at + RESPONSE_TIMEOUT)
+        })
+    }
+
     /// Whether a learner does not respond or receives nothing, so that it might never catch up.
     fn is_stalled(&self, disk: DiskId, now: Millis) -> bool {
         let observation = self.members.get(&disk);
@@ -279,9 +289,11 @@
         if !self.stores.contains_key(name) {
             return None;
         }
-        let remaining = self
-            .present(now)
-            .filter(|(other, _)| *other != name && !retiring.contains(*other));
+        let remaining = self.present(now).filter(|(other, status)| {
+            *other != name
+                && !retiring.contains(*other)
+                && !self.is_unresponsive(status.disk, RESPONSE_TIMEOUT, now)
+        });
         Some(remaining.count() >= self.full_size)
     }
 }
--- a/crates/serving/src/store/group/plan.rs
+++ b/crates/serving/src/store/group/plan.rs
@@ -177,10 +177,12 @@
         has_new_disk || self.manager.is_silent(voter, name, timeout, self.now)
     }
 
-    /// Whether a voter that retires can be replaced. The leader transfers leadership for that, during which commands are
-    /// refused.
+    /// Whether a voter that retires can be replaced: while another voter is silent, it might be lost, and in need of the
+    /// store. The leader also transfers leadership for that, during which commands are refused.
     fn can_retire(&self, voter: DiskId) -> bool {
-        !self.is_own(voter) || self.now >= self.manager.transfer_at
+        let mut others = self.group.voters().filter(|&id| id != voter);
+        let may_transfer = !self.is_own(voter) || self.now >= self.manager.transfer_at;
+        may_transfer && others.all(|id| self.is_own(id) || self.manager.responds(id, self.now))
     }
 
     /// The stores that could serve a need. An instance votes with one disk: if it still has a voter, its new disk
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod group;
 mod group_changes;
 mod group_model;
+mod group_schedules;
 mod health;
 mod herd;
 mod intake;
