--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod group;
 mod hub;
+mod join_snapshot;
 mod pages;
 mod replica;
 mod runner;
@@ -13,6 +14,11 @@
     StoreStatus, //
 };
 
+pub use join_snapshot::{
+    JoinSnapshot,
+    JoinStep, //
+};
+
 pub(crate) use hub::Hub;
 pub(crate) use replica::Replica;
 
--- a/crates/serving/src/store/replica/driver.rs
+++ b/crates/serving/src/store/replica/driver.rs
@@ -50,7 +50,7 @@
 
 use super::{
     super::{
-        GroupManager, StoreStatus,
+        GroupManager, JoinSnapshot, StoreStatus,
         transport::{
             Frame,
             Transport, //
@@ -87,6 +87,7 @@
     log_bytes: u64,
     snapshot_bytes: u64,
     snapshot_running: bool,
+    join_snapshot: JoinSnapshot,
     /// Growth of the log that the running snapshot covers, in bytes.
     covered_log_bytes: u64,
     /// Earliest time of the next snapshot.
@@ -130,6 +131,7 @@
             log_bytes: 0,
             snapshot_bytes: 0,
             snapshot_running: false,
+            join_snapshot: JoinSnapshot::default(),
             covered_log_bytes: 0,
             snapshot_at: Millis::ZERO,
             has_shrunk: false,
@@ -287,6 +289,7 @@
             DiskReply::Event(event) => {
                 if matches!(event, Event::SnapshotCreated(_)) {
                     self.snapshot_running = false;
+                    self.join_snapshot.record_end();
                 }
                 self.step(event);
             }
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -22,7 +22,7 @@
 
 use super::{
     super::super::{
-        MemberStatus, StoreStatus,
+        JoinStep, MemberStatus, StoreStatus,
         transport::{
             Frame,
             Hello, //
@@ -49,8 +49,6 @@
 /// Growth of the log up to which a snapshot that is being sent is not replaced by a newer one, with which
 /// the transfer would start again.
 const MAX_HELD_LOG_BYTES: u64 = 8 << 20;
-/// Growth of the log from which on a store joins with a new snapshot.
-const MAX_JOIN_LOG_BYTES: u64 = 256 << 10;
 /// Pause after a snapshot that was not written.
 const SNAPSHOT_BACKOFF: Millis = Millis(1_000);
 
@@ -172,7 +170,7 @@
         let Some(change) = change else {
             return;
         };
-        if matches!(change, Change::AddLearner { .. }) && self.renew_snapshot() {
+        if matches!(change, Change::AddLearner { .. }) && !self.can_join() {
             return;
         }
         if !self.manager().was_refused(&change) {
@@ -206,13 +204,18 @@
         }
     }
 
-    /// Starts a snapshot if the log has grown so far that a store should not join yet. True while one is being
-    /// written.
-    fn renew_snapshot(&mut self) -> bool {
-        if self.log_bytes >= MAX_JOIN_LOG_BYTES {
+    /// Whether a store can join now. Starts the snapshot for which it waits otherwise.
+    fn can_join(&mut self) -> bool {
+        let step = self
+            .join_snapshot
+            .next_step(self.log_bytes, self.snapshot_running);
+        if step == JoinStep::WaitForNew {
             self.write_snapshot();
+            if !self.snapshot_running {
+                self.join_snapshot.record_end();
+            }
         }
-        self.snapshot_running
+        step == JoinStep::Join
     }
 
     pub(super) fn snapshot_if_due(&mut self) {
@@ -256,6 +259,7 @@
     /// Counts the log that a failed snapshot would have covered again, and tries again later.
     pub(super) fn on_snapshot_not_written(&mut self) {
         self.snapshot_running = false;
+        self.join_snapshot.record_end();
         self.log_bytes += std::mem::take(&mut self.covered_log_bytes);
         self.snapshot_at = self.cx.clock.now() + SNAPSHOT_BACKOFF;
     }
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod health;
 mod herd;
 mod intake;
+mod join_snapshot;
 mod leader_search;
 mod load_fanout;
 mod neighbourhood;
