daemon: automatic group changes of configured voters take turns

Change: all open changes take turns (ChangeRotation), and none is proposed while another one is in progress.

--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -26,6 +26,7 @@
     Refusal, //
 };
 use yuccaseam_quorum::{
+    ChangeRotation,
     Config,
     Core,
     DiskId,
@@ -103,6 +104,8 @@
     proposals: Vec<Proposal>,
     formation: Formation,
     manager: GroupManager,
+    /// Turns of the automatic group changes.
+    rotation: ChangeRotation,
     blobs_upto: u64,
     refuse_until: Millis,
     tick_at: Millis,
@@ -161,6 +164,7 @@
             proposals: Vec::new(),
             formation: Formation::new(&settings.instance, &settings.voters),
             manager: GroupManager::default(),
+            rotation: ChangeRotation::default(),
             blobs_upto: 0,
             refuse_until: Millis::ZERO,
             tick_at: Millis::ZERO,
--- a/crates/daemon/src/replica/driver/timed.rs
+++ b/crates/daemon/src/replica/driver/timed.rs
@@ -99,9 +99,11 @@
         }
     }
 
-    /// Proposes the next change, if any, that brings configured voters into the group.
+    /// Proposes the next change, if any, that brings configured voters into the group. A change that is refused does
+    /// not keep the others from their turns.
     pub(super) fn maintain(&mut self, now: Millis) {
         let Some(core) = self.core.as_ref().filter(|core| core.is_leader()) else {
+            self.rotation.clear();
             return self.log_samples.clear();
         };
         let last = core.last_index();
@@ -110,10 +112,13 @@
             self.log_samples.pop_front();
         }
         let blobs_needed = self.log_samples[0].last;
-        let change = self
-            .manager
-            .maintain(&self.configured, core.membership(), blobs_needed, now);
-        if let Some(change) = change {
+        if !core.accepts_changes() {
+            return;
+        }
+        let open =
+            self.manager
+                .open_changes(&self.configured, core.membership(), blobs_needed, now);
+        if let Some(change) = self.rotation.next(open) {
             log::debug!("proposing a group change: {change:?}");
             self.next_token += 1;
             let token = Token(self.next_token);
--- a/crates/daemon/src/replica/members.rs
+++ b/crates/daemon/src/replica/members.rs
@@ -128,20 +128,20 @@
         }
     }
 
-    /// Next automatic change for the configured voters: a present disk that is not a member becomes
+    /// Open automatic changes for the configured voters: a present disk that is not a member becomes
     /// a learner, and a learner becomes a voter once it holds the needed blobs. Instances that an
     /// operator removed are skipped.
-    pub(crate) fn maintain(
+    pub(crate) fn open_changes(
         &self,
         configured: &[InstanceName],
         group: &Membership,
         blobs_needed: Index,
         now: Millis,
-    ) -> Option<Change> {
-        let mut expected = self
+    ) -> Vec<Change> {
+        let expected = self
             .present(now)
             .filter(|(name, _)| configured.contains(name) && !group.has_departed(name));
-        expected.find_map(|(name, last)| {
+        let changes = expected.filter_map(|(name, last)| {
             let id = last.disk();
             match group.get(id).map(|member| member.role) {
                 None => Some(Change::AddLearner {
@@ -154,7 +154,8 @@
                 }
                 Some(MemberRole::Voter) => None,
             }
-        })
+        });
+        changes.collect()
     }
 
     /// Status of every member and of every other present replica.
