serving: a group is bootstrapped by a majority of the stores only

When the cut ends, jobs that were accepted with 202 are answered 404 for good.

Cause: after 5 s a store bootstrapped a group with the stores that it heard, also if that was itself alone; both groups accepted commands, and one was taken for members of the other.

Change: a store bootstraps a group only if it hears a majority of the stores known to run, and of a full group. A new group accepts no command before it has a majority of a full group as voters.

Why it works: two majorities of the same stores overlap.

--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod cut_heads;
 mod deadly;
+mod first_start;
 mod floods;
 mod framing;
 mod full_disks;
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -2,7 +2,8 @@
 //!
 //! A disk without a group cannot distinguish a new system from its own loss. A store with an empty
 //! disk therefore bootstraps a group only at the first start of the whole system, and only if no
-//! store that it knows of has a group and all of them agree on this founder. In every other case it
+//! store that it knows of has a group, all of them agree on this founder, and it hears a majority of
+//! the stores: two groups would both accept commands, and one would lose them. In every other case it
 //! waits for a leader.
 //!
 //! Invariant of the membership changes: no change waits for another one that is refused or cannot be
@@ -96,6 +97,8 @@
     /// The known stores, and the time since which the set is unchanged.
     stable_view: (BTreeSet<InstanceName>, Millis),
     started_at: Millis,
+    /// Number of stores that are known to run, heard or not.
+    known_stores: usize,
     /// The other members, while this store leads.
     members: BTreeMap<DiskId, Observation>,
     rotation: ChangeRotation,
@@ -118,6 +121,7 @@
             stores: BTreeMap::new(),
             stable_view: (BTreeSet::new(), now),
             started_at: now,
+            known_stores: 0,
             members: BTreeMap::new(),
             rotation: ChangeRotation::default(),
             transfer_at: Millis::ZERO,
@@ -131,6 +135,16 @@
         before.is_some_and(|before| before.disk != disk)
     }
 
+    /// Records the number of stores that are known to run, which others may have told.
+    pub fn record_known_stores(&mut self, count: usize) {
+        self.known_stores = count;
+    }
+
+    /// Number of stores without which no group is formed: a majority of all, and of a full group.
+    fn bootstrap_quorum(&self) -> usize {
+        self.known_stores.max(self.full_size) / 2 + 1
+    }
+
     /// The store that this one expects to bootstrap a group.
     pub fn founder(&self) -> Option<InstanceName> {
         self.stores.keys().next().cloned()
@@ -158,7 +172,8 @@
                 && status.founder.as_ref() == Some(&self.instance)
                 && now < status.received_at + PRESENCE_TIMEOUT
         });
-        self.is_first_start && is_stable && is_full && is_agreed && !self.stores.is_empty()
+        let has_quorum = self.stores.len() >= self.bootstrap_quorum();
+        self.is_first_start && is_stable && is_full && is_agreed && has_quorum
     }
 
     fn present(&self, now: Millis) -> impl Iterator<Item = (&InstanceName, &StoreStatus)> {
@@ -168,7 +183,8 @@
 
     /// Minimum number of voters before a new group accepts commands.
     pub fn min_voters(&self, now: Millis) -> usize {
-        self.present(now).count().min(self.full_size)
+        let present = self.present(now).count().min(self.full_size);
+        present.max(self.full_size / 2 + 1)
     }
 
     /// Records the status of all other members, which the leader does before each choice of a change.
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -143,6 +143,8 @@
     }
 
     fn maintain_group(&mut self, now: Millis) {
+        let known_stores = self.cx.address_book().alive(now).count();
+        self.manager().record_known_stores(known_stores);
         if !self.has_group() && self.manager().can_bootstrap(now) {
             log::info!("no store belongs to a group; bootstrapping a new one");
             let group = Membership::of_voters([(self.id, self.cx.settings.instance.clone())]);
--- a/crates/serving/tests/all/group.rs
+++ b/crates/serving/tests/all/group.rs
@@ -93,6 +93,27 @@
     assert!(!manager.can_bootstrap(Millis(1_000)));
 }
 
+/// Guards against a store that is cut off at the first start and forms a group of its own: both groups accepted jobs, and
+/// those of one were gone when the cut ended.
+#[test]
+fn store_that_hears_no_majority_forms_no_group() {
+    let mut manager = manager(true);
+    receive_hellos(&mut manager, &THREE[..1], "a", Millis(6_000));
+    manager.can_bootstrap(Millis(6_000));
+    let later = Millis(7_000);
+    receive_hellos(&mut manager, &THREE[..1], "a", later);
+    assert!(!manager.can_bootstrap(later));
+    assert_eq!(manager.min_voters(later), 2);
+    receive_hellos(&mut manager, &THREE[..2], "a", later);
+    manager.can_bootstrap(later);
+    let later = Millis(8_000);
+    receive_hellos(&mut manager, &THREE[..2], "a", later);
+    assert!(manager.can_bootstrap(later));
+    // Others have told of more stores, among which two are no majority.
+    manager.record_known_stores(4);
+    assert!(!manager.can_bootstrap(later));
+}
+
 #[test]
 fn lost_disk_is_replaced_under_its_name() {
     let mut manager = manager(false);
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -22,7 +22,7 @@
 use tempfile::TempDir;
 
 use crate::{
-    Process, Relay, Signal,
+    Process, Relay, Shape, Shapes, Signal,
     cluster::program,
     network::Network,
     platform::{
@@ -225,18 +225,55 @@
         Self::start_as(entries, stores, true, None)
     }
 
+    /// Starts a system behind relays in which the first store and the others do not reach each other, until
+    /// [`PlatformSystem::heal_first_store`]. Entries reach all of them.
+    ///
+    /// # Panics
+    ///
+    /// As [`PlatformSystem::start`].
+    pub fn start_with_first_store_cut_off(entries: usize, stores: usize) -> Self {
+        let mut system = Self::prepare(entries, stores, true);
+        system.shape_first_store(Shape {
+            cut: true,
+            ..Shape::default()
+        });
+        system.start_processes(None);
+        system
+    }
+
+    /// Lets the first store and the others reach each other.
+    pub fn heal_first_store(&self) {
+        self.shape_first_store(Shape::default());
+    }
+
+    fn shape_first_store(&self, shape: Shape) {
+        let (first, end) = (self.entries.len(), self.entries.len() + self.stores.len());
+        let shapes = Shapes {
+            forward: shape,
+            backward: shape,
+        };
+        for other in first + 1..end {
+            self.relay(first, other).set(shapes);
+            self.relay(other, first).set(shapes);
+        }
+    }
+
     fn start_as(
         entries: usize,
         stores: usize,
         with_relays: bool,
         resources: Option<Resources>,
     ) -> Self {
+        let mut system = Self::prepare(entries, stores, with_relays);
+        system.start_processes(resources);
+        system
+    }
+
+    /// Prepares a system whose processes do not run yet.
+    fn prepare(entries: usize, stores: usize, with_relays: bool) -> Self {
         let folder = tempfile::tempdir().expect("a folder can be made");
         let network = Network::reserve();
         let ip = |at: usize| IpAddr::V4(network.ip(1 + at as u8));
-        let seeds: Vec<_> = (0..entries.min(3))
-            .map(|at| SocketAddr::new(ip(at), CONTROL_PORT))
-            .collect();
         let instance = |at: usize, is_store: bool| {
             let kind = if is_store { "store" } else { "entry" };
             let name = format!("{kind}-{at}");
@@ -263,16 +300,16 @@
         if with_relays {
             system.start_relays(entries + stores);
         }
-        for (at, instance) in system
-            .stores
-            .iter_mut()
-            .chain(&mut system.entries)
-            .enumerate()
-        {
+        system
+    }
+
+    fn start_processes(&mut self, resources: Option<Resources>) {
+        let seeds: Vec<_> = self.entries.iter().take(3).map(Instance::control).collect();
+        let instances = self.stores.iter_mut().chain(&mut self.entries);
+        for (at, instance) in instances.enumerate() {
             write_settings(instance, DOMAINS[at % DOMAINS.len()], &seeds, resources);
             instance.start();
         }
-        system
     }
 
     fn start_relays(&mut self, instances: usize) {
