serving: a departure is confirmed once it is in the log

Cause: the leader confirmed a departure as soon as its followers were told; the log got it up to 500 ms later (RECORD_INTERVAL).

Change: departures, and targets that drain, go to the log at the next tick in one command, and are confirmed once it is committed.

--- a/crates/daemon/tests/all/platform/power.rs
+++ b/crates/daemon/tests/all/platform/power.rs
@@ -11,10 +11,13 @@
     BATCH,
     PlatformSystem,
     SAFE,
-    expected_text, //
+    expected_text,
+    send, //
 };
 
 use super::{
+    PATIENCE,
+    TargetState,
     World,
     job, //
     with_world,
@@ -22,6 +25,8 @@
 
 /// Time after the start of all processes within which requests are served (`recovery_s` of the platform).
 const RECOVERY: Duration = Duration::from_secs(12);
+/// Time after its departure was acknowledged from which on nothing reaches a target (`drain_ms` of the platform).
+const DRAIN: Duration = Duration::from_millis(2_500);
 /// Version of the manifest that is accepted last.
 const VERSION: u64 = 3;
 
@@ -82,6 +87,54 @@
     });
 }
 
+/// Guards against a target that left, as was acknowledged, and gets items again after all stores have lost power.
+#[test]
+fn acknowledged_departure_survives_the_power_of_all_stores() {
+    with_world(2, async |mut world| {
+        world.system.end_first_start();
+        for target in ["engine-0", "engine-1"] {
+            world
+                .wait_until_entries_know(target, TargetState::Announced, PATIENCE)
+                .await;
+        }
+        // Longer than the stores take to record that the target is there.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let leaving = &world.targets[0];
+        leaving.stop_announcing();
+        let to = world.system.entries[0].control();
+        let path = "/Instances.Deregister/engine-0";
+        let sent = send(to, Method::POST, path, &[("host", "control")], "", PATIENCE).await;
+        assert_eq!(sent.expect("an answer comes").status, 200);
+        for store in &mut world.system.stores {
+            store.kill();
+        }
+        for store in &mut world.system.stores {
+            store.start();
+        }
+        tokio::time::sleep(DRAIN).await;
+        assert!(
+            world.system.wait_until_serving().await,
+            "every entry serves"
+        );
+        let body = job("late", 24);
+        let path = format!("{BATCH}late");
+        let until = Instant::now() + RECOVERY;
+        while world
+            .batch(0, Method::POST, &path, "late", &body)
+            .await
+            .status
+            != 202
+        {
+            assert!(Instant::now() < until, "no job is accepted");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        world.results(1, "late", 24).await;
+        let runs = world.targets[0].runs();
+        let late = runs.iter().filter(|run| run.id.starts_with("late")).count();
+        assert_eq!(late, 0, "items reached the target that has left");
+    });
+}
+
 /// Whether an entry serves a request, and reads out the manifest that was accepted last.
 async fn is_serving(world: &World, entry: usize) -> bool {
     let id = format!("after-{entry}");
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -275,6 +275,11 @@
         self.targets.values()
     }
 
+    /// A target as last recorded.
+    pub fn target(&self, name: &TargetName) -> Option<&TargetRecord> {
+        self.targets.get(name)
+    }
+
     /// The addresses of the stores as last recorded.
     pub fn stores(&self) -> &BTreeMap<InstanceName, IpAddr> {
         &self.stores
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -50,7 +50,10 @@
         QuarantineManager, //
     },
     quota::Ledger,
-    state::Command,
+    state::{
+        Command,
+        State, //
+    },
     targets::{
         AnnouncementOutcome,
         TargetKey,
@@ -110,6 +113,14 @@
     }
 }
 
+/// A target that drains or leaves, which a follower reported.
+struct Departure {
+    follower: u64,
+    /// Number of the report, to confirm it.
+    notice: u64,
+    record: TargetRecord,
+}
+
 #[derive(Default)]
 struct Inner {
     next_id: u64,
@@ -141,6 +152,8 @@
     leader_since: Option<Millis>,
     /// Targets that have changed since the last record in the log.
     unrecorded: BTreeMap<TargetName, TargetRecord>,
+    /// Departures to record in the log and to confirm.
+    departures: Vec<Departure>,
     /// Addresses of stores as last recorded in the log.
     recorded_stores: BTreeMap<InstanceName, IpAddr>,
     record_at: Millis,
@@ -259,8 +272,9 @@
         match message {
             FollowerMessage::Announced(record) => self.announce(record),
             FollowerMessage::Draining { record, notice } => {
+                let name = record.name.clone();
                 self.announce(record);
-                self.send(follower, LeaderMessage::Noted(notice));
+                self.confirm_departure(follower, notice, &name);
             }
             FollowerMessage::Leaving { name, notice } => {
                 let now = self.cx.clock.now();
@@ -268,7 +282,7 @@
                 if let Some(record) = left {
                     self.broadcast_targets(vec![record]);
                 }
-                self.send(follower, LeaderMessage::Noted(notice));
+                self.confirm_departure(follower, notice, &name);
             }
             FollowerMessage::Hello {
                 ip,
@@ -314,6 +328,60 @@
         }
     }
 
+    /// Confirms to a follower that a target drains or leaves, once that is in the log: the next leader, which may
+    /// know only the log, must not send the target work either.
+    fn confirm_departure(&self, follower: u64, notice: u64, name: &TargetName) {
+        let record = self.cx.targets().record_named(name).cloned();
+        let unrecorded = record.filter(|record| {
+            let is_recorded = |state: &State| {
+                let recorded = state.target(name);
+                recorded.is_some_and(|recorded| recorded.covers_drain(record))
+            };
+            !self.replica.read(is_recorded)
+        });
+        match unrecorded {
+            None => self.send(follower, LeaderMessage::Noted(notice)),
+            Some(record) => self.inner().departures.push(Departure {
+                follower,
+                notice,
+                record,
+            }),
+        }
+    }
+
+    /// Records the departures of targets in the log, in one command, and confirms them once it is committed.
+    fn record_departures(self: &Arc<Self>) {
+        let mut inner = self.inner();
+        let departures = std::mem::take(&mut inner.departures);
+        for departure in &departures {
+            inner.unrecorded.remove(&departure.record.name);
+        }
+        drop(inner);
+        if departures.is_empty() {
+            return;
+        }
+        let records: BTreeMap<_, _> = departures
+            .iter()
+            .map(|departure| (departure.record.name.clone(), departure.record.clone()))
+            .collect();
+        let hub = Arc::clone(self);
+        tokio::spawn(async move {
+            let command = Command::NoteTargets(records.values().cloned().collect());
+            if let Err(error) = hub.replica.propose(command).await {
+                // The followers get no confirmation, so that the targets report it again.
+                log::warn!(targets = records.len(), error:? = error; "departures not recorded in the log");
+                let mut inner = hub.inner();
+                for (name, record) in records {
+                    inner.unrecorded.entry(name).or_insert(record);
+                }
+                return;
+            }
+            for departure in departures {
+                hub.send(departure.follower, LeaderMessage::Noted(departure.notice));
+            }
+        });
+    }
+
     /// Marks a start of a target as draining, because a response of it said so, and tells all followers.
     pub(super) fn mark_draining(&self, target: TargetKey) {
         if let Some(record) = self.cx.mark_draining(target) {
@@ -464,6 +532,7 @@
             inner.leader_since = None;
             inner.shares = HubShares::default();
             inner.followers.clear();
+            inner.departures.clear();
             return;
         }
         let now = self.cx.clock.now();
@@ -586,6 +655,7 @@
         } else {
             hub.apply_newer_manifest();
         }
+        hub.record_departures();
         tokio::select! {
             () = changed => {}
             () = pause(tick_at - hub.cx.clock.now()) => {}
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -88,6 +88,11 @@
         )
     }
 
+    /// Whether this record, as that of the log, says of a target that takes no work whatever `other` says.
+    pub(crate) fn covers_drain(&self, other: &Self) -> bool {
+        self.started_at == other.started_at && self.draining && !other.left
+    }
+
     /// Marks this start of the target as gone for good.
     pub(crate) fn depart(&mut self) {
         self.left = true;
@@ -290,6 +295,11 @@
     pub fn records(&self) -> impl Iterator<Item = &TargetRecord> {
         self.by_name.values().map(|tracked| &tracked.record)
     }
+
+    /// The record of a target.
+    pub(crate) fn record_named(&self, name: &TargetName) -> Option<&TargetRecord> {
+        self.by_name.get(name).map(|tracked| &tracked.record)
+    }
 }
 
 fn has_changed(old: &TargetRecord, new: &TargetRecord) -> bool {
--- a/crates/testing/src/platform/target.rs
+++ b/crates/testing/src/platform/target.rs
@@ -245,7 +245,8 @@
 pub struct PlatformTarget {
     shared: Arc<Shared>,
     address: SocketAddr,
-    tasks: Vec<AbortHandle>,
+    serving: AbortHandle,
+    announcing: AbortHandle,
 }
 
 impl PlatformTarget {
@@ -305,7 +306,8 @@
         let target = Self {
             shared,
             address,
-            tasks: vec![serving.abort_handle(), announcing.abort_handle()],
+            serving: serving.abort_handle(),
+            announcing: announcing.abort_handle(),
         };
         Ok((target, proxy))
     }
@@ -325,6 +327,11 @@
         *lock(&self.shared.state) = "draining";
     }
 
+    /// Announces nothing from now on, but goes on to serve.
+    pub fn stop_announcing(&self) {
+        self.announcing.abort();
+    }
+
     /// Every run so far.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.runs).clone()
@@ -343,9 +350,8 @@
 
 impl Drop for PlatformTarget {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.serving.abort();
+        self.announcing.abort();
     }
 }
 
