entry, hub: a late departure of an earlier start does not concern a later one

The late copy of its Deregister call departs the new start for good: accepted items never run, requests get 503.

Cause: the body of the call was not read, and the leader departed whichever start of that name it knew.

Change: platform decodes `born` of the call, and the leader compares it with the start that it knows. A departure of an earlier start is acknowledged and changes nothing. Without `born` the call counts as before.

--- a/crates/daemon/tests/all/platform/control.rs
+++ b/crates/daemon/tests/all/platform/control.rs
@@ -138,6 +138,35 @@
     });
 }
 
+/// Guards against a call of an earlier start of a target that arrives late, and keeps the next start from all work.
+#[test]
+fn late_departure_of_an_earlier_start_is_ignored() {
+    with_world(1, async |world| {
+        world
+            .wait_until_entries_know("engine-0", TargetState::Announced, PATIENCE)
+            .await;
+        let to = world.system.entries[1].control();
+        let path = "/Instances.Deregister/engine-0";
+        let body = r#"{"born":1}"#;
+        let sent = send(
+            to,
+            Method::POST,
+            path,
+            &[("host", "control")],
+            body,
+            PATIENCE,
+        )
+        .await;
+        assert_eq!(sent.expect("an answer comes").status, 200);
+        tokio::time::sleep(DRAIN).await;
+        for number in 0..6 {
+            let id = format!("after-{number}");
+            let reply = world.system.call(number % 3, &id, SAFE).await;
+            assert_eq!(reply.expect("an answer comes").status, 200);
+        }
+    });
+}
+
 /// A store can be emptied if enough others remain, and then belongs to no group any more.
 #[test]
 fn a_store_is_emptied_unless_too_few_would_remain() {
--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -20,6 +20,7 @@
 use yuccaseam_platform::{
     Announcement,
     ControlCall,
+    Departure,
     Manifest,
     RetireProgress, //
 };
@@ -115,7 +116,7 @@
     };
     match call {
         ControlCall::Announce(name) => announce(&cx, &notifications, &name, &body).await,
-        ControlCall::Leave(name) => leave(&cx, &notifications, name).await,
+        ControlCall::Leave(name) => leave(&cx, &notifications, name, &body).await,
         ControlCall::PutManifest => put_manifest(&cx, body).await,
         ControlCall::GetManifest => get_manifest(&cx).await,
         ControlCall::StartRetiring(instance) => start_retiring(&cx, instance, &body).await,
@@ -144,8 +145,20 @@
     update_response(accepted)
 }
 
-async fn leave(cx: &Cx, notifications: &PendingNotifications, name: TargetName) -> HttpResponse {
-    let accepted = notifications.notify_leaving(cx, name).await;
+async fn leave(
+    cx: &Cx,
+    notifications: &PendingNotifications,
+    name: TargetName,
+    body: &[u8],
+) -> HttpResponse {
+    let departure = Departure::decode(body).unwrap_or_else(|error| {
+        // The target leaves whatever else it says.
+        log::warn!(target_name:% = name, error:% = error; "start of a target that leaves not read");
+        Departure { started_at: None }
+    });
+    let accepted = notifications
+        .notify_leaving(cx, name, departure.started_at)
+        .await;
     update_response(accepted)
 }
 
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -137,9 +137,23 @@
     }
 
     /// Notifies the leader that a target leaves, with the same result as [`Self::notify_draining`].
-    pub(crate) async fn notify_leaving(&self, cx: &Cx, name: TargetName) -> bool {
+    /// `started_at` is the start that leaves, if the target says which.
+    pub(crate) async fn notify_leaving(
+        &self,
+        cx: &Cx,
+        name: TargetName,
+        started_at: Option<u64>,
+    ) -> bool {
         let (notice, rx) = self.add();
-        cx.send_to_leader(FollowerMessage::Leaving { name, notice }) && await_confirmation(rx).await
+        let message = match started_at {
+            None => FollowerMessage::Leaving { name, notice },
+            Some(started_at) => FollowerMessage::StartLeaving {
+                name,
+                started_at,
+                notice,
+            },
+        };
+        cx.send_to_leader(message) && await_confirmation(rx).await
     }
 }
 
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -185,6 +185,16 @@
     /// Requests that arrived at the follower, by service. Sent to a leader that has sent
     /// [`LeaderMessage::Shares`].
     Demand(Vec<ServiceDemand>),
+    /// As [`Self::Leaving`], for one start of the target. A leader of the version before ignores the message, so that
+    /// the target reports it again.
+    StartLeaving {
+        /// The target.
+        name: TargetName,
+        /// The start that leaves, in ms since the Unix epoch.
+        started_at: u64,
+        /// Identifies this notification in the confirmation.
+        notice: u64,
+    },
 }
 
 /// A message of the leader to its followers.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -194,7 +194,12 @@
             | FollowerMessage::Loads(_)
             | FollowerMessage::Demand(_) => return,
             FollowerMessage::Draining { record, notice } => (notice, Departure::Draining(record)),
-            FollowerMessage::Leaving { name, notice } => (notice, Departure::Leaving(name)),
+            FollowerMessage::Leaving { name, notice } => (notice, Departure::Leaving(name, None)),
+            FollowerMessage::StartLeaving {
+                name,
+                started_at,
+                notice,
+            } => (notice, Departure::Leaving(name, Some(started_at))),
         };
         let Some(tx) = self.cx.relay.get(follower) else {
             return;
@@ -203,7 +208,9 @@
         tokio::spawn(async move {
             let confirmed = match departure {
                 Departure::Draining(record) => notifications.notify_draining(&cx, record).await,
-                Departure::Leaving(name) => notifications.notify_leaving(&cx, name).await,
+                Departure::Leaving(name, started_at) => {
+                    notifications.notify_leaving(&cx, name, started_at).await
+                }
             };
             if confirmed {
                 // The follower may have disconnected.
@@ -225,5 +232,6 @@
 /// A change of a target that the leader confirms.
 enum Departure {
     Draining(crate::targets::TargetRecord),
-    Leaving(yuccaseam_base::TargetName),
+    /// The start that leaves, in ms since the Unix epoch, if it is known.
+    Leaving(yuccaseam_base::TargetName, Option<u64>),
 }
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -277,12 +277,17 @@
                 self.confirm_departure(follower, notice, &name);
             }
             FollowerMessage::Leaving { name, notice } => {
+                let left = self.cx.targets().mark_left(&name, self.cx.clock.now());
+                self.on_left(follower, notice, &name, left);
+            }
+            FollowerMessage::StartLeaving {
+                name,
+                started_at,
+                notice,
+            } => {
                 let now = self.cx.clock.now();
-                let left = self.cx.targets().mark_left(&name, now);
-                if let Some(record) = left {
-                    self.broadcast_targets(vec![record]);
-                }
-                self.confirm_departure(follower, notice, &name);
+                let left = self.cx.targets().mark_start_left(&name, started_at, now);
+                self.on_left(follower, notice, &name, left);
             }
             FollowerMessage::Hello {
                 ip,
@@ -328,6 +333,18 @@
         }
     }
 
+    /// Tells all followers of a target that has left, and confirms it to the one that reported it. `left` is `None` if
+    /// there is nothing to tell: the target is unknown, or has started again since.
+    fn on_left(&self, follower: u64, notice: u64, name: &TargetName, left: Option<TargetRecord>) {
+        match left {
+            Some(record) => {
+                self.broadcast_targets(vec![record]);
+                self.confirm_departure(follower, notice, name);
+            }
+            None => self.send(follower, LeaderMessage::Noted(notice)),
+        }
+    }
+
     /// Confirms to a follower that a target drains or leaves, once that is in the log: the next leader, which may
     /// know only the log, must not send the target work either.
     fn confirm_departure(&self, follower: u64, notice: u64, name: &TargetName) {
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -183,6 +183,21 @@
         Some(tracked.record.clone())
     }
 
+    /// Marks one start of a target as departed, at its own request. `None` if the target is unknown, or a later start of
+    /// it is known: the report was late.
+    pub fn mark_start_left(
+        &mut self,
+        name: &TargetName,
+        started_at: u64,
+        now: Millis,
+    ) -> Option<TargetRecord> {
+        let tracked = self.by_name.get(name)?;
+        if tracked.record.started_at > started_at {
+            return None;
+        }
+        self.mark_left(name, now)
+    }
+
     /// Marks a start of a target as draining, because a response of it said so. Returns its record
     /// unless that was known.
     pub fn mark_draining(&mut self, key: TargetKey) -> Option<TargetRecord> {
--- a/crates/serving/tests/all/targets.rs
+++ b/crates/serving/tests/all/targets.rs
@@ -59,6 +59,30 @@
     assert!(targets.records().all(|record| record.draining));
 }
 
+/// Guards against a late report of a start that left, which departed the next start of the target for good.
+#[test]
+fn late_departure_of_an_earlier_start_does_not_concern_a_later_one() {
+    let name = TargetName::from("engine-1");
+    let mut targets = Targets::default();
+    let start = |started_at| TargetRecord {
+        started_at,
+        ..numbered(1)
+    };
+    targets.apply_announcement(start(2), NOW);
+    assert_eq!(targets.mark_start_left(&name, 1, NOW), None);
+    assert!(targets.records().all(TargetRecord::takes_work));
+    let left = targets.mark_start_left(&name, 2, NOW);
+    assert_matches!(left, Some(record) if !record.takes_work());
+    let late = TargetRecord {
+        number: 7,
+        ..start(2)
+    };
+    let late = targets.apply_announcement(late, NOW);
+    assert_eq!(late, AnnouncementOutcome::Stale);
+    let next = targets.apply_announcement(start(3), NOW);
+    assert_matches!(next, AnnouncementOutcome::Changed(_));
+}
+
 #[test]
 fn departed_target_returns_only_with_a_new_start() {
     let mut targets = Targets::default();
