serving: a voter is retired beside one that does not respond

Since (a store that retires does not take the place of a lost voter) members that acknowledge nothing for 1 s do not count among the stores that remain.

Cause: that count is needed only for a store that does not vote, which may be taken away at once. A voter stays until all others respond and another store has taken its place, so that it may be accepted.

Measured: group::voter_retires_beside_one_that_does_not_respond fails without the change; group_schedules holds in 400 schedules.

--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -72,6 +72,8 @@
 /// What the leader knows of another member.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberStatus {
+    /// Whether the member votes.
+    pub votes: bool,
     /// Sending time of the last message that the member has acknowledged; `None` if there is none.
     pub contact: Option<Millis>,
     /// Position of the member, which changes while it catches up.
@@ -278,6 +280,14 @@
         observation.is_some_and(|member| now > member.contact_changed_at + timeout)
     }
 
+    /// Whether an instance is known to this leader not to vote.
+    fn may_leave_at_once(&self, name: &InstanceName) -> bool {
+        let disk = self.stores.get(name).map(|status| status.disk);
+        let member = disk.and_then(|disk| self.members.get(&disk));
+        let votes = member.is_some_and(|member| member.status.votes) || *name == self.instance;
+        !self.members.is_empty() && !votes
+    }
+
     /// Whether a member has acknowledged a message to this leader lately.
     fn responds(&self, disk: DiskId, now: Millis) -> bool {
         let observation = self.members.get(&disk);
@@ -305,10 +315,13 @@
         if !self.stores.contains_key(name) {
             return None;
         }
+        // A voter leaves once the others respond and a store has taken its place. Any other store may be taken
+        // away at once, though a voter that does not respond may need it.
+        let leaves_at_once = self.may_leave_at_once(name);
         let remaining = self.present(now).filter(|(other, status)| {
             *other != name
                 && !retiring.contains(*other)
-                && !self.is_unresponsive(status.disk, RESPONSE_TIMEOUT, now)
+                && !(leaves_at_once && self.is_unresponsive(status.disk, RESPONSE_TIMEOUT, now))
         });
         Some(remaining.count() >= self.full_size)
     }
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -313,6 +313,7 @@
     let others = core.membership().iter().map(|(id, _)| id);
     others.filter(move |id| *id != own).map(|id| {
         let status = MemberStatus {
+            votes: core.membership().is_voter(id),
             contact: core.last_contact(id),
             position: core.position_of(id).unwrap_or_default(),
         };
--- a/crates/serving/tests/all/group.rs
+++ b/crates/serving/tests/all/group.rs
@@ -16,6 +16,7 @@
 };
 use yuccaseam_serving::{
     GroupManager,
+    MemberStatus,
     StoreStatus, //
 };
 
@@ -214,6 +215,33 @@
     assert_eq!(manager.can_retire(&name("c"), &none, NOW), Some(true));
 }
 
+/// Guards against a retirement that is refused because another voter has just been lost, though the store would stay
+/// until that one is made good. A store that does not vote may be taken away at once, and is refused.
+#[test]
+fn voter_retires_beside_one_that_does_not_respond() {
+    let mut manager = manager(false);
+    let stores = [("a", 1), ("b", 2), ("c", 3), ("d", 4)];
+    receive_hellos(&mut manager, &stores, "a", NOW);
+    let none = BTreeSet::new();
+    let observe = |manager: &mut GroupManager, now: Millis| {
+        let status = |disk, contact| {
+            let status = MemberStatus {
+                votes: true,
+                contact,
+                position: 0,
+            };
+            (DiskId(disk), status)
+        };
+        manager.observe_members([status(2, None), status(3, Some(now))], now);
+    };
+    observe(&mut manager, NOW);
+    let later = NOW + Millis(1_500);
+    observe(&mut manager, later);
+    assert_eq!(manager.can_retire(&name("c"), &none, later), Some(true));
+    assert_eq!(manager.can_retire(&name("a"), &none, later), Some(true));
+    assert_eq!(manager.can_retire(&name("d"), &none, later), Some(false));
+}
+
 /// Two lost disks must not wait for each other: both become learners at once, and the first one in
 /// sync becomes a voter first.
 #[test]
--- a/crates/serving/tests/all/group_model.rs
+++ b/crates/serving/tests/all/group_model.rs
@@ -269,6 +269,7 @@
             .filter(|(id, _)| *id != own)
             .map(|(id, _)| {
                 let status = MemberStatus {
+                    votes: group.is_voter(id),
                     contact: self.responds(id).then_some(self.now),
                     position: if self.is_synced(id) { self.now.0 } else { 0 },
                 };
