--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -280,7 +280,7 @@
         observation.is_some_and(|member| now > member.contact_changed_at + timeout)
     }
 
-    /// Whether an instance is known to this leader not to vote.
+    /// Whether an instance that retires may be taken away at once: it is known not to vote.
     fn may_leave_at_once(&self, name: &InstanceName) -> bool {
         let disk = self.stores.get(name).map(|status| status.disk);
         let member = disk.and_then(|disk| self.members.get(&disk));
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -1,5 +1,6 @@
 //! The leader's followers: collects their loads and announcements, and sends them updates.
 
+mod departures;
 mod quarantine;
 mod quota;
 mod shares;
@@ -50,10 +51,7 @@
         QuarantineManager, //
     },
     quota::Ledger,
-    state::{
-        Command,
-        State, //
-    },
+    state::Command,
     targets::{
         AnnouncementOutcome,
         TargetKey,
@@ -63,6 +61,7 @@
 
 use super::Replica;
 
+use departures::Departure;
 use shares::HubShares;
 
 /// How often the leader sends changed loads.
@@ -113,14 +112,6 @@
     }
 }
 
-/// A target that drains or leaves, which a follower reported.
-struct Departure {
-    follower: u64,
-    /// Number of the report, to confirm it.
-    notice: u64,
-    record: TargetRecord,
-}
-
 #[derive(Default)]
 struct Inner {
     next_id: u64,
@@ -333,72 +324,6 @@
         }
     }
 
-    /// Tells all followers of a target that has left, and confirms it to the one that reported it. `left` is `None` if
-    /// there is nothing to tell: the target is unknown, or has started again since.
-    fn on_left(&self, follower: u64, notice: u64, name: &TargetName, left: Option<TargetRecord>) {
-        match left {
-            Some(record) => {
-                self.broadcast_targets(vec![record]);
-                self.confirm_departure(follower, notice, name);
-            }
-            None => self.send(follower, LeaderMessage::Noted(notice)),
-        }
-    }
-
-    /// Confirms to a follower that a target drains or leaves, once that is in the log: the next leader, which may
-    /// know only the log, must not send the target work either.
-    fn confirm_departure(&self, follower: u64, notice: u64, name: &TargetName) {
-        let record = self.cx.targets().record_named(name).cloned();
-        let unrecorded = record.filter(|record| {
-            let is_recorded = |state: &State| {
-                let recorded = state.target(name);
-                recorded.is_some_and(|recorded| recorded.covers_drain(record))
-            };
-            !self.replica.read(is_recorded)
-        });
-        match unrecorded {
-            None => self.send(follower, LeaderMessage::Noted(notice)),
-            Some(record) => self.inner().departures.push(Departure {
-                follower,
-                notice,
-                record,
-            }),
-        }
-    }
-
-    /// Records the departures of targets in the log, in one command, and confirms them once it is committed.
-    fn record_departures(self: &Arc<Self>) {
-        let mut inner = self.inner();
-        let departures = std::mem::take(&mut inner.departures);
-        for departure in &departures {
-            inner.unrecorded.remove(&departure.record.name);
-        }
-        drop(inner);
-        if departures.is_empty() {
-            return;
-        }
-        let records: BTreeMap<_, _> = departures
-            .iter()
-            .map(|departure| (departure.record.name.clone(), departure.record.clone()))
-            .collect();
-        let hub = Arc::clone(self);
-        tokio::spawn(async move {
-            let command = Command::NoteTargets(records.values().cloned().collect());
-            if let Err(error) = hub.replica.propose(command).await {
-                // The followers get no confirmation, so that the targets report it again.
-                log::warn!(targets = records.len(), error:? = error; "departures not recorded in the log");
-                let mut inner = hub.inner();
-                for (name, record) in records {
-                    inner.unrecorded.entry(name).or_insert(record);
-                }
-                return;
-            }
-            for departure in departures {
-                hub.send(departure.follower, LeaderMessage::Noted(departure.notice));
-            }
-        });
-    }
-
     /// Marks a start of a target as draining, because a response of it said so, and tells all followers.
     pub(super) fn mark_draining(&self, target: TargetKey) {
         if let Some(record) = self.cx.mark_draining(target) {
