--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -13,6 +13,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import traceback
 
@@ -32,6 +33,10 @@
 BEAT_S = 1.2
 MEMORY_MB = {"edge": 260, "storage": 300}
 PORTS = 30
+# A case may take 120 s.
+LIMIT_S = 110
+# All processes that were started.
+PROCESSES = []
 
 
 class CannotRun(Exception):
@@ -123,11 +128,14 @@
         return path
 
     def start(self, first=False):
+        if self.fleet.is_over:
+            return
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env["YUCCASEAM_NODE_FILE"] = self.write_settings(first)
         log = open(self.log, "ab")
         self.process = subprocess.Popen([PROGRAM], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
                                         stdout=log, stderr=log)
+        PROCESSES.append(self.process)
         log.close()
         self.started_at = self.fleet.record.now()
 
@@ -149,6 +157,7 @@
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("the daemon is not built")
         self.record = record
+        self.is_over = False
         self.folder = tempfile.mkdtemp(prefix="yuccaseam-review-")
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.contracts = CONTRACTS + list(contracts)
@@ -170,6 +179,7 @@
         return self
 
     def __exit__(self, *_):
+        self.is_over = True
         for machine in self.machines:
             machine.kill()
         if os.environ.get("KEEP"):
@@ -440,7 +450,8 @@
             for machine in self.fleet.machines:
                 if machine.process.poll() is not None:
                     continue
-                limit = MEMORY_MB[machine.kind] * 1_000_000
+                # The larger meaning of MB.
+                limit = MEMORY_MB[machine.kind] << 20
                 used = resident(machine.process.pid)
                 self.most[machine.name] = max(used, self.most.get(machine.name, 0))
                 if used > limit:
@@ -469,15 +480,33 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record.note("start", trouble=int(trouble))
-    try:
-        broken = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
-        record.note("result", broken=int(broken))
-        code = 1 if broken else 0
-    # Any other error is one of the test itself, and says nothing about the rule.
-    except Exception as error:
-        traceback.print_exc()
-        record.note("could not run", error=repr(error))
-        print("could not run:", repr(error))
-        code = 2
-    print("exit", code)
-    raise SystemExit(code)
+
+    def end(code):
+        for process in PROCESSES:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        print("exit", code, flush=True)
+        # Whatever the stand-ins still wait for ends here.
+        os._exit(code)
+
+    def overdue():
+        record.note("could not run", error="it takes too long")
+        end(2)
+
+    guard = threading.Timer(LIMIT_S + 6, overdue)
+    guard.daemon = True
+    guard.start()
+
+    async def main():
+        try:
+            broken = await asyncio.wait_for(case(record, trouble), LIMIT_S)
+            record.note("result", broken=int(broken))
+            end(1 if broken else 0)
+        # Any other error is one of the test itself, and says nothing about the rule.
+        except Exception as error:
+            traceback.print_exc()
+            record.note("could not run", error=repr(error))
+            end(2)
+
+    asyncio.run(main())
