review: case 11, jobs accepted at once outgrow the link of the next lost disk

Cause: the capacity of the state is checked against what is applied; jobs on their way count for nothing.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Runs the case; with TROUBLE=0 without the freeze. The result is the exit code, see claim.txt.
+# Runs the case; with TROUBLE=0 without the kill. The result is the exit code, see claim.txt.
 exec python3 "$(dirname "$0")/case.py"
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -32,7 +32,7 @@
 ZONES = {"brno-a": "morava", "jihlava-b": "morava", "praha-a": "cechy"}
 BEAT_S = 1.2
 MEMORY_MB = {"edge": 260, "storage": 300}
-PORTS = 30
+PORTS = 70
 # A case may take 120 s.
 LIMIT_S = 110
 # All processes that were started.
@@ -84,6 +84,11 @@
     def address(self, offset):
         return f"{self.ip}:{self.fleet.port + offset}"
 
+    @property
+    def relay_port(self):
+        """Port at which others are reached from this machine, if there are relays."""
+        return self.fleet.port + 30 + self.fleet.machines.index(self)
+
     @property
     def front(self):
         return (self.ip, self.fleet.port + 20)
@@ -132,6 +137,8 @@
             return
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env["YUCCASEAM_NODE_FILE"] = self.write_settings(first)
+        if self.fleet.relays:
+            env["YUCCASEAM_TEST_RELAY_PORT"] = str(self.relay_port)
         log = open(self.log, "ab")
         self.process = subprocess.Popen([PROGRAM], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
                                         stdout=log, stderr=log)
@@ -158,6 +165,7 @@
             raise CannotRun("the daemon is not built")
         self.record = record
         self.is_over = False
+        self.relays = None
         self.folder = tempfile.mkdtemp(prefix="yuccaseam-review-")
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.contracts = CONTRACTS + list(contracts)
@@ -239,6 +247,85 @@
             await asyncio.sleep(0.2)
 
 
+class Link:
+    """The link from one region to another: a rate for all traffic together, and a delay."""
+
+    # Longest time that bytes wait before a sender is held up.
+    QUEUE_S = 0.05
+
+    def __init__(self, bytes_per_s, delay_s):
+        self.bytes_per_s, self.delay_s = bytes_per_s, delay_s
+        self.free_at = 0.0
+
+    async def admit(self, size):
+        """Waits for room, and returns when the bytes arrive."""
+        while self.free_at > time.monotonic() + self.QUEUE_S:
+            await asyncio.sleep(self.free_at - time.monotonic() - self.QUEUE_S / 2)
+        self.free_at = max(self.free_at, time.monotonic()) + size / self.bytes_per_s
+        return self.free_at + self.delay_s
+
+
+class Relays:
+    """Relays between the machines, for the links between regions. Each machine has a port of its own, at
+    which it reaches all others."""
+
+    def __init__(self, fleet, bytes_per_s, delay_s):
+        self.fleet = fleet
+        self.links = {(one, other): Link(bytes_per_s, delay_s) for one in set(fleet.zones.values())
+                      for other in set(fleet.zones.values()) if one != other}
+        fleet.relays = self
+
+    async def start(self):
+        for source in self.fleet.machines:
+            for target in self.fleet.machines:
+                if source is not target:
+                    handler = self.handler(source, target)
+                    await asyncio.start_server(handler, target.ip, source.relay_port)
+
+    def handler(self, source, target):
+        regions = [self.fleet.zones[machine.zone] for machine in (source, target)]
+        forth, back = (self.links.get(tuple(pair)) for pair in (regions, regions[::-1]))
+
+        async def handle(reader, writer):
+            try:
+                other_reader, other_writer = await asyncio.open_connection(target.ip, self.fleet.port)
+            except OSError:
+                writer.transport.abort()
+                return
+            pumps = [asyncio.create_task(pump(reader, other_writer, forth)),
+                     asyncio.create_task(pump(other_reader, writer, back))]
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            for end in (writer, other_writer):
+                end.transport.abort()
+
+        return handle
+
+
+async def pump(reader, writer, link):
+    """Forwards bytes until an end closes, over a link or at once."""
+    queue = asyncio.Queue()
+
+    async def deliver():
+        while True:
+            at, data = await queue.get()
+            await asyncio.sleep(max(0, at - time.monotonic()))
+            writer.write(data)
+            await writer.drain()
+
+    delivery = asyncio.create_task(deliver())
+    try:
+        while data := await reader.read(16384):
+            if link is None:
+                writer.write(data)
+                await writer.drain()
+            else:
+                queue.put_nowait((await link.admit(len(data)), data))
+    except OSError:
+        pass
+    finally:
+        delivery.cancel()
+
+
 class Answer:
     def __init__(self, status, headers, body):
         self.status, self.headers, self.body = status, headers, body
