--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -87,7 +87,7 @@
     @property
     def relay_port(self):
         """Port at which others are reached from this machine, if there are relays."""
-        return self.fleet.port + 30 + self.fleet.machines.index(self)
+        return self.fleet.port + 30 + self.fleet.all_machines().index(self)
 
     @property
     def front(self):
@@ -179,6 +179,8 @@
                                 f"{net}.2.{n + 1}") for n in range(entries)]
         self.worker_ip = f"{net}.3.1"
         self.machines = self.stores + self.entries
+        # Machines that a case starts later.
+        self.spares = []
         self.port = free_ports([machine.ip for machine in self.machines])
 
     def __enter__(self):
@@ -188,13 +190,16 @@
 
     def __exit__(self, *_):
         self.is_over = True
-        for machine in self.machines:
+        for machine in self.all_machines():
             machine.kill()
         if os.environ.get("KEEP"):
             print("kept", self.folder)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def all_machines(self):
+        return self.machines + self.spares
+
     def leader(self):
         """The store that leads, by the lines that the stores log."""
         latest, leader = -1, None
@@ -276,8 +281,8 @@
         fleet.relays = self
 
     async def start(self):
-        for source in self.fleet.machines:
-            for target in self.fleet.machines:
+        for source in self.fleet.all_machines():
+            for target in self.fleet.all_machines():
                 if source is not target:
                     handler = self.handler(source, target)
                     await asyncio.start_server(handler, target.ip, source.relay_port)
