--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/11 to review/15 and checks that the daemon of the deploy file is built.
+# Builds the stand-ins of review/11 to review/15.
 # They are Python without packages, in review/standins-3: building them checks their syntax.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -9,4 +9,3 @@
     with open(path, encoding="utf-8") as file:
         compile(file.read(), path, "exec")
 PY
-test -x target/release/yuccaseamd
