--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -559,8 +559,8 @@
             self.fleet.record.note("most memory", machine=name, bytes=used)
 
     def is_fault(self):
-        """Whether processes ended three times, on two machines or more: a tenth of a small deployment."""
-        return len(self.ends) >= 3 and len(set(self.ends)) >= 2
+        """Whether processes ended three times on each of two machines or more: a tenth of a small deployment."""
+        return sum(1 for name in set(self.ends) if self.ends.count(name) >= 3) >= 2
 
 
 def new_id():
