serving: bounds on the state hold for commands in progress

A job could also be answered 503, "not run", and be kept.

Cause: the limit was compared with the applied state, so that whatever came before the first job was applied passed. A leader whose state was not current yet did not compare at all, and a second try of a job in progress was refused. Retirements had the same gap: two at once could leave too few stores.

Change: the driver counts what the log of this leadership holds beyond the applied state (InProgress), in the step in which it proposes, and admits nothing before its state is current, by term. A command counts until its outcome is known, and so does its memory (Submissions). A command whose proposer has timed out is not proposed any more.

--- a/crates/daemon/tests/all/platform/capacity.rs
+++ b/crates/daemon/tests/all/platform/capacity.rs
@@ -2,16 +2,24 @@
 
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use http::Method;
+use tokio::runtime::Runtime;
 use yuccaseam_base::Millis;
 use yuccaseam_serving::capacity::max_state_bytes;
-use yuccaseam_testing::platform::{
-    BATCH,
-    Behaviour, //
+use yuccaseam_testing::{
+    Shape, Shapes,
+    platform::{
+        BATCH,
+        Behaviour,
+        PlatformSystem,
+        PlatformTarget, //
+    },
 };
 
 use super::{
     PATIENCE,
+    World,
     with_world, //
 };
 
@@ -63,3 +71,93 @@
         assert_eq!(reply.status, 404, "nothing of the refused job is kept");
     });
 }
+
+/// Clients, each with one job.
+const CLIENTS: usize = 30;
+/// Size of the body of each job's item, encoded and decoded.
+const LARGE_ENCODED_BYTES: usize = 900_000;
+const LARGE_BODY_BYTES: u64 = LARGE_ENCODED_BYTES as u64 / 4 * 3;
+/// Rate of the link to each store, in bytes per ms.
+const LINK_RATE: u64 = 3_750;
+const LINK_DELAY: Millis = Millis(20);
+
+/// Guards against jobs that come at the same moment and are accepted beyond the limit of the state: after the next
+/// lost disks no store had the jobs any more. What is refused must not be kept either.
+#[test]
+fn jobs_that_come_at_once_stay_within_the_limit_of_the_state() {
+    let runtime = Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let system = PlatformSystem::start_behind_relays(3, 3);
+        let target = PlatformTarget::start("engine-0", "llm", "a1", 8, system.control()).await;
+        let targets = vec![target.expect("a target starts")];
+        assert!(system.put_manifest(1).await, "a manifest is accepted");
+        assert!(system.wait_until_serving().await, "every entry serves");
+        let shape = Shape {
+            delay: LINK_DELAY,
+            bytes_per_second: LINK_RATE * 1_000,
+            ..Shape::default()
+        };
+        let shapes = Shapes {
+            forward: shape,
+            backward: shape,
+        };
+        for from in 3..6 {
+            for to in (3..6).filter(|to| *to != from) {
+                system.relay(from, to).set(shapes);
+            }
+        }
+        let world = World { system, targets };
+        world.behave(&Behaviour {
+            events: 1_000_000,
+            ..Behaviour::default()
+        });
+        let text = "A".repeat(LARGE_ENCODED_BYTES);
+        let submissions = (0..CLIENTS).map(async |client| {
+            let id = format!("c{client}");
+            let body = format!(
+                r#"{{"items":[{{"id":"{id}-0","path":"{BATCH}0","body":"{text}","tokens":10}}]}}"#
+            );
+            let path = format!("{BATCH}{id}");
+            let reply = world
+                .batch(client % 3, Method::POST, &path, &id, &body)
+                .await;
+            (id, reply)
+        });
+        let replies = join_all(submissions).await;
+        let count = |status| {
+            replies
+                .iter()
+                .filter(|(_, reply)| reply.status == status)
+                .count()
+        };
+        let max_bytes = max_state_bytes(Millis(4_900), Some(LINK_RATE));
+        let mut kept = 0;
+        for (id, reply) in &replies {
+            let path = format!("/lots/{id}?after=0");
+            let until = Instant::now() + PATIENCE;
+            let read = loop {
+                let read = world.batch(0, Method::GET, &path, "-", "").await;
+                if matches!(read.status, 200 | 404) || Instant::now() > until {
+                    break read;
+                }
+            };
+            kept += u64::from(read.status == 200);
+            if reply.status == 503 {
+                let logs = world.store_logs();
+                assert_eq!(
+                    read.status, 404,
+                    "{id} was refused: {reply:?}, {read:?}\n{logs}"
+                );
+            }
+        }
+        assert!(
+            kept * LARGE_BODY_BYTES <= max_bytes,
+            "{kept} jobs are kept; accepted {}, refused {}, unknown {}",
+            count(202),
+            count(503),
+            count(504)
+        );
+        assert!(kept > 0, "no job is accepted");
+        assert!(count(503) > 0, "no job is refused");
+    });
+}
--- a/crates/serving/src/intake/mod.rs
+++ b/crates/serving/src/intake/mod.rs
@@ -55,7 +55,7 @@
     /// Room for answers that are passed on whole.
     pub(crate) answers: Arc<SharedPool>,
     /// Jobs that this instance replicates as the leader.
-    pub(crate) submissions: Submissions,
+    pub(crate) submissions: Arc<Submissions>,
 }
 
 impl Intake {
@@ -63,7 +63,7 @@
         let limits = IntakeLimits::of(limits);
         Self {
             limits,
-            submissions: Submissions::new(limits.submissions),
+            submissions: Arc::new(Submissions::new(limits.submissions)),
             bodies: Arc::new(SharedPool::new(clock, "bodies", limits.bodies)),
             answers: Arc::new(SharedPool::new(clock, "answers", limits.answers)),
         }
--- a/crates/serving/src/intake/submissions.rs
+++ b/crates/serving/src/intake/submissions.rs
@@ -1,8 +1,11 @@
 //! Jobs that the leader is replicating, for which it holds more than the state does.
 
-use std::sync::atomic::{
-    AtomicU64,
-    Ordering, //
+use std::sync::{
+    Arc,
+    atomic::{
+        AtomicU64,
+        Ordering, //
+    },
 };
 
 /// Bytes of the jobs in progress, and their limit.
@@ -22,10 +25,10 @@
     }
 
     /// Begins with a job of this many bytes, unless too much is in progress. One job is never too much.
-    pub fn begin(&self, bytes: u64) -> Option<Submission<'_>> {
+    pub fn begin(self: &Arc<Self>, bytes: u64) -> Option<Submission> {
         let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
         let submission = Submission {
-            submissions: self,
+            submissions: Arc::clone(self),
             bytes,
         };
         (before == 0 || before + bytes <= self.limit).then_some(submission)
@@ -34,12 +37,12 @@
 
 /// Job in progress until it is dropped.
 #[derive(Debug)]
-pub struct Submission<'a> {
-    submissions: &'a Submissions,
+pub struct Submission {
+    submissions: Arc<Submissions>,
     bytes: u64,
 }
 
-impl Drop for Submission<'_> {
+impl Drop for Submission {
     fn drop(&mut self) {
         let bytes = &self.submissions.bytes;
         bytes.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,7 +7,7 @@
 //! The decision modules ([`admission`], [`balance`], [`health`], [`intake`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`pace`], [`quarantine`], [`quota`], [`routes`],
 //! [`schedule`], [`shares`], [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
-//! [`GroupManager`], [`JoinSnapshot`]) do no I/O and read no clock.
+//! [`GroupManager`], [`InProgress`], [`JoinSnapshot`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
@@ -49,7 +49,9 @@
 
 pub use run::run;
 pub use store::{
+    Admission,
     GroupManager,
+    InProgress,
     JoinSnapshot,
     JoinStep,
     MemberStatus,
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -264,10 +264,19 @@
     /// Size of the jobs in bytes once all items that wait have results, each of the mean size of the results so
     /// far. The tokens of an item only limit its result, and may be far more than any target has.
     pub fn expected_bytes(&self) -> u64 {
+        let mean = self.mean_result_bytes();
+        self.jobs.values().map(|job| job.expected_bytes(mean)).sum()
+    }
+
+    /// Growth of [`Self::expected_bytes`] if a job is accepted.
+    pub fn expected_growth(&self, new: &NewJob) -> u64 {
+        new.stored_bytes() + new.items.len() as u64 * self.mean_result_bytes()
+    }
+
+    fn mean_result_bytes(&self) -> u64 {
         let sizes = self.jobs.values().map(Job::completed_sizes);
         let (count, bytes) = sizes.fold((0, 0), |sum, size| (sum.0 + size.0, sum.1 + size.1));
-        let mean = u64::checked_div(bytes, count).unwrap_or(DEFAULT_RESULT_BYTES);
-        self.jobs.values().map(|job| job.expected_bytes(mean)).sum()
+        u64::checked_div(bytes, count).unwrap_or(DEFAULT_RESULT_BYTES)
     }
 
     /// The targets as last recorded. They may have departed since.
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -305,6 +305,11 @@
         is_behind || self.is_unresponsive(disk, RESPONSE_TIMEOUT, now)
     }
 
+    /// Whether a store was ever heard of.
+    pub fn knows(&self, name: &InstanceName) -> bool {
+        self.stores.contains_key(name)
+    }
+
     /// Whether a store can be retired without leaving too few; `None` if it is unknown.
     pub fn can_retire(
         &self,
@@ -312,7 +317,7 @@
         retiring: &BTreeSet<InstanceName>,
         now: Millis,
     ) -> Option<bool> {
-        if !self.stores.contains_key(name) {
+        if !self.knows(name) {
             return None;
         }
         // A voter leaves once the others respond and a store has taken its place. Any other store may be taken
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod group;
 mod hub;
+mod in_progress;
 mod join_snapshot;
 mod pages;
 mod replica;
@@ -14,6 +15,11 @@
     StoreStatus, //
 };
 
+pub use in_progress::{
+    Admission,
+    InProgress, //
+};
+
 pub use join_snapshot::{
     JoinSnapshot,
     JoinStep, //
@@ -96,34 +102,32 @@
     }
 
     async fn propose(&self, command: Command) -> HubReply {
-        match self.replica.propose(command).await {
+        self.reply_to(self.replica.propose(command).await)
+    }
+
+    fn reply_to(&self, outcome: Result<CommandOutcome, ProposeError>) -> HubReply {
+        match outcome {
             Ok(CommandOutcome::Done) => HubReply::Done,
             Ok(CommandOutcome::OverLimit) => HubReply::OverLimit,
             Ok(CommandOutcome::UnknownJob | CommandOutcome::Gap) => HubReply::NotFound,
             Err(ProposeError::NotLeader) => self.not_leader(),
             Err(ProposeError::Unknown) => HubReply::Unknown,
+            Err(ProposeError::NoCapacity) => HubReply::NoCapacity,
+            Err(ProposeError::TooFewLeft) => HubReply::TooFewLeft,
         }
     }
 
     async fn submit(&self, mut job: NewJob, team: Option<TeamName>) -> HubReply {
         // No promise that the job does not run: an earlier attempt to submit it may be in progress.
-        let Some(_submission) = self.cx.intake.submissions.begin(job.stored_bytes()) else {
+        let Some(submission) = self.cx.intake.submissions.begin(job.stored_bytes()) else {
             metrics::counter!("yuccaseam_jobs_put_off_total").increment(1);
             log::warn!(job = job.id.as_str(); "job not replicated: too many are in progress");
             return HubReply::Unknown;
         };
-        let is_new = self.replica.read(|state| state.job(&job.id).is_none());
-        if is_new && self.is_leader() {
+        if self.replica.read(|state| state.job(&job.id).is_none()) {
             self.apply_route_limits(&mut job);
-            if !self.replica.has_capacity(job.stored_bytes()) {
-                return HubReply::NoCapacity;
-            }
         }
-        self.propose(match team {
-            Some(team) => Command::SubmitForTeam { team, job },
-            None => Command::Submit(job),
-        })
-        .await
+        self.reply_to(self.replica.propose_job(team, job, submission).await)
     }
 
     async fn results(&self, request: &PageRequest, team: Option<&TeamName>) -> HubReply {
@@ -200,11 +204,10 @@
         {
             return HubReply::Done;
         }
-        match self.replica.can_retire(&instance) {
-            None => HubReply::NotFound,
-            Some(false) => HubReply::TooFewLeft,
-            Some(true) => self.propose(Command::Retire(instance)).await,
+        if !self.replica.knows_store(&instance) {
+            return HubReply::NotFound;
         }
+        self.reply_to(self.replica.propose_retirement(instance).await)
     }
 
     async fn get_retiring(&self, instance: &InstanceName) -> HubReply {
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -27,7 +27,8 @@
 };
 use yuccaseam_base::{
     InstanceName,
-    Millis, //
+    Millis,
+    TeamName, //
 };
 use yuccaseam_journal::DataFolder;
 use yuccaseam_quorum::{
@@ -44,9 +45,11 @@
 use crate::{
     capacity,
     cx::Cx,
+    intake::Submission,
     state::{
         Command,
         CommandOutcome,
+        NewJob,
         State, //
     },
 };
@@ -68,13 +71,28 @@
     NotLeader,
     /// The command may or may not take effect.
     Unknown,
+    /// The state has no room for the job, which does not run.
+    NoCapacity,
+    /// Too few stores would remain.
+    TooFewLeft,
 }
 
 type CommandReply = oneshot::Sender<Result<CommandOutcome, ProposeError>>;
 
+/// A job to propose, if the state has room for it.
+struct JobProposal {
+    team: Option<TeamName>,
+    job: NewJob,
+    /// Held until the outcome is known.
+    submission: Submission,
+    reply: CommandReply,
+}
+
 /// An event for the driver.
 enum Input {
     Propose(Vec<u8>, CommandReply),
+    ProposeJob(Box<JobProposal>),
+    ProposeRetirement(InstanceName, CommandReply),
     ReadBarrier(oneshot::Sender<bool>),
     Received(InstanceName, Frame),
     Disk(DiskReply<State>),
@@ -83,7 +101,11 @@
 
 /// Recipient of the outcome of an event.
 enum Waiter {
-    Propose(CommandReply),
+    Propose {
+        reply: CommandReply,
+        /// The job in progress, if the command is one.
+        _submission: Option<Submission>,
+    },
     ReadBarrier(oneshot::Sender<bool>),
 }
 
@@ -216,23 +238,6 @@
         published.is_current && published.lease_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the state may grow by `bytes`, beside the results of the items that wait, so that a store with an
-    /// empty disk still becomes a voter in time. It joins with a new snapshot: the log does not count.
-    pub(crate) fn has_capacity(&self, bytes: u64) -> bool {
-        let published = self.published();
-        let settings = &self.cx.settings;
-        let limit =
-            capacity::max_state_bytes(settings.bounds.loss_recovery, published.state.link_rate());
-        let expected = published.state.expected_bytes();
-        let needed = expected + bytes;
-        if needed > limit {
-            log::info!(
-                expected, new = bytes, limit,
-                link_bytes_per_ms = published.state.link_rate(); "state has no capacity for a job");
-        }
-        needed <= limit
-    }
-
     /// The measured rate of the slowest link to a voter, if it differs from the recorded one.
     pub(crate) fn new_link_rate(&self) -> Option<u64> {
         let published = self.published();
@@ -246,9 +251,52 @@
     ///
     /// Distinguishes commands that were not proposed from those that may still take effect.
     pub(crate) async fn propose(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
+        let data = encode(&command);
+        self.await_outcome(|tx| Input::Propose(data, tx)).await
+    }
+
+    /// Proposes a job, unless the state has no room for it beside all jobs in progress, and waits until it has
+    /// been applied.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::propose`], and [`ProposeError::NoCapacity`].
+    pub(crate) async fn propose_job(
+        &self,
+        team: Option<TeamName>,
+        job: NewJob,
+        submission: Submission,
+    ) -> Result<CommandOutcome, ProposeError> {
+        self.await_outcome(|reply| {
+            Input::ProposeJob(Box::new(JobProposal {
+                team,
+                job,
+                submission,
+                reply,
+            }))
+        })
+        .await
+    }
+
+    /// Proposes to retire an instance, unless too few stores would remain, and waits until that has been applied.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::propose`], and [`ProposeError::TooFewLeft`].
+    pub(crate) async fn propose_retirement(
+        &self,
+        instance: InstanceName,
+    ) -> Result<CommandOutcome, ProposeError> {
+        self.await_outcome(|reply| Input::ProposeRetirement(instance, reply))
+            .await
+    }
+
+    async fn await_outcome<F>(&self, input: F) -> Result<CommandOutcome, ProposeError>
+    where
+        F: FnOnce(CommandReply) -> Input,
+    {
         let (tx, rx) = oneshot::channel();
-        let data = postcard::to_stdvec(&command).expect("plain data encodes");
-        if self.tx.send(Input::Propose(data, tx)).is_err() {
+        if self.tx.send(input(tx)).is_err() {
             return Err(ProposeError::NotLeader);
         }
         match tokio::time::timeout(REPLY_TIMEOUT.duration(), rx).await {
@@ -289,11 +337,9 @@
         }
     }
 
-    /// Whether an instance can be retired. `None` if it is unknown.
-    pub(crate) fn can_retire(&self, name: &InstanceName) -> Option<bool> {
-        let retiring = self.read(|state| state.retiring().clone());
-        self.manager()
-            .can_retire(name, &retiring, self.cx.clock.now())
+    /// Whether an instance is a store that this one has heard of.
+    pub(crate) fn knows_store(&self, name: &InstanceName) -> bool {
+        self.manager().knows(name)
     }
 
     /// Whether an instance is no longer a member of the group, and its removal is committed, so that it holds no
@@ -306,6 +352,10 @@
     }
 }
 
+fn encode(command: &Command) -> Vec<u8> {
+    postcard::to_stdvec(command).expect("plain data encodes")
+}
+
 /// Last recorded addresses of stores, from the log or else from the snapshot before it.
 fn known_stores((restored, state): &(Restored, State)) -> BTreeMap<InstanceName, IpAddr> {
     let commands = restored.entries.iter().rev();
--- a/crates/serving/src/store/replica/driver.rs
+++ b/crates/serving/src/store/replica/driver.rs
@@ -31,6 +31,7 @@
     Payload,
     Proposal,
     Restored,
+    Term,
     Timing,
     Token, //
 };
@@ -40,7 +41,9 @@
 };
 
 use crate::{
+    capacity,
     cx::Cx,
+    intake::Submission,
     state::{
         Command,
         CommandOutcome,
@@ -50,7 +53,7 @@
 
 use super::{
     super::{
-        GroupManager, JoinSnapshot, StoreStatus,
+        Admission, GroupManager, InProgress, JoinSnapshot, StoreStatus,
         transport::{
             Frame,
             Transport, //
@@ -58,10 +61,12 @@
     },
     CommandReply,
     Input,
+    JobProposal,
     ProposeError,
     Published,
     Shared,
-    Waiter, //
+    Waiter,
+    encode, //
 };
 
 use joins::Joins;
@@ -98,6 +103,7 @@
     waiters: HashMap<Token, Waiter>,
     next_token: u64,
     proposals: Vec<Proposal>,
+    in_progress: InProgress,
     refuse_until: Millis,
     hello_at: Millis,
     maintain_at: Millis,
@@ -108,7 +114,8 @@
     proposed_change: Option<(Token, Change)>,
     /// Read barrier of a new leader: its state is current once this completes.
     barrier: Option<Token>,
-    was_leader: bool,
+    /// The term that this replica led when it last published its state.
+    published_term: Option<Term>,
 }
 
 impl Driver {
@@ -139,6 +146,7 @@
             waiters: HashMap::new(),
             next_token: 0,
             proposals: Vec::new(),
+            in_progress: InProgress::default(),
             refuse_until: Millis::ZERO,
             hello_at: Millis::ZERO,
             maintain_at: Millis::ZERO,
@@ -146,7 +154,7 @@
             leader_known_at: Millis::ZERO,
             proposed_change: None,
             barrier: None,
-            was_leader: false,
+            published_term: None,
         }
     }
 
@@ -203,6 +211,8 @@
     fn handle(&mut self, input: Input) {
         match input {
             Input::Propose(data, reply) => self.propose(data, reply),
+            Input::ProposeJob(proposal) => self.propose_job(*proposal),
+            Input::ProposeRetirement(name, reply) => self.propose_retirement(name, reply),
             Input::ReadBarrier(reply) => {
                 let token = self.register_waiter(Waiter::ReadBarrier(reply));
                 self.step(Event::Read(token));
@@ -213,24 +223,141 @@
         }
     }
 
-    fn register_waiter(&mut self, waiter: Waiter) -> Token {
+    fn next_token(&mut self) -> Token {
         self.next_token += 1;
-        let token = Token(self.next_token);
+        Token(self.next_token)
+    }
+
+    fn register_waiter(&mut self, waiter: Waiter) -> Token {
+        let token = self.next_token();
         self.waiters.insert(token, waiter);
         token
     }
 
     fn propose(&mut self, data: Vec<u8>, reply: CommandReply) {
-        if self.cx.clock.now() < self.refuse_until || self.is_forming() {
-            // The receiver may have timed out.
-            let _ = reply.send(Err(ProposeError::NotLeader));
+        if is_late(&reply) {
             return;
         }
-        let token = self.register_waiter(Waiter::Propose(reply));
+        if self.refuses_commands() {
+            return answer(reply, Err(ProposeError::NotLeader));
+        }
+        let token = self.register_waiter(Waiter::Propose {
+            reply,
+            _submission: None,
+        });
+        self.queue_proposal(token, data);
+    }
+
+    fn queue_proposal(&mut self, token: Token, data: Vec<u8>) {
         let data = data.into();
         self.proposals.push(Proposal { token, data });
     }
 
+    fn refuses_commands(&self) -> bool {
+        self.cx.clock.now() < self.refuse_until || self.is_forming()
+    }
+
+    /// Whether this replica leads, and has applied all that earlier leaders left in its log.
+    fn checks_bounds(&self) -> bool {
+        let core = self.core.as_ref().filter(|core| core.is_leader());
+        core.is_some_and(|core| self.in_progress.is_current_in(core.term()))
+    }
+
+    fn propose_job(&mut self, proposal: JobProposal) {
+        let JobProposal {
+            team,
+            job,
+            submission,
+            reply,
+        } = proposal;
+        if is_late(&reply) {
+            return;
+        }
+        if self.refuses_commands() || !self.checks_bounds() {
+            return answer(reply, Err(ProposeError::NotLeader));
+        }
+        let token = self.next_token();
+        let recovery = self.cx.settings.bounds.loss_recovery;
+        let (admission, state_bytes, max_bytes) = {
+            let published = self
+                .shared
+                .published
+                .lock()
+                .expect("no thread panics with the lock");
+            let state = &published.state;
+            let max_bytes = capacity::max_state_bytes(recovery, state.link_rate());
+            let admission = self.in_progress.admit_job(token, &job, state, max_bytes);
+            (admission, state.expected_bytes(), max_bytes)
+        };
+        if admission != Admission::Admitted {
+            log::info!(
+                job = job.id.as_str(), state_bytes, in_progress_bytes = self.in_progress.job_bytes(),
+                new_bytes = job.stored_bytes(), max_bytes, admission:? = admission;
+                "state has no capacity for a job");
+        }
+        let command = match team {
+            Some(team) => Command::SubmitForTeam { team, job },
+            None => Command::Submit(job),
+        };
+        self.propose_admitted(token, admission, &command, reply, Some(submission));
+    }
+
+    fn propose_retirement(&mut self, name: InstanceName, reply: CommandReply) {
+        if is_late(&reply) {
+            return;
+        }
+        if self.refuses_commands() || !self.checks_bounds() {
+            return answer(reply, Err(ProposeError::NotLeader));
+        }
+        let token = self.next_token();
+        let now = self.cx.clock.now();
+        let admission = {
+            let published = self
+                .shared
+                .published
+                .lock()
+                .expect("no thread panics with the lock");
+            let manager = self
+                .shared
+                .manager
+                .lock()
+                .expect("no thread panics with the lock");
+            let can_retire = |retiring: &_| manager.can_retire(&name, retiring, now) == Some(true);
+            self.in_progress
+                .admit_retirement(token, &name, &published.state, can_retire)
+        };
+        self.propose_admitted(token, admission, &Command::Retire(name), reply, None);
+    }
+
+    /// Proposes a command in the step in which it was admitted: in a later step, this replica may lead another term.
+    fn propose_admitted(
+        &mut self,
+        token: Token,
+        admission: Admission,
+        command: &Command,
+        reply: CommandReply,
+        submission: Option<Submission>,
+    ) {
+        let error = match (admission, command) {
+            (Admission::Admitted, _) => {
+                self.waiters.insert(
+                    token,
+                    Waiter::Propose {
+                        reply,
+                        _submission: submission,
+                    },
+                );
+                self.queue_proposal(token, encode(command));
+                return self.flush_proposals();
+            }
+            (Admission::Refused, Command::Retire(_)) => ProposeError::TooFewLeft,
+            (Admission::Refused, _) => ProposeError::NoCapacity,
+            (Admission::Undecided, _) => ProposeError::Unknown,
+            (Admission::NotCurrent, _) => ProposeError::NotLeader,
+        };
+        answer(reply, Err(error));
+    }
+
     /// Whether a new group still has fewer voters than it could have. Commands acknowledged now
     /// might not survive the loss of one voter.
     fn is_forming(&self) -> bool {
@@ -319,6 +446,7 @@
         for (_, waiter) in std::mem::take(&mut self.waiters) {
             waiter.fail_unknown();
         }
+        self.in_progress.stop();
         self.send_to_disk(DiskRequest::Reload);
     }
 
@@ -366,6 +494,9 @@
                 if self.barrier == Some(token) {
                     self.barrier = None;
                 }
+                if verdict == Verdict::NotRun {
+                    self.in_progress.end(token);
+                }
                 if let Some(waiter) = self.waiters.remove(&token) {
                     match verdict {
                         Verdict::NotRun => waiter.refuse(),
@@ -404,6 +535,9 @@
         let waiter = committed
             .token
             .and_then(|token| self.waiters.remove(&token));
+        if let Some(token) = committed.token {
+            self.in_progress.end(token);
+        }
         if index <= self.applied {
             return;
         }
@@ -422,9 +556,8 @@
                 CommandOutcome::Done
             }
         };
-        if let Some(Waiter::Propose(reply)) = waiter {
-            // The receiver may have timed out.
-            let _ = reply.send(Ok(outcome));
+        if let Some(Waiter::Propose { reply, .. }) = waiter {
+            answer(reply, Ok(outcome));
         }
     }
 
@@ -432,6 +565,9 @@
         if self.barrier == Some(token) {
             self.barrier = None;
             self.lock().is_current = true;
+            if let Some(core) = &self.core {
+                self.in_progress.start(core.term());
+            }
             log::info!("became leader; state is current");
             self.shared.changed.notify_waiters();
         }
@@ -442,6 +578,21 @@
     }
 }
 
+/// Whether the proposer of a command waits no longer, as after this process was frozen. It has said that the outcome is
+/// unknown, and the command must not run later than what it says next.
+fn is_late(reply: &CommandReply) -> bool {
+    let is_late = reply.is_closed();
+    if is_late {
+        log::warn!("command not proposed: its proposer has timed out");
+    }
+    is_late
+}
+
+/// Sends the outcome of a command to its proposer, which may have timed out.
+fn answer(reply: CommandReply, outcome: Result<CommandOutcome, ProposeError>) {
+    let _ = reply.send(outcome);
+}
+
 /// Intervals and time-outs of the protocol: about ten round trips between regions, so that callers
 /// do not wait longer than necessary for a new leader.
 fn timing() -> Timing {
@@ -456,18 +607,18 @@
 impl Waiter {
     /// Reports that the request was not executed.
     fn refuse(self) {
-        // The receiver may have timed out.
         match self {
-            Self::Propose(reply) => drop(reply.send(Err(ProposeError::NotLeader))),
+            Self::Propose { reply, .. } => answer(reply, Err(ProposeError::NotLeader)),
+            // The receiver may have timed out.
             Self::ReadBarrier(reply) => drop(reply.send(false)),
         }
     }
 
     /// Reports that the request may still take effect.
     fn fail_unknown(self) {
-        // The receiver may have timed out.
         match self {
-            Self::Propose(reply) => drop(reply.send(Err(ProposeError::Unknown))),
+            Self::Propose { reply, .. } => answer(reply, Err(ProposeError::Unknown)),
+            // The receiver may have timed out.
             Self::ReadBarrier(reply) => drop(reply.send(false)),
         }
     }
--- a/crates/serving/src/store/replica/driver/timed.rs
+++ b/crates/serving/src/store/replica/driver/timed.rs
@@ -185,8 +185,7 @@
             };
             log::info!(change:? = change, progress = joining.as_deref(); "group change proposed");
         }
-        self.next_token += 1;
-        let token = Token(self.next_token);
+        let token = self.next_token();
         self.proposed_change = Some((token, change.clone()));
         self.step(Event::ChangeMembers { token, change });
     }
@@ -267,10 +266,14 @@
     }
 
     pub(super) fn publish(&mut self) {
-        let is_leader = self.core.as_ref().is_some_and(Core::is_leader);
-        if is_leader != self.was_leader {
-            self.was_leader = is_leader;
+        let core = self.core.as_ref().filter(|core| core.is_leader());
+        let term = core.map(Core::term);
+        let is_leader = term.is_some();
+        // Leadership may be lost and won again between two calls.
+        if term != self.published_term {
+            self.published_term = term;
             self.lock().is_current = false;
+            self.in_progress.stop();
             self.barrier = None;
             if !is_leader {
                 self.manager().end_leadership();
@@ -278,8 +281,7 @@
             }
         }
         if is_leader && self.barrier.is_none() && !self.lock().is_current && !self.is_forming() {
-            self.next_token += 1;
-            let token = Token(self.next_token);
+            let token = self.next_token();
             self.barrier = Some(token);
             self.step(Event::Read(token));
         }
--- a/crates/serving/tests/all/intake.rs
+++ b/crates/serving/tests/all/intake.rs
@@ -1,5 +1,7 @@
 //! Division of a process's memory and connections among callers that it does not control.
 
+use std::sync::Arc;
+
 use yuccaseam_base::{
     Millis,
     cases, //
@@ -270,7 +272,7 @@
 /// Jobs from 52 entries at once: the leader replicates no more than fit, and always one.
 #[test]
 fn jobs_in_progress_are_bounded() {
-    let submissions = Submissions::new(20 * LARGE);
+    let submissions = Arc::new(Submissions::new(20 * LARGE));
     let entries: Vec<_> = (0..52).map(|_| submissions.begin(LARGE)).collect();
     assert_eq!(entries.iter().flatten().count(), 20);
     drop(entries);
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod group_schedules;
 mod health;
 mod herd;
+mod in_progress;
 mod intake;
 mod join_snapshot;
 mod leader_search;
