serving: a call is refused only if no earlier try of it may arrive

It answers 503 or 429, "not run", while the first try may still be on its way and be accepted.

Change: CallTries decides what may be said. After a try without a reply, a refusal becomes 504. A connection that breaks is reset, so that nothing of the call is delivered after it was repeated: a refusal stays one then. A leader that answers "unknown" is called again after a pause.

--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -43,6 +43,10 @@
         Balancer,
         Location, //
     },
+    call_tries::{
+        CallTries,
+        TryResult, //
+    },
     entry::EntryShares,
     intake::Intake,
     link::{
@@ -474,25 +478,30 @@
     ) -> Option<HubReply> {
         let now = self.clock.now();
         let direct_deadline = now + Millis((deadline - now).0 / 2);
-        let reply = self.call_leader_directly(request, direct_deadline).await;
-        if !matches!(reply, None | Some(HubReply::Unknown)) {
+        let mut tries = CallTries::default();
+        let reply = self.call_stores(request, direct_deadline, &mut tries).await;
+        if reply.is_some() {
             return reply;
         }
         let forwarded = HubRequest::PassOn(Box::new(request.clone()));
-        let mut may_have_arrived = reply.is_some();
         while self.clock.now() < deadline {
             let Some(ip) = self.random_other_entry() else {
                 break;
             };
             let timeout = deadline - self.clock.now();
             match self.links.call(ip, &forwarded, timeout).await {
-                Ok(HubReply::NotLeader(_)) | Err(CallError::NotSent) => {}
-                Ok(HubReply::Unknown) | Err(CallError::NoReply) => may_have_arrived = true,
-                Ok(reply) => return Some(reply),
+                Ok(HubReply::NotLeader(_)) | Err(CallError::NotSent) => {
+                    tries.record(TryResult::NotRun);
+                }
+                // The other entry may have sent it on.
+                Ok(HubReply::Unknown) | Err(CallError::Broken | CallError::NoReply) => {
+                    tries.record(TryResult::MayArrive);
+                }
+                Ok(reply) => return Some(reply.after(&tries)),
             }
             pause(CALL_BACKOFF).await;
         }
-        may_have_arrived.then_some(HubReply::Unknown)
+        tries.conclusion()
     }
 
     /// Calls the leader, following leader hints, until it replies or the deadline passes.
@@ -503,11 +512,22 @@
         request: &HubRequest,
         deadline: Millis,
     ) -> Option<HubReply> {
-        let mut may_have_arrived = false;
+        let mut tries = CallTries::default();
+        let reply = self.call_stores(request, deadline, &mut tries).await;
+        reply.or(tries.conclusion())
+    }
+
+    /// Calls the leader as [`Self::call_leader_directly`], after some tries. `None` if the deadline has passed.
+    async fn call_stores(
+        &self,
+        request: &HubRequest,
+        deadline: Millis,
+        tries: &mut CallTries,
+    ) -> Option<HubReply> {
         loop {
             let now = self.clock.now();
             if now >= deadline {
-                return may_have_arrived.then_some(HubReply::Unknown);
+                return None;
             }
             let Some(ip) = self.leader_or_random_store() else {
                 pause(CALL_BACKOFF).await;
@@ -519,10 +539,17 @@
                     self.set_leader(hint.filter(|hint| *hint != ip));
                     pause(CALL_BACKOFF).await;
                 }
-                Ok(HubReply::Unknown) => may_have_arrived = true,
-                Ok(reply) => return Some(reply),
+                Ok(HubReply::Unknown) => {
+                    tries.record(TryResult::MayBeLogged);
+                    pause(CALL_BACKOFF).await;
+                }
+                Ok(reply) => return Some(reply.after(tries)),
                 Err(error) => {
-                    may_have_arrived |= matches!(error, CallError::NoReply);
+                    tries.record(match error {
+                        CallError::Broken => TryResult::MayBeLogged,
+                        CallError::NoReply => TryResult::MayArrive,
+                        CallError::NotSent => TryResult::NotRun,
+                    });
                     self.set_leader(None);
                     pause(CALL_BACKOFF).await;
                 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,13 +4,14 @@
 //! persists the durable state. The stores replicate one log. Their leader tracks all targets and
 //! the load of each, runs batch items, and sends updates to its followers.
 //!
-//! The decision modules ([`admission`], [`balance`], [`health`], [`intake`], [`leader_search`],
+//! The decision modules ([`admission`], [`balance`], [`call_tries`], [`health`], [`intake`], [`leader_search`],
 //! [`load_fanout`], [`neighbourhood`], [`orphans`], [`pace`], [`quarantine`], [`quota`], [`routes`],
 //! [`schedule`], [`shares`], [`silence`], [`state`], [`targets`], [`team_turns`], [`teams`], [`waves`],
 //! [`GroupManager`], [`InProgress`], [`JoinSnapshot`]) do no I/O and read no clock.
 
 pub mod admission;
 pub mod balance;
+pub mod call_tries;
 pub mod capacity;
 mod close_check;
 mod crash_reports;
--- a/crates/serving/src/link/client.rs
+++ b/crates/serving/src/link/client.rs
@@ -3,16 +3,25 @@
 use std::{
     collections::HashMap,
     fmt,
-    net::IpAddr,
+    io,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     sync::Mutex,
     time::Duration, //
 };
 
-use tokio::time::timeout;
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    time::timeout, //
+};
 use tonic::transport::{
     Channel,
     Endpoint, //
 };
+use tower::service_fn;
 use yuccaseam_base::Millis;
 use yuccaseam_wire::hub::{
     Parcel,
@@ -45,7 +54,9 @@
 pub(crate) enum CallError {
     /// The connection was refused: the request was not received.
     NotSent,
-    /// No reply arrived. The request may have been received.
+    /// The connection broke. The request may have been received, but does not arrive later.
+    Broken,
+    /// No reply arrived. The request may have been received, or may still arrive.
     NoReply,
 }
 
@@ -53,6 +64,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent => f.write_str("connection refused"),
+            Self::Broken => f.write_str("connection broke"),
             Self::NoReply => f.write_str("no reply"),
         }
     }
@@ -77,6 +89,10 @@
 
     /// Creates a connection to an instance that is not shared with other calls.
     pub(crate) fn dedicated_channel(&self, ip: IpAddr) -> Channel {
+        self.endpoint(ip).connect_lazy()
+    }
+
+    fn endpoint(&self, ip: IpAddr) -> Endpoint {
         Endpoint::from_shared(format!("http://{ip}:{}", self.port))
             .expect("an address makes a valid URI")
             .connect_timeout(CONNECT_TIMEOUT.duration())
@@ -86,14 +102,16 @@
             .initial_stream_window_size(WINDOW_BYTES)
             .initial_connection_window_size(WINDOW_BYTES)
             .tcp_nodelay(true)
-            .connect_lazy()
     }
 
     fn channel(&self, ip: IpAddr) -> Channel {
         let mut open = self.open.lock().expect("no thread panics with the lock");
-        open.entry(ip)
-            .or_insert_with(|| self.dedicated_channel(ip))
-            .clone()
+        let address = SocketAddr::new(ip, self.port);
+        let channel = open.entry(ip).or_insert_with(|| {
+            let connector = service_fn(move |_| connect_for_calls(address));
+            self.endpoint(ip).connect_with_connector_lazy(connector)
+        });
+        channel.clone()
     }
 
     fn drop_channel(&self, ip: IpAddr) {
@@ -130,7 +148,7 @@
                 if is_connection_refused(&status) {
                     Err(CallError::NotSent)
                 } else {
-                    Err(CallError::NoReply)
+                    Err(CallError::Broken)
                 }
             }
             Err(_) => {
@@ -141,6 +159,15 @@
     }
 }
 
+/// Opens a connection for calls. It is reset when it is given up: what the peer has not received by then, as during a
+/// partition, must not arrive after the call was repeated.
+async fn connect_for_calls(address: SocketAddr) -> io::Result<TokioIo<TcpStream>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    stream.set_zero_linger()?;
+    Ok(TokioIo::new(stream))
+}
+
 /// Whether a call failed because the connection was refused.
 fn is_connection_refused(status: &tonic::Status) -> bool {
     let mut source = std::error::Error::source(status);
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     balance::Load,
+    call_tries::CallTries,
     neighbourhood::Neighbourhood,
     quarantine::{
         CrashReport,
@@ -141,6 +142,17 @@
     Quotas(QuotaAnswer),
 }
 
+impl HubReply {
+    /// The reply to a call, given that of its last try: after a try that may still arrive, a refusal says too much.
+    pub(crate) fn after(self, earlier: &CallTries) -> Self {
+        let is_refusal = matches!(self, Self::OverLimit | Self::NoCapacity);
+        if is_refusal && !earlier.may_be_refused() {
+            return Self::Unknown;
+        }
+        self
+    }
+}
+
 /// A message of a follower to the leader.
 #[record]
 pub(crate) enum FollowerMessage {
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision modules, one file per topic. None needs a network.
 
 mod admission;
+mod call_tries;
 mod capacity;
 mod deadly_requests;
 mod events;
