targets: what a target was told outlives a kill of all stores

Cause: the log removed a target that had left, so that after a kill of all who knew nothing told its old announcement from that of a new target. A leader that returned could also write an older record over a departure (Hub::unrecorded).

Change: the state keeps targets that are gone, never takes an older record for a newer one, and forgets them once leaders have counted 70 s. A start is acknowledged once it is in the log, as that a target drains or leaves was already; the departure of an earlier start once the later one is. A departure of an unknown start is kept. A draining announcement that arrives behind a later number of the same start still drains it.

--- a/crates/daemon/tests/all/platform/power.rs
+++ b/crates/daemon/tests/all/platform/power.rs
@@ -5,11 +5,13 @@
     Instant, //
 };
 
+use futures_util::future::join_all;
 use http::Method;
 use yuccaseam_base::cases;
 use yuccaseam_testing::platform::{
     BATCH,
     PlatformSystem,
+    PlatformTarget,
     SAFE,
     expected_text,
     send, //
@@ -27,6 +29,8 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Time after its departure was acknowledged from which on nothing reaches a target (`drain_ms` of the platform).
 const DRAIN: Duration = Duration::from_millis(2_500);
+/// Requests at each entry at the same moment: a target takes eight.
+const AT_ONCE: usize = 6;
 /// Version of the manifest that is accepted last.
 const VERSION: u64 = 3;
 
@@ -135,6 +139,90 @@
     });
 }
 
+/// A message of a target about itself, as sent to one entry. Returns the status of the answer.
+async fn report(world: &World, entry: usize, call: &str, body: &str) -> u16 {
+    let to = world.system.entries[entry].control();
+    let path = format!("/Instances.{call}/guest");
+    let headers = [("host", "control"), ("content-type", "application/json")];
+    let sent = send(to, Method::POST, &path, &headers, body, PATIENCE).await;
+    sent.expect("an answer comes").status
+}
+
+/// Guards against a target that left, as was acknowledged, and gets requests again because a late announcement of it
+/// arrives after a kill of all stores.
+#[test]
+fn late_announcement_of_a_departed_target_is_stale_after_a_kill_of_all_stores() {
+    with_world(1, async |mut world| {
+        world.system.end_first_start();
+        // It announces itself only by hand.
+        let guest = PlatformTarget::start("guest", "llm", "a1", 8, Vec::new()).await;
+        let guest = guest.expect("a target starts");
+        let announcement = |born: u64, number: u64| {
+            format!(
+                r#"{{"service":"llm","address":"{}","zone":"a1","version":"v1","slots":8,"state":"ready",
+                    "cold_remaining_ms":0,"sequence":{number},"born":{born}}}"#,
+                guest.address()
+            )
+        };
+        assert_eq!(
+            report(&world, 0, "Heartbeat", &announcement(1_000, 5)).await,
+            200
+        );
+        world
+            .wait_until_entries_know("guest", TargetState::Announced, PATIENCE)
+            .await;
+        assert_eq!(
+            report(&world, 0, "Deregister", r#"{"born":1000}"#).await,
+            200
+        );
+        for store in &mut world.system.stores {
+            store.kill();
+        }
+        world.system.entries[0].kill();
+        for store in &mut world.system.stores {
+            store.start();
+        }
+        world.system.entries[0].start();
+        assert!(
+            world.system.wait_until_serving().await,
+            "every entry serves"
+        );
+        let before = guest.runs().len();
+        report(&world, 1, "Heartbeat", &announcement(1_000, 6)).await;
+        // More at once than the other target takes.
+        let ask = async |id: String| {
+            let calls = (0..3 * AT_ONCE).map(async |at| {
+                let id = format!("{id}-{at}");
+                world.system.call(at % 3, &id, &format!("{SAFE}1")).await
+            });
+            for reply in join_all(calls).await {
+                assert_eq!(reply.expect("an answer comes").status, 200);
+            }
+        };
+        for turn in 0..20 {
+            ask(format!("late-{turn}")).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(
+            guest.runs().len(),
+            before,
+            "requests reached the departed target"
+        );
+        // A later start of it takes work.
+        assert_eq!(
+            report(&world, 1, "Heartbeat", &announcement(2_000, 1)).await,
+            200
+        );
+        let until = Instant::now() + PATIENCE;
+        let mut turn = 0;
+        while guest.runs().len() == before {
+            assert!(Instant::now() < until, "a later start gets no work");
+            ask(format!("later-{turn}")).await;
+            turn += 1;
+        }
+    });
+}
+
 /// Whether an entry serves a request, and reads out the manifest that was accepted last.
 async fn is_serving(world: &World, entry: usize) -> bool {
     let id = format!("after-{entry}");
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -107,6 +107,9 @@
 #[derive(Default)]
 pub(crate) struct PendingNotifications {
     pending: Mutex<(u64, HashMap<u64, oneshot::Sender<()>>)>,
+    /// Start of each target, in ms since the Unix epoch, that the leader has confirmed to this instance: it is in the
+    /// log.
+    confirmed_starts: Mutex<HashMap<TargetName, u64>>,
 }
 
 impl PendingNotifications {
@@ -136,6 +139,34 @@
             && await_confirmation(rx).await
     }
 
+    /// Notifies the leader of a start of a target, with the same result as [`Self::notify_draining`].
+    pub(crate) async fn notify_started(&self, cx: &Cx, record: TargetRecord) -> bool {
+        let (notice, rx) = self.add();
+        let (name, started_at) = (record.name.clone(), record.started_at);
+        let is_confirmed = cx.send_to_leader(FollowerMessage::Started { record, notice })
+            && await_confirmation(rx).await;
+        if is_confirmed {
+            let targets = cx.targets();
+            let mut starts = self.confirmed_starts();
+            starts.retain(|name, _| targets.record_named(name).is_some());
+            starts.insert(name, started_at);
+        }
+        is_confirmed
+    }
+
+    /// Whether the leader has confirmed this start of a target, or a later one, to this instance.
+    pub(crate) fn is_confirmed(&self, record: &TargetRecord) -> bool {
+        let starts = self.confirmed_starts();
+        let confirmed = starts.get(&record.name);
+        confirmed.is_some_and(|started_at| *started_at >= record.started_at)
+    }
+
+    fn confirmed_starts(&self) -> std::sync::MutexGuard<'_, HashMap<TargetName, u64>> {
+        self.confirmed_starts
+            .lock()
+            .expect("no thread panics with the lock")
+    }
+
     /// Notifies the leader that a target leaves, with the same result as [`Self::notify_draining`].
     /// `started_at` is the start that leaves, if the target says which.
     pub(crate) async fn notify_leaving(
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -207,6 +207,14 @@
         /// Identifies this notification in the confirmation.
         notice: u64,
     },
+    /// As [`Self::Announced`], for a start that was not confirmed to the follower yet. Confirmed by [`LeaderMessage::Noted`]. A leader
+    /// of the version before ignores the message, so that the target announces itself again.
+    Started {
+        /// The target.
+        record: TargetRecord,
+        /// Identifies this notification in the confirmation.
+        notice: u64,
+    },
 }
 
 /// A message of the leader to its followers.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -170,7 +170,7 @@
     }
 
     fn on_message(&self, follower: u64, message: FollowerMessage) {
-        let (notice, departure) = match message {
+        let (notice, change) = match message {
             FollowerMessage::Announced(record) => {
                 // A lost announcement is replaced by the target's next one.
                 let _ = self.cx.send_to_leader(FollowerMessage::Announced(record));
@@ -193,22 +193,28 @@
             FollowerMessage::Hello { .. }
             | FollowerMessage::Loads(_)
             | FollowerMessage::Demand(_) => return,
-            FollowerMessage::Draining { record, notice } => (notice, Departure::Draining(record)),
-            FollowerMessage::Leaving { name, notice } => (notice, Departure::Leaving(name, None)),
+            FollowerMessage::Started { record, notice } => (notice, TargetChange::Started(record)),
+            FollowerMessage::Draining { record, notice } => {
+                (notice, TargetChange::Draining(record))
+            }
+            FollowerMessage::Leaving { name, notice } => {
+                (notice, TargetChange::Leaving(name, None))
+            }
             FollowerMessage::StartLeaving {
                 name,
                 started_at,
                 notice,
-            } => (notice, Departure::Leaving(name, Some(started_at))),
+            } => (notice, TargetChange::Leaving(name, Some(started_at))),
         };
         let Some(tx) = self.cx.relay.get(follower) else {
             return;
         };
         let (cx, notifications) = (Arc::clone(&self.cx), Arc::clone(&self.notifications));
         tokio::spawn(async move {
-            let confirmed = match departure {
-                Departure::Draining(record) => notifications.notify_draining(&cx, record).await,
-                Departure::Leaving(name, started_at) => {
+            let confirmed = match change {
+                TargetChange::Started(record) => notifications.notify_started(&cx, record).await,
+                TargetChange::Draining(record) => notifications.notify_draining(&cx, record).await,
+                TargetChange::Leaving(name, started_at) => {
                     notifications.notify_leaving(&cx, name, started_at).await
                 }
             };
@@ -230,7 +236,8 @@
 }
 
 /// A change of a target that the leader confirms.
-enum Departure {
+enum TargetChange {
+    Started(crate::targets::TargetRecord),
     Draining(crate::targets::TargetRecord),
     /// The start that leaves, in ms since the Unix epoch, if it is known.
     Leaving(yuccaseam_base::TargetName, Option<u64>),
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -165,6 +165,13 @@
         /// Id of the job.
         job: String,
     },
+    /// Counts time for all targets that are gone, and forgets those that have been for long.
+    AgeDepartures {
+        /// Time to count.
+        elapsed: Millis,
+        /// Counted time after which a target is forgotten.
+        retention: Millis,
+    },
 }
 
 /// Outcome of a command.
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -7,6 +7,9 @@
 //! - A job is accepted once; a result keeps its position and content until the job is removed.
 //! - An item is listed at most once.
 //! - A job never changes its team.
+//! - What is recorded of a target never goes back to an older version of it, whatever a leader records. A target that
+//!   is gone is kept until leaders have counted the time in which an older message of it can arrive, and then
+//!   forgotten: the state is bounded by the targets that leave in that time.
 
 mod command;
 mod job;
@@ -40,6 +43,7 @@
 use yuccaseam_base::{
     InstanceName,
     Machine,
+    Millis,
     TargetName,
     TeamName,
     record, //
@@ -65,14 +69,16 @@
     link_rate: u64,
     /// Teams of jobs, by job id. A job that was accepted without teams has none.
     job_teams: BTreeMap<String, TeamName>,
+    /// Time that leaders have counted since each target was recorded as gone.
+    gone_for: BTreeMap<TargetName, Millis>,
 }
 
 /// Expected size of a result in bytes before there are results.
 const DEFAULT_RESULT_BYTES: u64 = 8 << 10;
 
-/// Encodings of what snapshots of earlier versions lack at their end: the teams of jobs, the link rate before
-/// them, and the map of quarantined features before that.
-const MISSING_FIELDS: [&[u8]; 3] = [&[0], &[0, 0], &[0, 0, 0]];
+/// Encodings of what snapshots of earlier versions lack at their end: the targets that are gone, the teams of jobs
+/// before them, the link rate before these, and the map of quarantined features before that.
+const MISSING_FIELDS: [&[u8]; 4] = [&[0], &[0, 0], &[0, 0, 0], &[0, 0, 0, 0]];
 
 impl State {
     /// Applies a command.
@@ -123,6 +129,10 @@
                 self.quarantined.extend(entries);
                 CommandOutcome::Done
             }
+            Command::AgeDepartures { elapsed, retention } => {
+                self.age_departures(elapsed, retention);
+                CommandOutcome::Done
+            }
             Command::NoteLinkRate(rate) => {
                 self.link_rate = rate;
                 CommandOutcome::Done
@@ -181,11 +191,30 @@
     }
 
     fn record_target(&mut self, record: TargetRecord) {
+        let known = self.targets.get(&record.name);
+        if known.is_some_and(|known| !record.is_newer_than(known)) {
+            return;
+        }
         if record.left {
-            self.targets.remove(&record.name);
+            self.gone_for.insert(record.name.clone(), Millis::ZERO);
         } else {
-            self.targets.insert(record.name.clone(), record);
+            self.gone_for.remove(&record.name);
         }
+        self.targets.insert(record.name.clone(), record);
+    }
+
+    fn age_departures(&mut self, elapsed: Millis, retention: Millis) {
+        for gone_for in self.gone_for.values_mut() {
+            *gone_for = *gone_for + elapsed;
+        }
+        let targets = &mut self.targets;
+        self.gone_for.retain(|name, gone_for| {
+            let is_kept = *gone_for < retention;
+            if !is_kept {
+                targets.remove(name);
+            }
+            is_kept
+        });
     }
 
     fn advance(&mut self, advances: Vec<Advance>) -> CommandOutcome {
@@ -279,7 +308,12 @@
         u64::checked_div(bytes, count).unwrap_or(DEFAULT_RESULT_BYTES)
     }
 
-    /// The targets as last recorded. They may have departed since.
+    /// Whether targets are recorded that are gone.
+    pub fn has_departures(&self) -> bool {
+        !self.gone_for.is_empty()
+    }
+
+    /// The targets as last recorded, with those that are gone. Others may have departed since.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.values()
     }
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -61,7 +61,7 @@
 
 use super::Replica;
 
-use departures::Departure;
+use departures::TargetReport;
 use shares::HubShares;
 
 /// How often the leader sends changed loads.
@@ -143,8 +143,10 @@
     leader_since: Option<Millis>,
     /// Targets that have changed since the last record in the log.
     unrecorded: BTreeMap<TargetName, TargetRecord>,
-    /// Departures to record in the log and to confirm.
-    departures: Vec<Departure>,
+    /// Reports of followers to record in the log and to confirm.
+    reports: Vec<TargetReport>,
+    /// When time was last counted for targets that are gone.
+    aged_at: Millis,
     /// Addresses of stores as last recorded in the log.
     recorded_stores: BTreeMap<InstanceName, IpAddr>,
     record_at: Millis,
@@ -262,10 +264,11 @@
     pub(crate) fn on_message(&self, follower: u64, message: FollowerMessage) {
         match message {
             FollowerMessage::Announced(record) => self.announce(record),
-            FollowerMessage::Draining { record, notice } => {
+            FollowerMessage::Draining { record, notice }
+            | FollowerMessage::Started { record, notice } => {
                 let name = record.name.clone();
                 self.announce(record);
-                self.confirm_departure(follower, notice, &name);
+                self.confirm_target(follower, notice, &name);
             }
             FollowerMessage::Leaving { name, notice } => {
                 let left = self.cx.targets().mark_left(&name, self.cx.clock.now());
@@ -474,7 +477,7 @@
             inner.leader_since = None;
             inner.shares = HubShares::default();
             inner.followers.clear();
-            inner.departures.clear();
+            inner.reports.clear();
             return;
         }
         let now = self.cx.clock.now();
@@ -486,6 +489,7 @@
         self.decide_on_features(now);
         self.send_features(now);
         self.record_changes(now);
+        self.age_departures(now);
         let expired = self.cx.targets().expire(TARGET_TIMEOUT, now);
         if !expired.is_empty() {
             for record in &expired {
@@ -526,7 +530,13 @@
         // Some records name targets that have lost their address since. Recorded again, they no
         // longer do.
         let changed = self.cx.merge_targets(recorded);
-        let gone = changed.into_iter().filter(|record| record.left);
+        let is_recorded = |record: &TargetRecord| {
+            self.replica
+                .read(|state| state.target(&record.name) == Some(record))
+        };
+        let gone = changed
+            .into_iter()
+            .filter(|record| record.left && !is_recorded(record));
         let named = gone.map(|record| (record.name.clone(), record));
         self.inner().unrecorded.extend(named);
         let mut targets = self.cx.targets();
@@ -540,6 +550,7 @@
             inner.set_domain(record);
         }
         inner.leader_since = Some(now);
+        inner.aged_at = now;
     }
 
     /// Records in the log the stores and targets that the system needs after a power loss.
@@ -597,7 +608,7 @@
         } else {
             hub.apply_newer_manifest();
         }
-        hub.record_departures();
+        hub.record_reports();
         tokio::select! {
             () = changed => {}
             () = pause(tick_at - hub.cx.clock.now()) => {}
--- a/crates/serving/src/store/hub/departures.rs
+++ b/crates/serving/src/store/hub/departures.rs
@@ -1,11 +1,15 @@
-//! Targets that drain or leave: the leader confirms it once it is in the log.
+//! Targets that start, drain or leave: the leader confirms it once it is in the log, and the log forgets those that are
+//! gone once no older message of them can arrive.
 
 use std::{
     collections::BTreeMap,
     sync::Arc, //
 };
 
-use yuccaseam_base::TargetName;
+use yuccaseam_base::{
+    Millis,
+    TargetName, //
+};
 
 use crate::{
     link::LeaderMessage,
@@ -13,13 +17,17 @@
         Command,
         State, //
     },
-    targets::TargetRecord,
+    targets::{
+        DEPARTURE_AGE_INTERVAL,
+        LOG_RETENTION,
+        TargetRecord, //
+    },
 };
 
 use super::Hub;
 
-/// A target that drains or leaves, which a follower reported.
-pub(super) struct Departure {
+/// A target that has started, drains or leaves, which a follower reported.
+pub(super) struct TargetReport {
     follower: u64,
     /// Number of the report, to confirm it.
     notice: u64,
@@ -28,7 +36,8 @@
 
 impl Hub {
     /// Tells all followers of a target that has left, and confirms it to the one that reported it. `left` is `None` if
-    /// there is nothing to tell: the target is unknown, or has started again since.
+    /// there is nothing to tell: the target is unknown, or has started again since. Then the later start must be in the
+    /// log, so that no message of the one that left is taken for a new one.
     pub(super) fn on_left(
         &self,
         follower: u64,
@@ -36,29 +45,26 @@
         name: &TargetName,
         left: Option<TargetRecord>,
     ) {
-        match left {
-            Some(record) => {
-                self.broadcast_targets(vec![record]);
-                self.confirm_departure(follower, notice, name);
-            }
-            None => self.send(follower, LeaderMessage::Noted(notice)),
+        if let Some(record) = left {
+            self.broadcast_targets(vec![record]);
         }
+        self.confirm_target(follower, notice, name);
     }
 
-    /// Confirms to a follower that a target drains or leaves, once that is in the log: the next leader, which may
-    /// know only the log, must not send the target work either.
-    pub(super) fn confirm_departure(&self, follower: u64, notice: u64, name: &TargetName) {
+    /// Confirms to a follower that a target has started, drains or leaves, once that is in the log: the next leader, which
+    /// may know only the log, must not send work to an earlier start, or to a target that has left.
+    pub(super) fn confirm_target(&self, follower: u64, notice: u64, name: &TargetName) {
         let record = self.cx.targets().record_named(name).cloned();
         let unrecorded = record.filter(|record| {
             let is_recorded = |state: &State| {
                 let recorded = state.target(name);
-                recorded.is_some_and(|recorded| recorded.covers_drain(record))
+                recorded.is_some_and(|recorded| recorded.covers(record))
             };
             !self.replica.read(is_recorded)
         });
         match unrecorded {
             None => self.send(follower, LeaderMessage::Noted(notice)),
-            Some(record) => self.inner().departures.push(Departure {
+            Some(record) => self.inner().reports.push(TargetReport {
                 follower,
                 notice,
                 record,
@@ -66,36 +72,55 @@
         }
     }
 
-    /// Records the departures of targets in the log, in one command, and confirms them once it is committed.
-    pub(super) fn record_departures(self: &Arc<Self>) {
+    /// Records what followers reported of targets in the log, in one command, and confirms it once that is committed.
+    pub(super) fn record_reports(self: &Arc<Self>) {
         let mut inner = self.inner();
-        let departures = std::mem::take(&mut inner.departures);
-        for departure in &departures {
-            inner.unrecorded.remove(&departure.record.name);
+        let reports = std::mem::take(&mut inner.reports);
+        for report in &reports {
+            inner.unrecorded.remove(&report.record.name);
         }
         drop(inner);
-        if departures.is_empty() {
+        if reports.is_empty() {
             return;
         }
-        let records: BTreeMap<_, _> = departures
+        let records: BTreeMap<_, _> = reports
             .iter()
-            .map(|departure| (departure.record.name.clone(), departure.record.clone()))
+            .map(|report| (report.record.name.clone(), report.record.clone()))
             .collect();
         let hub = Arc::clone(self);
         tokio::spawn(async move {
             let command = Command::NoteTargets(records.values().cloned().collect());
             if let Err(error) = hub.replica.propose(command).await {
                 // The followers get no confirmation, so that the targets report it again.
-                log::warn!(targets = records.len(), error:? = error; "departures not recorded in the log");
+                log::warn!(targets = records.len(), error:? = error; "reports of targets not recorded in the log");
                 let mut inner = hub.inner();
                 for (name, record) in records {
                     inner.unrecorded.entry(name).or_insert(record);
                 }
                 return;
             }
-            for departure in departures {
-                hub.send(departure.follower, LeaderMessage::Noted(departure.notice));
+            for report in reports {
+                hub.send(report.follower, LeaderMessage::Noted(report.notice));
             }
         });
     }
+
+    /// Counts time for the targets that the log has as gone. Time that no leader counts only keeps them longer.
+    pub(super) fn age_departures(&self, now: Millis) {
+        let elapsed = {
+            let mut inner = self.inner();
+            let elapsed = now - inner.aged_at;
+            if elapsed < DEPARTURE_AGE_INTERVAL {
+                return;
+            }
+            inner.aged_at = now;
+            elapsed
+        };
+        if self.replica.read(State::has_departures) {
+            self.propose(Command::AgeDepartures {
+                elapsed,
+                retention: LOG_RETENTION,
+            });
+        }
+    }
 }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -7,11 +7,21 @@
 //! - A target that is draining or has left takes no new work until it restarts, whatever another
 //!   instance or the target itself says later. One that expired takes work again once it announces
 //!   itself.
+//! - What the target was told of that, and of its start, is in the log before (see [`TargetRecord::covers`]), and the log
+//!   keeps it for as long as an older message can arrive. Each instance keeps it longer than the log, so that no
+//!   leader takes an older message for a new target.
 //! - Of two targets with one address, the one that started later owns it, in whichever order their
 //!   records arrive, unless it has expired. The other one takes no work; it does again if it still
 //!   announces itself once the owner has expired.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    },
+};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yuccaseam_base::{
@@ -88,9 +98,32 @@
         )
     }
 
-    /// Whether this record, as that of the log, says of a target that takes no work whatever `other` says.
-    pub(crate) fn covers_drain(&self, other: &Self) -> bool {
-        self.started_at == other.started_at && self.draining && !other.left
+    /// Whether this record is newer than another one of the same target.
+    pub(crate) fn is_newer_than(&self, other: &Self) -> bool {
+        self.version() > other.version()
+    }
+
+    /// Whether this record, as that of the log, holds what its target is told once `other` is known: which start it is,
+    /// and that it drains or has departed.
+    pub fn covers(&self, other: &Self) -> bool {
+        let acknowledged =
+            |record: &Self| (record.started_at, record.has_departed(), record.draining);
+        acknowledged(self) >= acknowledged(other)
+    }
+
+    /// The record of a start that departs and was not known.
+    fn departed(name: TargetName, started_at: u64) -> Self {
+        Self {
+            name,
+            service: String::new(),
+            address: NO_ADDRESS,
+            domain: yuccaseam_base::FailureDomain::from(""),
+            slots: 0,
+            started_at,
+            number: 0,
+            draining: true,
+            left: true,
+        }
     }
 
     /// Marks this start of the target as gone for good.
@@ -140,9 +173,21 @@
     by_name: BTreeMap<TargetName, TrackedTarget>,
 }
 
-/// How long a departed target is retained, so that a late announcement does not add it again.
-/// Longer than an announcement can be in flight.
-const DEPARTED_RETENTION: Millis = Millis::from_secs(60);
+/// Address of a target that departed before it announced itself.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// How long the log keeps a target that is gone, so that a late announcement does not add it again. Longer than an
+/// announcement can be in flight.
+pub const DEPARTED_RETENTION: Millis = Millis::from_secs(60);
+
+/// How often the leader counts time for targets that are gone.
+pub const DEPARTURE_AGE_INTERVAL: Millis = Millis::from_secs(10);
+
+/// Counted time after which the log forgets a target that is gone. The first count may cover time before it was recorded.
+pub const LOG_RETENTION: Millis = Millis(DEPARTED_RETENTION.0 + DEPARTURE_AGE_INTERVAL.0);
+
+/// How long an instance keeps a target that is gone. Longer than the log of a leader that goes on.
+const INSTANCE_RETENTION: Millis = Millis(LOG_RETENTION.0 + 2 * DEPARTURE_AGE_INTERVAL.0);
 
 impl Targets {
     /// Applies an announcement.
@@ -152,8 +197,12 @@
         now: Millis,
     ) -> AnnouncementOutcome {
         if let Some(tracked) = self.by_name.get_mut(&record.name) {
-            let old = &tracked.record;
+            let old = &mut tracked.record;
             if (record.started_at, record.number) <= (old.started_at, old.number) {
+                if record.started_at == old.started_at && record.draining && !old.draining {
+                    old.draining = true;
+                    return AnnouncementOutcome::Changed(vec![old.clone()]);
+                }
                 return AnnouncementOutcome::Stale;
             }
             if record.started_at == old.started_at {
@@ -183,18 +232,23 @@
         Some(tracked.record.clone())
     }
 
-    /// Marks one start of a target as departed, at its own request. `None` if the target is unknown, or a later start of
-    /// it is known: the report was late.
+    /// Marks one start of a target as departed, at its own request, known or not. `None` if a later start is known: the
+    /// report was late.
     pub fn mark_start_left(
         &mut self,
         name: &TargetName,
         started_at: u64,
         now: Millis,
     ) -> Option<TargetRecord> {
-        let tracked = self.by_name.get(name)?;
-        if tracked.record.started_at > started_at {
+        let known = self.by_name.get(name).map(|tracked| &tracked.record);
+        if known.is_some_and(|known| known.started_at > started_at) {
             return None;
         }
+        // An announcement of this start may still be on its way.
+        if known.is_none_or(|known| known.started_at < started_at) {
+            let record = TargetRecord::departed(name.clone(), started_at);
+            return Some(self.insert(record, now).swap_remove(0));
+        }
         self.mark_left(name, now)
     }
 
@@ -214,10 +268,7 @@
         let known = self.by_name.get(&record.name);
         known.is_some_and(|tracked| {
             let known = &tracked.record;
-            known.started_at == record.started_at
-                && known.draining
-                && !known.left
-                && !record.draining
+            known.started_at == record.started_at && known.draining && !record.draining
         })
     }
 
@@ -296,7 +347,7 @@
             }
         }
         self.by_name.retain(|_, tracked| {
-            !tracked.record.left || now < tracked.last_seen + DEPARTED_RETENTION
+            !tracked.record.left || now < tracked.last_seen + INSTANCE_RETENTION
         });
         expired
     }
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod call_tries;
 mod capacity;
 mod deadly_requests;
+mod departures;
 mod events;
 mod group;
 mod group_changes;
--- a/crates/serving/tests/all/state.rs
+++ b/crates/serving/tests/all/state.rs
@@ -278,7 +278,12 @@
     state.apply(manifest(4, "four"));
     state.apply(Command::Submit(job("j", &[1, 2])));
     let mut snapshot = state.snapshot();
-    for last in ["no teams of jobs", "an unknown rate", "an empty map"] {
+    for last in [
+        "no targets that are gone",
+        "no teams of jobs",
+        "an unknown rate",
+        "an empty map",
+    ] {
         assert_eq!(snapshot.pop(), Some(0), "{last} at the end");
         let restored = State::restore(&snapshot).expect("a snapshot of an earlier version");
         assert_eq!(restored, state);
@@ -392,8 +397,8 @@
     state.apply(Command::NoteLinkRate(7_000));
     let restored = State::restore(&state.snapshot()).expect("a snapshot restores");
     assert_eq!(restored.link_rate(), Some(7_000));
-    // The teams of jobs came after the rate.
-    let older = State::restore(&older[..older.len() - 2]).expect("an older one restores");
+    // The teams of jobs came after the rate, and the targets that are gone after these.
+    let older = State::restore(&older[..older.len() - 3]).expect("an older one restores");
     assert_eq!(older, State::default());
 }
 
@@ -463,8 +468,8 @@
     // An entry of the version before wrote the log and the snapshot.
     let older = state.snapshot();
     let older = older
-        .strip_suffix(&[0])
-        .expect("no teams of jobs at the end");
+        .strip_suffix(&[0, 0])
+        .expect("no teams of jobs, and no targets that are gone, at the end");
     let state = State::restore(older).expect("a snapshot of the version before");
     assert!(state.job_for("j", Some(&"red".into())).is_some());
     assert!(state.job_for("j", None).is_some());
