--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -205,7 +205,7 @@
 
     fn age_departures(&mut self, elapsed: Millis, retention: Millis) {
         for gone_for in self.gone_for.values_mut() {
-            *gone_for = *gone_for + elapsed;
+            *gone_for += elapsed;
         }
         let targets = &mut self.targets;
         self.gone_for.retain(|name, gone_for| {
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -1,9 +1,9 @@
 //! The leader's followers: collects their loads and announcements, and sends them updates.
 
-mod departures;
 mod quarantine;
 mod quota;
 mod shares;
+mod target_records;
 
 use std::{
     collections::{
@@ -61,15 +61,13 @@
 
 use super::Replica;
 
-use departures::TargetReport;
 use shares::HubShares;
+use target_records::TargetReport;
 
 /// How often the leader sends changed loads.
 const TICK_INTERVAL: Millis = Millis(40);
 /// How often the leader sends a message to a follower if no load changes.
 const HEARTBEAT_INTERVAL: Millis = Millis(200);
-/// How often changes of targets and stores are recorded in the replicated log.
-const RECORD_INTERVAL: Millis = Millis(500);
 /// Time since a target's last announcement after which it expires. Targets announce themselves
 /// every 1.2 s, and announcements may be seconds late.
 const TARGET_TIMEOUT: Millis = Millis(6_000);
@@ -521,56 +519,6 @@
         self.inner().orphans = OrphanedItems::new(counts, now - loads_age);
     }
 
-    /// Loads the targets recorded in the log. Targets that no longer exist expire after the usual
-    /// time.
-    fn load_recorded_targets(&self, now: Millis) {
-        let recorded: Vec<_> = self
-            .replica
-            .read(|state| state.targets().cloned().collect());
-        // Some records name targets that have lost their address since. Recorded again, they no
-        // longer do.
-        let changed = self.cx.merge_targets(recorded);
-        let is_recorded = |record: &TargetRecord| {
-            self.replica
-                .read(|state| state.target(&record.name) == Some(record))
-        };
-        let gone = changed
-            .into_iter()
-            .filter(|record| record.left && !is_recorded(record));
-        let named = gone.map(|record| (record.name.clone(), record));
-        self.inner().unrecorded.extend(named);
-        let mut targets = self.cx.targets();
-        targets.reset_timeouts(now);
-        let mut inner = self.inner();
-        inner.all_targets = None;
-        inner.domains.clear();
-        inner.fanout = LoadFanout::default();
-        inner.quotas = Ledger::new(now);
-        for record in targets.records() {
-            inner.set_domain(record);
-        }
-        inner.leader_since = Some(now);
-        inner.aged_at = now;
-    }
-
-    /// Records in the log the stores and targets that the system needs after a power loss.
-    fn record_changes(&self, now: Millis) {
-        let mut inner = self.inner();
-        if now < inner.record_at {
-            return;
-        }
-        inner.record_at = now + RECORD_INTERVAL;
-        let addresses = self.cx.address_book().addresses(now);
-        if addresses.len() > 1 && addresses != inner.recorded_stores {
-            inner.recorded_stores = addresses.clone();
-            self.propose(Command::NoteStores(addresses));
-        }
-        if !inner.unrecorded.is_empty() {
-            let records = std::mem::take(&mut inner.unrecorded);
-            self.propose(Command::NoteTargets(records.into_values().collect()));
-        }
-    }
-
     /// Proposes a record without a retry: announcements restore what is lost.
     fn propose(&self, command: Command) {
         let replica = Arc::clone(&self.replica);
--- a/crates/serving/src/store/hub/departures.rs
+++ b/crates/serving/src/store/hub/target_records.rs
@@ -1,5 +1,5 @@
-//! Targets that start, drain or leave: the leader confirms it once it is in the log, and the log forgets those that are
-//! gone once no older message of them can arrive.
+//! What the log has of targets. The leader confirms that a target starts, drains or leaves once it is in the log, and the
+//! log forgets those that are gone once no older message of them can arrive.
 
 use std::{
     collections::BTreeMap,
@@ -13,6 +13,8 @@
 
 use crate::{
     link::LeaderMessage,
+    load_fanout::LoadFanout,
+    quota::Ledger,
     state::{
         Command,
         State, //
@@ -26,6 +28,9 @@
 
 use super::Hub;
 
+/// How often changes of targets and stores are recorded in the replicated log.
+const RECORD_INTERVAL: Millis = Millis(500);
+
 /// A target that has started, drains or leaves, which a follower reported.
 pub(super) struct TargetReport {
     follower: u64,
@@ -123,4 +128,54 @@
             });
         }
     }
+
+    /// Loads the targets recorded in the log. Targets that no longer exist expire after the usual
+    /// time.
+    pub(super) fn load_recorded_targets(&self, now: Millis) {
+        let recorded: Vec<_> = self
+            .replica
+            .read(|state| state.targets().cloned().collect());
+        // Some records name targets that have lost their address since. Recorded again, they no
+        // longer do.
+        let changed = self.cx.merge_targets(recorded);
+        let is_recorded = |record: &TargetRecord| {
+            self.replica
+                .read(|state| state.target(&record.name) == Some(record))
+        };
+        let gone = changed
+            .into_iter()
+            .filter(|record| record.left && !is_recorded(record));
+        let named = gone.map(|record| (record.name.clone(), record));
+        self.inner().unrecorded.extend(named);
+        let mut targets = self.cx.targets();
+        targets.reset_timeouts(now);
+        let mut inner = self.inner();
+        inner.all_targets = None;
+        inner.domains.clear();
+        inner.fanout = LoadFanout::default();
+        inner.quotas = Ledger::new(now);
+        for record in targets.records() {
+            inner.set_domain(record);
+        }
+        inner.leader_since = Some(now);
+        inner.aged_at = now;
+    }
+
+    /// Records in the log the stores and targets that the system needs after a power loss.
+    pub(super) fn record_changes(&self, now: Millis) {
+        let mut inner = self.inner();
+        if now < inner.record_at {
+            return;
+        }
+        inner.record_at = now + RECORD_INTERVAL;
+        let addresses = self.cx.address_book().addresses(now);
+        if addresses.len() > 1 && addresses != inner.recorded_stores {
+            inner.recorded_stores = addresses.clone();
+            self.propose(Command::NoteStores(addresses));
+        }
+        if !inner.unrecorded.is_empty() {
+            let records = std::mem::take(&mut inner.unrecorded);
+            self.propose(Command::NoteTargets(records.into_values().collect()));
+        }
+    }
 }
