stores: the time until a store votes is one budget

Cause: of 4.9 s the successor waited 2.0 s to become a learner (a voter is lost after 3 s of silence), and the transfer of 9.2 MB beside a client that reads took 3.3 s. 1.5 s were set aside for all but the transfer.

A new store becomes a learner at once, whether or not a voter is known to be lost, and leaves again if nothing needs it. Where two losses are tolerated, election, join and transfer count twice.

The test of a free store that waits until a voter has been silent for 3 s now says that the store was there before: a new one no longer waits. Its assertions are the same.

--- a/crates/daemon/tests/all/platform/capacity.rs
+++ b/crates/daemon/tests/all/platform/capacity.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use tokio::runtime::Runtime;
 use yuccaseam_base::Millis;
-use yuccaseam_serving::capacity::max_state_bytes;
+use yuccaseam_serving::capacity::JoinBudget;
 use yuccaseam_testing::{
     Shape, Shapes,
     platform::{
@@ -23,6 +23,9 @@
     with_world, //
 };
 
+/// Time in which a store with an empty disk must vote, as in the settings of the system.
+const LOSS_RECOVERY: Millis = Millis(4_900);
+
 /// Size of the body of an item, encoded and decoded: too small for a burst that measures a link, since that of
 /// the test is far faster than one between regions.
 const ENCODED_BYTES: usize = 60_000;
@@ -52,7 +55,7 @@
                 }
             }
         };
-        let limit = max_state_bytes(Millis(4_900), None) / BODY_BYTES;
+        let limit = JoinBudget::new(LOSS_RECOVERY, 1).max_state_bytes(None) / BODY_BYTES;
         let mut accepted = 0;
         let refused = loop {
             let reply = submit(accepted).await;
@@ -130,7 +133,7 @@
                 .filter(|(_, reply)| reply.status == status)
                 .count()
         };
-        let max_bytes = max_state_bytes(Millis(4_900), Some(LINK_RATE));
+        let max_bytes = JoinBudget::new(LOSS_RECOVERY, 1).max_state_bytes(Some(LINK_RATE));
         let mut kept = 0;
         for (id, reply) in &replies {
             let path = format!("/lots/{id}?after=0");
--- a/crates/daemon/tests/all/platform/mod.rs
+++ b/crates/daemon/tests/all/platform/mod.rs
@@ -25,6 +25,7 @@
 mod retiring;
 mod shares;
 mod silent;
+mod successor;
 mod tainted;
 
 use std::{
@@ -231,6 +232,16 @@
     line[name].as_str().map(str::to_owned)
 }
 
+/// Store that leads, according to the last line of each store about that.
+fn leader(world: &World) -> usize {
+    let leads = |store: usize| {
+        let log = world.system.stores[store].log();
+        log.rfind("became leader; state is current") > log.rfind("leadership lost")
+    };
+    let mut leaders = (0..world.system.stores.len()).filter(|&store| leads(store));
+    leaders.next().expect("a store leads")
+}
+
 fn job(id: &str, items: usize) -> String {
     let items: Vec<_> = (0..items)
         .map(|at| format!(r#"{{"id":"{id}-{at}","path":"{BATCH}{at}","body":"aGk=","tokens":10}}"#))
--- a/crates/daemon/tests/all/platform/power.rs
+++ b/crates/daemon/tests/all/platform/power.rs
@@ -21,8 +21,9 @@
     PATIENCE,
     TargetState,
     World,
-    job, //
-    with_world,
+    job,
+    leader,
+    with_world, //
 };
 
 /// Time after the start of all processes within which requests are served (`recovery_s` of the platform).
@@ -34,16 +35,6 @@
 /// Version of the manifest that is accepted last.
 const VERSION: u64 = 3;
 
-/// Store that leads, according to the last line of each store about that.
-fn leader(world: &World) -> usize {
-    let leads = |store: usize| {
-        let log = world.system.stores[store].log();
-        log.rfind("became leader; state is current") > log.rfind("leadership lost")
-    };
-    let mut leaders = (0..world.system.stores.len()).filter(|&store| leads(store));
-    leaders.next().expect("a store leads")
-}
-
 /// Guards against an outage, and the loss of what was accepted, if a disk is lost together with the power of
 /// all processes, entries included.
 fn disk_and_power(pick: fn(usize) -> usize) {
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -47,6 +47,7 @@
         CallTries,
         TryResult, //
     },
+    capacity::JoinBudget,
     entry::EntryShares,
     intake::Intake,
     link::{
@@ -196,6 +197,12 @@
         }
     }
 
+    /// Time in which a store with an empty disk must vote.
+    pub(crate) fn join_budget(&self) -> JoinBudget {
+        let settings = &self.settings;
+        JoinBudget::new(settings.bounds.loss_recovery, settings.tolerated_losses)
+    }
+
     /// Seed addresses from the latest settings.
     pub(crate) fn seeds(&self) -> Vec<IpAddr> {
         lock(&self.seeds).clone()
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -12,6 +12,10 @@
 //! other one from taking its place. A group with enough stores thus replaces a lost voter for as long as
 //! a quorum responds, whatever its other voters and learners do. Lost voters come before those that
 //! retire, also in the choice of stores.
+//!
+//! A store that is new to the group becomes a learner at once, before any voter is known to be lost: it may be the
+//! successor of one, and the time until it votes counts from its start (see [`JoinBudget`]). If nothing
+//! needs it by then, it leaves the group again.
 
 mod plan;
 
@@ -33,6 +37,8 @@
     Membership, //
 };
 
+use crate::capacity::JoinBudget;
+
 use plan::Plan;
 
 /// How long the set of known stores must be stable before one bootstraps a group.
@@ -41,9 +47,13 @@
 const FULL_GROUP_TIMEOUT: Millis = Millis(5_000);
 /// How long a store counts as present after its last hello.
 const PRESENCE_TIMEOUT: Millis = Millis(3_000);
-/// How long a voter may be unresponsive before it is replaced. Longer than a restart, and shorter than
-/// the time after which the loss of another disk must be survived (`catch_up_s` of the platform).
-const STORE_LOSS_TIMEOUT: Millis = Millis(4_000);
+/// How long a learner may be unresponsive before it is removed.
+const LEARNER_LOSS_TIMEOUT: Millis = Millis(4_000);
+/// Time after the start of this process in which a store that it hears of need not be new: all that run have sent a
+/// hello by then.
+const FIRST_HELLOS_TIME: Millis = Millis(1_500);
+/// Budget of a group whose settings name none.
+const DEFAULT_RECOVERY: Millis = Millis(4_900);
 /// How long a member may be unresponsive before another store is added in place of a learner, and before
 /// sound voters are not replaced any more.
 const RESPONSE_TIMEOUT: Millis = Millis(1_000);
@@ -95,7 +105,10 @@
     is_first_start: bool,
     /// Number of voters of a full group.
     full_size: usize,
+    budget: JoinBudget,
     stores: BTreeMap<InstanceName, StoreStatus>,
+    /// When each disk was first heard of.
+    first_heard_at: BTreeMap<DiskId, Millis>,
     /// The known stores, and the time since which the set is unchanged.
     stable_view: (BTreeSet<InstanceName>, Millis),
     started_at: Millis,
@@ -120,7 +133,9 @@
             instance,
             is_first_start,
             full_size: 2 * tolerated + 1,
+            budget: JoinBudget::new(DEFAULT_RECOVERY, tolerated),
             stores: BTreeMap::new(),
+            first_heard_at: BTreeMap::new(),
             stable_view: (BTreeSet::new(), now),
             started_at: now,
             known_stores: 0,
@@ -130,11 +145,31 @@
         }
     }
 
+    /// Sets the time in which a store with an empty disk must vote.
+    pub fn with_budget(mut self, budget: JoinBudget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Records the status of a store, which may be this one. Returns whether its disk has changed.
     pub fn record_hello(&mut self, name: InstanceName, status: StoreStatus) -> bool {
         let disk = status.disk;
+        let heard_at = self.first_heard_at.entry(disk);
+        heard_at.or_insert(status.received_at);
         let before = self.stores.insert(name, status);
-        before.is_some_and(|before| before.disk != disk)
+        let replaced = before.filter(|before| before.disk != disk);
+        if let Some(replaced) = &replaced {
+            self.first_heard_at.remove(&replaced.disk);
+        }
+        replaced.is_some()
+    }
+
+    /// Whether a disk is new to this system, so that it may belong to the successor of a store that is lost.
+    fn is_new(&self, disk: DiskId, now: Millis) -> bool {
+        self.first_heard_at.get(&disk).is_some_and(|heard_at| {
+            *heard_at >= self.started_at + FIRST_HELLOS_TIME
+                && now < *heard_at + self.budget.recovery()
+        })
     }
 
     /// Records the number of stores that are known to run, which others may have told.
@@ -178,6 +213,14 @@
         self.is_first_start && is_stable && is_full && is_agreed && has_quorum
     }
 
+    /// Whether a disk was new, and nothing has needed it in the time that a store has to vote.
+    fn was_new(&self, disk: DiskId, now: Millis) -> bool {
+        self.first_heard_at.get(&disk).is_some_and(|heard_at| {
+            *heard_at >= self.started_at + FIRST_HELLOS_TIME
+                && now >= *heard_at + self.budget.recovery()
+        })
+    }
+
     fn present(&self, now: Millis) -> impl Iterator<Item = (&InstanceName, &StoreStatus)> {
         let stores = self.stores.iter();
         stores.filter(move |(_, status)| now < status.received_at + PRESENCE_TIMEOUT)
--- a/crates/serving/src/store/group/plan.rs
+++ b/crates/serving/src/store/group/plan.rs
@@ -16,8 +16,8 @@
 
 use super::{
     GroupManager,
+    LEARNER_LOSS_TIMEOUT,
     PRESENCE_TIMEOUT,
-    STORE_LOSS_TIMEOUT,
     StoreStatus, //
 };
 
@@ -30,6 +30,19 @@
     Lost(DiskId),
     /// A voter is to be retired.
     Retiring(DiskId),
+    /// None yet: the store is new, and may be the successor of one that is lost.
+    Preparation,
+}
+
+impl Need {
+    /// Order of the needs: the lowest comes first.
+    fn urgency(self) -> usize {
+        match self {
+            Self::Vacancy | Self::Lost(_) => 0,
+            Self::Retiring(_) => 1,
+            Self::Preparation => 2,
+        }
+    }
 }
 
 /// A need, and the store chosen for it.
@@ -58,13 +71,13 @@
     /// All changes that could be made now, the most urgent one first.
     pub(super) fn open_changes(&self) -> Vec<Change> {
         let assignments = self.assignments();
-        let (retiring, lost): (Vec<_>, Vec<_>) = assignments
-            .iter()
-            .partition(|assigned| matches!(assigned.need, Need::Retiring(_)));
         let mut changes = Vec::new();
-        for assigned in [lost, retiring] {
-            changes.extend(assigned.iter().filter_map(|assigned| self.join(assigned)));
-            changes.extend(assigned.iter().filter_map(|assigned| self.vote(assigned)));
+        for urgency in 0..3 {
+            let assigned = assignments
+                .iter()
+                .filter(|assigned| assigned.need.urgency() == urgency);
+            changes.extend(assigned.clone().filter_map(|assigned| self.join(assigned)));
+            changes.extend(assigned.filter_map(|assigned| self.vote(assigned)));
         }
         changes.extend(self.unneeded_learners(&assignments).map(Change::Remove));
         changes
@@ -91,6 +104,7 @@
                 must_leave.then_some(Change::Replace { old, new })
             }
             Need::Retiring(old) => self.can_retire(old).then_some(Change::Replace { old, new }),
+            Need::Preparation => None,
         }
     }
 
@@ -119,9 +133,28 @@
                 });
             }
         }
+        self.prepare_new_stores(&mut assignments);
         assignments
     }
 
+    /// Adds the new stores that no need has chosen, as many as may be lost at a time.
+    fn prepare_new_stores(&self, assignments: &mut Vec<Assignment>) {
+        let is_chosen = |disk| assignments.iter().any(|assigned| assigned.disk == disk);
+        let new = self
+            .candidates(Need::Preparation)
+            .filter(|(_, status)| self.manager.is_new(status.disk, self.now))
+            .filter(|(_, status)| !is_chosen(status.disk))
+            .take(self.manager.full_size / 2);
+        let new: Vec<_> = new
+            .map(|(name, status)| Assignment {
+                need: Need::Preparation,
+                name: name.clone(),
+                disk: status.disk,
+            })
+            .collect();
+        assignments.extend(new);
+    }
+
     /// All needs, the most urgent one first. The leader retires last: the others cannot go on while it transfers
     /// leadership.
     fn needs(&self) -> Vec<Need> {
@@ -164,7 +197,7 @@
 
     /// Whether a voter is to be replaced as soon as another store can vote.
     fn is_lost_for_good(&self, voter: DiskId) -> bool {
-        self.is_lost_after(voter, STORE_LOSS_TIMEOUT)
+        self.is_lost_after(voter, self.manager.budget.loss_timeout())
     }
 
     /// Whether the instance of a voter has another disk now, or has been silent for `timeout`.
@@ -233,13 +266,14 @@
             .count()
     }
 
-    /// Finds learners that are unresponsive or retiring, and not chosen for a need.
+    /// Finds learners that are unresponsive, retiring, or were new and are not needed, and not chosen for a need.
     fn unneeded_learners(&self, assignments: &[Assignment]) -> impl Iterator<Item = DiskId> {
         let stores = &self.manager.stores;
-        let grace_elapsed = self.now > self.manager.started_at + STORE_LOSS_TIMEOUT;
+        let grace_elapsed = self.now > self.manager.started_at + LEARNER_LOSS_TIMEOUT;
+        let is_sound = self.group.voters().all(|voter| !self.is_lost(voter));
         let is_unresponsive = |disk| {
             let status = stores.values().find(|status| status.disk == disk);
-            status.is_none_or(|status| self.now > status.received_at + STORE_LOSS_TIMEOUT)
+            status.is_none_or(|status| self.now > status.received_at + LEARNER_LOSS_TIMEOUT)
         };
         let is_chosen = |disk| assignments.iter().any(|assigned| assigned.disk == disk);
         let learners = self
@@ -249,7 +283,9 @@
         learners
             .filter(move |(disk, member)| {
                 let is_retiring = self.retiring.contains(&member.name) && !is_chosen(*disk);
-                is_retiring || (grace_elapsed && is_unresponsive(*disk))
+                let is_idle =
+                    is_sound && !is_chosen(*disk) && self.manager.was_new(*disk, self.now);
+                is_retiring || is_idle || (grace_elapsed && is_unresponsive(*disk))
             })
             .map(|(disk, _)| disk)
     }
--- a/crates/serving/src/store/replica.rs
+++ b/crates/serving/src/store/replica.rs
@@ -173,7 +173,8 @@
             settings.is_first_start,
             settings.tolerated_losses,
             now,
-        );
+        )
+        .with_budget(cx.join_budget());
         let manager = Arc::new(Mutex::new(manager));
         let shared = Shared {
             published: Arc::clone(&published),
--- a/crates/serving/src/store/replica/driver/proposals.rs
+++ b/crates/serving/src/store/replica/driver/proposals.rs
@@ -8,7 +8,6 @@
 };
 
 use crate::{
-    capacity,
     intake::Submission,
     state::Command, //
 };
@@ -70,7 +69,7 @@
             return answer(reply, Err(ProposeError::NotLeader));
         }
         let token = self.next_token();
-        let recovery = self.cx.settings.bounds.loss_recovery;
+        let budget = self.cx.join_budget();
         let (admission, state_bytes, max_bytes) = {
             let published = self
                 .shared
@@ -78,7 +77,7 @@
                 .lock()
                 .expect("no thread panics with the lock");
             let state = &published.state;
-            let max_bytes = capacity::max_state_bytes(recovery, state.link_rate());
+            let max_bytes = budget.max_state_bytes(state.link_rate());
             let admission = self.in_progress.admit_job(token, &job, state, max_bytes);
             (admission, state.expected_bytes(), max_bytes)
         };
--- a/crates/serving/tests/all/departures.rs
+++ b/crates/serving/tests/all/departures.rs
@@ -128,7 +128,7 @@
     }
 
     fn take(&mut self, step: Step) {
-        self.now = self.now + STEP;
+        self.now += STEP;
         match step {
             Step::Announce {
                 start,
@@ -175,7 +175,7 @@
                 self.restart();
             }
             Step::Age => {
-                self.now = self.now + DEPARTURE_AGE_INTERVAL;
+                self.now += DEPARTURE_AGE_INTERVAL;
                 let expired = self.leader.expire(TARGET_TIMEOUT, self.now);
                 self.note(expired);
                 self.state.apply(Command::AgeDepartures {
--- a/crates/serving/tests/all/group.rs
+++ b/crates/serving/tests/all/group.rs
@@ -129,6 +129,8 @@
 #[test]
 fn unresponsive_voter_is_replaced_by_a_free_store() {
     let mut manager = manager(false);
+    // No new store: it has run for longer than the voter is silent.
+    receive_hellos(&mut manager, &[("d", 4)], "a", NOW - Millis(10_000));
     receive_hellos(&mut manager, &[("a", 1), ("c", 3), ("d", 4)], "a", NOW);
     manager.record_hello(name("b"), status(2, "a", NOW - Millis(2_500)));
     let none = BTreeSet::new();
--- a/crates/serving/tests/all/group_model.rs
+++ b/crates/serving/tests/all/group_model.rs
@@ -20,7 +20,8 @@
 use yuccaseam_serving::{
     GroupManager,
     MemberStatus,
-    StoreStatus, //
+    StoreStatus,
+    capacity::JoinBudget, //
 };
 
 /// How often the leader asks for a change.
@@ -30,6 +31,17 @@
 /// Time in which a learner that responds catches up.
 const SYNC_TIME: Millis = Millis(1_000);
 
+/// How long the steps of the model take.
+#[derive(Clone, Copy)]
+pub(crate) struct Timing {
+    /// Time from the start of a store until others hear of it.
+    pub(crate) sight: Millis,
+    /// Time without a leader once one cannot lead any more.
+    pub(crate) election: Millis,
+    /// Time in which a learner that responds catches up. It begins again with each election.
+    pub(crate) sync: Millis,
+}
+
 /// How a store behaves.
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Condition {
@@ -66,6 +78,8 @@
     disk: DiskId,
     condition: Condition,
     manager: GroupManager,
+    /// Until when others do not hear of it.
+    unseen_until: Millis,
 }
 
 /// A change that the core refuses or completes later.
@@ -88,6 +102,10 @@
     retiring: BTreeSet<InstanceName>,
     pending: Option<Pending>,
     pub(crate) leader_changes: usize,
+    timing: Timing,
+    budget: Option<JoinBudget>,
+    /// Until when no store leads.
+    elected_at: Millis,
 }
 
 pub(crate) fn name(store: usize) -> InstanceName {
@@ -109,6 +127,7 @@
                     disk: disks[at],
                     condition: Condition::Up,
                     manager: manager(at),
+                    unseen_until: Millis::ZERO,
                 })
                 .collect(),
             free_disks: disks[stores..].to_vec(),
@@ -120,9 +139,38 @@
             retiring: BTreeSet::new(),
             pending: None,
             leader_changes: 0,
+            timing: Timing {
+                sight: Millis::ZERO,
+                election: Millis::ZERO,
+                sync: SYNC_TIME,
+            },
+            budget: None,
+            elected_at: Millis::ZERO,
+        }
+    }
+
+    /// Sets how long the steps take, and the budget that the stores know.
+    pub(crate) fn with_timing(mut self, timing: Timing, budget: JoinBudget) -> Self {
+        self.timing = timing;
+        self.budget = Some(budget);
+        for at in 0..self.stores.len() {
+            self.stores[at].manager = self.manager(at, Millis::ZERO);
+        }
+        self
+    }
+
+    fn manager(&self, store: usize, now: Millis) -> GroupManager {
+        let manager = GroupManager::new(name(store), false, self.tolerated, now);
+        match self.budget {
+            Some(budget) => manager.with_budget(budget),
+            None => manager,
         }
     }
 
+    pub(crate) fn leader(&self) -> usize {
+        self.leader
+    }
+
     pub(crate) fn group(&self) -> Membership {
         let mut group = Membership::default();
         for (id, (name, role)) in &self.members {
@@ -145,7 +193,7 @@
         let is_voter = self.group().is_voter(disk);
         let added_at = self.added_at.get(&disk);
         self.condition_of(disk) == Condition::Up
-            && (is_voter || added_at.is_some_and(|at| self.now >= *at + SYNC_TIME))
+            && (is_voter || added_at.is_some_and(|at| self.now >= *at + self.timing.sync))
     }
 
     /// Number of voters that may be lost in addition to those that are, until there is no quorum.
@@ -169,9 +217,11 @@
     }
 
     fn start(&mut self, store: usize) {
+        let manager = self.manager(store, self.now);
         let started = &mut self.stores[store];
         started.condition = Condition::Up;
-        started.manager = GroupManager::new(name(store), false, self.tolerated, self.now);
+        started.manager = manager;
+        started.unseen_until = self.now + self.timing.sight;
     }
 
     /// Adds a store with an empty disk, and returns its number.
@@ -180,7 +230,8 @@
         self.stores.push(Store {
             disk: self.free_disks.remove(0),
             condition: Condition::Up,
-            manager: GroupManager::new(name(added), false, self.tolerated, self.now),
+            manager: self.manager(added, self.now),
+            unseen_until: self.now + self.timing.sight,
         });
         added
     }
@@ -221,15 +272,24 @@
         remaining.count() < self.full_size || members.all(|(name, _)| !self.retiring.contains(name))
     }
 
-    /// Elects another leader if this one cannot lead.
-    fn elect(&mut self) {
+    /// Elects another leader if this one cannot lead. Returns whether one leads.
+    fn elect(&mut self) -> bool {
         if self.can_lead(self.leader) {
-            return;
+            self.elected_at = self.now + self.timing.election;
+            return true;
+        }
+        if self.now < self.elected_at {
+            return false;
         }
         let mut stores = 0..self.stores.len();
         if let Some(next) = stores.find(|at| self.can_lead(*at)) {
             self.lead(next);
+            // It sends a snapshot of its own.
+            for added_at in self.added_at.values_mut() {
+                *added_at = self.now;
+            }
         }
+        true
     }
 
     fn lead(&mut self, store: usize) {
@@ -241,7 +301,10 @@
 
     fn send_hellos(&mut self) {
         let sent: Vec<_> = (0..self.stores.len())
-            .filter(|at| self.stores[*at].condition != Condition::Down)
+            .filter(|at| {
+                let store = &self.stores[*at];
+                store.condition != Condition::Down && self.now >= store.unseen_until
+            })
             .map(|at| (at, self.stores[at].disk))
             .collect();
         for store in &mut self.stores {
@@ -376,7 +439,9 @@
     pub(crate) fn advance(&mut self) {
         self.now += STEP;
         self.send_hellos();
-        self.elect();
+        if !self.elect() {
+            return;
+        }
         if let Some(pending) = &self.pending {
             if self.now < pending.until {
                 return;
--- a/crates/serving/tests/all/main.rs
+++ b/crates/serving/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod herd;
 mod in_progress;
 mod intake;
+mod join_budget;
 mod join_snapshot;
 mod leader_search;
 mod load_fanout;
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -241,6 +241,21 @@
         system
     }
 
+    /// Starts a system behind relays, without its last store, which [`Instance::start`] starts later.
+    ///
+    /// # Panics
+    ///
+    /// As [`PlatformSystem::start`].
+    pub fn start_without_last_store(entries: usize, stores: usize) -> Self {
+        let mut system = Self::prepare(entries, stores, true);
+        system.start_processes(None);
+        let last = system.stores.last_mut().expect("there are stores");
+        last.kill();
+        let last = system.stores.len() - 1;
+        system.wipe(last);
+        system
+    }
+
     /// Lets the first store and the others reach each other.
     pub fn heal_first_store(&self) {
         self.shape_first_store(Shape::default());
