--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -6,7 +6,8 @@
     net::IpAddr,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        MutexGuard, //
     },
 };
 
@@ -161,7 +162,7 @@
         confirmed.is_some_and(|started_at| *started_at >= record.started_at)
     }
 
-    fn confirmed_starts(&self) -> std::sync::MutexGuard<'_, HashMap<TargetName, u64>> {
+    fn confirmed_starts(&self) -> MutexGuard<'_, HashMap<TargetName, u64>> {
         self.confirmed_starts
             .lock()
             .expect("no thread panics with the lock")
--- a/crates/serving/src/store/group/plan.rs
+++ b/crates/serving/src/store/group/plan.rs
@@ -35,16 +35,27 @@
 }
 
 impl Need {
-    /// Order of the needs: the lowest comes first.
-    fn urgency(self) -> usize {
+    fn urgency(self) -> Urgency {
         match self {
-            Self::Vacancy | Self::Lost(_) => 0,
-            Self::Retiring(_) => 1,
-            Self::Preparation => 2,
+            Self::Vacancy | Self::Lost(_) => Urgency::Loss,
+            Self::Retiring(_) => Urgency::Retirement,
+            Self::Preparation => Urgency::Preparation,
         }
     }
 }
 
+/// Kinds of needs, in the order in which their changes are proposed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Urgency {
+    Loss,
+    Retirement,
+    Preparation,
+}
+
+impl Urgency {
+    const ALL: [Self; 3] = [Self::Loss, Self::Retirement, Self::Preparation];
+}
+
 /// A need, and the store chosen for it.
 #[derive(Debug)]
 struct Assignment {
@@ -72,7 +83,7 @@
     pub(super) fn open_changes(&self) -> Vec<Change> {
         let assignments = self.assignments();
         let mut changes = Vec::new();
-        for urgency in 0..3 {
+        for urgency in Urgency::ALL {
             let assigned = assignments
                 .iter()
                 .filter(|assigned| assigned.need.urgency() == urgency);
--- a/crates/serving/src/store/replica/driver/proposals.rs
+++ b/crates/serving/src/store/replica/driver/proposals.rs
@@ -70,7 +70,7 @@
         }
         let token = self.next_token();
         let budget = self.cx.join_budget();
-        let (admission, state_bytes, max_bytes) = {
+        let admission = {
             let published = self
                 .shared
                 .published
@@ -79,14 +79,14 @@
             let state = &published.state;
             let max_bytes = budget.max_state_bytes(state.link_rate());
             let admission = self.in_progress.admit_job(token, &job, state, max_bytes);
-            (admission, state.expected_bytes(), max_bytes)
+            if admission != Admission::Admitted {
+                log::info!(
+                    job = job.id.as_str(), state_bytes = state.expected_bytes(),
+                    in_progress_bytes = self.in_progress.job_bytes(), new_bytes = job.stored_bytes(),
+                    max_bytes, admission:? = admission; "state has no capacity for a job");
+            }
+            admission
         };
-        if admission != Admission::Admitted {
-            log::info!(
-                job = job.id.as_str(), state_bytes, in_progress_bytes = self.in_progress.job_bytes(),
-                new_bytes = job.stored_bytes(), max_bytes, admission:? = admission;
-                "state has no capacity for a job");
-        }
         let command = match team {
             Some(team) => Command::SubmitForTeam { team, job },
             None => Command::Submit(job),
