--- a/crates/serving/src/capacity.rs
+++ b/crates/serving/src/capacity.rs
@@ -13,8 +13,8 @@
 //! | [`JoinBudget::transfer_time`] | the snapshot is sent, beside other traffic on the link |
 //! | [`VOTE_TIME`] | it installs the snapshot, receives the log since, and replaces the lost voter |
 //!
-//! Where more than one loss is tolerated, the leader may be lost as well before the store votes. The next one has another
-//! snapshot, so that the transfer begins again: election, join and transfer count twice.
+//! Not in the budget: a leader that is lost before the store votes, where more than one loss is tolerated. The next one
+//! has a snapshot of another moment, so that the transfer begins again.
 //!
 //! # Invariants
 //!
@@ -62,18 +62,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JoinBudget {
     recovery: Millis,
-    /// Number of transfers that may be needed: each leader begins its own.
-    transfers: u64,
 }
 
 impl JoinBudget {
-    /// Budget of a group that bears the next loss `recovery` after the start of a store, and `tolerated` losses at a
-    /// time.
-    pub fn new(recovery: Millis, tolerated: usize) -> Self {
-        Self {
-            recovery,
-            transfers: if tolerated > 1 { 2 } else { 1 },
-        }
+    /// Budget of a group that bears the next loss `recovery` after the start of a store.
+    pub const fn new(recovery: Millis) -> Self {
+        Self { recovery }
     }
 
     /// The whole time.
@@ -81,16 +75,14 @@
         self.recovery
     }
 
-    /// Time that all parts but the transfers take.
+    /// Time that all parts but the transfer take.
     pub fn overhead(&self) -> Millis {
-        let begin = ELECTION_TIME.max(SIGHT_TIME) + JOIN_TIME;
-        Millis(begin.0 * self.transfers) + SNAPSHOT_TIME + VOTE_TIME
+        ELECTION_TIME.max(SIGHT_TIME) + JOIN_TIME + SNAPSHOT_TIME + VOTE_TIME
     }
 
-    /// Time for one transfer of the state.
+    /// Time for the transfer of the state.
     pub fn transfer_time(&self) -> Millis {
-        let time = Millis((self.recovery - self.overhead()).0 / self.transfers);
-        time.max(MIN_TRANSFER_TIME)
+        (self.recovery - self.overhead()).max(MIN_TRANSFER_TIME)
     }
 
     /// Time that a voter may be silent before it is replaced by a store that could vote.
--- a/crates/serving/src/cx.rs
+++ b/crates/serving/src/cx.rs
@@ -199,8 +199,7 @@
 
     /// Time in which a store with an empty disk must vote.
     pub(crate) fn join_budget(&self) -> JoinBudget {
-        let settings = &self.settings;
-        JoinBudget::new(settings.bounds.loss_recovery, settings.tolerated_losses)
+        JoinBudget::new(self.settings.bounds.loss_recovery)
     }
 
     /// Seed addresses from the latest settings.
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -133,7 +133,7 @@
             instance,
             is_first_start,
             full_size: 2 * tolerated + 1,
-            budget: JoinBudget::new(DEFAULT_RECOVERY, tolerated),
+            budget: JoinBudget::new(DEFAULT_RECOVERY),
             stores: BTreeMap::new(),
             first_heard_at: BTreeMap::new(),
             stable_view: (BTreeSet::new(), now),
