--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -17,6 +17,7 @@
     Entry,
     Envelope,
     Index,
+    MemberRole,
     Payload,
     Proposal,
     ReplicationStep,
@@ -98,8 +99,14 @@
         };
         let membership = self.log.membership();
         state.progress.retain(|&id, _| membership.contains(id));
-        let next = self.log.last_index().max(Index(1));
-        for (id, _) in membership.iter().filter(|(id, _)| *id != self.id) {
+        let last = self.log.last_index().max(Index(1));
+        for (id, member) in membership.iter().filter(|(id, _)| *id != self.id) {
+            // A learner is offered the snapshot at once: it most likely needs it, and says if it does not. A probe
+            // would cost a round trip, behind other traffic on the link.
+            let next = match member.role {
+                MemberRole::Learner => Index(1),
+                MemberRole::Voter => last,
+            };
             let progress = state.progress.entry(id);
             progress.or_insert_with(|| Progress::new(next));
         }
