--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -2,7 +2,10 @@
 //! targets and the load of this instance.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     net::IpAddr,
     sync::{
         Arc,
@@ -193,10 +196,24 @@
     matches!(timeout(CONFIRM_TIMEOUT.duration(), rx).await, Ok(Ok(())))
 }
 
-/// Exchanges known stores with random peers, for the life of the process.
+/// Exchanges known stores with one peer.
+async fn exchange_stores(cx: &Cx, ip: IpAddr) {
+    let entries = cx.merge_stores(Vec::new());
+    if let Ok(crate::link::HubReply::Gossip(entries)) = cx
+        .links
+        .call(ip, &HubRequest::Gossip(entries), LEADER_TIMEOUT)
+        .await
+    {
+        cx.merge_stores(entries);
+    }
+}
+
+/// Exchanges known stores with random peers, for the life of the process. A store also introduces itself to each other
+/// store once, as soon as it knows of it: the leader sends a store that joins nothing before it has its address.
 pub(crate) async fn gossip(cx: Arc<Cx>) {
     let own = cx.settings.ip;
     let mut position = 0;
+    let mut introduced = BTreeSet::from([own]);
     loop {
         let mut peers = cx.seeds();
         peers.extend(cx.address_book().ips());
@@ -206,13 +223,15 @@
         if !peers.is_empty() {
             let ip = peers[position % peers.len()];
             position = position.wrapping_add(1 + rand::random_range(0..peers.len()));
-            let entries = cx.merge_stores(Vec::new());
-            if let Ok(crate::link::HubReply::Gossip(entries)) = cx
-                .links
-                .call(ip, &HubRequest::Gossip(entries), LEADER_TIMEOUT)
-                .await
-            {
-                cx.merge_stores(entries);
+            exchange_stores(&cx, ip).await;
+        }
+        if cx.settings.is_store {
+            let known = cx.address_book().ips();
+            for ip in known {
+                if introduced.insert(ip) {
+                    let cx = Arc::clone(&cx);
+                    tokio::spawn(async move { exchange_stores(&cx, ip).await });
+                }
             }
         }
         let is_startup = cx.clock.now() < STARTUP_PHASE;
