targets: a start of a name that is not known is acknowledged at once

Nothing older can take the place of a name without an earlier start, so that only a start that replaces one waits now.

--- a/crates/serving/src/entry/control.rs
+++ b/crates/serving/src/entry/control.rs
@@ -139,7 +139,7 @@
     };
     let accepted = if record.draining {
         notifications.notify_draining(cx, record).await
-    } else if !notifications.is_confirmed(&record) {
+    } else if cx.targets().replaces_start(&record) && !notifications.is_confirmed(&record) {
         notifications.notify_started(cx, record).await
     } else {
         cx.send_to_leader(FollowerMessage::Announced(record))
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -272,6 +272,12 @@
         })
     }
 
+    /// Whether a record is of a later start than the known one, which must not take its place again.
+    pub(crate) fn replaces_start(&self, record: &TargetRecord) -> bool {
+        let known = self.record_named(&record.name);
+        known.is_some_and(|known| known.started_at < record.started_at)
+    }
+
     /// Merges a record of another instance. Returns the records that changed: none if the known one
     /// is as new.
     pub fn merge(&mut self, record: TargetRecord, now: Millis) -> Vec<TargetRecord> {
