--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -207,7 +207,7 @@
         /// Identifies this notification in the confirmation.
         notice: u64,
     },
-    /// As [`Self::Announced`], for a start that was not confirmed to the follower yet. Confirmed by [`LeaderMessage::Noted`]. A leader
+    /// As [`Self::Announced`], for a start that replaces one known to the follower, until it is confirmed. Confirmed by [`LeaderMessage::Noted`]. A leader
     /// of the version before ignores the message, so that the target announces itself again.
     Started {
         /// The target.
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -7,7 +7,8 @@
 //! - A target that is draining or has left takes no new work until it restarts, whatever another
 //!   instance or the target itself says later. One that expired takes work again once it announces
 //!   itself.
-//! - What the target was told of that, and of its start, is in the log before (see [`TargetRecord::covers`]), and the log
+//! - What the target was told of that, and of a start that replaces a known one, is in the log before (see
+//!   [`TargetRecord::covers`]; a start announced again right after it was not confirmed is the exception), and the log
 //!   keeps it for as long as an older message can arrive. Each instance keeps it longer than the log, so that no
 //!   leader takes an older message for a new target.
 //! - Of two targets with one address, the one that started later owns it, in whichever order their
