--- a/crates/daemon/tests/all/platform/successor.rs
+++ b/crates/daemon/tests/all/platform/successor.rs
@@ -134,7 +134,7 @@
 }
 
 cases! { successor_votes_in_time:
-    successor_of_a_follower_votes_in_time(Gone::Follower, Duration::from_secs(1));
+    successor_of_a_follower_votes_in_time(Gone::Follower, Duration::from_millis(500));
     successor_at_once_votes_in_time(Gone::Follower, Duration::ZERO);
-    successor_of_the_leader_votes_in_time(Gone::Leader, Duration::from_secs(1));
+    successor_of_the_leader_votes_in_time(Gone::Leader, Duration::from_millis(500));
 }
