tests: a planned stop comes once most calls have reached a target

Change: the daemon is told to stop once all but 5 calls have reached a target; checks and bound stay.

--- a/crates/daemon/tests/all/leaving.rs
+++ b/crates/daemon/tests/all/leaving.rs
@@ -24,6 +24,9 @@
 /// From when on a leaving target may get no new work, by the users' promise.
 const LEAVING_BOUND: Millis = Millis(3_000);
 
+/// Calls that have not reached a target yet when a daemon is told to stop.
+const STILL_TO_COME: usize = 5;
+
 fn load(seed: u64, secs: u64) -> Schedule {
     let phases = vec![LoadPhase {
         name: "steady".to_owned(),
@@ -79,9 +82,14 @@
     // end well after that.
     let mut schedule = load(12, 1);
     schedule.tokens = 400;
+    let arrivals = schedule.arrivals().len();
     let figures = thread::scope(|scope| {
         let running = scope.spawn(|| run_online(&schedule, &stopping, "lagging-llm"));
-        thread::sleep(Duration::from_millis(800));
+        wait_until("most calls have reached a target", || {
+            let records = cluster.records();
+            let arrived = records.iter().filter(|entry| entry.phase == Phase::Arrive);
+            arrived.count() >= arrivals - STILL_TO_COME
+        });
         let process = cluster.daemons[0].process.as_mut().unwrap();
         process.signal(Signal::Term);
         let status = process.wait_for_end();
