serving: names, log lines and functions read once more

Cause: read as a newcomer, with the code alone. Encodings on the wire and in the log stay as they were.

--- a/crates/daemon/tests/all/platform/capacity.rs
+++ b/crates/daemon/tests/all/platform/capacity.rs
@@ -144,6 +144,10 @@
                     break read;
                 }
             };
+            assert!(
+                matches!(read.status, 200 | 404),
+                "{id} is neither kept nor unknown: {read:?}"
+            );
             kept += u64::from(read.status == 200);
             if reply.status == 503 {
                 let logs = world.store_logs();
--- a/crates/serving/src/call_tries.rs
+++ b/crates/serving/src/call_tries.rs
@@ -11,8 +11,8 @@
 pub enum TryResult {
     /// It was not received, or the receiver did nothing.
     NotRun,
-    /// It is in the log of the store that was called, or never will be in any. Who refuses a later try knows that log,
-    /// as far as it takes effect.
+    /// The store that was called may have it in its log; it does not arrive anywhere later. A leader that refuses a
+    /// later try has applied that log, as far as it takes effect.
     MayBeLogged,
     /// It may still be on its way.
     MayArrive,
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -50,6 +50,7 @@
     },
     link::{
         FollowerMessage,
+        HubReply,
         HubRequest,
         LeaderMessage,
         MAX_MESSAGE_BYTES,
@@ -196,15 +197,21 @@
     matches!(timeout(CONFIRM_TIMEOUT.duration(), rx).await, Ok(Ok(())))
 }
 
-/// Exchanges known stores with one peer.
+/// Exchanges known stores with one peer. One that does not reply is asked again at random.
 async fn exchange_stores(cx: &Cx, ip: IpAddr) {
     let entries = cx.merge_stores(Vec::new());
-    if let Ok(crate::link::HubReply::Gossip(entries)) = cx
-        .links
-        .call(ip, &HubRequest::Gossip(entries), LEADER_TIMEOUT)
-        .await
-    {
-        cx.merge_stores(entries);
+    let request = HubRequest::Gossip(entries);
+    match cx.links.call(ip, &request, LEADER_TIMEOUT).await {
+        Ok(HubReply::Gossip(entries)) => {
+            cx.merge_stores(entries);
+        }
+        Ok(reply) => {
+            log::warn!(peer:% = ip, reply:? = reply; "reply of another kind to the stores that are known here");
+        }
+        Err(error) => {
+            log::debug!(
+                peer:% = ip, error:% = error, timeout_ms = LEADER_TIMEOUT.0; "known stores not exchanged");
+        }
     }
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -50,7 +50,7 @@
 
 pub use run::run;
 pub use store::{
-    Admission,
+    BoundDecision,
     GroupManager,
     InProgress,
     JoinSnapshot,
--- a/crates/serving/src/link/message.rs
+++ b/crates/serving/src/link/message.rs
@@ -207,8 +207,9 @@
         /// Identifies this notification in the confirmation.
         notice: u64,
     },
-    /// As [`Self::Announced`], for a start that replaces one known to the follower, until it is confirmed. Confirmed by [`LeaderMessage::Noted`]. A leader
-    /// of the version before ignores the message, so that the target announces itself again.
+    /// As [`Self::Announced`], for a start that replaces one known to the follower. The follower sends it until the
+    /// leader confirms it with [`LeaderMessage::Noted`]. A leader of the version before ignores the message, so that
+    /// the target announces itself again.
     Started {
         /// The target.
         record: TargetRecord,
--- a/crates/serving/src/state/command.rs
+++ b/crates/serving/src/state/command.rs
@@ -166,7 +166,7 @@
         job: String,
     },
     /// Counts time for all targets that are gone, and forgets those that have been for long.
-    AgeDepartures {
+    AgeGoneTargets {
         /// Time to count.
         elapsed: Millis,
         /// Counted time after which a target is forgotten.
--- a/crates/serving/src/state/mod.rs
+++ b/crates/serving/src/state/mod.rs
@@ -129,8 +129,8 @@
                 self.quarantined.extend(entries);
                 CommandOutcome::Done
             }
-            Command::AgeDepartures { elapsed, retention } => {
-                self.age_departures(elapsed, retention);
+            Command::AgeGoneTargets { elapsed, retention } => {
+                self.age_gone_targets(elapsed, retention);
                 CommandOutcome::Done
             }
             Command::NoteLinkRate(rate) => {
@@ -203,7 +203,7 @@
         self.targets.insert(record.name.clone(), record);
     }
 
-    fn age_departures(&mut self, elapsed: Millis, retention: Millis) {
+    fn age_gone_targets(&mut self, elapsed: Millis, retention: Millis) {
         for gone_for in self.gone_for.values_mut() {
             *gone_for += elapsed;
         }
@@ -309,7 +309,7 @@
     }
 
     /// Whether targets are recorded that are gone.
-    pub fn has_departures(&self) -> bool {
+    pub fn has_gone_targets(&self) -> bool {
         !self.gone_for.is_empty()
     }
 
--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -49,8 +49,8 @@
 const PRESENCE_TIMEOUT: Millis = Millis(3_000);
 /// How long a learner may be unresponsive before it is removed.
 const LEARNER_LOSS_TIMEOUT: Millis = Millis(4_000);
-/// Time after the start of this process in which a store that it hears of need not be new: all that run have sent a
-/// hello by then.
+/// Time after the start of this process until it has heard of all stores that run. Those that it hears of later are
+/// new.
 const FIRST_HELLOS_TIME: Millis = Millis(1_500);
 /// Budget of a group whose settings name none.
 const DEFAULT_RECOVERY: Millis = Millis(4_900);
@@ -164,12 +164,22 @@
         replaced.is_some()
     }
 
+    /// When a disk that came after this process started was first heard of. `None` for a disk that may have been there.
+    fn came_at(&self, disk: DiskId) -> Option<Millis> {
+        let heard_at = self.first_heard_at.get(&disk).copied();
+        heard_at.filter(|heard_at| *heard_at >= self.started_at + FIRST_HELLOS_TIME)
+    }
+
     /// Whether a disk is new to this system, so that it may belong to the successor of a store that is lost.
     fn is_new(&self, disk: DiskId, now: Millis) -> bool {
-        self.first_heard_at.get(&disk).is_some_and(|heard_at| {
-            *heard_at >= self.started_at + FIRST_HELLOS_TIME
-                && now < *heard_at + self.budget.recovery()
-        })
+        self.came_at(disk)
+            .is_some_and(|came_at| now < came_at + self.budget.recovery())
+    }
+
+    /// Whether a disk was new, and nothing has needed it in the time that a store has to vote.
+    fn was_new(&self, disk: DiskId, now: Millis) -> bool {
+        self.came_at(disk)
+            .is_some_and(|came_at| now >= came_at + self.budget.recovery())
     }
 
     /// Records the number of stores that are known to run, which others may have told.
@@ -213,14 +223,6 @@
         self.is_first_start && is_stable && is_full && is_agreed && has_quorum
     }
 
-    /// Whether a disk was new, and nothing has needed it in the time that a store has to vote.
-    fn was_new(&self, disk: DiskId, now: Millis) -> bool {
-        self.first_heard_at.get(&disk).is_some_and(|heard_at| {
-            *heard_at >= self.started_at + FIRST_HELLOS_TIME
-                && now >= *heard_at + self.budget.recovery()
-        })
-    }
-
     fn present(&self, now: Millis) -> impl Iterator<Item = (&InstanceName, &StoreStatus)> {
         let stores = self.stores.iter();
         stores.filter(move |(_, status)| now < status.received_at + PRESENCE_TIMEOUT)
--- a/crates/serving/src/store/hub.rs
+++ b/crates/serving/src/store/hub.rs
@@ -487,7 +487,7 @@
         self.decide_on_features(now);
         self.send_features(now);
         self.record_changes(now);
-        self.age_departures(now);
+        self.age_gone_targets(now);
         let expired = self.cx.targets().expire(TARGET_TIMEOUT, now);
         if !expired.is_empty() {
             for record in &expired {
--- a/crates/serving/src/store/hub/target_records.rs
+++ b/crates/serving/src/store/hub/target_records.rs
@@ -20,7 +20,7 @@
         State, //
     },
     targets::{
-        DEPARTURE_AGE_INTERVAL,
+        GONE_AGE_INTERVAL,
         LOG_RETENTION,
         TargetRecord, //
     },
@@ -111,18 +111,18 @@
     }
 
     /// Counts time for the targets that the log has as gone. Time that no leader counts only keeps them longer.
-    pub(super) fn age_departures(&self, now: Millis) {
+    pub(super) fn age_gone_targets(&self, now: Millis) {
         let elapsed = {
             let mut inner = self.inner();
             let elapsed = now - inner.aged_at;
-            if elapsed < DEPARTURE_AGE_INTERVAL {
+            if elapsed < GONE_AGE_INTERVAL {
                 return;
             }
             inner.aged_at = now;
             elapsed
         };
-        if self.replica.read(State::has_departures) {
-            self.propose(Command::AgeDepartures {
+        if self.replica.read(State::has_gone_targets) {
+            self.propose(Command::AgeGoneTargets {
                 elapsed,
                 retention: LOG_RETENTION,
             });
--- a/crates/serving/src/store/in_progress.rs
+++ b/crates/serving/src/store/in_progress.rs
@@ -30,7 +30,7 @@
 
 /// Decision on a command that is subject to a bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
+pub enum BoundDecision {
     /// It may be proposed, and counts from now on.
     Admitted,
     /// It exceeds the bound, and certainly does not run.
@@ -85,9 +85,9 @@
         job: &NewJob,
         state: &State,
         max_bytes: u64,
-    ) -> Admission {
+    ) -> BoundDecision {
         if self.term.is_none() {
-            return Admission::NotCurrent;
+            return BoundDecision::NotCurrent;
         }
         let growth = state.expected_growth(job);
         let counted = self.jobs.get(&job.id).map_or(0, |known| known.growth);
@@ -97,16 +97,16 @@
         if state.job(&job.id).is_none() && needed > max_bytes {
             let has_earlier = self.jobs.contains_key(&job.id);
             return if has_earlier {
-                Admission::Undecided
+                BoundDecision::Undecided
             } else {
-                Admission::Refused
+                BoundDecision::Refused
             };
         }
         let known = self.jobs.entry(job.id.clone()).or_default();
         known.growth = growth.max(counted);
         known.commands += 1;
         self.job_of.insert(token, job.id.clone());
-        Admission::Admitted
+        BoundDecision::Admitted
     }
 
     /// Growth of the state by all jobs in progress, in bytes.
@@ -128,19 +128,19 @@
         name: &InstanceName,
         state: &State,
         can_retire: F,
-    ) -> Admission
+    ) -> BoundDecision
     where
         F: FnOnce(&BTreeSet<InstanceName>) -> bool,
     {
         if self.term.is_none() {
-            return Admission::NotCurrent;
+            return BoundDecision::NotCurrent;
         }
         let retiring = self.retiring(state);
         if !retiring.contains(name) && !can_retire(&retiring) {
-            return Admission::Refused;
+            return BoundDecision::Refused;
         }
         self.retirements.insert(token, name.clone());
-        Admission::Admitted
+        BoundDecision::Admitted
     }
 
     /// Records that a command was applied, or certainly never is.
--- a/crates/serving/src/store/mod.rs
+++ b/crates/serving/src/store/mod.rs
@@ -16,7 +16,7 @@
 };
 
 pub use in_progress::{
-    Admission,
+    BoundDecision,
     InProgress, //
 };
 
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -104,8 +104,8 @@
         self.version() > other.version()
     }
 
-    /// Whether this record, as that of the log, holds what its target is told once `other` is known: which start it is,
-    /// and that it drains or has departed.
+    /// Whether this record, which the log has, says all that an acknowledgement of `other` tells its target: which start
+    /// is known, and that it drains or has departed.
     pub fn covers(&self, other: &Self) -> bool {
         let acknowledged =
             |record: &Self| (record.started_at, record.has_departed(), record.draining);
@@ -179,16 +179,16 @@
 
 /// How long the log keeps a target that is gone, so that a late announcement does not add it again. Longer than an
 /// announcement can be in flight.
-pub const DEPARTED_RETENTION: Millis = Millis::from_secs(60);
+pub const GONE_RETENTION: Millis = Millis::from_secs(60);
 
 /// How often the leader counts time for targets that are gone.
-pub const DEPARTURE_AGE_INTERVAL: Millis = Millis::from_secs(10);
+pub const GONE_AGE_INTERVAL: Millis = Millis::from_secs(10);
 
 /// Counted time after which the log forgets a target that is gone. The first count may cover time before it was recorded.
-pub const LOG_RETENTION: Millis = Millis(DEPARTED_RETENTION.0 + DEPARTURE_AGE_INTERVAL.0);
+pub const LOG_RETENTION: Millis = Millis(GONE_RETENTION.0 + GONE_AGE_INTERVAL.0);
 
 /// How long an instance keeps a target that is gone. Longer than the log of a leader that goes on.
-const INSTANCE_RETENTION: Millis = Millis(LOG_RETENTION.0 + 2 * DEPARTURE_AGE_INTERVAL.0);
+const INSTANCE_RETENTION: Millis = Millis(LOG_RETENTION.0 + 2 * GONE_AGE_INTERVAL.0);
 
 impl Targets {
     /// Applies an announcement.
@@ -273,7 +273,7 @@
         })
     }
 
-    /// Whether a record is of a later start than the known one, which must not take its place again.
+    /// Whether a record is of a later start than the known one. The earlier start must not take its place again.
     pub(crate) fn replaces_start(&self, record: &TargetRecord) -> bool {
         let known = self.record_named(&record.name);
         known.is_some_and(|known| known.started_at < record.started_at)
--- a/crates/serving/tests/all/departures.rs
+++ b/crates/serving/tests/all/departures.rs
@@ -17,8 +17,8 @@
     },
     targets::{
         AnnouncementOutcome,
-        DEPARTED_RETENTION,
-        DEPARTURE_AGE_INTERVAL,
+        GONE_AGE_INTERVAL,
+        GONE_RETENTION,
         LOG_RETENTION,
         TargetRecord,
         Targets, //
@@ -175,11 +175,11 @@
                 self.restart();
             }
             Step::Age => {
-                self.now += DEPARTURE_AGE_INTERVAL;
+                self.now += GONE_AGE_INTERVAL;
                 let expired = self.leader.expire(TARGET_TIMEOUT, self.now);
                 self.note(expired);
-                self.state.apply(Command::AgeDepartures {
-                    elapsed: DEPARTURE_AGE_INTERVAL,
+                self.state.apply(Command::AgeGoneTargets {
+                    elapsed: GONE_AGE_INTERVAL,
                     retention: LOG_RETENTION,
                 });
             }
@@ -191,9 +191,9 @@
         let Some(known) = self.known().filter(|known| known.takes_work()) else {
             return false;
         };
-        self.told.ends.is_some_and(|(start, at)| {
-            known.started_at <= start && self.now < at + DEPARTED_RETENTION
-        })
+        self.told
+            .ends
+            .is_some_and(|(start, at)| known.started_at <= start && self.now < at + GONE_RETENTION)
     }
 }
 
@@ -218,11 +218,11 @@
         // Nothing is kept of a target that has been gone for long.
         model.take(Step::Leave { start: later });
         model.take(Step::Record);
-        for _ in 0..=LOG_RETENTION.0 / DEPARTURE_AGE_INTERVAL.0 {
+        for _ in 0..=LOG_RETENTION.0 / GONE_AGE_INTERVAL.0 {
             model.take(Step::Age);
         }
         prop_assert_eq!(model.state.targets().count(), 0);
-        prop_assert!(!model.state.has_departures());
+        prop_assert!(!model.state.has_gone_targets());
     }
 }
 
--- a/crates/serving/tests/all/in_progress.rs
+++ b/crates/serving/tests/all/in_progress.rs
@@ -15,7 +15,7 @@
     Token, //
 };
 use yuccaseam_serving::{
-    Admission, InProgress,
+    BoundDecision, InProgress,
     state::{
         Command,
         NewItem,
@@ -110,11 +110,11 @@
             .in_progress
             .admit_job(token, &job, &self.state, MAX_STATE_BYTES);
         match admission {
-            Admission::Admitted => self.unapplied.push((token, Command::Submit(job))),
-            Admission::Refused => {
+            BoundDecision::Admitted => self.unapplied.push((token, Command::Submit(job))),
+            BoundDecision::Refused => {
                 assert!(!self.holds_job(&job.id), "a refused job runs");
             }
-            Admission::Undecided | Admission::NotCurrent => {}
+            BoundDecision::Undecided | BoundDecision::NotCurrent => {}
         }
     }
 
@@ -125,7 +125,7 @@
         let admission = self
             .in_progress
             .admit_retirement(token, &name, &self.state, can_retire);
-        if admission == Admission::Admitted {
+        if admission == BoundDecision::Admitted {
             self.unapplied.push((token, Command::Retire(name)));
         }
     }
@@ -190,7 +190,7 @@
     let admission = model
         .in_progress
         .admit_job(token, &first, &model.state, MAX_STATE_BYTES);
-    assert_eq!(admission, Admission::Undecided);
+    assert_eq!(admission, BoundDecision::Undecided);
     // It counts for as long as any of its tries is in progress.
     model.submit(job(0, 0));
     let before = model.in_progress.job_bytes();
--- a/crates/testing/src/platform/system.rs
+++ b/crates/testing/src/platform/system.rs
@@ -249,9 +249,8 @@
     pub fn start_without_last_store(entries: usize, stores: usize) -> Self {
         let mut system = Self::prepare(entries, stores, true);
         system.start_processes(None);
-        let last = system.stores.last_mut().expect("there are stores");
-        last.kill();
         let last = system.stores.len() - 1;
+        system.stores[last].kill();
         system.wipe(last);
         system
     }
