serving: a voter that retires leaves only if a full group of others surely remains

The rule asked only whom the chosen store could succeed.

Cause: it is a question of the number, not of the one store. A store that is lost and its successor must not both count among those that remain.

Change: a voter that retires, lost or not, is replaced by another store only if as many stores as a full group has were heard of since the newest one came: a successor starts after the loss, so that none of those has one. The same holds for a store that does not vote and may be taken away at once. A wiped voter may always take its own place.

--- a/crates/serving/src/store/group.rs
+++ b/crates/serving/src/store/group.rs
@@ -13,10 +13,10 @@
 //! a quorum responds, whatever its other voters and learners do. Lost voters come before those that
 //! retire, also in the choice of stores.
 //!
-//! Invariant of retirements: a voter that retires does not come back, so that no store takes its place that may be the
-//! successor of another lost voter. A successor starts after the loss; a voter that has responded since a store was
-//! first heard of is therefore not the one that this store succeeds. A store that does not vote may be taken away at
-//! once, and counts only members that respond to this leader as those that remain.
+//! Invariant of retirements: a voter that retires does not come back, so that it is replaced only if a full group
+//! remains of stores of which none can be the successor of another. A successor starts after the loss: a store that has
+//! been heard of since the newest one came has none among them. A store that does not vote may be taken away at once,
+//! and may retire only if as many remain, and each member among them responds to this leader.
 //!
 //! A store that is new to the group becomes a learner at once, before any voter is known to be lost: it may be the
 //! successor of one, and the time until it votes counts from its start (see [`JoinBudget`]). If nothing
@@ -347,11 +347,14 @@
         })
     }
 
-    /// Whether a member has acknowledged a message to this leader that was sent after `other` was first heard of.
-    fn has_responded_since(&self, disk: DiskId, other: DiskId) -> bool {
-        let heard_at = self.first_heard_at.get(&other).copied();
-        let observation = self.members.get(&disk);
-        observation.is_none_or(|member| member.status.contact >= heard_at)
+    /// Whether a store may be lost, and another one that is known be its successor: it has not been heard of since the
+    /// newest store came.
+    fn may_be_succeeded(&self, name: &InstanceName, status: &StoreStatus) -> bool {
+        let heard_at = match self.members.get(&status.disk) {
+            Some(member) => member.status.contact,
+            None => Some(status.received_at),
+        };
+        *name != self.instance && heard_at < self.first_heard_at.values().max().copied()
     }
 
     /// Whether a learner does not respond or receives nothing, so that it might never catch up.
@@ -383,7 +386,8 @@
         let remaining = self.present(now).filter(|(other, status)| {
             *other != name
                 && !retiring.contains(*other)
-                && (!leaves_at_once || self.responds(status.disk, now))
+                && (!leaves_at_once
+                    || (self.responds(status.disk, now) && !self.may_be_succeeded(other, status)))
         });
         Some(remaining.count() >= self.full_size)
     }
--- a/crates/serving/src/store/group/plan.rs
+++ b/crates/serving/src/store/group/plan.rs
@@ -88,7 +88,7 @@
                 .iter()
                 .filter(|assigned| assigned.need.urgency() == urgency);
             changes.extend(assigned.clone().filter_map(|assigned| self.join(assigned)));
-            changes.extend(assigned.filter_map(|assigned| self.vote(assigned, &assignments)));
+            changes.extend(assigned.filter_map(|assigned| self.vote(assigned)));
         }
         changes.extend(self.unneeded_learners(&assignments).map(Change::Remove));
         changes
@@ -103,7 +103,7 @@
     }
 
     /// The change that makes the chosen store a voter, once it is synced.
-    fn vote(&self, assigned: &Assignment, assignments: &[Assignment]) -> Option<Change> {
+    fn vote(&self, assigned: &Assignment) -> Option<Change> {
         if !self.is_ready(assigned.disk) {
             return None;
         }
@@ -111,42 +111,25 @@
         match assigned.need {
             Need::Vacancy => Some(Change::Promote(new)),
             Need::Lost(old) => {
-                let leaves = self.is_retiring(old) && self.name_of(old) != Some(&assigned.name);
-                let must_leave = if leaves {
-                    self.suffices_without(old, new, assignments)
-                } else {
-                    self.is_lost_for_good(old)
-                };
+                let must_leave = self.is_lost_for_good(old) || self.is_retiring(old);
                 must_leave.then_some(Change::Replace { old, new })
             }
             Need::Retiring(old) => {
-                let may_leave =
-                    self.can_retire(old) && self.suffices_without(old, new, assignments);
+                let may_leave = self.can_retire(old) && self.enough_remain_without(old);
                 may_leave.then_some(Change::Replace { old, new })
             }
             Need::Preparation => None,
         }
     }
 
-    /// Whether there is a store for each voter that the group may have lost, when `new` takes the place of `old`, which
-    /// does not come back. A voter that has not responded since the store of `new` came may be lost, and `new` its
-    /// successor.
-    fn suffices_without(&self, old: DiskId, new: DiskId, assignments: &[Assignment]) -> bool {
-        let has_store = |voter| {
-            let mut assignments = assignments.iter();
-            assignments.any(|assigned| assigned.need == Need::Lost(voter))
-        };
-        let is_chosen = |disk| {
-            let mut assignments = assignments.iter();
-            assignments.any(|assigned| assigned.disk == disk && assigned.need != Need::Preparation)
-        };
-        let others = self.group.voters().filter(|&id| id != old);
-        let possibly_lost = others.filter(|&id| {
-            !self.is_own(id) && !has_store(id) && !self.manager.has_responded_since(id, new)
+    /// Whether the group remains full without a voter that retires, which does not come back.
+    fn enough_remain_without(&self, voter: DiskId) -> bool {
+        let mut remaining = self.manager.present(self.now).filter(|(name, status)| {
+            Some(*name) != self.name_of(voter)
+                && !self.retiring.contains(*name)
+                && !self.manager.may_be_succeeded(name, status)
         });
-        let stores = self.candidates(Need::Vacancy);
-        let free = stores.filter(|(_, status)| !is_chosen(status.disk));
-        possibly_lost.count() <= free.count()
+        remaining.nth(self.manager.full_size - 1).is_some()
     }
 
     /// Whether a disk is a learner that could vote now.
@@ -204,9 +187,8 @@
             .full_size
             .saturating_sub(self.group.voters().count());
         let mut needs = vec![Need::Vacancy; vacancies];
-        let (mut lost, sound): (Vec<_>, Vec<_>) =
+        let (lost, sound): (Vec<_>, Vec<_>) =
             self.group.voters().partition(|&voter| self.is_lost(voter));
-        lost.sort_by_key(|voter| self.is_retiring(*voter));
         needs.extend(lost.into_iter().map(Need::Lost));
         let mut retiring: Vec<_> = sound
             .into_iter()
@@ -261,12 +243,17 @@
     }
 
     /// The stores that could serve a need. An instance votes with one disk: if it still has a voter, its new disk
-    /// serves only to replace that one. A store that retires is taken back only for its own voter.
+    /// serves only to replace that one. A store that retires is taken back only for its own voter, and no other one takes
+    /// its place if too few would remain.
     fn candidates(&self, need: Need) -> impl Iterator<Item = (&InstanceName, &StoreStatus)> {
         let stores = self.manager.present(self.now);
+        let is_open = match need {
+            Need::Lost(old) => !self.is_retiring(old) || self.enough_remain_without(old),
+            Need::Vacancy | Need::Retiring(_) | Need::Preparation => true,
+        };
         stores.filter(move |(name, status)| {
             let may_vote = self.is_own_voter(need, name) || {
-                self.group.voter_named(name).is_none() && !self.retiring.contains(*name)
+                is_open && self.group.voter_named(name).is_none() && !self.retiring.contains(*name)
             };
             may_vote && !self.group.is_voter(status.disk)
         })
--- a/crates/serving/tests/all/group_schedules.rs
+++ b/crates/serving/tests/all/group_schedules.rs
@@ -21,8 +21,6 @@
 const LOSS_RECOVERY: Millis = Millis(4_900);
 /// Time from a loss for good to the start of its successor.
 const SUCCESSOR_DELAY: Millis = Millis(500);
-/// Time after a loss in which the leader need not know of it.
-const DETECTION_TIME: Millis = Millis(1_100);
 /// Time without faults at the end, in which the stores that retire must leave.
 const CALM: Millis = Millis(15_000);
 /// Times in which a learner catches up: less than the one after which a voter counts as unresponsive, and as much.
@@ -75,7 +73,6 @@
     tolerated: usize,
     /// Until when each store that is lost counts as lost.
     lost: BTreeMap<usize, Millis>,
-    last_loss: Millis,
     /// Stores that return, and how.
     returns: Vec<(Millis, usize, Fault)>,
     /// When the successors of stores that were lost for good start.
@@ -115,8 +112,6 @@
         match step {
             Step::Lose(..) if is_gone || self.lost.len() >= self.tolerated => {}
             Step::Lose(loss, time) => self.lose(store, loss, time),
-            // The leader would not refuse it, although too few stores may remain.
-            Step::Retire if self.model.now < self.last_loss + DETECTION_TIME => {}
             Step::Retire if is_gone => {}
             Step::Retire => {
                 self.model.retire(store);
@@ -131,7 +126,6 @@
 
     fn lose(&mut self, store: usize, loss: Loss, time: Millis) {
         let now = self.model.now;
-        self.last_loss = now;
         let condition = match loss {
             Loss::Cut => Condition::Unreachable,
             Loss::Freeze | Loss::Kill | Loss::Wipe | Loss::ForGood => Condition::Down,
@@ -171,7 +165,6 @@
         model: model.with_timing(timing, JoinBudget::new(LOSS_RECOVERY)),
         tolerated,
         lost: BTreeMap::new(),
-        last_loss: Millis::ZERO,
         returns: Vec::new(),
         successors: Vec::new(),
     };
@@ -187,12 +180,12 @@
 }
 
 /// Plays one schedule with each time in which a learner catches up, and with the disks in two orders.
-fn bears(tolerated: usize, steps: &[Planned]) {
+fn bears(tolerated: usize, free: usize, steps: &[Planned]) {
     let disks: Vec<u64> = (0..64).collect();
     let reversed: Vec<u64> = disks.iter().rev().copied().collect();
     for sync in SYNC_TIMES {
         for disks in [&disks, &reversed] {
-            let played = play(tolerated, 0, sync, disks, steps);
+            let played = play(tolerated, free, sync, disks, steps);
             played.unwrap_or_else(|error| panic!("{error}, learners catch up in {sync:?}"));
         }
     }
@@ -201,28 +194,47 @@
 cases! { bears:
     // Guards against the successor of a store that is lost for good in the place of one that retires and is back soon:
     // nothing takes the lost store's place then.
-    successor_does_not_take_the_place_of_a_lost_voter_that_retires(2, &[
-        (Step::Lose(Loss::ForGood, Millis::ZERO), 2, DETECTION_TIME),
+    successor_does_not_take_the_place_of_a_lost_voter_that_retires(2, 0, &[
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 2, Millis(1_100)),
         (Step::Retire, 4, Millis(1_100)),
         (Step::Lose(Loss::Kill, Millis(5_500)), 4, Millis(3_250)),
         (Step::Lose(Loss::ForGood, Millis::ZERO), 5, Millis::ZERO),
     ]);
-    successor_does_not_take_the_place_of_a_voter_that_retires(2, &[
-        (Step::Lose(Loss::ForGood, Millis::ZERO), 2, DETECTION_TIME),
+    successor_does_not_take_the_place_of_a_voter_that_retires(2, 0, &[
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 2, Millis(1_100)),
         (Step::Retire, 4, Millis(4_400)),
         (Step::Lose(Loss::ForGood, Millis::ZERO), 1, Millis::ZERO),
     ]);
+    successors_of_two_lost_voters_do_not_take_three_places(2, 1, &[
+        (Step::Retire, 5, Millis::ZERO),
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 0, Millis(2_950)),
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 1, Millis(1_100)),
+        (Step::Retire, 4, Millis(2_000)),
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 3, Millis::ZERO),
+    ]);
     // Guards against a lost voter that waits for its successor until one that retires is back.
-    lost_voter_comes_before_a_lost_one_that_retires(2, &[
-        (Step::Lose(Loss::ForGood, Millis::ZERO), 2, DETECTION_TIME),
+    lost_voter_comes_before_a_lost_one_that_retires(2, 0, &[
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 2, Millis(1_100)),
         (Step::Retire, 1, Millis(4_400)),
         (Step::Lose(Loss::Kill, Millis(6_000)), 1, Millis(200)),
         (Step::Lose(Loss::ForGood, Millis::ZERO), 5, Millis(5_450)),
         (Step::Lose(Loss::Freeze, Millis(1_000)), 3, Millis::ZERO),
     ]);
-    // Guards against a successor that retires because a new leader, to which no store has responded yet, counts the lost
-    // one.
-    new_leader_keeps_the_successor_of_a_lost_voter(1, &[
+    // Guards against a wiped voter that waits for a store that may not take its place.
+    wiped_voter_that_retires_votes_again_if_too_few_would_remain(2, 0, &[
+        (Step::Add, 0, Millis(500)),
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 5, Millis(600)),
+        (Step::Retire, 2, Millis::ZERO),
+        (Step::Retire, 0, Millis(5_400)),
+        (Step::Lose(Loss::Wipe, Millis::ZERO), 0, Millis::ZERO),
+    ]);
+    // Guards against a successor that retires because the leader does not know of the loss yet, or no store has
+    // responded to a new one, so that it counts the lost store among those that remain.
+    successor_of_a_lost_voter_is_kept(1, 0, &[
+        (Step::Lose(Loss::ForGood, Millis::ZERO), 2, Millis(600)),
+        (Step::Retire, 3, Millis::ZERO),
+    ]);
+    new_leader_keeps_the_successor_of_a_lost_voter(1, 0, &[
         (Step::Lose(Loss::ForGood, Millis::ZERO), 2, Millis(900)),
         (Step::Lead, 1, Millis(200)),
         (Step::Retire, 3, Millis::ZERO),
