--- a/crates/serving/tests/all/group_schedules.rs
+++ b/crates/serving/tests/all/group_schedules.rs
@@ -205,6 +205,7 @@
         (Step::Retire, 4, Millis(4_400)),
         (Step::Lose(Loss::ForGood, Millis::ZERO), 1, Millis::ZERO),
     ]);
+    // Guards against the same for a successor whose own place another one took.
     successors_of_two_lost_voters_do_not_take_three_places(2, 1, &[
         (Step::Retire, 5, Millis::ZERO),
         (Step::Lose(Loss::ForGood, Millis::ZERO), 0, Millis(2_950)),
